Add the design page, the schema and the core types

The design page is the contract of the parts. Peer connections carry calls and one-way messages, online and bulk traffic on connections of their own.

--- /dev/null
+++ b/schemagen/src/main.rs
@@ -0,0 +1,74 @@
+//! Generates the Rust types of the schema into `src/generated`.
+//!
+//! `schemagen` writes the files; `schemagen --check` compares them with what is committed.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use miette::{miette, Context, IntoDiagnostic, Result};
+use prost::Message;
+
+const SCHEMAS: [&str; 4] = ["settings.proto", "config.proto", "state.proto", "peer.proto"];
+/// Packages that are also written and read as JSON.
+const JSON_PACKAGES: [&str; 2] = [".damaskhoist.settings", ".damaskhoist.config"];
+
+fn main() -> ExitCode {
+    let check = std::env::args().any(|argument| argument == "--check");
+    match run(check) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(check: bool) -> Result<()> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let committed = root.join("src/generated");
+    let scratch = tempfile::tempdir().into_diagnostic()?;
+    generate(&root.join("schema"), scratch.path())?;
+    for path in generated_files(scratch.path())? {
+        let name = path.file_name().expect("a generated file has a name");
+        let target = committed.join(name);
+        let new = fs::read(&path).into_diagnostic()?;
+        if check {
+            if fs::read(&target).unwrap_or_default() != new {
+                return Err(miette!("{} is not current: run schemagen", target.display()));
+            }
+            continue;
+        }
+        fs::write(&target, new).into_diagnostic().wrap_err("writing generated code")?;
+    }
+    Ok(())
+}
+
+fn generate(schema: &Path, output: &Path) -> Result<()> {
+    let files = SCHEMAS.map(|name| schema.join(name));
+    let descriptors = protox::compile(files, [schema])?;
+    prost_build::Config::new()
+        .out_dir(output)
+        .btree_map(["."])
+        .bytes(["."])
+        .compile_fds(descriptors.clone())
+        .into_diagnostic()?;
+    pbjson_build::Builder::new()
+        .register_descriptors(&descriptors.encode_to_vec())
+        .into_diagnostic()?
+        .out_dir(output)
+        .btree_map(["."])
+        .preserve_proto_field_names()
+        .build(&JSON_PACKAGES)
+        .into_diagnostic()?;
+    Ok(())
+}
+
+fn generated_files(folder: &Path) -> Result<Vec<PathBuf>> {
+    let mut files = Vec::new();
+    for entry in fs::read_dir(folder).into_diagnostic()? {
+        files.push(entry.into_diagnostic()?.path());
+    }
+    files.sort();
+    Ok(files)
+}
--- /dev/null
+++ b/src/bin/damaskhoist.rs
@@ -0,0 +1,3 @@
+//! The command line of operators and callers.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/damaskhoistd.rs
@@ -0,0 +1,3 @@
+//! The daemon of a host.
+
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,10 @@
+//! Online and batch inference on one fleet.
+//!
+//! The library holds the coordination parts (agreement, replicated state, membership, routing,
+//! admission) and the front ends that the `damaskhoistd` daemon and the `damaskhoist` command line
+//! put together. See `docs/design.md` for how the parts fit.
+
+pub mod peer;
+pub mod raft;
+pub mod schema;
+pub mod state;
--- /dev/null
+++ b/src/peer/call_error.rs
@@ -0,0 +1,21 @@
+use std::fmt;
+
+/// Why a call to another process brought no reply.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// The call was never sent, so the peer cannot have acted on it.
+    NotSent(String),
+    /// The call was sent but no reply came; the peer may have acted on it.
+    Lost(String),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(reason) => write!(formatter, "call not sent: {reason}"),
+            Self::Lost(reason) => write!(formatter, "no reply: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,16 @@
+//! Connections between the processes of the system: frames, calls and one-way messages.
+
+mod call_error;
+mod codec;
+mod connection;
+mod handler;
+mod listener;
+mod pool;
+mod traffic_class;
+
+pub use call_error::CallError;
+pub use codec::FrameCodec;
+pub use handler::PeerHandler;
+pub use listener::PeerListener;
+pub use pool::{PeerCaller, PeerPool};
+pub use traffic_class::TrafficClass;
--- /dev/null
+++ b/src/peer/pool.rs
@@ -0,0 +1,118 @@
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex as SyncMutex};
+use std::time::Duration;
+
+use async_std::sync::Mutex;
+use async_std::task;
+use async_trait::async_trait;
+
+use crate::peer::connection::Connection;
+use crate::peer::{CallError, TrafficClass};
+use crate::schema::peer::frame::Body;
+use crate::schema::peer::{Call, Hello, Reply};
+
+/// Longest time to wait for a connection to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Sends calls and one-way messages to peers by their address.
+#[async_trait]
+pub trait PeerCaller: Send + Sync {
+    /// Sends a call and waits for its reply.
+    async fn call(
+        &self,
+        address: &str,
+        class: TrafficClass,
+        call: Call,
+        timeout: Duration,
+    ) -> Result<Reply, CallError>;
+
+    /// Sends a one-way message, which is dropped when the peer is slow or away.
+    fn send(&self, address: &str, class: TrafficClass, body: Body);
+}
+
+type Slot = Arc<Mutex<Option<Arc<Connection>>>>;
+
+/// Connections to peers, opened on first use and kept.
+#[derive(Clone)]
+pub struct PeerPool {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    hello: Hello,
+    slots: SyncMutex<HashMap<(String, TrafficClass), Slot>>,
+}
+
+impl PeerPool {
+    /// A pool that introduces itself as `host_id` and shows `key`.
+    pub fn open(host_id: &str, incarnation: u64, key: &str) -> Self {
+        let hello = Hello {
+            host_id: host_id.to_owned(),
+            incarnation,
+            proof: key.as_bytes().to_vec().into(),
+            nonce: Default::default(),
+        };
+        Self { shared: Arc::new(Shared { hello, slots: SyncMutex::default() }) }
+    }
+
+    /// Closes all connections.
+    pub fn close(self) {
+        self.shared.slots.lock().expect("lock is not poisoned").clear();
+    }
+}
+
+impl Shared {
+    fn slot(&self, address: &str, class: TrafficClass) -> Slot {
+        let mut slots = self.slots.lock().expect("lock is not poisoned");
+        slots.entry((address.to_owned(), class)).or_default().clone()
+    }
+
+    async fn connection(
+        &self,
+        address: &str,
+        class: TrafficClass,
+    ) -> Result<Arc<Connection>, CallError> {
+        let slot = self.slot(address, class);
+        let mut current = slot.lock().await;
+        if let Some(connection) = current.as_ref().filter(|connection| !connection.is_closed()) {
+            return Ok(connection.clone());
+        }
+        let opened = Connection::open(address, self.hello.clone(), CONNECT_TIMEOUT).await;
+        let connection =
+            Arc::new(opened.map_err(|error| CallError::NotSent(format!("{address}: {error}")))?);
+        *current = Some(connection.clone());
+        Ok(connection)
+    }
+}
+
+#[async_trait]
+impl PeerCaller for PeerPool {
+    async fn call(
+        &self,
+        address: &str,
+        class: TrafficClass,
+        call: Call,
+        timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        self.shared.connection(address, class).await?.call(call, timeout).await
+    }
+
+    fn send(&self, address: &str, class: TrafficClass, body: Body) {
+        let slot = self.shared.slot(address, class);
+        if let Some(current) = slot.try_lock() {
+            match current.as_ref().filter(|connection| !connection.is_closed()) {
+                Some(connection) => {
+                    connection.send(body);
+                    return;
+                }
+                None => drop(current),
+            }
+        }
+        let (shared, address) = (self.shared.clone(), address.to_owned());
+        task::spawn(async move {
+            if let Ok(connection) = shared.connection(&address, class).await {
+                connection.send(body);
+            }
+        });
+    }
+}
