--- /dev/null
+++ b/src/batch/runner.rs
@@ -0,0 +1,339 @@
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_std::channel::{bounded, unbounded, Receiver, Sender};
+use async_std::task::{self, JoinHandle};
+use futures::future::{select, Either};
+use futures::{pin_mut, StreamExt};
+
+use crate::admission::{Refusal, RefusalKind, RunOutcome};
+use crate::batch::ItemInput;
+use crate::configuration::ConfigurationWatch;
+use crate::control::unix_ms;
+use crate::routing::WorkClass;
+use crate::schema::state::{
+    command, outcome, Command, FinishItems, ItemAttempt, ItemEnd, ItemFinish, LeaseItems,
+    LeasedItem, RenewItems,
+};
+use crate::serving::{Answer, AnswerFormat, Dispatcher, EngineRequest, PlainCall};
+use crate::state::StateClient;
+use crate::telemetry::{Counters, Tracer};
+
+/// Pause after no item could be leased or no slot was idle.
+const IDLE_PAUSE: Duration = Duration::from_millis(100);
+/// Interval between renewals, after which a cancelled job's items are stopped.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time that a lease of items holds without a renewal.
+const LEASE_MS: u32 = 10_000;
+/// Items of one command at most.
+const COMMAND_ITEMS: usize = 128;
+
+/// Bounds and identity of a runner.
+#[derive(Clone, Debug)]
+pub struct BatchOptions {
+    /// Name of the host.
+    pub host_id: String,
+    /// Grows with each start of the host.
+    pub incarnation: u64,
+    /// Items in flight at most.
+    pub in_flight_limit: u32,
+}
+
+/// Leases items of jobs, runs them on idle slots and reports their ends.
+pub struct BatchRunner {
+    shared: Arc<Shared>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+struct Shared {
+    options: BatchOptions,
+    dispatcher: Dispatcher,
+    state: Arc<dyn StateClient>,
+    configuration: ConfigurationWatch,
+    counters: Counters,
+    tracer: Tracer,
+    running: Mutex<HashMap<(String, u32), RunningItem>>,
+    finished: Sender<ItemFinish>,
+    stopping: AtomicBool,
+}
+
+struct RunningItem {
+    attempt: u32,
+    /// Closing it stops the item.
+    stop: Sender<()>,
+}
+
+impl BatchRunner {
+    /// Starts to run items.
+    pub fn spawn(
+        options: BatchOptions,
+        dispatcher: Dispatcher,
+        state: Arc<dyn StateClient>,
+        configuration: ConfigurationWatch,
+        counters: Counters,
+        tracer: Tracer,
+    ) -> Self {
+        let (finished, ends) = unbounded();
+        let shared = Arc::new(Shared {
+            options,
+            dispatcher,
+            state,
+            configuration,
+            counters,
+            tracer,
+            running: Mutex::default(),
+            finished,
+            stopping: AtomicBool::new(false),
+        });
+        let tasks = vec![
+            task::spawn(lease(shared.clone())),
+            task::spawn(renew(shared.clone())),
+            task::spawn(report(shared.clone(), ends)),
+        ];
+        Self { shared, tasks }
+    }
+
+    /// Items in flight.
+    pub fn running(&self) -> usize {
+        self.shared.running().len()
+    }
+
+    /// Takes no more items and gives running ones back.
+    pub async fn close(self) {
+        self.shared.stopping.store(true, Ordering::Release);
+        self.shared.running().values().for_each(|item| {
+            item.stop.close();
+        });
+        let started = Instant::now();
+        while !self.shared.running().is_empty() && started.elapsed() < Duration::from_secs(2) {
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        self.shared.finished.close();
+        let mut tasks = self.tasks.into_iter().rev();
+        if let Some(reporting) = tasks.next() {
+            let _ = async_std::future::timeout(Duration::from_secs(2), reporting).await;
+        }
+        for task in tasks {
+            task.cancel().await;
+        }
+    }
+}
+
+impl Shared {
+    fn running(&self) -> std::sync::MutexGuard<'_, HashMap<(String, u32), RunningItem>> {
+        self.running.lock().expect("lock is not poisoned")
+    }
+
+    /// Items that the idle slots have room for.
+    fn room(&self) -> u32 {
+        let in_flight = self.running().len() as u32;
+        let fleet = self.dispatcher.fleet().load();
+        let free: u32 = fleet.upstreams().map(|upstream| upstream.free_slots()).sum();
+        free.min(self.options.in_flight_limit.saturating_sub(in_flight))
+    }
+
+    async fn submit(&self, command: command::Command) -> Option<outcome::Outcome> {
+        let command_id = format!("{}-{:x}", self.options.host_id, rand::random::<u128>());
+        let command = Command { command_id, proposed_at_unix_ms: 0, command: Some(command) };
+        match self.state.submit(command).await {
+            Ok(outcome) => outcome.outcome,
+            Err(_) => {
+                self.counters.count("batch.command_failed");
+                None
+            }
+        }
+    }
+
+    fn end(&self, item: &LeasedItem, end: ItemEnd, status: u32, body: Vec<u8>) {
+        let attempt = item.attempt.clone();
+        let finish = ItemFinish { attempt, end: end.into(), status, body: body.into() };
+        let _ = self.finished.try_send(finish);
+    }
+}
+
+/// Leases items while slots are idle.
+async fn lease(shared: Arc<Shared>) {
+    while !shared.stopping.load(Ordering::Acquire) {
+        let room = shared.room();
+        if room == 0 || !shared.configuration.is_confirmed() {
+            task::sleep(IDLE_PAUSE).await;
+            continue;
+        }
+        let lease = LeaseItems {
+            holder: shared.options.host_id.clone(),
+            holder_incarnation: shared.options.incarnation,
+            max_items: room.min(COMMAND_ITEMS as u32),
+            lease_ms: LEASE_MS,
+            services: Vec::new(),
+        };
+        let leased = shared.submit(command::Command::LeaseItems(lease)).await;
+        let Some(outcome::Outcome::ItemsLeased(leased)) = leased else {
+            task::sleep(IDLE_PAUSE).await;
+            continue;
+        };
+        if leased.items.is_empty() {
+            task::sleep(IDLE_PAUSE).await;
+            continue;
+        }
+        for item in leased.items {
+            start(&shared, item);
+        }
+    }
+}
+
+fn start(shared: &Arc<Shared>, item: LeasedItem) {
+    let Some(attempt) = item.attempt.clone() else { return };
+    let (stop, stopped) = bounded(1);
+    let key = (attempt.job_id, attempt.item);
+    let running = RunningItem { attempt: attempt.attempt, stop };
+    shared.running().insert(key.clone(), running);
+    shared.counters.count("batch.item_started");
+    let shared = shared.clone();
+    task::spawn(async move {
+        run(&shared, &item, stopped).await;
+        shared.running().remove(&key);
+    });
+}
+
+/// Runs one attempt of an item and reports how it ended.
+async fn run(shared: &Shared, item: &LeasedItem, stopped: Receiver<()>) {
+    let input = match ItemInput::try_from(&*item.body) {
+        Ok(input) => input,
+        Err(reason) => return shared.end(item, ItemEnd::Failed, 400, reason.into_bytes()),
+    };
+    let work = async {
+        match AnswerFormat::of_path(&item.endpoint) {
+            Some(format) => run_engine(shared, item, input, format).await,
+            None => run_plain(shared, item, input).await,
+        }
+    };
+    pin_mut!(work);
+    let stop = stopped.recv();
+    pin_mut!(stop);
+    let result = match select(work, stop).await {
+        Either::Left((result, _)) => result,
+        Either::Right(_) => return shared.end(item, ItemEnd::Yielded, 0, Vec::new()),
+    };
+    match result {
+        Ok((status, body)) => shared.end(item, ItemEnd::Succeeded, status.into(), body),
+        Err(refusal) => shared.end(item, end_of(&refusal), 0, refusal.to_string().into_bytes()),
+    }
+}
+
+/// What a refusal means for an item: final, a lost attempt, or nothing run.
+fn end_of(refusal: &Refusal) -> ItemEnd {
+    match (refusal.kind, refusal.outcome) {
+        (RefusalKind::InvalidRequest | RefusalKind::CrashesUpstreams, _) => ItemEnd::Failed,
+        (_, RunOutcome::NotRun) => ItemEnd::Yielded,
+        _ => ItemEnd::AttemptFailed,
+    }
+}
+
+async fn run_engine(
+    shared: &Shared,
+    item: &LeasedItem,
+    input: ItemInput,
+    format: AnswerFormat,
+) -> Result<(u16, Vec<u8>), Refusal> {
+    let attempt = item.attempt.as_ref().expect("checked when the item was started");
+    let mut span = shared.tracer.start("batch_item", None);
+    span.text("job_id", &attempt.job_id);
+    span.number("item", attempt.item.into());
+    let model = EngineRequest::model_of(&input.body)?.to_owned();
+    let request_id = format!("{}-{}-{}", attempt.job_id, attempt.item, attempt.attempt);
+    let request = EngineRequest {
+        request_id: request_id.clone(),
+        service: item.service.clone(),
+        model: model.clone(),
+        path: item.endpoint.clone(),
+        body: EngineRequest::streamed_body(input.body),
+        class: WorkClass::Batch,
+        repeatable: true,
+        deadline: deadline(item),
+        traceparent: String::new(),
+    };
+    let mut running = shared.dispatcher.start(request, &span).await?;
+    let mut answer = Answer::default();
+    while let Some(chunk) = running.next(&span).await? {
+        answer.push(&chunk);
+    }
+    let body = format.whole(&request_id, &model, &answer);
+    Ok((200, body.to_string().into_bytes()))
+}
+
+async fn run_plain(
+    shared: &Shared,
+    item: &LeasedItem,
+    input: ItemInput,
+) -> Result<(u16, Vec<u8>), Refusal> {
+    let attempt = item.attempt.as_ref().expect("checked when the item was started");
+    let span = shared.tracer.start("batch_item", None);
+    let body = input.body.to_string().into_bytes();
+    let request_id = format!("{}-{}-{}", attempt.job_id, attempt.item, attempt.attempt);
+    let call = PlainCall {
+        request_id: &request_id,
+        service: &item.service,
+        method: "POST",
+        path: &item.endpoint,
+        content_type: "application/json",
+        body: &body,
+        repeatable: true,
+        class: WorkClass::Batch,
+        deadline: deadline(item),
+    };
+    let answer = shared.dispatcher.call_plain_whole(&call, &span).await?;
+    Ok((answer.status, answer.body))
+}
+
+fn deadline(item: &LeasedItem) -> Instant {
+    let left_ms = item.deadline_unix_ms.saturating_sub(unix_ms()).max(60_000);
+    Instant::now() + Duration::from_millis(left_ms)
+}
+
+/// Renews the leases of running items and stops those whose lease was lost.
+async fn renew(shared: Arc<Shared>) {
+    loop {
+        task::sleep(RENEW_INTERVAL).await;
+        let items: Vec<ItemAttempt> = shared
+            .running()
+            .iter()
+            .map(|((job_id, item), running)| ItemAttempt {
+                job_id: job_id.clone(),
+                item: *item,
+                attempt: running.attempt,
+            })
+            .collect();
+        if items.is_empty() {
+            continue;
+        }
+        let renew = RenewItems {
+            holder: shared.options.host_id.clone(),
+            holder_incarnation: shared.options.incarnation,
+            lease_ms: LEASE_MS,
+            items,
+        };
+        let renewed = shared.submit(command::Command::RenewItems(renew)).await;
+        let Some(outcome::Outcome::ItemsRenewed(renewed)) = renewed else { continue };
+        for lost in renewed.lost {
+            shared.counters.count("batch.lease_lost");
+            if let Some(item) = shared.running().get(&(lost.job_id, lost.item)) {
+                item.stop.close();
+            }
+        }
+    }
+}
+
+/// Reports the ends of items, many in one command.
+async fn report(shared: Arc<Shared>, ends: Receiver<ItemFinish>) {
+    let mut ends = ends.ready_chunks(COMMAND_ITEMS);
+    while let Some(items) = ends.next().await {
+        let count = items.len() as u64;
+        let finish = FinishItems { holder: shared.options.host_id.clone(), items };
+        // Items whose end could not be reported run again after their lease.
+        if shared.submit(command::Command::FinishItems(finish)).await.is_some() {
+            shared.counters.add("batch.item_ended", count);
+        }
+    }
+}
--- /dev/null
+++ b/src/configuration/configuration_watch.rs
@@ -0,0 +1,118 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::{ArcSwap, Guard};
+use async_std::task::{self, JoinHandle};
+
+use crate::configuration::ConfigurationView;
+use crate::state::StateClient;
+use crate::telemetry::Counters;
+
+/// Time that a control host may hold the question for a newer configuration.
+const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// Pause after a question that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Follows the configuration and tells how long it is confirmed.
+#[derive(Clone)]
+pub struct ConfigurationWatch {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    view: ArcSwap<ConfigurationView>,
+    started: Instant,
+    /// Time of the last confirmation in milliseconds after `started`; 0 for none yet.
+    confirmed_ms: AtomicU64,
+    lease_ms: u64,
+    watching: std::sync::Mutex<Option<JoinHandle<()>>>,
+}
+
+impl ConfigurationWatch {
+    /// Starts to follow the configuration. `on_change` runs after each new version.
+    pub fn spawn(
+        client: Arc<dyn StateClient>,
+        lease_ms: u32,
+        counters: Counters,
+        on_change: impl Fn(&ConfigurationView) + Send + Sync + 'static,
+    ) -> Self {
+        let shared = Arc::new(Shared {
+            view: ArcSwap::default(),
+            started: Instant::now(),
+            confirmed_ms: AtomicU64::new(0),
+            lease_ms: lease_ms.into(),
+            watching: Default::default(),
+        });
+        let task = task::spawn(watch(shared.clone(), client, counters, on_change));
+        *shared.watching.lock().expect("lock is not poisoned") = Some(task);
+        Self { shared }
+    }
+
+    /// The newest configuration that this host has.
+    pub fn load(&self) -> Guard<Arc<ConfigurationView>> {
+        self.shared.view.load()
+    }
+
+    /// Time since the configuration was last confirmed; `None` before the first confirmation.
+    pub fn confirmed_age_ms(&self) -> Option<u64> {
+        let confirmed_ms = self.shared.confirmed_ms.load(Ordering::Acquire);
+        if confirmed_ms == 0 {
+            return None;
+        }
+        Some(self.shared.elapsed_ms(Instant::now()).saturating_sub(confirmed_ms))
+    }
+
+    /// True while the configuration cannot have been replaced unseen for longer than the lease.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed_age_ms().is_some_and(|age_ms| age_ms < self.shared.lease_ms)
+    }
+
+    /// Stops following.
+    pub async fn close(self) {
+        let task = self.shared.watching.lock().expect("lock is not poisoned").take();
+        if let Some(task) = task {
+            task.cancel().await;
+        }
+    }
+}
+
+impl Shared {
+    fn elapsed_ms(&self, now: Instant) -> u64 {
+        now.duration_since(self.started).as_millis() as u64
+    }
+}
+
+async fn watch(
+    shared: Arc<Shared>,
+    client: Arc<dyn StateClient>,
+    counters: Counters,
+    on_change: impl Fn(&ConfigurationView),
+) {
+    loop {
+        // The answer is confirmed at some time after the question, so the question's time is safe.
+        let asked_ms = shared.elapsed_ms(Instant::now()).max(1);
+        let known_version = shared.view.load().version();
+        let notice = match client.watch_configuration(known_version, WATCH_WAIT).await {
+            Ok(notice) => notice,
+            Err(_) => {
+                counters.count("configuration.watch_failed");
+                task::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+        };
+        if notice.version < known_version {
+            counters.count("configuration.older_version_refused");
+            continue;
+        }
+        if let Some(configuration) = notice.configuration {
+            if configuration.version > known_version {
+                let view = Arc::new(ConfigurationView::from(configuration));
+                shared.view.store(view.clone());
+                log::info!("configuration {} is in force", view.version());
+                on_change(&view);
+            }
+        }
+        shared.confirmed_ms.store(asked_ms, Ordering::Release);
+    }
+}
--- /dev/null
+++ b/src/configuration/mod.rs
@@ -0,0 +1,7 @@
+//! The configuration in force on this host.
+
+mod configuration_view;
+mod configuration_watch;
+
+pub use configuration_view::ConfigurationView;
+pub use configuration_watch::ConfigurationWatch;
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,8 @@
+//! The control role: replicated groups with their state, and access to them from any host.
+
+mod control;
+mod remote_state;
+
+pub(crate) use control::unix_ms;
+pub use control::Control;
+pub use remote_state::RemoteState;
--- /dev/null
+++ b/src/entry/http_server.rs
@@ -0,0 +1,178 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_h1::server::{ConnectionStatus, Server, ServerOptions};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task::{self, JoinHandle};
+use futures::future::{select, Either};
+use futures::{AsyncWriteExt, StreamExt};
+use tide::http::{Request, Response};
+
+use crate::admission::{Refusal, RefusalKind};
+use crate::entry::caller_stream::{CallerStream, StreamState};
+use crate::entry::refusal_response::refusal_bytes;
+use crate::settings::LimitSettings;
+use crate::telemetry::Counters;
+
+/// Largest head that the HTTP library reads.
+const LIBRARY_HEAD_LIMIT_BYTES: u32 = 8 * 1024;
+
+/// Serves HTTP connections of callers until it is closed.
+pub struct HttpServer {
+    address: SocketAddr,
+    accepting: JoinHandle<()>,
+    stopping: Arc<AtomicBool>,
+}
+
+#[derive(Clone)]
+struct Context {
+    app: tide::Server<()>,
+    limits: Arc<LimitSettings>,
+    counters: Counters,
+    connections: Arc<AtomicU32>,
+    stopping: Arc<AtomicBool>,
+}
+
+impl HttpServer {
+    /// Listens on `address` and hands requests to `app`.
+    pub async fn bind(
+        address: SocketAddr,
+        app: tide::Server<()>,
+        limits: &LimitSettings,
+        counters: Counters,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let stopping = Arc::new(AtomicBool::new(false));
+        let context = Context {
+            app,
+            limits: Arc::new(limits.clone()),
+            counters,
+            connections: Arc::default(),
+            stopping: stopping.clone(),
+        };
+        let accepting = task::spawn(accept(listener, context));
+        Ok(Self { address, accepting, stopping })
+    }
+
+    /// Address that the server got.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting; open connections end after their current request.
+    pub async fn close(self) {
+        self.stopping.store(true, Ordering::Release);
+        self.accepting.cancel().await;
+    }
+}
+
+async fn accept(listener: TcpListener, context: Context) {
+    let mut incoming = listener.incoming();
+    while let Some(stream) = incoming.next().await {
+        let Ok(stream) = stream else {
+            // Out of file descriptors: waits for connections to end.
+            task::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let open = context.connections.fetch_add(1, Ordering::AcqRel);
+        let guard = ConnectionGuard { connections: context.connections.clone() };
+        if open >= context.limits.connections {
+            context.counters.count("connection.refused");
+            continue;
+        }
+        let context = context.clone();
+        task::spawn(async move {
+            let _guard = guard;
+            serve(stream, &context).await;
+        });
+    }
+}
+
+struct ConnectionGuard {
+    connections: Arc<AtomicU32>,
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.connections.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Serves the requests of one connection until either side ends it.
+async fn serve(stream: TcpStream, context: &Context) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let state = Arc::new(StreamState::default());
+    let head_limit_bytes = context.limits.header_bytes.min(LIBRARY_HEAD_LIMIT_BYTES);
+    let caller = CallerStream::new(stream.clone(), state.clone(), head_limit_bytes);
+    let head_timeout = Duration::from_millis(context.limits.header_timeout_ms.into());
+    let options = ServerOptions::default().with_headers_timeout(head_timeout);
+    let endpoint = |mut request: Request| {
+        state.end_head();
+        request.ext_mut().insert(state.clone());
+        let app = context.app.clone();
+        async move { app.respond::<Request, Response>(request).await }
+    };
+    let mut server = Server::new(caller, endpoint).with_opts(options);
+    loop {
+        if context.stopping.load(Ordering::Acquire) || !wait_for_request(&stream, context).await {
+            return;
+        }
+        state.start_head();
+        let request = Box::pin(server.accept_one());
+        // A caller that went away must free what its request holds.
+        let gone = Box::pin(CallerStream::closed(&stream));
+        match select(request, gone).await {
+            Either::Left((Ok(ConnectionStatus::KeepAlive), _)) if !state.ignores_rest() => {}
+            Either::Left((Ok(_), _)) => return,
+            Either::Left((Err(error), _)) => {
+                context.counters.count("request.malformed");
+                answer_malformed(stream.clone(), &error, head_limit_bytes).await;
+                return;
+            }
+            Either::Right(_) => {
+                context.counters.count("request.caller_gone");
+                return;
+            }
+        }
+    }
+}
+
+/// Waits for the first byte of the next request. `false` when there will be none.
+async fn wait_for_request(stream: &TcpStream, context: &Context) -> bool {
+    let timeout = Duration::from_millis(context.limits.keep_alive_timeout_ms.into());
+    let mut byte = [0];
+    let peeked = async_std::future::timeout(timeout, stream.peek(&mut byte)).await;
+    matches!(peeked, Ok(Ok(1)))
+}
+
+/// Answers a request whose head could not be read.
+async fn answer_malformed(mut stream: TcpStream, error: &tide::http::Error, limit_bytes: u32) {
+    let text = error.to_string();
+    let (status, message) = if text.contains("head limit") || text.contains("Head byte length") {
+        (431, format!("the head of the request is over its limit of {limit_bytes} bytes"))
+    } else {
+        (400, format!("the head of the request is malformed: {text}"))
+    };
+    let refusal = Refusal::not_run(RefusalKind::InvalidRequest, message);
+    let body = refusal_bytes(&refusal, &[]);
+    let head = format!(
+        "HTTP/1.1 {status} Bad Request\r\ncontent-type: application/json\r\n\
+         content-length: {}\r\nconnection: close\r\n\r\n",
+        body.len()
+    );
+    let _ = stream.write_all(head.as_bytes()).await;
+    let _ = stream.write_all(&body).await;
+    let _ = stream.shutdown(std::net::Shutdown::Write);
+    // Unread input would make the system reset the connection before the answer is read.
+    let drain = futures::io::copy(
+        futures::AsyncReadExt::take(stream.clone(), 2 * 1024 * 1024),
+        &mut futures::io::sink(),
+    );
+    let _ = async_std::future::timeout(Duration::from_millis(500), drain).await;
+}
--- /dev/null
+++ b/src/entry/routes/completions.rs
@@ -0,0 +1,184 @@
+use std::sync::Arc;
+
+use async_std::task;
+use async_trait::async_trait;
+use tide::Response;
+
+use crate::admission::{Refusal, RefusalKind};
+use crate::entry::caller_request::{invalid, CallerRequest};
+use crate::entry::event_body::EventBody;
+use crate::entry::route::RouteHandler;
+use crate::entry::routes::answer_stream::AnswerStream;
+use crate::entry::shared::EntryShared;
+use crate::schema::state::Answer as RecordedAnswer;
+use crate::serving::{
+    Answer, AnswerFormat, EngineRequest, OnlineAnswer, OnlineRequest, RequestIdentity,
+    RunningAnswer,
+};
+use crate::telemetry::Span;
+
+/// `POST /v1/chat/completions` and `POST /v1/completions`: one online request to a model.
+pub struct Completions {
+    /// Shape of the answers.
+    pub format: AnswerFormat,
+}
+
+/// What the caller asked for beside the request itself.
+struct Parsed {
+    request: OnlineRequest,
+    stream: bool,
+}
+
+#[async_trait]
+impl RouteHandler for Completions {
+    fn name(&self) -> &'static str {
+        "completions"
+    }
+
+    async fn handle(&self, mut request: CallerRequest, mut span: Span) -> Result<Response, Refusal> {
+        let parsed = self.parse(&mut request).await?;
+        let shared = request.shared().clone();
+        span.text("model", &parsed.request.model);
+        let answer = shared.online.begin(&parsed.request, &span).await?;
+        match (answer, parsed.stream) {
+            (OnlineAnswer::Running(running), true) => {
+                Ok(stream(shared, parsed.request, *running, span))
+            }
+            (OnlineAnswer::Running(running), false) => {
+                whole(&shared, &parsed.request, *running, span).await
+            }
+            (OnlineAnswer::Recorded(recorded), true) => Ok(replay(&parsed.request, &recorded)),
+            (OnlineAnswer::Recorded(recorded), false) => Ok(recorded_response(&recorded)),
+        }
+    }
+}
+
+impl Completions {
+    async fn parse(&self, request: &mut CallerRequest) -> Result<Parsed, Refusal> {
+        let customer = request.customer()?;
+        let key = request.idempotency_key()?;
+        let not_repeatable = request.is_not_repeatable()?;
+        let deadline = request.deadline()?;
+        let (bytes, body) = request.json().await?;
+        let shared = request.shared();
+        if shared.activity.is_draining() && shared.activity.open() == 0 {
+            return Err(Refusal::not_run(RefusalKind::Draining, "this host is stopping"));
+        }
+        let model = EngineRequest::model_of(&body)?.to_owned();
+        let stream = match body.get("stream") {
+            None | Some(serde_json::Value::Null) => false,
+            Some(serde_json::Value::Bool(stream)) => *stream,
+            Some(_) => return Err(invalid("field `stream` must be true or false".to_owned())),
+        };
+        let input = if self.format == AnswerFormat::Chat { "messages" } else { "prompt" };
+        if body.get(input).is_none() {
+            return Err(invalid(format!("field `{input}` is missing")));
+        }
+        let service = service_of(shared, &model);
+        shared.check_configuration(&service, !not_repeatable)?;
+        let configuration = shared.configuration.load();
+        let identity = RequestIdentity {
+            request_id: request.request_id.clone(),
+            customer,
+            key,
+            fingerprint: RequestIdentity::fingerprint_of(&bytes),
+            not_repeatable: not_repeatable || configuration.is_not_repeatable(&service),
+            deadline,
+        };
+        let request = OnlineRequest {
+            identity,
+            model,
+            format: self.format,
+            body: EngineRequest::streamed_body(body),
+            recorded: configuration.records_answers(&service),
+        };
+        Ok(Parsed { request, stream })
+    }
+}
+
+/// Service of the first upstream that serves a model; empty for an unknown model.
+fn service_of(shared: &EntryShared, model: &str) -> String {
+    let fleet = shared.dispatcher.fleet().load();
+    fleet.service_of(model).unwrap_or_default().to_owned()
+}
+
+/// Answers with a stream that is produced beside the connection.
+fn stream(
+    shared: Arc<EntryShared>,
+    request: OnlineRequest,
+    running: RunningAnswer,
+    span: Span,
+) -> Response {
+    let (sender, body) = EventBody::open();
+    let request_id = request.identity.request_id.clone();
+    let activity = shared.activity.enter();
+    task::spawn(async move {
+        let _activity = activity;
+        AnswerStream { shared, request, running, span }.run(sender).await;
+    });
+    stream_response(&request_id, body)
+}
+
+async fn whole(
+    shared: &EntryShared,
+    request: &OnlineRequest,
+    mut running: RunningAnswer,
+    span: Span,
+) -> Result<Response, Refusal> {
+    let mut answer = Answer::default();
+    loop {
+        match running.next(&span).await {
+            Ok(Some(chunk)) => answer.push(&chunk),
+            Ok(None) => break,
+            Err(refusal) => {
+                shared.online.release(request, refusal.outcome).await;
+                return Err(refusal);
+            }
+        }
+    }
+    let recorded = shared.online.record(request, &answer, &span).await;
+    let body = request.format.whole(&request.identity.request_id, &request.model, &answer);
+    let response = Response::builder(200)
+        .content_type("application/json")
+        .header("x-request-id", request.identity.request_id.as_str())
+        .header("x-answer-recorded", recorded.to_string())
+        .body(body.to_string());
+    Ok(response.build())
+}
+
+/// Answers with a recorded answer as it is.
+pub fn recorded_response(recorded: &RecordedAnswer) -> Response {
+    Response::builder(recorded.status as u16)
+        .content_type(recorded.content_type.as_str())
+        .header("x-request-id", recorded.request_id.as_str())
+        .header("x-answer-recorded", "true")
+        .header("x-answer-replayed", "true")
+        .body(recorded.body.to_vec())
+        .build()
+}
+
+/// Streams a recorded answer as one piece.
+fn replay(request: &OnlineRequest, recorded: &RecordedAnswer) -> Response {
+    let format = request.format;
+    let value = serde_json::from_slice(&recorded.body).unwrap_or_default();
+    let Some(answer) = format.parse_whole(&value) else { return recorded_response(recorded) };
+    let (id, model) = (&recorded.request_id, &request.model);
+    let chunk = format.chunk(id, model, &answer.text, 0);
+    let last = format.last_chunk(id, model, &answer, true);
+    let events = format!("data: {chunk}\n\ndata: {last}\n\ndata: [DONE]\n\n");
+    Response::builder(200)
+        .content_type("text/event-stream")
+        .header("x-request-id", recorded.request_id.as_str())
+        .header("x-answer-replayed", "true")
+        .body(events)
+        .build()
+}
+
+fn stream_response(request_id: &str, body: EventBody) -> Response {
+    Response::builder(200)
+        .body(tide::Body::from_reader(body, None))
+        .content_type("text/event-stream")
+        .header("cache-control", "no-store")
+        .header("x-request-id", request_id)
+        .build()
+}
--- /dev/null
+++ b/src/entry/routes/service.rs
@@ -0,0 +1,85 @@
+use async_trait::async_trait;
+use tide::Response;
+
+use crate::admission::Refusal;
+use crate::entry::caller_request::CallerRequest;
+use crate::entry::route::RouteHandler;
+use crate::entry::routes::completions::recorded_response;
+use crate::routing::WorkClass;
+use crate::serving::{PlainCall, RequestIdentity};
+use crate::telemetry::Span;
+
+/// `/v1/services/:service/*path`: passes any call to a plain service.
+pub struct Service;
+
+#[async_trait]
+impl RouteHandler for Service {
+    fn name(&self) -> &'static str {
+        "service"
+    }
+
+    async fn handle(&self, mut request: CallerRequest, mut span: Span) -> Result<Response, Refusal> {
+        let customer = request.customer()?;
+        let key = request.idempotency_key()?;
+        let marked = request.is_not_repeatable()?;
+        let deadline = request.deadline()?;
+        let body = request.body().await?;
+        let shared = request.shared().clone();
+        let service = request.path_parameter("service").to_owned();
+        span.text("service", &service);
+        let not_repeatable = marked || shared.configuration.load().is_not_repeatable(&service);
+        shared.check_configuration(&service, !not_repeatable)?;
+        let method = request.method();
+        let path = match request.url_query() {
+            "" => format!("/{}", request.path_parameter("path")),
+            query => format!("/{}?{query}", request.path_parameter("path")),
+        };
+        let identity = RequestIdentity {
+            request_id: request.request_id.clone(),
+            customer,
+            key,
+            fingerprint: RequestIdentity::fingerprint_of(
+                &[service.as_bytes(), method.as_bytes(), path.as_bytes(), &body].concat(),
+            ),
+            not_repeatable,
+            deadline,
+        };
+        let ledger = shared.online.ledger();
+        if identity.needs_claim() {
+            if let Some(recorded) = ledger.claim(&identity, &span).await? {
+                return Ok(recorded_response(&recorded));
+            }
+        }
+        let content_type = request.header("content-type").unwrap_or("application/octet-stream");
+        let call = PlainCall {
+            request_id: &identity.request_id,
+            service: &service,
+            method,
+            path: &path,
+            content_type,
+            body: &body,
+            repeatable: !not_repeatable && is_repeatable(method, &identity.key),
+            class: WorkClass::Online,
+            deadline,
+        };
+        let answer = match shared.dispatcher.call_plain_whole(&call, &span).await {
+            Ok(answer) => answer,
+            Err(refusal) => {
+                ledger.release(&identity, refusal.outcome).await;
+                return Err(refusal);
+            }
+        };
+        if identity.needs_claim() {
+            ledger.record(&identity, answer.view(), &span).await;
+        }
+        let response = Response::builder(answer.status)
+            .content_type(answer.content_type.as_str())
+            .body(answer.body);
+        Ok(response.build())
+    }
+}
+
+/// Calls that HTTP defines as idempotent, or that carry a key, may be sent again.
+fn is_repeatable(method: &str, key: &str) -> bool {
+    !key.is_empty() || !matches!(method, "POST" | "PATCH")
+}
--- /dev/null
+++ b/src/entry/shared.rs
@@ -0,0 +1,104 @@
+use std::sync::Arc;
+
+use crate::admission::{Refusal, RefusalKind, RunOutcome};
+use crate::configuration::ConfigurationWatch;
+use crate::entry::activity::Activity;
+use crate::membership::{select_entries, Membership};
+use crate::peer::PeerCaller;
+use crate::schema::state::{command, outcome, query, query_answer, Command, Query};
+use crate::serving::{unavailable, Dispatcher, OnlineService};
+use crate::settings::HostSettings;
+use crate::state::{StateClient, StateError};
+use crate::telemetry::{Counters, Tracer};
+
+/// Addresses named in an answer of `/v1/entries` or in a refusal.
+const ENTRIES_LIMIT: usize = 8;
+
+/// What all routes of an entry host share.
+pub struct EntryShared {
+    /// Settings of the host.
+    pub settings: HostSettings,
+    /// Counters.
+    pub counters: Counters,
+    /// Spans.
+    pub tracer: Tracer,
+    /// Hosts and upstreams.
+    pub membership: Membership,
+    /// The configuration in force.
+    pub configuration: ConfigurationWatch,
+    /// The replicated state.
+    pub state: Arc<dyn StateClient>,
+    /// Calls to other hosts.
+    pub caller: Arc<dyn PeerCaller>,
+    /// Requests to upstreams.
+    pub dispatcher: Dispatcher,
+    /// Online requests and their records.
+    pub online: OnlineService,
+    /// Open requests and the state of a drain.
+    pub activity: Activity,
+}
+
+impl EntryShared {
+    /// Refuses work when the configuration may have been replaced unseen.
+    pub fn check_configuration(&self, service: &str, repeatable: bool) -> Result<(), Refusal> {
+        if self.configuration.is_confirmed() {
+            return Ok(());
+        }
+        let is_exempt = repeatable
+            && self.configuration.confirmed_age_ms().is_some()
+            && self.configuration.load().serves_when_isolated(service);
+        if is_exempt {
+            self.counters.count("request.served_isolated");
+            return Ok(());
+        }
+        let message = "this host has lost contact to the control hosts";
+        Err(Refusal::not_run(RefusalKind::ConfigurationStale, message))
+    }
+
+    /// Submits a command; a refusal by the state becomes a refusal of the request.
+    pub async fn submit(
+        &self,
+        command_id: String,
+        command: command::Command,
+    ) -> Result<outcome::Outcome, Refusal> {
+        let command = Command { command_id, proposed_at_unix_ms: 0, command: Some(command) };
+        match self.state.submit(command).await {
+            Ok(outcome) => match outcome.outcome {
+                Some(outcome::Outcome::Refused(refused)) => Err(Refusal::from(refused)),
+                Some(outcome) => Ok(outcome),
+                None => Err(unavailable(StateError::Unknown("empty outcome".to_owned()))),
+            },
+            // The command may take effect later, so the caller must not take it as refused.
+            Err(error @ StateError::Unknown(_)) => {
+                Err(unavailable(error).with_outcome(RunOutcome::MayHaveRun))
+            }
+            Err(error) => Err(unavailable(error)),
+        }
+    }
+
+    /// Reads the state; a refusal by the state becomes a refusal of the request.
+    pub async fn query(&self, query: query::Query) -> Result<query_answer::Answer, Refusal> {
+        let answer = self.state.query(Query { query: Some(query) }).await.map_err(unavailable)?;
+        match answer.answer {
+            Some(query_answer::Answer::Refused(refused)) => Err(Refusal::from(refused)),
+            Some(answer) => Ok(answer),
+            None => Err(unavailable(StateError::Unknown("empty answer".to_owned()))),
+        }
+    }
+
+    /// Entry addresses for callers in `zone`, the best first, this host included.
+    pub fn entry_addresses(&self, zone: &str) -> Vec<String> {
+        let view = self.membership.view();
+        let zone = if zone.is_empty() { &self.settings.zone } else { zone };
+        let selected = select_entries(&view, zone, rand::random(), ENTRIES_LIMIT);
+        selected.iter().map(|host| host.record.caller_address.clone()).collect()
+    }
+
+    /// Entry addresses without this host, for a caller that is refused here.
+    pub fn other_addresses(&self) -> Vec<String> {
+        let own = self.settings.caller_address.to_string();
+        let mut addresses = self.entry_addresses("");
+        addresses.retain(|address| *address != own);
+        addresses
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,10 @@
 //! admission) and the front ends that the `damaskhoistd` daemon and the `damaskhoist` command line
 //! put together. See `docs/design.md` for how the parts fit.
 
+pub mod admission;
 pub mod peer;
 pub mod raft;
+pub mod routing;
 pub mod schema;
 pub mod state;
+pub mod upstream;
--- /dev/null
+++ b/src/routing/balancer.rs
@@ -0,0 +1,16 @@
+use std::sync::Arc;
+
+use crate::routing::{RequestView, Upstream};
+
+/// Policy that picks one of the upstreams that can serve a request.
+pub trait Balancer: Send + Sync {
+    /// Index of the chosen candidate, or `None` when none has a free slot.
+    ///
+    /// `random` is a fresh random number. Takes no lock and allocates nothing.
+    fn choose(
+        &self,
+        request: &RequestView<'_>,
+        candidates: &[Arc<Upstream>],
+        random: u64,
+    ) -> Option<usize>;
+}
--- /dev/null
+++ b/src/routing/fleet.rs
@@ -0,0 +1,112 @@
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+
+use crate::routing::{RequestView, Upstream};
+use crate::schema::peer::UpstreamRecord;
+
+/// The upstreams that may get work, by service and by model. Never changed once published.
+#[derive(Debug, Default)]
+pub struct FleetSnapshot {
+    services: HashMap<String, Vec<Arc<Upstream>>>,
+    models: BTreeMap<String, Vec<Arc<Upstream>>>,
+    upstreams: HashMap<String, Arc<Upstream>>,
+}
+
+impl FleetSnapshot {
+    /// Upstreams that can serve a request.
+    pub fn candidates(&self, request: &RequestView<'_>) -> &[Arc<Upstream>] {
+        let list = match (request.service, request.model) {
+            ("", model) => self.models.get(model),
+            (service, _) => self.services.get(service),
+        };
+        list.map_or(&[], Vec::as_slice)
+    }
+
+    /// Names of all models that an upstream serves.
+    pub fn models(&self) -> impl Iterator<Item = &str> {
+        self.models.keys().map(String::as_str)
+    }
+
+    /// Names of all services with their upstreams.
+    pub fn services(&self) -> impl Iterator<Item = (&str, &[Arc<Upstream>])> {
+        self.services.iter().map(|(name, list)| (name.as_str(), list.as_slice()))
+    }
+
+    /// All upstreams, in no order.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.upstreams.values()
+    }
+
+    /// Service of the upstreams that serve a model.
+    pub fn service_of(&self, model: &str) -> Option<&str> {
+        let upstreams = self.models.get(model)?;
+        upstreams.first().map(|upstream| upstream.record.service.as_str())
+    }
+
+    /// One upstream by its id.
+    pub fn upstream(&self, upstream_id: &str) -> Option<&Arc<Upstream>> {
+        self.upstreams.get(upstream_id)
+    }
+
+    /// True when some upstream serves the model.
+    pub fn has_model(&self, model: &str) -> bool {
+        self.models.contains_key(model)
+    }
+
+    /// True when some upstream belongs to the service.
+    pub fn has_service(&self, service: &str) -> bool {
+        self.services.contains_key(service)
+    }
+
+    fn insert(&mut self, upstream: Arc<Upstream>) {
+        let record = &upstream.record;
+        self.services.entry(record.service.clone()).or_default().push(upstream.clone());
+        for model in &record.models {
+            self.models.entry(model.name.clone()).or_default().push(upstream.clone());
+            for adapter in &model.adapters {
+                let name = format!("{}:{adapter}", model.name);
+                self.models.entry(name).or_default().push(upstream.clone());
+            }
+        }
+        self.upstreams.insert(record.upstream_id.clone(), upstream);
+    }
+}
+
+/// The published snapshot of the fleet.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    snapshot: ArcSwap<FleetSnapshot>,
+}
+
+impl Fleet {
+    /// The newest snapshot.
+    pub fn load(&self) -> arc_swap::Guard<Arc<FleetSnapshot>> {
+        self.snapshot.load()
+    }
+
+    /// Notes the load that an upstream reported, which lags behind what was sent to it.
+    pub fn report_load(&self, upstream_id: &str, running: u32, waiting: u32) {
+        if let Some(upstream) = self.snapshot.load().upstreams.get(upstream_id) {
+            upstream.report_load(running, waiting);
+        }
+    }
+
+    /// Publishes a new snapshot. Upstreams of the same incarnation keep their counters.
+    pub fn replace<'a>(&self, records: impl Iterator<Item = (&'a UpstreamRecord, u64)>) {
+        let old = self.snapshot.load();
+        let mut new = FleetSnapshot::default();
+        for (record, incarnation) in records {
+            let known = old.upstreams.get(&record.upstream_id);
+            let known =
+                known.filter(|known| known.incarnation == incarnation && known.record == *record);
+            let upstream = match known {
+                Some(known) => known.clone(),
+                None => Arc::new(Upstream::new(record.clone(), incarnation)),
+            };
+            new.insert(upstream);
+        }
+        self.snapshot.store(Arc::new(new));
+    }
+}
--- /dev/null
+++ b/src/routing/round_robin.rs
@@ -0,0 +1,30 @@
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+use crate::routing::{Balancer, RequestView, Upstream};
+
+/// Takes upstreams in turn, whatever their load. The baseline of measurements.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    next: AtomicUsize,
+}
+
+impl Balancer for RoundRobin {
+    fn choose(
+        &self,
+        request: &RequestView<'_>,
+        candidates: &[Arc<Upstream>],
+        _random: u64,
+    ) -> Option<usize> {
+        let start = self.next.fetch_add(1, Ordering::Relaxed);
+        for step in 0..candidates.len() {
+            let index = (start + step) % candidates.len();
+            let id = &candidates[index].record.upstream_id;
+            if request.excluded.contains(id) {
+                continue;
+            }
+            return Some(index);
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/routing/upstream.rs
@@ -0,0 +1,124 @@
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::Arc;
+
+use crate::routing::WorkClass;
+use crate::schema::peer::UpstreamRecord;
+
+/// One upstream as this host sees it: its record and what was sent to it.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Record that the upstream announced.
+    pub record: UpstreamRecord,
+    /// Grows with each start of the upstream.
+    pub incarnation: u64,
+    online_in_use: AtomicU32,
+    batch_in_use: AtomicU32,
+    failures: AtomicU32,
+    first_token_us: AtomicU64,
+    reported_running: AtomicU32,
+    reported_waiting: AtomicU32,
+}
+
+impl Upstream {
+    /// An upstream with nothing in flight.
+    pub fn new(record: UpstreamRecord, incarnation: u64) -> Self {
+        Self {
+            record,
+            incarnation,
+            online_in_use: AtomicU32::new(0),
+            batch_in_use: AtomicU32::new(0),
+            failures: AtomicU32::new(0),
+            first_token_us: AtomicU64::new(0),
+            reported_running: AtomicU32::new(0),
+            reported_waiting: AtomicU32::new(0),
+        }
+    }
+
+    /// Requests of this host in flight at the upstream.
+    pub fn in_use(&self) -> u32 {
+        self.online_in_use.load(Ordering::Relaxed) + self.batch_in_use.load(Ordering::Relaxed)
+    }
+
+    /// Requests of one class in flight at the upstream.
+    pub fn in_use_by(&self, class: WorkClass) -> u32 {
+        self.counter(class).load(Ordering::Relaxed)
+    }
+
+    /// Slots that this host may still use.
+    pub fn free_slots(&self) -> u32 {
+        self.record.slots.saturating_sub(self.in_use())
+    }
+
+    /// Attempts in a row that failed here.
+    pub fn failures(&self) -> u32 {
+        self.failures.load(Ordering::Relaxed)
+    }
+
+    /// Average time to the first token, in microseconds.
+    pub fn first_token_us(&self) -> u64 {
+        self.first_token_us.load(Ordering::Relaxed)
+    }
+
+    /// Takes one slot, or `None` when all are in use.
+    pub fn acquire(self: &Arc<Self>, class: WorkClass) -> Option<SlotPermit> {
+        let counter = self.counter(class);
+        counter.fetch_add(1, Ordering::AcqRel);
+        if self.in_use() > self.record.slots {
+            counter.fetch_sub(1, Ordering::AcqRel);
+            return None;
+        }
+        Some(SlotPermit { upstream: self.clone(), class })
+    }
+
+    /// Notes a finished attempt with its time to the first token.
+    pub fn record_success(&self, first_token_us: u64) {
+        self.failures.store(0, Ordering::Relaxed);
+        let old = self.first_token_us.load(Ordering::Relaxed);
+        let new = if old == 0 { first_token_us } else { (old * 7 + first_token_us) / 8 };
+        self.first_token_us.store(new, Ordering::Relaxed);
+    }
+
+    /// Notes an attempt that the upstream failed.
+    pub fn record_failure(&self) {
+        self.failures.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes the load of all hosts together, as the upstream reported it some time ago.
+    pub fn report_load(&self, running: u32, waiting: u32) {
+        self.reported_running.store(running, Ordering::Relaxed);
+        self.reported_waiting.store(waiting, Ordering::Relaxed);
+    }
+
+    /// Load that the upstream reported last: requests running and waiting.
+    pub fn reported_load(&self) -> (u32, u32) {
+        let running = self.reported_running.load(Ordering::Relaxed);
+        (running, self.reported_waiting.load(Ordering::Relaxed))
+    }
+
+    fn counter(&self, class: WorkClass) -> &AtomicU32 {
+        match class {
+            WorkClass::Online => &self.online_in_use,
+            WorkClass::Batch => &self.batch_in_use,
+        }
+    }
+}
+
+/// A slot in use; dropping it gives the slot back.
+#[derive(Debug)]
+pub struct SlotPermit {
+    upstream: Arc<Upstream>,
+    class: WorkClass,
+}
+
+impl SlotPermit {
+    /// Upstream that the slot belongs to.
+    pub fn upstream(&self) -> &Arc<Upstream> {
+        &self.upstream
+    }
+}
+
+impl Drop for SlotPermit {
+    fn drop(&mut self) {
+        self.upstream.counter(self.class).fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/src/serving/mod.rs
@@ -0,0 +1,24 @@
+//! Runs requests on upstreams: attempts, resumed streams and recorded answers.
+
+mod answer;
+mod answer_format;
+mod answer_ledger;
+mod attempt;
+mod dispatcher;
+mod engine_request;
+mod online;
+mod plain_call;
+mod request_identity;
+mod running_answer;
+
+pub use answer::Answer;
+pub use answer_format::AnswerFormat;
+pub(crate) use answer_ledger::unavailable;
+pub use answer_ledger::{AnswerLedger, FinishedAnswer};
+pub use attempt::{AttemptFailure, AttemptPolicy, NextStep};
+pub use dispatcher::Dispatcher;
+pub use engine_request::EngineRequest;
+pub use online::{OnlineAnswer, OnlineRequest, OnlineService};
+pub use plain_call::{PlainAnswer, PlainCall};
+pub use request_identity::RequestIdentity;
+pub use running_answer::RunningAnswer;
--- /dev/null
+++ b/src/upstream/http_connector.rs
@@ -0,0 +1,133 @@
+use std::collections::HashMap;
+use std::str::FromStr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_std::net::TcpStream;
+use async_trait::async_trait;
+use tide::http::{Method, Request, Response, Url};
+
+use crate::upstream::response_body::ResponseBody;
+use crate::upstream::{UpstreamCall, UpstreamConnector, UpstreamError, UpstreamResponse};
+
+/// Longest time to wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Idle connections kept for each upstream.
+const IDLE_LIMIT: usize = 64;
+/// Age at which an idle connection is dropped, before the usual timeout of servers.
+const IDLE_AGE: Duration = Duration::from_secs(4);
+
+type IdleByAddress = HashMap<String, Vec<(Instant, TcpStream)>>;
+
+/// Connections between two calls.
+#[derive(Clone, Default)]
+pub struct IdleConnections {
+    by_address: Arc<Mutex<IdleByAddress>>,
+}
+
+impl IdleConnections {
+    /// Keeps a connection for the next call.
+    pub fn put(&self, address: &str, stream: TcpStream) {
+        let mut by_address = self.by_address.lock().expect("lock is not poisoned");
+        let idle = by_address.entry(address.to_owned()).or_default();
+        if idle.len() < IDLE_LIMIT {
+            idle.push((Instant::now(), stream));
+        }
+    }
+
+    fn take(&self, address: &str) -> Option<TcpStream> {
+        let mut by_address = self.by_address.lock().expect("lock is not poisoned");
+        let idle = by_address.get_mut(address)?;
+        while let Some((since, stream)) = idle.pop() {
+            if since.elapsed() < IDLE_AGE {
+                return Some(stream);
+            }
+        }
+        by_address.remove(address);
+        None
+    }
+}
+
+/// Calls upstreams over HTTP/1.1 and keeps their connections.
+#[derive(Clone, Default)]
+pub struct HttpConnector {
+    idle: IdleConnections,
+}
+
+impl HttpConnector {
+    /// A connector without connections.
+    pub fn open() -> Self {
+        Self::default()
+    }
+
+    async fn connection(&self, call: &UpstreamCall<'_>) -> Result<TcpStream, UpstreamError> {
+        // A kept connection may be dead, which shows only after bytes were sent on it.
+        if call.repeatable {
+            if let Some(stream) = self.idle.take(call.address) {
+                return Ok(stream);
+            }
+        }
+        let connect = TcpStream::connect(call.address);
+        let stream = async_std::io::timeout(CONNECT_TIMEOUT, connect).await;
+        let stream = stream.map_err(|error| UpstreamError::NotSent(error.to_string()))?;
+        let _ = stream.set_nodelay(true);
+        Ok(stream)
+    }
+}
+
+#[async_trait]
+impl UpstreamConnector for HttpConnector {
+    async fn open(&self, call: UpstreamCall<'_>) -> Result<UpstreamResponse, UpstreamError> {
+        let request = request(&call)?;
+        let stream = self.connection(&call).await?;
+        let mut guard = CloseOnDrop { stream: Some(stream.clone()) };
+        let answer = async_h1::connect(stream.clone(), request);
+        let response = match async_std::future::timeout(call.timeout, answer).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => return Err(UpstreamError::Lost(error.to_string())),
+            Err(_) => return Err(UpstreamError::Lost("timeout".to_owned())),
+        };
+        guard.stream = None;
+        let status = response.status() as u16;
+        let content_type =
+            response.content_type().map(|mime| mime.essence().to_owned()).unwrap_or_default();
+        let idle = (!closes(&response)).then(|| self.idle.clone());
+        let body = Box::new(ResponseBody::new(response, stream, call.address, idle));
+        Ok(UpstreamResponse { status, content_type, body })
+    }
+}
+
+/// Closes the connection when the call is given up before its answer.
+struct CloseOnDrop {
+    stream: Option<TcpStream>,
+}
+
+impl Drop for CloseOnDrop {
+    fn drop(&mut self) {
+        if let Some(stream) = self.stream.take() {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+fn request(call: &UpstreamCall<'_>) -> Result<Request, UpstreamError> {
+    let invalid = |error: String| UpstreamError::NotSent(error);
+    let url = Url::parse(&format!("http://{}{}", call.address, call.path))
+        .map_err(|error| invalid(error.to_string()))?;
+    let method = Method::from_str(call.method).map_err(|error| invalid(error.to_string()))?;
+    let mut request = Request::new(method, url);
+    for (name, value) in call.headers {
+        request.insert_header(*name, *value);
+    }
+    let content_type = request.header("content-type").map(|value| value.as_str().to_owned());
+    request.set_body(call.body);
+    if let Some(content_type) = content_type {
+        request.insert_header("content-type", content_type);
+    }
+    Ok(request)
+}
+
+fn closes(response: &Response) -> bool {
+    let connection = response.header("connection");
+    connection.is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"))
+}
