Add checked settings, counters, spans and logs

Cause: the daemon and the front end need settings with defaults, counters, spans and logs before they can be put together.

Counters are atomics in a map that is copied on a new name, and go to StatsD through a bounded queue. Spans follow W3C trace context and are written as JSON lines by the batch thread of opentelemetry_sdk.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,4 +7,6 @@
 pub mod peer;
 pub mod raft;
 pub mod schema;
+pub mod settings;
 pub mod state;
+pub mod telemetry;
--- /dev/null
+++ b/src/settings/settings_error.rs
@@ -0,0 +1,23 @@
+use std::fmt;
+
+/// A field of the settings that breaks a rule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError {
+    /// JSON path of the field; `.` is the whole document.
+    pub path: String,
+    /// Value of the field as JSON; empty when there is none to show.
+    pub value: String,
+    /// The rule that the value breaks.
+    pub rule: String,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.value.is_empty() {
+            return write!(formatter, "{}: {}", self.path, self.rule);
+        }
+        write!(formatter, "{} = {}: {}", self.path, self.value, self.rule)
+    }
+}
+
+impl std::error::Error for SettingsError {}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,13 @@
+//! Counters, spans and logs.
+
+mod counters;
+mod json_lines_exporter;
+pub mod logs;
+mod named_cells;
+mod span;
+mod timer;
+mod tracer;
+
+pub use counters::Counters;
+pub use span::Span;
+pub use tracer::Tracer;
--- /dev/null
+++ b/tests/telemetry.rs
@@ -0,0 +1,92 @@
+//! Counters and spans.
+
+use std::collections::HashMap;
+use std::thread;
+
+use damaskhoist::telemetry::{Counters, Tracer};
+use rstest::rstest;
+use serde_json::Value;
+
+/// Guards against lost updates while threads add new names to the map.
+#[test]
+fn counters_of_several_threads_add_up() {
+    const NAMES: [&str; 4] = ["a", "b", "c", "d"];
+    let counters = Counters::open("h", None);
+    thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                for n in 0..4_000 {
+                    counters.count(NAMES[n % 4]);
+                    counters.time_us("t", 2);
+                }
+            });
+        }
+    });
+    counters.gauge("g", 7);
+    let snapshot = counters.snapshot();
+    for name in NAMES {
+        assert_eq!(snapshot[name], 8_000);
+    }
+    assert_eq!(
+        (snapshot["t.count"], snapshot["t.total_us"], snapshot["t.max_us"]),
+        (32_000, 64_000, 2)
+    );
+    assert_eq!(snapshot["g"], 7);
+}
+
+#[test]
+fn counters_reach_a_statsd_server() {
+    let server = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    server.set_read_timeout(Some(std::time::Duration::from_secs(5))).unwrap();
+    let counters = Counters::open("h-1", Some(server.local_addr().unwrap()));
+    // The sink sends when its buffer is full.
+    for _ in 0..100 {
+        counters.add("requests", 2);
+    }
+    let mut packet = [0; 2_048];
+    let length = server.recv(&mut packet).unwrap();
+    let text = std::str::from_utf8(&packet[..length]).unwrap();
+    assert!(text.starts_with("damaskhoist.requests:2|c|#host:h-1"), "{text}");
+}
+
+#[test]
+fn spans_are_written_as_a_tree() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("spans.jsonl");
+    let tracer = Tracer::open("h-1", Some(&file), 1.0).unwrap();
+    let parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let mut request = tracer.start("request", Some(parent));
+    request.text("service", "engraver-llm");
+    request.number("status", 200);
+    let attempt = request.child("attempt");
+    assert_eq!(attempt.trace_id(), "0af7651916cd43dd8448eb211c80319c");
+    attempt.close();
+    request.close();
+    tracer.close();
+
+    let text = std::fs::read_to_string(&file).unwrap();
+    let lines = text.lines().map(|line| serde_json::from_str::<Value>(line).unwrap());
+    let spans: HashMap<_, _> =
+        lines.map(|span| (span["name"].as_str().unwrap().to_owned(), span)).collect();
+    assert_eq!(spans["request"]["parent_span_id"], "b7ad6b7169203331");
+    assert_eq!(spans["attempt"]["parent_span_id"], spans["request"]["span_id"]);
+    assert_eq!(spans["request"]["attributes"]["service"], "engraver-llm");
+    assert_eq!(spans["request"]["attributes"]["status"], 200);
+    assert_eq!(spans["request"]["host_id"], "h-1");
+}
+
+#[rstest]
+#[case::empty("")]
+#[case::zero_trace("00-00000000000000000000000000000000-b7ad6b7169203331-01")]
+#[case::version_ff("ff-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")]
+#[case::extra_field("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01-x")]
+#[case::upper_case("00-0AF7651916CD43DD8448EB211C80319C-b7ad6b7169203331-01")]
+#[case::not_ascii("00-äaf7651916cd43dd8448eb211c80319-b7ad6b7169203331-01")]
+fn a_bad_traceparent_starts_a_new_trace(#[case] header: &str) {
+    let tracer = Tracer::open("h-1", None, 1.0).unwrap();
+    let span = tracer.start("request", Some(header));
+    assert_eq!(span.trace_id().len(), 32);
+    assert!(!header.to_lowercase().contains(&span.trace_id()));
+    let next = tracer.start("next", Some(&span.traceparent()));
+    assert_eq!(next.trace_id(), span.trace_id());
+}
