--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,9 +5,20 @@
 //! put together. See `docs/design.md` for how the parts fit.
 
 pub mod admission;
+pub mod batch;
+pub mod configuration;
+pub mod control;
+pub mod entry;
+mod host;
+pub mod membership;
 pub mod peer;
 pub mod raft;
 pub mod routing;
 pub mod schema;
+pub mod serving;
+pub mod settings;
 pub mod state;
+pub mod telemetry;
 pub mod upstream;
+
+pub use host::Host;
