Add a stand-in for a model engine and a plain service

Cause: routing, admission and batch need upstreams that batch continuously, cache prefixes, report load late, crash and refuse on demand, with answers that a test can check token by token.

Its settings and messages are in schema/standin.proto; schemagen writes them with plain serde, because protobuf's JSON mapping writes 64-bit numbers as strings and leaves out default values.

--- a/schemagen/src/main.rs
+++ b/schemagen/src/main.rs
@@ -1,4 +1,4 @@
-//! Generates the Rust types of the schema into `src/generated`.
+//! Generates the Rust types of the schema into `src/generated` and `standin/src/generated`.
 //!
 //! `schemagen` writes the files; `schemagen --check` compares them with what is committed.
 
@@ -13,6 +13,8 @@
 /// Packages that are also written and read as JSON.
 const JSON_PACKAGES: [&str; 2] = [".damaskhoist.settings", ".damaskhoist.config"];
 
+const STANDIN_SCHEMA: &str = "standin.proto";
+
 fn main() -> ExitCode {
     let check = std::env::args().any(|argument| argument == "--check");
     match run(check) {
@@ -26,9 +28,14 @@
 
 fn run(check: bool) -> Result<()> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
-    let committed = root.join("src/generated");
+    let schema = root.join("schema");
+    update(&root.join("src/generated"), check, |output| generate(&schema, output))?;
+    update(&root.join("standin/src/generated"), check, |output| generate_standin(&schema, output))
+}
+
+fn update(committed: &Path, check: bool, generate: impl FnOnce(&Path) -> Result<()>) -> Result<()> {
     let scratch = tempfile::tempdir().into_diagnostic()?;
-    generate(&root.join("schema"), scratch.path())?;
+    generate(scratch.path())?;
     for path in generated_files(scratch.path())? {
         let name = path.file_name().expect("a generated file has a name");
         let target = committed.join(name);
@@ -64,6 +71,19 @@
     Ok(())
 }
 
+/// Uses plain serde, because the JSON that protobuf prescribes writes 64-bit numbers as strings
+/// and leaves out default values, and upstreams do neither.
+fn generate_standin(schema: &Path, output: &Path) -> Result<()> {
+    let descriptors = protox::compile([schema.join(STANDIN_SCHEMA)], [schema])?;
+    prost_build::Config::new()
+        .out_dir(output)
+        .type_attribute(".", "#[derive(serde::Serialize, serde::Deserialize)]")
+        .type_attribute(".", "#[serde(default)]")
+        .compile_fds(descriptors)
+        .into_diagnostic()?;
+    Ok(())
+}
+
 fn generated_files(folder: &Path) -> Result<Vec<PathBuf>> {
     let mut files = Vec::new();
     for entry in fs::read_dir(folder).into_diagnostic()? {
