--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,6 +7,7 @@
 mod completion;
 mod engine;
 mod engine_stats;
+mod generator;
 mod kv_cache;
 mod load;
 mod model_service;
--- a/standin/src/model_service.rs
+++ b/standin/src/model_service.rs
@@ -1,53 +1,35 @@
-use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use async_std::channel::{bounded, Sender};
+use async_std::channel::bounded;
 use async_std::net::TcpStream;
 use async_std::task;
 use async_trait::async_trait;
 use futures::stream::TryStreamExt;
-use futures::{pin_mut, select_biased, FutureExt};
 use http_types::{Body, Method, Request, Response, StatusCode};
 use serde_json::json;
 
-use crate::completion::{AnswerEncoder, AnswerForm, Ending, Output};
+use crate::completion::{AnswerEncoder, AnswerForm};
 use crate::engine::Shared;
-use crate::kv_cache::KvCache;
-use crate::load::{Admitted, Load, LoadReport};
+use crate::generator::{Call, Generator};
+use crate::load::{Load, LoadReport};
 use crate::order_book::{OrderBook, OrderOutcome};
 use crate::schema::{CompletionRequest, Model, Order};
-use crate::service::{contains, error_response, json_response, peer_closed, request_id, Service};
+use crate::service::{contains, error_response, json_response, request_id, Service};
 use crate::signal::Signal;
-use crate::tokens::{token_text, PromptHashes, BLOCK_TOKENS};
+use crate::tokens::{PromptHashes, BLOCK_TOKENS};
 
 /// Outputs that may wait for a slow caller.
 const OUTPUT_QUEUE: usize = 16;
 
-/// A model engine with continuous batching and a prefix cache.
+/// The protocol of a model engine.
 pub(crate) struct ModelService {
-    core: Arc<Core>,
-}
-
-struct Core {
     shared: Arc<Shared>,
     incarnation: u64,
     load: Arc<Load>,
-    stop: Signal,
-    cache: Mutex<KvCache>,
+    generator: Arc<Generator>,
     orders: Mutex<OrderBook>,
-    running: Mutex<BTreeMap<u64, (String, Signal)>>,
-    next_serial: AtomicU64,
-}
-
-/// One completion to compute.
-struct Call {
-    request_id: String,
-    hashes: PromptHashes,
-    first_position: u64,
-    token_limit: u64,
-    crashes: bool,
 }
 
 impl ModelService {
@@ -57,18 +39,13 @@
         load: Arc<Load>,
         stop: Signal,
     ) -> Self {
-        let now = Instant::now();
-        let core = Core {
-            cache: Mutex::new(KvCache::new(shared.options.cache_tokens)),
-            orders: Mutex::new(OrderBook::new(&shared.options, now)),
-            running: Mutex::default(),
-            next_serial: AtomicU64::new(1),
-            shared,
-            incarnation,
-            load,
-            stop,
-        };
-        Self { core: Arc::new(core) }
+        let orders = Mutex::new(OrderBook::new(&shared.options, Instant::now()));
+        let generator = Arc::new(Generator::new(shared.clone(), load.clone(), stop));
+        Self { shared, incarnation, load, generator, orders }
+    }
+
+    fn orders(&self) -> MutexGuard<'_, OrderBook> {
+        self.orders.lock().expect("no holder panics")
     }
 }
 
@@ -93,14 +70,14 @@
             (Method::Get, ["v1", "cache", "events"]) => self.cache_events(&request),
             (Method::Get, ["v1", "load"]) => {
                 let load = self.load();
-                let slots = self.core.shared.options.slots;
+                let slots = self.shared.options.slots;
                 let body =
                     json!({"running": load.running, "waiting": load.waiting, "slots": slots});
                 json_response(StatusCode::Ok, &body)
             }
             (Method::Post, ["v1", "orders"]) => self.take_order(&body),
             (Method::Get, ["v1", "models"]) => {
-                let models = self.core.orders().to_json(Instant::now());
+                let models = self.orders().to_json(Instant::now());
                 json_response(StatusCode::Ok, &models)
             }
             _ => error_response(StatusCode::NotFound, "not_found", "there is no such path"),
@@ -108,15 +85,15 @@
     }
 
     fn models(&self) -> Vec<Model> {
-        self.core.orders().ready_models(Instant::now())
+        self.orders().ready_models(Instant::now())
     }
 
     fn role(&self) -> String {
-        self.core.orders().role().to_owned()
+        self.orders().role().to_owned()
     }
 
     fn load(&self) -> LoadReport {
-        self.core.load.report()
+        self.load.report()
     }
 }
 
@@ -141,7 +118,7 @@
             return error_response(StatusCode::BadRequest, "bad_resume_position", message);
         };
         let model = {
-            let orders = self.core.orders();
+            let orders = self.orders();
             let found = orders.find(&completion.model, &completion.adapter, Instant::now());
             found.map(str::to_owned)
         };
@@ -150,7 +127,7 @@
             return error_response(StatusCode::NotFound, "model_not_found", &message);
         };
         let prompt = completion.prompt_text();
-        let options = &self.core.shared.options;
+        let options = &self.shared.options;
         if contains(&prompt, options.fail_on.as_deref()) {
             let message = "the prompt cannot be processed";
             return error_response(StatusCode::UnprocessableEntity, "unprocessable", message);
@@ -172,7 +149,7 @@
             crashes: contains(&prompt, options.crash_on.as_deref()),
         };
         let (sender, outputs) = bounded(OUTPUT_QUEUE);
-        task::spawn(self.core.clone().run(call, sender, connection));
+        task::spawn(self.generator.clone().run(call, sender, connection));
         if !completion.stream {
             return json_response(StatusCode::Ok, &encoder.into_body(outputs).await);
         }
@@ -184,12 +161,7 @@
     }
 
     fn cancel(&self, request_id: &str) -> Response {
-        let running = self.core.running.lock().expect("no holder panics");
-        let mut count = 0;
-        for (_, signal) in running.values().filter(|(id, _)| id == request_id) {
-            signal.raise();
-            count += 1;
-        }
+        let count = self.generator.cancel(request_id);
         if count == 0 {
             let message = "no such request runs";
             return error_response(StatusCode::NotFound, "not_running", message);
@@ -202,12 +174,12 @@
         let Ok(hash) = u64::from_str_radix(hash, 16) else {
             return error_response(StatusCode::BadRequest, "bad_hash", "the hash is not hex");
         };
-        let Some(chain) = self.core.cache().chain_to(hash) else {
+        let Some(chain) = self.generator.cache().chain_to(hash) else {
             return error_response(StatusCode::NotFound, "not_cached", "the prefix is not cached");
         };
         let mut body = (chain.len() as u32).to_le_bytes().to_vec();
         chain.iter().for_each(|hash| body.extend_from_slice(&hash.to_le_bytes()));
-        let bytes_per_token = self.core.shared.options.kv_bytes_per_token as usize;
+        let bytes_per_token = self.shared.options.kv_bytes_per_token as usize;
         body.resize(body.len() + chain.len() * BLOCK_TOKENS * bytes_per_token, 0xa5);
         let mut response = Response::new(StatusCode::Ok);
         response.set_body(body);
@@ -216,13 +188,13 @@
     }
 
     fn import_prefix(&self, hash: &str, body: &[u8]) -> Response {
-        let chain = decode_prefix(body, self.core.shared.options.kv_bytes_per_token as usize);
+        let chain = decode_prefix(body, self.shared.options.kv_bytes_per_token as usize);
         let last = u64::from_str_radix(hash, 16).ok();
         let Some(chain) = chain.filter(|chain| chain.last().copied() == last) else {
             let message = "the body is not an exported prefix with this hash";
             return error_response(StatusCode::BadRequest, "bad_prefix", message);
         };
-        self.core.cache().store(&chain, Instant::now());
+        self.generator.cache().store(&chain, Instant::now());
         json_response(StatusCode::Ok, &json!({"blocks": chain.len()}))
     }
 
@@ -232,14 +204,11 @@
         let Ok(after) = after.unwrap_or(Ok(0)) else {
             return error_response(StatusCode::BadRequest, "bad_after", "after is not a number");
         };
-        let options = &self.core.shared.options;
+        let options = &self.shared.options;
         let lag = Duration::from_millis(options.cache_event_lag_ms);
         let drop_every = options.cache_event_drop_every;
-        let events = self.core.cache().events(after, lag, drop_every, Instant::now());
-        json_response(
-            StatusCode::Ok,
-            &json!({"incarnation": self.core.incarnation, "events": events}),
-        )
+        let events = self.generator.cache().events(after, lag, drop_every, Instant::now());
+        json_response(StatusCode::Ok, &json!({"incarnation": self.incarnation, "events": events}))
     }
 
     fn take_order(&self, body: &[u8]) -> Response {
@@ -250,8 +219,8 @@
                 return error_response(StatusCode::BadRequest, "bad_request", &message);
             }
         };
-        let shared = &self.core.shared;
-        let mut orders = self.core.orders();
+        let shared = &self.shared;
+        let mut orders = self.orders();
         let highest = shared.highest_fence.fetch_max(order.fence, Ordering::SeqCst);
         let mut stats = shared.stats.lock().expect("no holder panics");
         let stale = shared.options.checks_fencing && order.fence < highest;
@@ -285,100 +254,6 @@
     }
 }
 
-impl Core {
-    fn cache(&self) -> std::sync::MutexGuard<'_, KvCache> {
-        self.cache.lock().expect("no holder panics")
-    }
-
-    fn orders(&self) -> std::sync::MutexGuard<'_, OrderBook> {
-        self.orders.lock().expect("no holder panics")
-    }
-
-    /// Computes one answer until it ends, is cancelled, or its caller or the engine is gone.
-    async fn run(self: Arc<Self>, call: Call, outputs: Sender<Output>, connection: TcpStream) {
-        let serial = self.next_serial.fetch_add(1, Ordering::Relaxed);
-        let cancel = Signal::new();
-        let entry = (call.request_id.clone(), cancel.clone());
-        self.running.lock().expect("no holder panics").insert(serial, entry);
-        self.shared.record_start(&call.request_id);
-        let mut admitted = self.load.admit();
-
-        let ending = {
-            let stopped = self.stop.wait().fuse();
-            let cancelled = cancel.wait().fuse();
-            let gone = peer_closed(&connection).fuse();
-            let produced = self.produce(&call, &mut admitted, &outputs).fuse();
-            pin_mut!(stopped, cancelled, gone, produced);
-            select_biased! {
-                () = stopped => Ending::Lost,
-                () = cancelled => Ending::Cancelled,
-                () = gone => Ending::Cancelled,
-                ending = produced => ending,
-            }
-        };
-
-        // Everything is counted before the caller can see the end.
-        drop(admitted);
-        self.running.lock().expect("no holder panics").remove(&serial);
-        self.shared.record_end(&call.request_id, ending);
-        let _ = outputs.send(Output::End(ending)).await;
-    }
-
-    async fn produce(
-        &self,
-        call: &Call,
-        admitted: &mut Admitted,
-        outputs: &Sender<Output>,
-    ) -> Ending {
-        self.prefill(call).await;
-        if call.crashes {
-            self.shared.crash();
-            return Ending::Lost;
-        }
-        let options = &self.shared.options;
-        let token_time = Duration::from_micros(options.token_time_us);
-        let mut due = Instant::now();
-        for position in call.first_position..call.token_limit {
-            due += self.load.stretched(token_time, options.slots);
-            sleep_until(due).await;
-            self.shared.thawed().await;
-            // Time lost to a freeze or a slow caller is not made up for.
-            due = due.max(Instant::now() - token_time);
-            admitted.first_token();
-            let text = token_text(call.hashes.prompt, position);
-            if outputs.send(Output::Token { position, text }).await.is_err() {
-                return Ending::Cancelled;
-            }
-            self.shared.tokens_produced.fetch_add(1, Ordering::Relaxed);
-        }
-        Ending::Finished
-    }
-
-    /// Computes what the cache does not hold of the prompt and of the tokens before the first.
-    async fn prefill(&self, call: &Call) {
-        let options = &self.shared.options;
-        let hashes = &call.hashes;
-        let cached_tokens = self.cache().cached_tokens(&hashes.blocks);
-        let hit_blocks = cached_tokens / BLOCK_TOKENS;
-        {
-            let mut stats = self.shared.stats.lock().expect("no holder panics");
-            stats.prefix_hit_blocks += hit_blocks as u64;
-            stats.prefix_miss_blocks += (hashes.blocks.len() - hit_blocks) as u64;
-        }
-        let computed = (hashes.token_count - cached_tokens) as u64 + call.first_position;
-        let time = Duration::from_micros(options.prefill_time_us_per_token * computed);
-        task::sleep(self.load.stretched(time, options.slots)).await;
-        self.cache().store(&hashes.blocks, Instant::now());
-    }
-}
-
-async fn sleep_until(due: Instant) {
-    let now = Instant::now();
-    if due > now {
-        task::sleep(due - now).await;
-    }
-}
-
 fn decode_prefix(body: &[u8], bytes_per_token: usize) -> Option<Vec<u64>> {
     let (count, rest) = body.split_first_chunk::<4>()?;
     let count = u32::from_le_bytes(*count) as usize;
