Let the stand-in's planned stop wait for answers to be written

Cause: drain waited for the computing of answers to end, so a close right after it could cut the last event of a stream.

Change: an answer counts as open until its body is written. The tests' stream reader now insists on the final event.

Conclusion: a drained stand-in cuts no answer.

--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -24,7 +24,7 @@
 const BIND_RETRY: Duration = Duration::from_millis(5);
 /// Attempts to listen again; together they last 5 s.
 const BIND_ATTEMPTS: u32 = 1_000;
-/// Pause between looks at whether the last stream has ended.
+/// Pause between looks at whether the last answer is written.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
 /// A running stand-in upstream.
@@ -56,6 +56,8 @@
     /// The listener is closed.
     pub(crate) stopped: Signal,
     pub(crate) leaving: AtomicBool,
+    /// Cloned for each request that is not answered in full.
+    pub(crate) open_answers: Arc<()>,
     announce_now: Sender<()>,
     pub(crate) announce_requests: Receiver<()>,
 }
@@ -135,12 +137,13 @@
         let _ = incarnation.announce_now.try_send(());
     }
 
-    /// Announces that the upstream is leaving and waits until nothing runs.
+    /// Announces that the upstream is leaving and waits until every answer is written.
     pub async fn drain(&self) {
         self.leave();
         let interval = Duration::from_millis(self.shared.options.announce_interval_ms);
         task::sleep(interval).await;
-        while self.stats().running > 0 {
+        let Some(incarnation) = self.shared.incarnation.load_full() else { return };
+        while Arc::strong_count(&incarnation.open_answers) > 1 && !incarnation.stop.is_raised() {
             task::sleep(DRAIN_POLL).await;
         }
     }
@@ -223,6 +226,7 @@
             stop,
             stopped: Signal::new(),
             leaving: AtomicBool::new(false),
+            open_answers: Arc::new(()),
             announce_now,
             announce_requests,
         });
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -11,6 +11,7 @@
 mod kv_cache;
 mod load;
 mod model_service;
+mod open_answer;
 mod order_book;
 mod plain_service;
 pub mod schema;
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -7,6 +7,7 @@
 use http_types::Response;
 
 use crate::engine::{Incarnation, Shared};
+use crate::open_answer::OpenAnswer;
 
 /// Accepts connections until the incarnation stops.
 pub(crate) async fn serve(
@@ -37,12 +38,14 @@
     let serving = async_h1::accept(stream.clone(), |mut request| {
         let (shared, incarnation, stream) = (shared.clone(), incarnation.clone(), stream.clone());
         async move {
+            let open = incarnation.open_answers.clone();
             shared.thawed().await;
             let trace = request.remove_header("traceparent");
             let mut response: Response = incarnation.service.answer(request, stream).await;
             if let Some(trace) = trace {
                 response.insert_header("traceparent", &trace);
             }
+            OpenAnswer::track(&mut response, open);
             Ok(response)
         }
     })
--- a/standin/src/signal.rs
+++ b/standin/src/signal.rs
@@ -19,6 +19,10 @@
         self.sender.close();
     }
 
+    pub(crate) fn is_raised(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     pub(crate) async fn wait(&self) {
         // Nothing is ever sent, so receiving ends only when the channel closes.
         let _ = self.receiver.recv().await;
--- a/standin/tests/engine.rs
+++ b/standin/tests/engine.rs
@@ -53,14 +53,13 @@
     json!({"model": MODEL, "prompt": text, "max_tokens": max_tokens, "stream": true})
 }
 
-/// Next event of a stream, or `None` at its end.
+/// Next event of a stream, or `None` after its last one.
 async fn next_event(response: &mut Response) -> Option<Value> {
     let mut line = String::new();
     loop {
         line.clear();
-        if response.read_line(&mut line).await.expect("an uncut stream") == 0 {
-            return None;
-        }
+        let read = response.read_line(&mut line).await.expect("an uncut stream");
+        assert!(read > 0, "the stream ended without its last event");
         let Some(data) = line.trim().strip_prefix("data: ") else { continue };
         if data == "[DONE]" {
             return None;
@@ -435,3 +434,19 @@
     engine.close().await;
     serving.cancel().await;
 }
+
+/// Guards against a planned stop that cuts the last events of a stream.
+#[async_std::test]
+async fn drain_finishes_streams() {
+    for _ in 0..20 {
+        let engine = Engine::bind(EngineOptions { announce_interval_ms: 1, ..options() }).unwrap();
+        let mut response = post(engine.address(), "/v1/completions", &[], prompt("x", 20)).await;
+        next_event(&mut response).await.expect("a token");
+        let reader = task::spawn(read_stream(response));
+        engine.drain().await;
+        engine.close().await;
+        let (tokens, reason) = reader.await;
+        assert_eq!(tokens, expected_tokens("x", 1..20));
+        assert_eq!(reason, "length");
+    }
+}
