--- /dev/null
+++ b/src/membership/crash_record.rs
@@ -0,0 +1,66 @@
+use std::collections::BTreeSet;
+use std::fmt::Write;
+
+use crate::membership::Key;
+use crate::schema::peer as wire;
+
+/// A request that was present when upstreams died. Merges field by field.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CrashRecord {
+    /// Fingerprint of the request's content.
+    pub fingerprint: Vec<u8>,
+    /// Losses of upstreams where the request was present.
+    pub losses: u32,
+    /// Upstreams that were lost.
+    pub upstream_ids: BTreeSet<String>,
+    /// The request is refused.
+    pub convicted: bool,
+    /// When the record is forgotten.
+    pub expires_unix_ms: u64,
+}
+
+impl CrashRecord {
+    /// Key of the record in the table.
+    pub fn key(&self) -> Key {
+        let mut hex = String::with_capacity(self.fingerprint.len() * 2);
+        for byte in &self.fingerprint {
+            let _ = write!(hex, "{byte:02x}");
+        }
+        Key::Crash(hex.into())
+    }
+
+    /// Union of two records of one fingerprint.
+    pub fn union(&self, other: &Self) -> Self {
+        Self {
+            fingerprint: self.fingerprint.clone(),
+            losses: self.losses.max(other.losses),
+            upstream_ids: self.upstream_ids.union(&other.upstream_ids).cloned().collect(),
+            convicted: self.convicted || other.convicted,
+            expires_unix_ms: self.expires_unix_ms.max(other.expires_unix_ms),
+        }
+    }
+}
+
+impl From<&CrashRecord> for wire::CrashRecord {
+    fn from(record: &CrashRecord) -> Self {
+        Self {
+            fingerprint: record.fingerprint.clone().into(),
+            losses: record.losses,
+            upstream_ids: record.upstream_ids.iter().cloned().collect(),
+            convicted: record.convicted,
+            expires_unix_ms: record.expires_unix_ms,
+        }
+    }
+}
+
+impl From<wire::CrashRecord> for CrashRecord {
+    fn from(record: wire::CrashRecord) -> Self {
+        Self {
+            fingerprint: record.fingerprint.to_vec(),
+            losses: record.losses,
+            upstream_ids: record.upstream_ids.into_iter().collect(),
+            convicted: record.convicted,
+            expires_unix_ms: record.expires_unix_ms,
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/directory.rs
@@ -0,0 +1,329 @@
+use std::sync::Arc;
+
+use crate::membership::leases::{Lease, Leases};
+use crate::membership::rumor_queue::RumorQueue;
+use crate::membership::{
+    AnnounceOutcome, Announcement, Body, CrashEntry, HostEntry, HostRecord, Key, MembershipOptions,
+    MembershipView, Record, RecordStore, Status, UpstreamEntry, UpstreamRecord, Version,
+};
+
+/// What this host believes about the fleet: the records, the leases of its upstreams, and the
+/// changes that it still spreads.
+#[derive(Clone, Debug)]
+pub struct Directory {
+    store: RecordStore,
+    leases: Leases,
+    rumors: RumorQueue,
+    own_key: Key,
+    own: Record,
+    tombstone_ms: u64,
+    live_hosts: Vec<Key>,
+    changed: bool,
+    changed_hosts: Vec<Key>,
+}
+
+impl Directory {
+    /// A directory with this host only.
+    pub fn new(options: &MembershipOptions, now_ms: u64) -> Self {
+        let incarnation = options.incarnation;
+        let version = Version { incarnation, status: Status::Alive, sequence: 0 };
+        let body = Body::Host(Arc::new(options.host.clone()));
+        let own = Record { version, removed_unix_ms: 0, body };
+        let mut directory = Self {
+            store: RecordStore::default(),
+            leases: Leases::default(),
+            rumors: RumorQueue::default(),
+            own_key: own.key(),
+            own: own.clone(),
+            tombstone_ms: options.tombstone_ms,
+            live_hosts: Vec::new(),
+            changed: true,
+            changed_hosts: Vec::new(),
+        };
+        directory.learn(now_ms, &own, true);
+        directory
+    }
+
+    /// The records.
+    pub fn store(&self) -> &RecordStore {
+        &self.store
+    }
+
+    /// Key of this host's record.
+    pub fn own_key(&self) -> &Key {
+        &self.own_key
+    }
+
+    /// This host's record.
+    pub fn own(&self) -> &Record {
+        &self.own
+    }
+
+    /// What a host says about itself.
+    pub fn host(&self, key: &Key) -> Option<&HostRecord> {
+        match &self.store.get(key)?.body {
+            Body::Host(host) => Some(host),
+            _ => None,
+        }
+    }
+
+    /// Other hosts that are neither dead nor gone.
+    pub fn live_hosts(&self) -> &[Key] {
+        &self.live_hosts
+    }
+
+    /// Other hosts that are taken for dead.
+    pub fn dead_hosts(&self) -> impl Iterator<Item = &Key> {
+        self.host_records()
+            .filter(|(key, record)| record.version.status == Status::Dead && **key != self.own_key)
+            .map(|(key, _)| key)
+    }
+
+    /// True while changes are being spread.
+    pub fn has_rumors(&self) -> bool {
+        !self.rumors.is_empty()
+    }
+
+    /// Takes up to `limit` changes for one message.
+    pub fn take_rumors(&mut self, limit: usize) -> Vec<Record> {
+        let keys = self.rumors.take(limit);
+        keys.iter().filter_map(|key| self.store.get(key).cloned()).collect()
+    }
+
+    /// Takes the hosts whose records changed since the last time.
+    pub fn take_changed_hosts(&mut self) -> Vec<Key> {
+        std::mem::take(&mut self.changed_hosts)
+    }
+
+    /// True when the view changed since the last time.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Joins a record into the store; spreads it when it is a recent change.
+    pub fn learn(&mut self, now_ms: u64, record: &Record, spread: bool) {
+        if record.is_expired(now_ms, self.tombstone_ms) || !self.store.merge(record) {
+            return;
+        }
+        self.changed = true;
+        let key = record.key();
+        if spread {
+            self.rumors.push(key.clone(), self.live_hosts.len() + 1);
+        }
+        match &record.body {
+            Body::Host(_) => self.host_changed(now_ms, key, record),
+            Body::Upstream(upstream) => self.upstream_changed(now_ms, &key, record, upstream),
+            Body::Crash(_) => {}
+        }
+    }
+
+    /// Changes this host's own record and spreads it.
+    pub fn change_own(&mut self, now_ms: u64, change: impl FnOnce(&mut Status, &mut HostRecord)) {
+        let Body::Host(host) = &self.own.body else { return };
+        let (mut status, mut host) = (self.own.version.status, HostRecord::clone(host));
+        change(&mut status, &mut host);
+        let version =
+            Version { status, sequence: self.own.version.sequence + 1, ..self.own.version };
+        let removed_unix_ms = if status.is_removed() { now_ms } else { 0 };
+        self.own = Record { version, removed_unix_ms, body: Body::Host(Arc::new(host)) };
+        self.learn(now_ms, &self.own.clone(), true);
+    }
+
+    /// Takes an announcement of an upstream to this host.
+    pub fn announce(&mut self, now_ms: u64, announcement: Announcement) -> AnnounceOutcome {
+        let Announcement { mut record, sequence, leaving } = announcement;
+        let key = Key::Upstream(record.upstream_id.as_str().into());
+        let Body::Host(own) = &self.own.body else { return AnnounceOutcome::Stale };
+        record.home_host_id.clone_from(&own.host_id);
+        let status = if leaving { Status::Leaving } else { Status::Alive };
+        let incarnation = record.announced_incarnation;
+        let version = match self.store.get(&key) {
+            None => Version { incarnation, status, sequence },
+            Some(known) => match self.next_version(&key, known, &record, sequence, status) {
+                Ok(version) => version,
+                Err(refusal) => return refusal,
+            },
+        };
+        let record = Record { version, removed_unix_ms: 0, body: Body::Upstream(Arc::new(record)) };
+        self.leases.hold(now_ms, &key, &record, sequence);
+        self.learn(now_ms, &record, true);
+        AnnounceOutcome::Accepted
+    }
+
+    /// Forgets records that expired.
+    pub fn forget_expired(&mut self, now_ms: u64) {
+        self.changed |= self.store.expire(now_ms, self.tombstone_ms);
+    }
+
+    /// Ends leases that ran out.
+    pub fn expire_leases(&mut self, now_ms: u64) {
+        for key in self.leases.take_expired(now_ms) {
+            let Some(record) = self.store.get(&key) else { continue };
+            if !record.version.status.is_removed() {
+                let record = record.with_status(Self::status_after(record), now_ms);
+                self.learn(now_ms, &record, true);
+            }
+        }
+        for key in self.leases.take_lost(now_ms) {
+            let Some(record) = self.store.get(&key) else { continue };
+            let home = self.home(record).filter(|home| home.version.status.is_removed());
+            let lost_ms = home.map_or(now_ms, |home| home.removed_unix_ms);
+            let removed_ms = lost_ms.saturating_add(Leases::length_ms(record));
+            let record = record.with_status(Self::status_after(record), removed_ms);
+            // Each host comes to the same record by itself, so it needs no spreading.
+            self.learn(now_ms, &record, false);
+        }
+    }
+
+    /// The view; `presume_lost` shows all other hosts as dead.
+    pub fn view(&self, isolated: bool, presume_lost: bool) -> MembershipView {
+        let mut view = MembershipView { isolated, ..Default::default() };
+        for (key, record) in self.store.iter() {
+            let Version { incarnation, status, .. } = record.version;
+            match &record.body {
+                Body::Host(host) => {
+                    let is_lost = presume_lost && *key != self.own_key && !status.is_removed();
+                    let status = if is_lost { Status::Dead } else { status };
+                    view.hosts.push(HostEntry { record: host.clone(), incarnation, status });
+                }
+                Body::Upstream(upstream) => {
+                    let (record, incarnation) = (upstream.clone(), upstream.announced_incarnation);
+                    view.upstreams.push(UpstreamEntry { record, incarnation, status });
+                }
+                Body::Crash(crash) => view.crashes.push(CrashEntry { record: crash.clone() }),
+            }
+        }
+        view
+    }
+
+    /// Version of an upstream's record after an announcement.
+    fn next_version(
+        &self,
+        key: &Key,
+        known: &Record,
+        announced: &UpstreamRecord,
+        sequence: u64,
+        status: Status,
+    ) -> Result<Version, AnnounceOutcome> {
+        let Body::Upstream(upstream) = &known.body else { return Err(AnnounceOutcome::Stale) };
+        let incarnation = announced.announced_incarnation;
+        let next_incarnation = known.version.incarnation.saturating_add(1);
+        if incarnation < upstream.announced_incarnation {
+            return Err(AnnounceOutcome::Stale);
+        }
+        if incarnation > upstream.announced_incarnation {
+            let incarnation = incarnation.max(next_incarnation);
+            return Ok(Version { incarnation, status, sequence });
+        }
+        match known.version.status {
+            Status::Left => return Err(AnnounceOutcome::AlreadyLeft),
+            Status::Leaving if status == Status::Alive => return Err(AnnounceOutcome::AlreadyLeft),
+            _ => {}
+        }
+        let held = self.leases.held(key).map(|lease| lease.sequence);
+        if sequence < held.unwrap_or(known.version.sequence) {
+            return Err(AnnounceOutcome::Stale);
+        }
+        let sequence = sequence.max(known.version.sequence.saturating_add(1));
+        if known.version.status == Status::Dead {
+            return Ok(Version { incarnation: next_incarnation, status, sequence });
+        }
+        // Only changes spread; a heartbeat without one renews the lease under the same version.
+        if known.version.status == status && **upstream == *announced {
+            return Ok(known.version);
+        }
+        Ok(Version { incarnation: known.version.incarnation, status, sequence })
+    }
+
+    fn host_changed(&mut self, now_ms: u64, key: Key, record: &Record) {
+        if key == self.own_key {
+            self.refute(now_ms, record);
+            return;
+        }
+        let is_removed = record.version.status.is_removed();
+        match self.live_hosts.binary_search(&key) {
+            Ok(place) if is_removed => {
+                self.live_hosts.remove(place);
+            }
+            Err(place) if !is_removed => self.live_hosts.insert(place, key.clone()),
+            _ => {}
+        }
+        let Body::Host(host) = &record.body else { return };
+        for (key, record) in self.store.iter() {
+            let Body::Upstream(upstream) = &record.body else { continue };
+            if upstream.home_host_id != host.host_id {
+                continue;
+            }
+            match is_removed && !record.version.status.is_removed() {
+                true => self.leases.orphan(now_ms, key, record),
+                false => self.leases.adopt(key),
+            }
+        }
+        self.changed_hosts.push(key);
+    }
+
+    /// Answers a record of this host that it did not make, such as a report of its death.
+    fn refute(&mut self, now_ms: u64, record: &Record) {
+        if *record == self.own || self.own.version.status == Status::Left {
+            return;
+        }
+        self.own.version.incarnation = record.version.incarnation.saturating_add(1);
+        self.learn(now_ms, &self.own.clone(), true);
+    }
+
+    fn upstream_changed(
+        &mut self,
+        now_ms: u64,
+        key: &Key,
+        record: &Record,
+        upstream: &UpstreamRecord,
+    ) {
+        let status = record.version.status;
+        let is_home = self.own_key == Key::Host(upstream.home_host_id.as_str().into());
+        match self.leases.held(key) {
+            Some(lease) if lease.record == *record => return,
+            Some(lease) if status == Status::Dead && Self::same_incarnation(lease, upstream) => {
+                let mut refuted = lease.record.clone();
+                refuted.version.incarnation = record.version.incarnation.saturating_add(1);
+                self.leases.update(key, &refuted);
+                self.learn(now_ms, &refuted, true);
+                return;
+            }
+            Some(_) if is_home && !status.is_removed() => self.leases.update(key, record),
+            Some(_) => self.leases.release(key),
+            // This host has restarted; the upstream has one lease time to announce itself again.
+            None if is_home && !status.is_removed() => self.leases.hold(now_ms, key, record, 0),
+            None => {}
+        }
+        let home = self.home(record).map(|home| home.version.status.is_removed());
+        match home.unwrap_or(true) && !status.is_removed() {
+            true => self.leases.orphan(now_ms, key, record),
+            false => self.leases.adopt(key),
+        }
+    }
+
+    fn same_incarnation(lease: &Lease, upstream: &UpstreamRecord) -> bool {
+        match &lease.record.body {
+            Body::Upstream(held) => held.announced_incarnation == upstream.announced_incarnation,
+            _ => false,
+        }
+    }
+
+    /// Record of the home host of an upstream.
+    fn home(&self, record: &Record) -> Option<&Record> {
+        let Body::Upstream(upstream) = &record.body else { return None };
+        self.store.get(&Key::Host(upstream.home_host_id.as_str().into()))
+    }
+
+    /// State of an upstream after its lease: one that was leaving has left.
+    fn status_after(record: &Record) -> Status {
+        match record.version.status {
+            Status::Leaving => Status::Left,
+            _ => Status::Dead,
+        }
+    }
+
+    fn host_records(&self) -> impl Iterator<Item = (&Key, &Record)> {
+        self.store.iter().take_while(|(key, _)| matches!(key, Key::Host(_)))
+    }
+}
--- /dev/null
+++ b/src/membership/gossip_table.rs
@@ -0,0 +1,413 @@
+use rand::rngs::StdRng;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{Rng, SeedableRng};
+
+use crate::membership::directory::Directory;
+use crate::membership::failure_detector::{Answer, FailureDetector};
+use crate::membership::{
+    AnnounceOutcome, Announcement, CrashRecord, GossipMessage, Key, MembershipOptions,
+    MembershipView, Record, RecordStore, Status,
+};
+
+/// Changes in one message, about 2 KB.
+const RECORDS_PER_MESSAGE: usize = 24;
+/// Records in one message of a repair, about 8 KB.
+const REPAIRS_PER_MESSAGE: usize = 96;
+/// Records in the digest of one repair, about 9 KB; the next repair covers other buckets.
+const DIGEST_RECORDS: usize = 320;
+/// Hosts asked to probe a silent host.
+const RELAYS: usize = 3;
+/// Hosts told directly of this host's departure.
+const FAREWELLS: usize = 6;
+/// Interval between repairs that this host starts, and between probes of lost hosts.
+const REPAIR_INTERVAL_MS: u64 = 1_000;
+/// Time without an equal table after which a repair starts although changes are on their way.
+const DIVERGENCE_LIMIT_MS: u64 = 10_000;
+/// Delay of configuration versions for each host of the fleet. At 2,400 changes a day and 340
+/// hosts, a change at once by every host would be 9.4 changes a second, each sent nine times by
+/// every host. With the delay it is at most 3.3.
+const VERSION_DELAY_MS_PER_HOST: u64 = 600;
+
+/// A message to send.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Peer address of the receiver.
+    pub address: String,
+    /// The message.
+    pub message: GossipMessage,
+}
+
+/// What one host knows of the fleet, and what it tells others. Holds no clock and no socket.
+#[derive(Clone, Debug)]
+pub struct GossipTable {
+    options: MembershipOptions,
+    directory: Directory,
+    detector: FailureDetector,
+    random: StdRng,
+    probe_order: Vec<Key>,
+    isolated: bool,
+    presumes_lost: bool,
+    pending_version: Option<(u64, u64)>,
+    last_repair_ms: u64,
+    last_match_ms: u64,
+    last_sweep_ms: u64,
+}
+
+impl GossipTable {
+    /// A table that knows this host only.
+    pub fn new(options: MembershipOptions, seed: u64, now_ms: u64) -> Self {
+        Self {
+            directory: Directory::new(&options, now_ms),
+            detector: FailureDetector::new(&options, now_ms),
+            random: StdRng::seed_from_u64(seed),
+            probe_order: Vec::new(),
+            isolated: false,
+            presumes_lost: false,
+            pending_version: None,
+            last_repair_ms: 0,
+            last_match_ms: now_ms,
+            last_sweep_ms: 0,
+            options,
+        }
+    }
+
+    /// The records.
+    pub fn store(&self) -> &RecordStore {
+        self.directory.store()
+    }
+
+    /// Runs one gossip round; to be called every `gossip_interval_ms`.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Outgoing> {
+        let mut outgoing = Vec::new();
+        self.run_detector(now_ms, &mut outgoing);
+        self.directory.expire_leases(now_ms);
+        self.publish_version(now_ms);
+        if now_ms >= self.last_sweep_ms + REPAIR_INTERVAL_MS {
+            self.last_sweep_ms = now_ms;
+            self.directory.forget_expired(now_ms);
+            self.probe_lost_host(&mut outgoing);
+        }
+        self.probe_next_host(now_ms, &mut outgoing);
+        if self.directory.has_rumors() {
+            for key in self.random_hosts(1, None) {
+                self.send(&key, GossipMessage::default(), &mut outgoing);
+            }
+        }
+        self.note_changed_hosts(now_ms);
+        outgoing
+    }
+
+    /// Takes a message of another host.
+    pub fn receive(&mut self, now_ms: u64, message: &GossipMessage) -> Vec<Outgoing> {
+        let mut outgoing = Vec::new();
+        let from = Key::Host(message.from_host_id.as_str().into());
+        if from == *self.directory.own_key() {
+            return outgoing;
+        }
+        let is_new = self.store().get(&from).is_none();
+        for record in &message.records {
+            self.directory.learn(now_ms, record, true);
+        }
+        for record in &message.repairs {
+            self.directory.learn(now_ms, record, false);
+        }
+        self.note_changed_hosts(now_ms);
+        self.take_answer(now_ms, message.answers_probe, &mut outgoing);
+        self.answer_probe(now_ms, message, &from, &mut outgoing);
+        self.repair(now_ms, message, is_new, &mut outgoing);
+        outgoing
+    }
+
+    /// Takes the view when it changed since the last time.
+    pub fn take_view(&mut self, now_ms: u64) -> Option<MembershipView> {
+        let silence_ms = match self.directory.live_hosts() {
+            [] => 0,
+            _ => self.detector.silence_ms(now_ms),
+        };
+        let isolated = silence_ms > self.options.isolation_ms;
+        let presumes_lost = silence_ms > self.options.isolation_limit_ms;
+        let before = (self.isolated, self.presumes_lost);
+        (self.isolated, self.presumes_lost) = (isolated, presumes_lost);
+        let changed = self.directory.take_changed() || before != (isolated, presumes_lost);
+        changed.then(|| self.directory.view(isolated, presumes_lost))
+    }
+
+    /// Takes an announcement of an upstream to this host.
+    pub fn announce(&mut self, now_ms: u64, announcement: Announcement) -> AnnounceOutcome {
+        self.directory.announce(now_ms, announcement)
+    }
+
+    /// Says that this host takes no new work.
+    pub fn set_leaving(&mut self, now_ms: u64) {
+        self.directory.change_own(now_ms, |status, _| *status = Status::Leaving);
+    }
+
+    /// Sets the version of the configuration in force. Others learn of it with a delay.
+    pub fn set_configuration_version(&mut self, now_ms: u64, version: u64) {
+        let hosts = self.directory.live_hosts().len() as u64;
+        let delay_ms = self.random.random_range(0..=hosts * VERSION_DELAY_MS_PER_HOST);
+        let due_ms = self.pending_version.map_or(now_ms + delay_ms, |(_, due_ms)| due_ms);
+        self.pending_version = Some((version, due_ms));
+    }
+
+    /// Spreads a crash suspect or verdict.
+    pub fn publish_crash(&mut self, now_ms: u64, crash: CrashRecord) {
+        self.directory.learn(now_ms, &Record::crash(crash), true);
+    }
+
+    /// Says that this host is gone; gives the messages for a few hosts.
+    pub fn leave(&mut self, now_ms: u64) -> Vec<Outgoing> {
+        self.directory.change_own(now_ms, |status, _| *status = Status::Left);
+        let mut outgoing = Vec::new();
+        for key in self.random_hosts(FAREWELLS, None) {
+            let records = vec![self.directory.own().clone()];
+            self.send(&key, GossipMessage { records, ..Default::default() }, &mut outgoing);
+        }
+        outgoing
+    }
+
+    fn run_detector(&mut self, now_ms: u64, outgoing: &mut Vec<Outgoing>) {
+        let due = self.detector.due(now_ms);
+        for (probe, key) in due.relay {
+            let Some(host) = self.directory.host(&key) else { continue };
+            let relay_address = host.peer_address.clone();
+            for relay in self.random_hosts(RELAYS, Some(&key)) {
+                let relay_address = relay_address.clone();
+                let ask = GossipMessage { probe, relay_address, ..Default::default() };
+                self.send(&relay, ask, outgoing);
+            }
+        }
+        for key in due.silent {
+            self.suspect(now_ms, &key);
+        }
+        for (key, incarnation) in due.dead {
+            self.declare_dead(now_ms, &key, incarnation);
+        }
+    }
+
+    fn suspect(&mut self, now_ms: u64, key: &Key) {
+        let Some(record) = self.store().get(key) else { return };
+        match record.version.status {
+            Status::Alive => {
+                let dead_ms = now_ms + self.options.suspicion_ms;
+                let record = record.with_status(Status::Suspect, dead_ms);
+                self.directory.learn(now_ms, &record, true);
+            }
+            // A suspicion does not outrank the notice of leaving, so it stays with this host.
+            Status::Leaving => {
+                let incarnation = record.version.incarnation;
+                self.detector.suspect(now_ms, key, incarnation);
+            }
+            _ => {}
+        }
+    }
+
+    fn declare_dead(&mut self, now_ms: u64, key: &Key, incarnation: u64) {
+        let Some(record) = self.store().get(key) else { return };
+        if record.version.incarnation != incarnation || record.version.status.is_removed() {
+            return;
+        }
+        let removed_ms = match record.version.status {
+            Status::Suspect => record.removed_unix_ms,
+            _ => now_ms,
+        };
+        let record = record.with_status(Status::Dead, removed_ms);
+        self.directory.learn(now_ms, &record, true);
+    }
+
+    fn note_changed_hosts(&mut self, now_ms: u64) {
+        for key in self.directory.take_changed_hosts() {
+            let Some(record) = self.directory.store().get(&key) else { continue };
+            self.detector.record_changed(now_ms, &key, record);
+        }
+        if self.directory.live_hosts().is_empty() {
+            self.detector.forget_silence(now_ms);
+        }
+    }
+
+    fn publish_version(&mut self, now_ms: u64) {
+        match self.pending_version {
+            Some((version, due_ms)) if now_ms >= due_ms => {
+                self.pending_version = None;
+                self.directory.change_own(now_ms, |_, host| host.configuration_version = version);
+            }
+            _ => {}
+        }
+    }
+
+    fn probe_next_host(&mut self, now_ms: u64, outgoing: &mut Vec<Outgoing>) {
+        if self.probe_order.is_empty() {
+            self.probe_order = self.directory.live_hosts().to_vec();
+            self.probe_order.shuffle(&mut self.random);
+        }
+        while let Some(key) = self.probe_order.pop() {
+            if self.directory.live_hosts().binary_search(&key).is_err() {
+                continue;
+            }
+            let probe = self.detector.probe(now_ms, key.clone());
+            self.send(&key, GossipMessage { probe, ..Default::default() }, outgoing);
+            return;
+        }
+    }
+
+    /// Contacts a seed that is not known yet or a dead host, so that both sides of a healed split
+    /// find each other.
+    fn probe_lost_host(&mut self, outgoing: &mut Vec<Outgoing>) {
+        let is_live = |address: &String| {
+            let mut hosts = self.directory.live_hosts().iter();
+            *address == self.options.host.peer_address
+                || hosts.any(|key| {
+                    self.directory.host(key).is_some_and(|host| host.peer_address == *address)
+                })
+        };
+        let seeds = self.options.seed_addresses.iter().filter(|address| !is_live(address));
+        let mut lost: Vec<_> = seeds.map(|address| (address.clone(), None)).collect();
+        for key in self.directory.dead_hosts() {
+            let Some(host) = self.directory.host(key) else { continue };
+            lost.push((host.peer_address.clone(), Some(key.clone())));
+        }
+        if let Some((address, key)) = lost.choose(&mut self.random) {
+            let probe = self.detector.next_number();
+            let ping = GossipMessage { probe, ..Default::default() };
+            self.send_to(address, key.as_ref(), ping, outgoing);
+        }
+    }
+
+    fn take_answer(&mut self, now_ms: u64, number: u64, outgoing: &mut Vec<Outgoing>) {
+        match self.detector.answered(now_ms, number) {
+            Answer::Unknown => {}
+            Answer::Relayed(relay) => {
+                let answer = GossipMessage { answers_probe: relay.number, ..Default::default() };
+                self.send_to(&relay.address, None, answer, outgoing);
+            }
+            // A suspect refutes with a record; a leaving host was suspected by this host alone.
+            Answer::Probed(key) => {
+                let status = self.store().get(&key).map(|record| record.version.status);
+                if status == Some(Status::Leaving) {
+                    self.detector.clear(&key);
+                }
+            }
+        }
+    }
+
+    fn answer_probe(
+        &mut self,
+        now_ms: u64,
+        message: &GossipMessage,
+        from: &Key,
+        outgoing: &mut Vec<Outgoing>,
+    ) {
+        if message.probe == 0 {
+            return;
+        }
+        if message.relay_address.is_empty() {
+            let answer = GossipMessage { answers_probe: message.probe, ..Default::default() };
+            self.send_to(&message.from_address, Some(from), answer, outgoing);
+            return;
+        }
+        let probe = self.detector.relay(now_ms, &message.from_address, message.probe);
+        let ping = GossipMessage { probe, ..Default::default() };
+        self.send_to(&message.relay_address, None, ping, outgoing);
+    }
+
+    /// Compares tables in three steps: bucket hashes, digests of buckets that differ, records.
+    fn repair(
+        &mut self,
+        now_ms: u64,
+        message: &GossipMessage,
+        is_new: bool,
+        outgoing: &mut Vec<Outgoing>,
+    ) {
+        let address = &message.from_address;
+        if !message.bucket_hashes.is_empty() {
+            let reply = self.digest_of_different(&message.bucket_hashes);
+            self.send_to(address, None, reply, outgoing);
+            return;
+        }
+        if !message.digest_buckets.is_empty() {
+            self.answer_digest(message, outgoing);
+            return;
+        }
+        if message.table_hash == self.store().table_hash() {
+            self.last_match_ms = now_ms;
+            return;
+        }
+        let is_quiet = !message.has_rumors && !self.directory.has_rumors();
+        let is_overdue = now_ms >= self.last_match_ms + DIVERGENCE_LIMIT_MS;
+        let is_free = now_ms >= self.last_repair_ms + REPAIR_INTERVAL_MS;
+        if is_free && (is_quiet || is_overdue || is_new) {
+            self.last_repair_ms = now_ms;
+            self.last_match_ms = now_ms;
+            let bucket_hashes = self.store().bucket_hashes().to_vec();
+            let start = GossipMessage { bucket_hashes, ..Default::default() };
+            self.send_to(address, None, start, outgoing);
+        }
+    }
+
+    fn digest_of_different(&mut self, hashes: &[u64]) -> GossipMessage {
+        let own = self.directory.store().bucket_hashes().iter().zip(hashes).enumerate();
+        let different = own.filter(|(_, (own, other))| own != other);
+        let mut buckets: Vec<u32> = different.map(|(bucket, _)| bucket as u32).collect();
+        buckets.shuffle(&mut self.random);
+        let mut reply = GossipMessage { wants_digest: true, ..Default::default() };
+        for bucket in buckets {
+            if reply.digest.len() >= DIGEST_RECORDS {
+                break;
+            }
+            reply.digest.extend(self.store().digest(&[bucket]));
+            reply.digest_buckets.push(bucket);
+        }
+        reply
+    }
+
+    fn answer_digest(&mut self, message: &GossipMessage, outgoing: &mut Vec<Outgoing>) {
+        let address = &message.from_address;
+        let difference = self.store().compare(&message.digest_buckets, &message.digest);
+        for records in difference.records.chunks(REPAIRS_PER_MESSAGE) {
+            let repair = GossipMessage { repairs: records.to_vec(), ..Default::default() };
+            self.send_to(address, None, repair, outgoing);
+        }
+        if difference.lacks && message.wants_digest {
+            let digest = self.store().digest(&message.digest_buckets);
+            let digest_buckets = message.digest_buckets.clone();
+            let ask = GossipMessage { digest_buckets, digest, ..Default::default() };
+            self.send_to(address, None, ask, outgoing);
+        }
+    }
+
+    fn random_hosts(&mut self, count: usize, except: Option<&Key>) -> Vec<Key> {
+        let hosts = self.directory.live_hosts().iter().filter(|key| Some(*key) != except);
+        hosts
+            .collect::<Vec<_>>()
+            .choose_multiple(&mut self.random, count)
+            .copied()
+            .cloned()
+            .collect()
+    }
+
+    fn send(&mut self, key: &Key, message: GossipMessage, outgoing: &mut Vec<Outgoing>) {
+        let Some(host) = self.directory.host(key) else { return };
+        let address = host.peer_address.clone();
+        self.send_to(&address, Some(key), message, outgoing);
+    }
+
+    /// Completes a message with what every message carries.
+    fn send_to(
+        &mut self,
+        address: &str,
+        to: Option<&Key>,
+        mut message: GossipMessage,
+        outgoing: &mut Vec<Outgoing>,
+    ) {
+        message.has_rumors = self.directory.has_rumors();
+        message.table_hash = self.store().table_hash();
+        message.from_host_id.clone_from(&self.options.host.host_id);
+        message.from_address.clone_from(&self.options.host.peer_address);
+        message.records.extend(self.directory.take_rumors(RECORDS_PER_MESSAGE));
+        // A host that is suspected or dead here must hear of it to refute it.
+        let record = to.and_then(|key| self.store().get(key));
+        let doubted = record.filter(|record| record.removed_unix_ms != 0).cloned();
+        message.records.extend(doubted);
+        outgoing.push(Outgoing { address: address.to_owned(), message });
+    }
+}
--- /dev/null
+++ b/src/membership/options.rs
@@ -0,0 +1,44 @@
+use crate::membership::HostRecord;
+
+/// Options of a host's membership.
+#[derive(Clone, Debug)]
+pub struct MembershipOptions {
+    /// The host's own record.
+    pub host: HostRecord,
+    /// Unix milliseconds at the start of the process.
+    pub incarnation: u64,
+    /// Peer addresses of a few hosts to contact first.
+    pub seed_addresses: Vec<String>,
+    /// Interval between gossip rounds, each with one probe.
+    pub gossip_interval_ms: u64,
+    /// Time for a probe's answer, first to a direct one and then again through other hosts.
+    pub probe_timeout_ms: u64,
+    /// Time in which a suspected host can refute.
+    pub suspicion_ms: u64,
+    /// Time without an answer from any host after which this host takes itself for cut off.
+    pub isolation_ms: u64,
+    /// Time after which a host that is cut off shows all others as dead, in its own view only.
+    pub isolation_limit_ms: u64,
+    /// Time for which dead and left records are kept.
+    pub tombstone_ms: u64,
+}
+
+impl MembershipOptions {
+    /// Options with the default times.
+    pub fn new(host: HostRecord, incarnation: u64) -> Self {
+        Self {
+            host,
+            incarnation,
+            seed_addresses: Vec::new(),
+            gossip_interval_ms: 200,
+            // Seven round trips between regions of 40 ms.
+            probe_timeout_ms: 300,
+            suspicion_ms: 800,
+            // Five probes go unanswered within this time.
+            isolation_ms: 1_000,
+            isolation_limit_ms: 10_000,
+            // Longer than a region split of an hour, so that both sides still know each other.
+            tombstone_ms: 2 * 60 * 60 * 1_000,
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/selection.rs
@@ -0,0 +1,47 @@
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::SeedableRng;
+
+use crate::membership::{HostEntry, MembershipView, Status};
+
+/// Entry hosts for a caller in `zone`: that zone first, then its region, then other regions.
+///
+/// Only hosts that serve are given. When two zones serve and `limit` is over one, the answer
+/// covers at least two zones. Hosts of one zone are shuffled by `seed`.
+pub fn select_entries<'a>(
+    view: &'a MembershipView,
+    zone: &str,
+    seed: u64,
+    limit: usize,
+) -> Vec<&'a HostEntry> {
+    let mut entries: Vec<_> = view.hosts.iter().filter(|host| is_serving(host)).collect();
+    let region = region_of(view, zone).unwrap_or_default();
+    let mut random = StdRng::seed_from_u64(seed);
+    entries.shuffle(&mut random);
+    entries.sort_by_key(|host| distance(host, zone, region));
+    let Some(first) = entries.first() else { return entries };
+    let other = entries.iter().position(|host| host.record.zone != first.record.zone);
+    match other {
+        Some(other) if other >= limit && limit > 1 => entries.swap(limit - 1, other),
+        _ => {}
+    }
+    entries.truncate(limit);
+    entries
+}
+
+fn is_serving(host: &HostEntry) -> bool {
+    host.record.entry && host.status == Status::Alive
+}
+
+fn region_of<'a>(view: &'a MembershipView, zone: &str) -> Option<&'a str> {
+    let host = view.hosts.iter().find(|host| host.record.zone == zone)?;
+    Some(&host.record.region)
+}
+
+fn distance(host: &HostEntry, zone: &str, region: &str) -> u8 {
+    match &*host.record {
+        record if record.zone == zone => 0,
+        record if record.region == region => 1,
+        _ => 2,
+    }
+}
