--- a/src/configuration/configuration_watch.rs
+++ b/src/configuration/configuration_watch.rs
@@ -33,7 +33,7 @@
     /// Starts to follow the configuration. `on_change` runs after each new version.
     pub fn spawn(
         client: Arc<dyn StateClient>,
-        lease_ms: u32,
+        lease_ms: u64,
         counters: Counters,
         on_change: impl Fn(&ConfigurationView) + Send + Sync + 'static,
     ) -> Self {
@@ -41,7 +41,7 @@
             view: ArcSwap::default(),
             started: Instant::now(),
             confirmed_ms: AtomicU64::new(0),
-            lease_ms: lease_ms.into(),
+            lease_ms,
             watching: Default::default(),
         });
         let task = task::spawn(watch(shared.clone(), client, counters, on_change));
--- a/src/entry/caller_request.rs
+++ b/src/entry/caller_request.rs
@@ -121,7 +121,7 @@
 
     /// Time at which the caller needs the whole answer.
     pub fn deadline(&self) -> Result<Instant, Refusal> {
-        let default_ms = self.shared().settings.entry.default_deadline_ms.into();
+        let default_ms = self.shared().settings.entry.default_deadline_ms;
         let deadline_ms: u64 = match self.header("x-deadline-ms") {
             None => default_ms,
             Some(text) => text.parse().map_err(|_| {
@@ -165,7 +165,7 @@
         if expected_bytes > limit_bytes {
             return Err(too_large(limit_bytes));
         }
-        let idle_ms: u64 = self.shared().settings.limits.body_idle_timeout_ms.into();
+        let idle_ms = self.shared().settings.limits.body_idle_timeout_ms;
         let timeout_ms = idle_ms + limit_bytes.min(expected_bytes) * 1_000 / BODY_BYTES_PER_S;
         let mut bytes = Vec::with_capacity(expected_bytes as usize);
         let mut body = self.request.take_body().take(limit_bytes + 1);
--- a/src/entry/caller_stream.rs
+++ b/src/entry/caller_stream.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use async_std::net::TcpStream;
@@ -48,18 +48,28 @@
     }
 }
 
+/// Bounds on the head of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct HeadBounds {
+    /// Largest head.
+    pub limit_bytes: u32,
+    /// Longest time from its first byte to its last.
+    pub timeout: Duration,
+}
+
 /// A caller's connection with bounds on its head and on the time that writes may stall.
 pub struct CallerStream {
     stream: TcpStream,
     state: Arc<StreamState>,
-    head_limit_bytes: u32,
+    bounds: HeadBounds,
+    head_timer: Option<Timer>,
     stalled: Option<Timer>,
 }
 
 impl CallerStream {
     /// Wraps a connection.
-    pub fn new(stream: TcpStream, state: Arc<StreamState>, head_limit_bytes: u32) -> Self {
-        Self { stream, state, head_limit_bytes, stalled: None }
+    pub fn new(stream: TcpStream, state: Arc<StreamState>, bounds: HeadBounds) -> Self {
+        Self { stream, state, bounds, head_timer: None, stalled: None }
     }
 
     /// Waits until the caller closes its side.
@@ -74,9 +84,21 @@
     }
 }
 
+impl CallerStream {
+    /// Counts bytes of a head that is not whole yet.
+    fn check_head(&self, read: usize, buffer_bytes: usize) -> io::Result<usize> {
+        let total = self.state.head_bytes.fetch_add(read as u32, Ordering::Relaxed);
+        // A body may share the read that ends the head, hence the buffer's size on top.
+        if total > self.bounds.limit_bytes + buffer_bytes as u32 {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "head limit"));
+        }
+        Ok(read)
+    }
+}
+
 impl Clone for CallerStream {
     fn clone(&self) -> Self {
-        Self::new(self.stream.clone(), self.state.clone(), self.head_limit_bytes)
+        Self::new(self.stream.clone(), self.state.clone(), self.bounds)
     }
 }
 
@@ -90,15 +112,16 @@
         if this.state.ignores_rest() {
             return Poll::Ready(Ok(0));
         }
-        let read = std::task::ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?;
-        if this.state.reads_head.load(Ordering::Relaxed) {
-            let total = this.state.head_bytes.fetch_add(read as u32, Ordering::Relaxed);
-            // A body may share the read that ends the head, hence the buffer's size on top.
-            if total > this.head_limit_bytes + buffer.len() as u32 {
-                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "head limit")));
-            }
+        if !this.state.reads_head.load(Ordering::Relaxed) {
+            return Pin::new(&mut this.stream).poll_read(context, buffer);
+        }
+        if let Poll::Ready(read) = Pin::new(&mut this.stream).poll_read(context, buffer) {
+            return Poll::Ready(this.check_head(read?, buffer.len()));
         }
-        Poll::Ready(Ok(read))
+        let timeout = this.bounds.timeout;
+        let timer = this.head_timer.get_or_insert_with(|| Box::pin(task::sleep(timeout)));
+        ready!(timer.as_mut().poll(context));
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, "head timeout")))
     }
 }
 
--- a/src/entry/entry_server.rs
+++ b/src/entry/entry_server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use async_std::net::TcpListener;
 use async_std::task;
 
 use crate::entry::http_server::HttpServer;
@@ -12,7 +13,7 @@
 use crate::serving::AnswerFormat;
 
 /// Time in which the news of a leaving host reaches all hosts.
-const SPREAD_BOUND_MS: u32 = 2_000;
+const SPREAD_BOUND_MS: u64 = 2_000;
 /// Pause between two looks at the open requests during a drain.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -23,12 +24,11 @@
 }
 
 impl Entry {
-    /// Listens on the caller address of the settings.
-    pub async fn bind(shared: Arc<EntryShared>) -> io::Result<Self> {
+    /// Serves callers on the connections of `listener`.
+    pub fn spawn(listener: TcpListener, shared: Arc<EntryShared>) -> io::Result<Self> {
         let app = app(shared.clone());
-        let address = shared.settings.caller_address;
         let limits = &shared.settings.limits;
-        let server = HttpServer::bind(address, app, limits, shared.counters.clone()).await?;
+        let server = HttpServer::spawn(listener, app, limits, shared.counters.clone())?;
         Ok(Self { shared, server })
     }
 
@@ -50,8 +50,8 @@
         self.shared.membership.set_leaving();
         self.shared.activity.start_draining();
         log::info!("draining: {} requests are open", self.shared.activity.open());
-        let hold = Duration::from_millis((settings.entries_hold_ms + SPREAD_BOUND_MS).into());
-        let bound = Duration::from_millis(settings.drain_bound_ms.into());
+        let hold = Duration::from_millis(settings.entries_hold_ms + SPREAD_BOUND_MS);
+        let bound = Duration::from_millis(settings.drain_bound_ms);
         task::sleep(hold.min(bound)).await;
         while self.shared.activity.open() > 0 && started.elapsed() < bound {
             task::sleep(DRAIN_INTERVAL).await;
--- a/src/entry/http_server.rs
+++ b/src/entry/http_server.rs
@@ -1,10 +1,10 @@
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_h1::server::{ConnectionStatus, Server, ServerOptions};
+use async_h1::server::{ConnectionStatus, Server};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, JoinHandle};
 use futures::future::{select, Either};
@@ -12,13 +12,13 @@
 use tide::http::{Request, Response};
 
 use crate::admission::{Refusal, RefusalKind};
-use crate::entry::caller_stream::{CallerStream, StreamState};
+use crate::entry::caller_stream::{CallerStream, HeadBounds, StreamState};
 use crate::entry::refusal_response::refusal_bytes;
 use crate::settings::LimitSettings;
 use crate::telemetry::Counters;
 
 /// Largest head that the HTTP library reads.
-const LIBRARY_HEAD_LIMIT_BYTES: u32 = 8 * 1024;
+const LIBRARY_HEAD_LIMIT_BYTES: u64 = 8 * 1024;
 
 /// Serves HTTP connections of callers until it is closed.
 pub struct HttpServer {
@@ -32,19 +32,18 @@
     app: tide::Server<()>,
     limits: Arc<LimitSettings>,
     counters: Counters,
-    connections: Arc<AtomicU32>,
+    connections: Arc<AtomicU64>,
     stopping: Arc<AtomicBool>,
 }
 
 impl HttpServer {
-    /// Listens on `address` and hands requests to `app`.
-    pub async fn bind(
-        address: SocketAddr,
+    /// Hands the requests on connections of `listener` to `app`.
+    pub fn spawn(
+        listener: TcpListener,
         app: tide::Server<()>,
         limits: &LimitSettings,
         counters: Counters,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let stopping = Arc::new(AtomicBool::new(false));
         let context = Context {
@@ -93,7 +92,7 @@
 }
 
 struct ConnectionGuard {
-    connections: Arc<AtomicU32>,
+    connections: Arc<AtomicU64>,
 }
 
 impl Drop for ConnectionGuard {
@@ -108,17 +107,17 @@
         return;
     }
     let state = Arc::new(StreamState::default());
-    let head_limit_bytes = context.limits.header_bytes.min(LIBRARY_HEAD_LIMIT_BYTES);
-    let caller = CallerStream::new(stream.clone(), state.clone(), head_limit_bytes);
-    let head_timeout = Duration::from_millis(context.limits.header_timeout_ms.into());
-    let options = ServerOptions::default().with_headers_timeout(head_timeout);
+    let head_limit_bytes = context.limits.header_bytes.min(LIBRARY_HEAD_LIMIT_BYTES) as u32;
+    let head_timeout = Duration::from_millis(context.limits.header_timeout_ms);
+    let bounds = HeadBounds { limit_bytes: head_limit_bytes, timeout: head_timeout };
+    let caller = CallerStream::new(stream.clone(), state.clone(), bounds);
     let endpoint = |mut request: Request| {
         state.end_head();
         request.ext_mut().insert(state.clone());
         let app = context.app.clone();
         async move { app.respond::<Request, Response>(request).await }
     };
-    let mut server = Server::new(caller, endpoint).with_opts(options);
+    let mut server = Server::new(caller, endpoint);
     loop {
         if context.stopping.load(Ordering::Acquire) || !wait_for_request(&stream, context).await {
             return;
@@ -145,7 +144,7 @@
 
 /// Waits for the first byte of the next request. `false` when there will be none.
 async fn wait_for_request(stream: &TcpStream, context: &Context) -> bool {
-    let timeout = Duration::from_millis(context.limits.keep_alive_timeout_ms.into());
+    let timeout = Duration::from_millis(context.limits.keep_alive_timeout_ms);
     let mut byte = [0];
     let peeked = async_std::future::timeout(timeout, stream.peek(&mut byte)).await;
     matches!(peeked, Ok(Ok(1)))
@@ -156,6 +155,8 @@
     let text = error.to_string();
     let (status, message) = if text.contains("head limit") || text.contains("Head byte length") {
         (431, format!("the head of the request is over its limit of {limit_bytes} bytes"))
+    } else if text.contains("head timeout") {
+        (408, "the head of the request did not arrive in time".to_owned())
     } else {
         (400, format!("the head of the request is malformed: {text}"))
     };
@@ -170,9 +171,8 @@
     let _ = stream.write_all(&body).await;
     let _ = stream.shutdown(std::net::Shutdown::Write);
     // Unread input would make the system reset the connection before the answer is read.
-    let drain = futures::io::copy(
-        futures::AsyncReadExt::take(stream.clone(), 2 * 1024 * 1024),
-        &mut futures::io::sink(),
-    );
+    let mut sink = futures::io::sink();
+    let unread = futures::AsyncReadExt::take(stream.clone(), 2 * 1024 * 1024);
+    let drain = futures::io::copy(unread, &mut sink);
     let _ = async_std::future::timeout(Duration::from_millis(500), drain).await;
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,5 +11,6 @@
 mod routes;
 mod shared;
 
+pub use activity::Activity;
 pub use entry_server::Entry;
 pub use shared::EntryShared;
--- a/src/entry/routes/announce.rs
+++ b/src/entry/routes/announce.rs
@@ -7,8 +7,7 @@
 use crate::entry::caller_request::{invalid, CallerRequest};
 use crate::entry::route::RouteHandler;
 use crate::entry::routes::json::json_response;
-use crate::membership::{AnnounceOutcome, Announcement};
-use crate::schema::peer::{UpstreamModel, UpstreamRecord};
+use crate::membership::{AnnounceOutcome, Announcement, UpstreamModel, UpstreamRecord};
 use crate::telemetry::Span;
 
 /// Shortest and longest lease that an upstream may ask for.
@@ -76,6 +75,7 @@
         });
         let record = UpstreamRecord {
             upstream_id: body.upstream_id,
+            announced_incarnation: body.incarnation,
             service: body.service,
             address: body.address,
             zone: body.zone,
@@ -90,7 +90,6 @@
         };
         Self {
             record,
-            incarnation: body.incarnation,
             sequence: body.sequence,
             leaving: body.status == UpstreamStatus::Leaving,
         }
@@ -113,7 +112,7 @@
         let status = match shared.membership.announce(body.into()) {
             AnnounceOutcome::Accepted => "accepted",
             AnnounceOutcome::Stale => "stale",
-            AnnounceOutcome::Left => "left",
+            AnnounceOutcome::AlreadyLeft => "left",
         };
         Ok(json_response(&json!({
             "status": status,
--- a/src/entry/routes/configuration.rs
+++ b/src/entry/routes/configuration.rs
@@ -42,7 +42,7 @@
             .iter()
             .map(|host| {
                 json!({"host_id": host.record.host_id, "version":
-                    host.record.configuration_version, "serving": host.is_serving()})
+                    host.record.configuration_version, "status": host.status.name()})
             })
             .collect();
         Ok(json_response(&json!({
--- a/src/entry/routes/status.rs
+++ b/src/entry/routes/status.rs
@@ -30,7 +30,7 @@
             .map(|host| {
                 json!({"host_id": host.record.host_id, "zone": host.record.zone,
                     "region": host.record.region, "entry": host.record.entry,
-                    "control": host.record.control, "status": host.status_name(),
+                    "control": host.record.control, "status": host.status.name(),
                     "caller_address": host.record.caller_address,
                     "configuration_version": host.record.configuration_version})
             })
@@ -44,7 +44,7 @@
                 json!({"upstream_id": upstream.record.upstream_id,
                     "service": upstream.record.service, "zone": upstream.record.zone,
                     "address": upstream.record.address, "slots": upstream.record.slots,
-                    "status": upstream.status_name(),
+                    "status": upstream.status.name(),
                     "in_use_here": in_use.map_or(0, |upstream| upstream.in_use())})
             })
             .collect();
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use async_std::net::TcpListener;
 use async_trait::async_trait;
 use miette::{IntoDiagnostic, Result, WrapErr};
 
@@ -8,17 +9,25 @@
 use crate::configuration::ConfigurationWatch;
 use crate::control::{unix_ms, Control, RemoteState};
 use crate::entry::{Activity, Entry, EntryShared};
-use crate::membership::{Membership, MembershipOptions};
+use crate::membership::{HostRecord, Membership, MembershipOptions, Status};
 use crate::peer::{PeerCaller, PeerHandler, PeerListener, PeerPool};
 use crate::routing::{Fleet, WeightedScore};
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{reply, Call, CallFailure, FailureKind, Reply};
 use crate::serving::{AnswerLedger, Dispatcher, OnlineService};
-use crate::settings::HostSettings;
+use crate::settings::{HostSettings, ReplicaSettings};
 use crate::state::StateClient;
 use crate::telemetry::{Counters, Tracer};
 use crate::upstream::HttpConnector;
 
+/// A host that has its addresses and does not serve yet.
+pub struct BoundHost {
+    /// Settings with the addresses that the host got.
+    pub settings: HostSettings,
+    callers: TcpListener,
+    peers: TcpListener,
+}
+
 /// All parts of the system that one process runs.
 pub struct Host {
     peer_address: SocketAddr,
@@ -65,9 +74,33 @@
     }
 }
 
-impl Host {
+impl BoundHost {
+    /// Takes the addresses of the settings; port 0 takes any free port.
+    ///
+    /// A control host whose settings name no replicas forms a group of its own.
+    pub async fn bind(mut settings: HostSettings) -> Result<Self> {
+        let callers = listen(settings.caller_address).await?;
+        let peers = listen(settings.peer_address).await?;
+        settings.caller_address = callers.local_addr().into_diagnostic()?;
+        settings.peer_address = peers.local_addr().into_diagnostic()?;
+        if settings.roles.control && settings.control.replicas.is_empty() {
+            settings.control.replicas.push(ReplicaSettings {
+                replica_id: settings.control.replica_id,
+                peer_address: settings.peer_address.to_string(),
+                zone: settings.zone.clone(),
+            });
+        }
+        if settings.control_addresses.is_empty() {
+            let replicas = settings.control.replicas.iter();
+            settings.control_addresses =
+                replicas.map(|replica| replica.peer_address.clone()).collect();
+        }
+        Ok(Self { settings, callers, peers })
+    }
+
     /// Starts the parts that the settings name.
-    pub async fn open(settings: HostSettings) -> Result<Self> {
+    pub async fn open(self) -> Result<Host> {
+        let Self { settings, callers, peers } = self;
         let incarnation = unix_ms();
         let telemetry = &settings.telemetry;
         let counters = Counters::open(&settings.host_id, telemetry.statsd_address);
@@ -77,36 +110,42 @@
             .wrap_err("opening the span file")?;
         let pool = PeerPool::open(&settings.host_id, incarnation, &settings.peer_key);
         let caller: Arc<dyn PeerCaller> = Arc::new(pool.clone());
-        let options = MembershipOptions::new(&settings, incarnation);
+        let options = membership_options(&settings, incarnation);
         let membership = Membership::spawn(options, caller.clone());
-        let control = match settings.control_role {
+        let control = match settings.roles.control {
             true => Some(Control::open(&settings, caller.clone())?),
             false => None,
         };
         let handler = Arc::new(Handler { membership: membership.clone(), control });
-        let address = settings.peer_address.to_string();
-        let listener = PeerListener::bind(&address, &settings.peer_key, handler.clone())
-            .await
+        let listener = PeerListener::spawn(peers, &settings.peer_key, handler.clone())
             .into_diagnostic()
-            .wrap_err_with(|| format!("listening for peers on {address}"))?;
+            .wrap_err("serving peers")?;
         let peer_address = listener.address();
         let mut host =
-            Self { peer_address, listener, pool, handler, membership, entry: None, tracer };
-        if settings.entry_role {
-            host.entry = Some(host.open_entry(settings, incarnation, caller, counters).await?);
+            Host { peer_address, listener, pool, handler, membership, entry: None, tracer };
+        if settings.roles.entry {
+            host.entry = Some(host.open_entry(callers, settings, incarnation, caller, counters)?);
         }
         Ok(host)
     }
+}
+
+impl Host {
+    /// Starts the parts that the settings name.
+    pub async fn open(settings: HostSettings) -> Result<Self> {
+        BoundHost::bind(settings).await?.open().await
+    }
 
-    async fn open_entry(
+    fn open_entry(
         &self,
+        callers: TcpListener,
         settings: HostSettings,
         incarnation: u64,
         caller: Arc<dyn PeerCaller>,
         counters: Counters,
     ) -> Result<EntryParts> {
-        let remote =
-            RemoteState::open(caller.clone(), &settings.control_addresses, &settings.host_id);
+        let host_id = settings.host_id.clone();
+        let remote = RemoteState::open(caller.clone(), &settings.control_addresses, &host_id);
         let state: Arc<dyn StateClient> = Arc::new(remote);
         let members = self.membership.clone();
         let configuration = ConfigurationWatch::spawn(
@@ -120,12 +159,11 @@
         let balancer = Box::new(WeightedScore::new(&settings.zone, &settings.region));
         let connector = Box::new(HttpConnector::open());
         let dispatcher = Dispatcher::open(fleet, balancer, connector, counters.clone());
-        let ledger =
-            AnswerLedger::open(state.clone(), counters.clone(), &settings.host_id, incarnation);
+        let ledger = AnswerLedger::open(state.clone(), counters.clone(), &host_id, incarnation);
         let options = BatchOptions {
-            host_id: settings.host_id.clone(),
+            host_id,
             incarnation,
-            in_flight_limit: settings.entry.batch_in_flight_limit,
+            in_flight_limit: settings.entry.batch_in_flight_limit as u32,
         };
         let batch = BatchRunner::spawn(
             options,
@@ -135,7 +173,6 @@
             counters.clone(),
             self.tracer.clone(),
         );
-        let address = settings.caller_address;
         let shared = EntryShared {
             settings,
             counters,
@@ -148,10 +185,9 @@
             dispatcher,
             activity: Activity::default(),
         };
-        let entry = Entry::bind(Arc::new(shared))
-            .await
+        let entry = Entry::spawn(callers, Arc::new(shared))
             .into_diagnostic()
-            .wrap_err_with(|| format!("listening for callers on {address}"))?;
+            .wrap_err("serving callers")?;
         Ok(EntryParts { entry, batch, configuration })
     }
 
@@ -187,7 +223,7 @@
             parts.batch.close().await;
             parts.configuration.close().await;
         }
-        if let Some(control) = &self.handler.control {
+        if let Some(control) = self.handler.control.clone() {
             control.close().await;
         }
         self.membership.close().await;
@@ -197,13 +233,35 @@
     }
 }
 
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.into_diagnostic().wrap_err_with(|| format!("listening on {address}"))
+}
+
+fn membership_options(settings: &HostSettings, incarnation: u64) -> MembershipOptions {
+    let host = HostRecord {
+        host_id: settings.host_id.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        caller_address: settings.caller_address.to_string(),
+        peer_address: settings.peer_address.to_string(),
+        entry: settings.roles.entry,
+        control: settings.roles.control,
+        configuration_version: 0,
+    };
+    let mut options = MembershipOptions::new(host, incarnation);
+    options.seed_addresses.clone_from(&settings.seed_addresses);
+    options.gossip_interval_ms = settings.entry.gossip_interval_ms;
+    options
+}
+
 /// Publishes a new fleet after each change of the members.
 fn follow_members(membership: &Membership, fleet: Arc<Fleet>) {
     let changes = membership.subscribe();
     async_std::task::spawn(async move {
         while let Ok(view) = changes.recv().await {
-            let serving = view.upstreams.iter().filter(|upstream| upstream.is_serving());
-            fleet.replace(serving.map(|upstream| (&upstream.record, upstream.incarnation)));
+            let serving = view.upstreams.iter().filter(|entry| entry.status == Status::Alive);
+            fleet.replace(serving.map(|entry| (&entry.record, entry.incarnation)));
         }
     });
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,4 +21,4 @@
 pub mod telemetry;
 pub mod upstream;
 
-pub use host::Host;
+pub use host::{BoundHost, Host};
--- a/src/membership/status.rs
+++ b/src/membership/status.rs
@@ -16,6 +16,17 @@
 }
 
 impl Status {
+    /// Name in answers to operators.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Suspect => "suspect",
+            Self::Leaving => "leaving",
+            Self::Dead => "dead",
+            Self::Left => "left",
+        }
+    }
+
     /// True for records that are kept only so that old news does not bring them back.
     pub fn is_removed(self) -> bool {
         matches!(self, Self::Dead | Self::Left)
--- a/src/peer/listener.rs
+++ b/src/peer/listener.rs
@@ -25,9 +25,13 @@
 }
 
 impl PeerListener {
-    /// Listens on `address`. Peers must show `key` in their first frame when it is not empty.
-    pub async fn bind(address: &str, key: &str, handler: Arc<dyn PeerHandler>) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
+    /// Serves the connections of `listener`. Peers must show `key` in their first frame when it is
+    /// not empty.
+    pub fn spawn(
+        listener: TcpListener,
+        key: &str,
+        handler: Arc<dyn PeerHandler>,
+    ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let key = key.to_owned();
         let accepting = task::spawn(async move {
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -3,8 +3,8 @@
 
 use arc_swap::ArcSwap;
 
+use crate::membership::UpstreamRecord;
 use crate::routing::{RequestView, Upstream};
-use crate::schema::peer::UpstreamRecord;
 
 /// The upstreams that may get work, by service and by model. Never changed once published.
 #[derive(Debug, Default)]
@@ -94,7 +94,7 @@
     }
 
     /// Publishes a new snapshot. Upstreams of the same incarnation keep their counters.
-    pub fn replace<'a>(&self, records: impl Iterator<Item = (&'a UpstreamRecord, u64)>) {
+    pub fn replace<'a>(&self, records: impl Iterator<Item = (&'a Arc<UpstreamRecord>, u64)>) {
         let old = self.snapshot.load();
         let mut new = FleetSnapshot::default();
         for (record, incarnation) in records {
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -1,14 +1,14 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::Arc;
 
+use crate::membership::UpstreamRecord;
 use crate::routing::WorkClass;
-use crate::schema::peer::UpstreamRecord;
 
 /// One upstream as this host sees it: its record and what was sent to it.
 #[derive(Debug)]
 pub struct Upstream {
     /// Record that the upstream announced.
-    pub record: UpstreamRecord,
+    pub record: Arc<UpstreamRecord>,
     /// Grows with each start of the upstream.
     pub incarnation: u64,
     online_in_use: AtomicU32,
@@ -21,7 +21,7 @@
 
 impl Upstream {
     /// An upstream with nothing in flight.
-    pub fn new(record: UpstreamRecord, incarnation: u64) -> Self {
+    pub fn new(record: Arc<UpstreamRecord>, incarnation: u64) -> Self {
         Self {
             record,
             incarnation,
