Add the replicated state machine with bodies in memory

Cause: raft, the control service and the entry hosts need one place that decides on configuration, jobs, items, claims, answers and fencing numbers.

Commands are decoded and outcomes encoded at the border.

--- /dev/null
+++ b/src/state/bodies.rs
@@ -0,0 +1,93 @@
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+
+use crate::state::{BodyRef, BodyStore};
+
+/// The body store as the tables use it: counts live bytes and delays releases while bodies are
+/// read outside of the state's lock.
+pub(crate) struct Bodies {
+    store: Arc<dyn BodyStore>,
+    live_bytes: AtomicU64,
+    releases: Mutex<Releases>,
+}
+
+#[derive(Default)]
+struct Releases {
+    pins: usize,
+    delayed: Vec<BodyRef>,
+}
+
+/// Keeps all bodies readable until it is dropped.
+pub(crate) struct BodyPin<'a> {
+    bodies: &'a Bodies,
+}
+
+impl Bodies {
+    pub(crate) fn new(store: Arc<dyn BodyStore>) -> Self {
+        Self { store, live_bytes: AtomicU64::new(0), releases: Mutex::default() }
+    }
+
+    pub(crate) fn store(&self) -> &dyn BodyStore {
+        &*self.store
+    }
+
+    pub(crate) fn append(&self, body: &[u8]) -> BodyRef {
+        if body.is_empty() {
+            return BodyRef::EMPTY;
+        }
+        self.live_bytes.fetch_add(body.len() as u64, Ordering::Relaxed);
+        self.store.append(body)
+    }
+
+    pub(crate) fn read(&self, body: BodyRef) -> io::Result<Bytes> {
+        if body.is_empty() {
+            return Ok(Bytes::new());
+        }
+        self.store.read(body)
+    }
+
+    pub(crate) fn release(&self, body: BodyRef) {
+        if body.is_empty() {
+            return;
+        }
+        self.live_bytes.fetch_sub(u64::from(body.len_bytes), Ordering::Relaxed);
+        let mut releases = self.releases.lock().expect("lock is not poisoned");
+        if releases.pins > 0 {
+            releases.delayed.push(body);
+            return;
+        }
+        self.store.release(body);
+    }
+
+    /// Length of all bodies in use. The same on each replica.
+    pub(crate) fn live_bytes(&self) -> u64 {
+        self.live_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Sets the count after a restore; releases that were delayed belong to the replaced state.
+    pub(crate) fn reset(&self, live_bytes: u64) {
+        self.live_bytes.store(live_bytes, Ordering::Relaxed);
+        self.releases.lock().expect("lock is not poisoned").delayed.clear();
+    }
+
+    pub(crate) fn pin(&self) -> BodyPin<'_> {
+        self.releases.lock().expect("lock is not poisoned").pins += 1;
+        BodyPin { bodies: self }
+    }
+}
+
+impl Drop for BodyPin<'_> {
+    fn drop(&mut self) {
+        let mut releases = self.bodies.releases.lock().expect("lock is not poisoned");
+        releases.pins -= 1;
+        if releases.pins > 0 {
+            return;
+        }
+        for body in std::mem::take(&mut releases.delayed) {
+            self.bodies.store.release(body);
+        }
+    }
+}
--- /dev/null
+++ b/src/state/claim.rs
@@ -0,0 +1,66 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::state::command::Holder;
+use crate::state::outcome::ClaimStatus;
+use crate::state::BodyRef;
+
+/// An online request under its key: claimed, answered, or of unknown outcome.
+#[derive(Clone, Debug)]
+pub(crate) struct Claim {
+    pub(crate) customer: Arc<str>,
+    /// Empty for none.
+    pub(crate) key: Arc<str>,
+    pub(crate) fingerprint: Bytes,
+    pub(crate) request_id: Arc<str>,
+    pub(crate) not_repeatable: bool,
+    pub(crate) phase: ClaimPhase,
+    /// End of the record, after which its key is free.
+    pub(crate) expires_unix_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum ClaimPhase {
+    Held { holder: Holder, lease_expires_unix_ms: u64 },
+    Unknown { holder: Holder },
+    Answered(RecordedAnswer),
+}
+
+/// An answer, whose body is in the body store.
+#[derive(Clone, Debug)]
+pub(crate) struct RecordedAnswer {
+    pub(crate) status: u32,
+    pub(crate) content_type: Arc<str>,
+    pub(crate) recorded_at_unix_ms: u64,
+    pub(crate) body: BodyRef,
+}
+
+impl Claim {
+    /// The status that another request under the key sees.
+    pub(crate) fn status(&self, now: u64) -> ClaimStatus {
+        match &self.phase {
+            ClaimPhase::Answered(_) => ClaimStatus::Answered,
+            ClaimPhase::Unknown { .. } => ClaimStatus::Unknown,
+            ClaimPhase::Held { lease_expires_unix_ms, .. } if *lease_expires_unix_ms > now => {
+                ClaimStatus::Running
+            }
+            ClaimPhase::Held { .. } if self.not_repeatable => ClaimStatus::Unknown,
+            ClaimPhase::Held { .. } => ClaimStatus::Free,
+        }
+    }
+
+    pub(crate) fn holder(&self) -> Option<&Holder> {
+        match &self.phase {
+            ClaimPhase::Held { holder, .. } | ClaimPhase::Unknown { holder } => Some(holder),
+            ClaimPhase::Answered(_) => None,
+        }
+    }
+
+    pub(crate) fn answer(&self) -> Option<&RecordedAnswer> {
+        match &self.phase {
+            ClaimPhase::Answered(answer) => Some(answer),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/state/snapshot.rs
@@ -0,0 +1,248 @@
+//! Writes and reads snapshots: records of the tables, their checksum, then the body segments.
+
+use std::io::{self, BufRead, BufReader, BufWriter, Read, Write};
+
+use prost::Message;
+
+use crate::schema::state as wire;
+use crate::schema::state::snapshot_record::Record;
+use crate::state::claims::Claims;
+use crate::state::command_results::{CommandResults, KeptResult};
+use crate::state::configuration_table::ConfigurationTable;
+use crate::state::fences::{Fence, Fences};
+use crate::state::file::File;
+use crate::state::job::Job;
+use crate::state::jobs::Jobs;
+use crate::state::snapshot_records;
+use crate::state::state_clock::StateClock;
+use crate::state::tables::Tables;
+use crate::state::{BodyStore, SegmentName};
+
+/// Version of the snapshot's form.
+const FORMAT: u32 = 1;
+/// Above the largest record, a job of a million items.
+const RECORD_LIMIT_BYTES: u64 = 256 << 20;
+const BUFFER_BYTES: usize = 256 << 10;
+
+/// Writes the tables and all segments.
+pub(crate) fn save(
+    tables: &Tables,
+    bodies: &dyn BodyStore,
+    target: &mut dyn Write,
+) -> io::Result<()> {
+    let segments = bodies.seal()?;
+    let mut writer = RecordWriter {
+        target: BufWriter::with_capacity(BUFFER_BYTES, target),
+        checksum: crc32fast::Hasher::new(),
+        buffer: Vec::new(),
+    };
+    writer.write(Record::Header(header(tables)))?;
+    for (command_id, expires, kept) in tables.results.iter() {
+        writer.write(Record::Result(snapshot_records::result(command_id, expires, kept)))?;
+    }
+    for (file_id, file) in tables.files.iter() {
+        writer.write(Record::File(snapshot_records::file(file_id, file)))?;
+    }
+    for (service, queue) in tables.jobs.ready().iter() {
+        for (customer, virtual_time) in queue.shares() {
+            let (service, customer) = (service.to_owned(), customer.to_owned());
+            let floor = queue.floor();
+            let share = wire::FairShareRecord { service, customer, virtual_time, floor };
+            writer.write(Record::Share(share))?;
+        }
+    }
+    for job in tables.jobs.iter() {
+        writer.write(Record::Job(snapshot_records::job(job)))?;
+    }
+    for (number, claim) in tables.claims.iter() {
+        writer.write(Record::Claim(snapshot_records::claim(number, claim)))?;
+    }
+    for (scope, fence) in tables.fences.iter() {
+        writer.write(Record::Fence(snapshot_records::fence(scope, fence)))?;
+    }
+    writer.write(Record::Segments(snapshot_records::segments(&segments)))?;
+    writer.end()?;
+    for segment in &segments {
+        bodies.export(segment, &mut writer.target)?;
+    }
+    writer.target.flush()
+}
+
+/// Reads tables, and those segments that `bodies` does not hold, which it is yet to adopt.
+pub(crate) fn restore(
+    bodies: &dyn BodyStore,
+    source: &mut dyn Read,
+) -> io::Result<(Tables, Vec<SegmentName>)> {
+    let mut reader = RecordReader {
+        source: BufReader::with_capacity(BUFFER_BYTES, source),
+        checksum: crc32fast::Hasher::new(),
+        buffer: Vec::new(),
+    };
+    let Record::Header(header) = reader.next()? else {
+        return Err(damaged("the first record is not a header"));
+    };
+    let mut tables = tables_of(header)?;
+    let segments = loop {
+        match reader.next()? {
+            Record::Segments(list) => break snapshot_records::segment_names(&list),
+            record => insert(&mut tables, record)?,
+        }
+    };
+    reader.end()?;
+    if segments.iter().all(|segment| bodies.holds(segment)) {
+        return Ok((tables, segments));
+    }
+    for segment in &segments {
+        if bodies.holds(segment) {
+            skip(&mut reader.source, segment.len_bytes)?;
+            continue;
+        }
+        bodies.import(segment, &mut reader.source)?;
+    }
+    Ok((tables, segments))
+}
+
+fn header(tables: &Tables) -> wire::SnapshotHeader {
+    wire::SnapshotHeader {
+        format: FORMAT,
+        now_unix_ms: tables.clock.now_unix_ms(),
+        configuration: Some((**tables.configuration.current()).clone()),
+        changed_by: tables.configuration.changed_by().to_owned(),
+        last_fence: tables.fences.last(),
+        lease_turn: tables.jobs.ready().turn(),
+        last_claim: tables.claims.last(),
+    }
+}
+
+fn tables_of(header: wire::SnapshotHeader) -> io::Result<Tables> {
+    if header.format != FORMAT {
+        return Err(damaged(&format!("format {} is not {FORMAT}", header.format)));
+    }
+    let configuration = header.configuration.unwrap_or_default();
+    Ok(Tables {
+        clock: StateClock::at(header.now_unix_ms),
+        configuration: ConfigurationTable::restored(configuration, header.changed_by),
+        results: CommandResults::default(),
+        files: Default::default(),
+        jobs: Jobs::restored(header.lease_turn),
+        claims: Claims::restored(header.last_claim),
+        fences: Fences::restored(header.last_fence),
+    })
+}
+
+fn insert(tables: &mut Tables, record: Record) -> io::Result<()> {
+    match record {
+        Record::Result(record) => {
+            let kept = KeptResult::try_from(&record)?;
+            tables.results.insert(&record.command_id, kept, record.expires_unix_ms);
+        }
+        Record::File(record) => {
+            let file_id = record.file.as_ref().map(|file| file.file_id.clone());
+            tables.files.insert(&file_id.unwrap_or_default(), File::try_from(record)?);
+        }
+        Record::Share(share) => tables.jobs.ready_mut().restore_share(
+            &share.service,
+            &share.customer,
+            share.virtual_time,
+            share.floor,
+        ),
+        Record::Job(record) => {
+            let job = Job::try_from(record)?;
+            if !job.deleted {
+                tables.files.retake(&job.file_id);
+            }
+            tables.jobs.insert(job);
+        }
+        Record::Claim(record) => {
+            let number = record.claim;
+            tables.claims.insert(number, record.try_into()?);
+        }
+        Record::Fence(record) => tables.fences.insert(record.scope.clone(), Fence::from(record)),
+        Record::Header(_) | Record::Segments(_) | Record::End(_) => {
+            return Err(damaged("a record is out of order"));
+        }
+    }
+    Ok(())
+}
+
+struct RecordWriter<'a> {
+    target: BufWriter<&'a mut dyn Write>,
+    checksum: crc32fast::Hasher,
+    buffer: Vec<u8>,
+}
+
+impl RecordWriter<'_> {
+    fn write(&mut self, record: Record) -> io::Result<()> {
+        self.buffer.clear();
+        let record = wire::SnapshotRecord { record: Some(record) };
+        record.encode_length_delimited(&mut self.buffer).map_err(io::Error::other)?;
+        self.checksum.update(&self.buffer);
+        self.target.write_all(&self.buffer)
+    }
+
+    fn end(&mut self) -> io::Result<()> {
+        let crc32 = self.checksum.clone().finalize();
+        self.write(Record::End(wire::SnapshotEnd { crc32 }))
+    }
+}
+
+struct RecordReader<'a> {
+    source: BufReader<&'a mut dyn Read>,
+    checksum: crc32fast::Hasher,
+    buffer: Vec<u8>,
+}
+
+impl RecordReader<'_> {
+    fn next(&mut self) -> io::Result<Record> {
+        let len_bytes = self.len_bytes()?;
+        if len_bytes > RECORD_LIMIT_BYTES {
+            return Err(damaged("a record is too long"));
+        }
+        self.buffer.resize(len_bytes as usize, 0);
+        self.source.read_exact(&mut self.buffer)?;
+        let record = wire::SnapshotRecord::decode(&self.buffer[..]).map_err(io::Error::other)?;
+        let record = record.record.ok_or_else(|| damaged("a record is of an unknown kind"))?;
+        if !matches!(record, Record::End(_)) {
+            let mut prefix = Vec::new();
+            prost::encode_length_delimiter(len_bytes as usize, &mut prefix)
+                .map_err(io::Error::other)?;
+            self.checksum.update(&prefix);
+            self.checksum.update(&self.buffer);
+        }
+        Ok(record)
+    }
+
+    fn len_bytes(&mut self) -> io::Result<u64> {
+        let mut value = 0;
+        for shift in (0..64).step_by(7) {
+            let mut byte = [0];
+            self.source.read_exact(&mut byte)?;
+            value |= u64::from(byte[0] & 0x7f) << shift;
+            if byte[0] < 0x80 {
+                return Ok(value);
+            }
+        }
+        Err(damaged("a record's length is malformed"))
+    }
+
+    fn end(&mut self) -> io::Result<()> {
+        let expected = self.checksum.clone().finalize();
+        match self.next()? {
+            Record::End(end) if end.crc32 == expected => Ok(()),
+            Record::End(_) => Err(damaged("the checksum does not match")),
+            _ => Err(damaged("the end record is missing")),
+        }
+    }
+}
+
+fn skip(source: &mut dyn BufRead, len_bytes: u64) -> io::Result<()> {
+    let skipped = io::copy(&mut source.take(len_bytes), &mut io::sink())?;
+    if skipped < len_bytes {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    Ok(())
+}
+
+pub(crate) fn damaged(reason: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, format!("snapshot: {reason}"))
+}
--- /dev/null
+++ b/src/state/tables.rs
@@ -0,0 +1,126 @@
+use std::sync::Arc;
+
+use crate::state::bodies::Bodies;
+use crate::state::claims::Claims;
+use crate::state::command::Command;
+use crate::state::command_results::{CommandResults, KeptResult};
+use crate::state::configuration_table::ConfigurationTable;
+use crate::state::fences::Fences;
+use crate::state::files::Files;
+use crate::state::jobs::Jobs;
+use crate::state::outcome::Outcome;
+use crate::state::refusal::Refusal;
+use crate::state::request::Request;
+use crate::state::state_clock::StateClock;
+use crate::state::BodyRef;
+
+/// Records of each kind that one Expire command removes.
+const EXPIRE_STEP: usize = 1_000;
+/// Items that one Expire command removes with their jobs, plus the rest of the last job.
+const EXPIRE_ITEMS_STEP: usize = 100_000;
+
+/// All tables of the state machine.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Tables {
+    pub(crate) clock: StateClock,
+    pub(crate) configuration: ConfigurationTable,
+    pub(crate) results: CommandResults,
+    pub(crate) files: Files,
+    pub(crate) jobs: Jobs,
+    pub(crate) claims: Claims,
+    pub(crate) fences: Fences,
+}
+
+impl Tables {
+    /// Applies a command, once under its id.
+    pub(crate) fn apply(&mut self, request: Request, bodies: &Bodies) -> Arc<Outcome> {
+        let now = self.clock.advance(request.proposed_at_unix_ms);
+        self.results.expire(now);
+        self.jobs.free_items(now, self.configuration.result_retention_ms(), bodies);
+        if let Some(outcome) = self.results.find(&request) {
+            return outcome;
+        }
+        let Request { command_id, checksum, command, .. } = request;
+        let result = command.and_then(|command| self.run(&command_id, command, now, bodies));
+        let outcome = Arc::new(Outcome::from(result));
+        if !command_id.is_empty() {
+            let kept = KeptResult { checksum, outcome: outcome.clone() };
+            self.results.keep(&command_id, kept, now);
+        }
+        outcome
+    }
+
+    fn run(
+        &mut self,
+        command_id: &str,
+        command: Command,
+        now: u64,
+        bodies: &Bodies,
+    ) -> Result<Outcome, Refusal> {
+        let answer_retention_ms = self.configuration.answer_retention_ms();
+        let result_retention_ms = self.configuration.result_retention_ms();
+        let used_bytes = bodies.live_bytes().saturating_add(command.new_bytes());
+        let full = used_bytes > self.configuration.body_limit_bytes();
+        let Self { configuration, files, jobs, claims, fences, .. } = self;
+        match command {
+            Command::ChangeConfiguration { base_version, edits } => {
+                configuration.change(command_id, base_version, edits)
+            }
+            Command::AppendFile(_) if full => {
+                Err(Refusal::storage_full("storage is full; the lines were not appended"))
+            }
+            Command::AppendFile(chunk) => {
+                files.append(&chunk, now + result_retention_ms, now, bodies)
+            }
+            Command::DeleteFile { customer, file_id } => files.delete(&customer, &file_id, bodies),
+            Command::CreateJob(new) => match jobs.existing(&new)? {
+                Some(outcome) => Ok(outcome),
+                None if full => {
+                    Err(Refusal::storage_full("storage is full; the job was not created"))
+                }
+                None => jobs.create(new, now, files, configuration),
+            },
+            Command::CancelJob { customer, job_id } => {
+                jobs.cancel(&customer, &job_id, now, result_retention_ms, bodies)
+            }
+            Command::DeleteJob { customer, job_id } => {
+                jobs.delete(&customer, &job_id, now, result_retention_ms, files, bodies)
+            }
+            Command::LeaseItems { holder, max_items, lease_ms, services } => Ok(jobs.lease_items(
+                &holder,
+                max_items,
+                now + u64::from(lease_ms),
+                &services,
+                configuration,
+            )),
+            Command::RenewItems { holder, lease_ms, items } => {
+                Ok(jobs.renew_items(&holder, now + u64::from(lease_ms), items))
+            }
+            Command::FinishItems { holder, items } => {
+                Ok(jobs.finish_items(&holder, &items, now, result_retention_ms, bodies))
+            }
+            Command::TakeClaim(new) => claims.take(new, now, answer_retention_ms, full),
+            Command::RecordAnswer(new) => claims.record(new, now, answer_retention_ms, bodies),
+            Command::SettleClaim { customer, key, request_id, not_run } => {
+                claims.settle(&customer, &key, &request_id, not_run)
+            }
+            Command::TakeFence { scope, holder, lease_ms } => {
+                Ok(fences.take(&scope, &holder, lease_ms, now))
+            }
+            Command::Expire => {
+                claims.expire(now, EXPIRE_STEP, bodies);
+                jobs.expire(now, EXPIRE_ITEMS_STEP, files, bodies);
+                files.expire(now, EXPIRE_STEP, bodies);
+                Ok(Outcome::Done)
+            }
+        }
+    }
+
+    /// Places of all bodies in use.
+    pub(crate) fn bodies(&self) -> impl Iterator<Item = BodyRef> + '_ {
+        let lines = self.files.iter().flat_map(|(_, file)| &file.chunks).map(|chunk| chunk.body);
+        let items = self.jobs.iter().flat_map(|job| &job.items).map(|item| item.body);
+        let answers = self.claims.iter().filter_map(|(_, claim)| Some(claim.answer()?.body));
+        lines.chain(items).chain(answers).filter(|body| !body.is_empty())
+    }
+}
