--- a/src/serving/answer_ledger.rs
+++ b/src/serving/answer_ledger.rs
@@ -81,6 +81,8 @@
                         return Ok(Some(recorded));
                     }
                 }
+                // The claim was given back, so it can be taken anew.
+                ClaimStatus::Free => {}
                 ClaimStatus::Unknown | ClaimStatus::Unspecified => break,
             }
             taken = self.take(identity, attempt, span).await?;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! tests can check answers token by token and make the upstream fail when they want it to.
 
 mod announcer;
+mod caller;
 mod completion;
 mod engine;
 mod engine_stats;
@@ -20,6 +21,7 @@
 mod signal;
 pub mod tokens;
 
+pub use caller::{Caller, CallerAnswer};
 pub use engine::Engine;
 pub use engine_stats::EngineStats;
 pub use schema::{EngineOptions, Model, Order};
--- /dev/null
+++ b/tests/settings_examples.rs
@@ -0,0 +1,18 @@
+//! The settings files that the README names must be valid.
+
+use std::path::Path;
+
+use damaskhoist::settings::HostSettings;
+use rstest::rstest;
+
+#[rstest]
+#[case("santander-control")]
+#[case("torrelavega-control")]
+#[case("pamplona-control")]
+#[case("santander-entry")]
+#[case("pamplona-entry")]
+fn example_settings_are_valid(#[case] name: &str) {
+    let file = Path::new("examples/settings").join(name).with_extension("json");
+    let settings = HostSettings::read(&file).expect("the file is valid");
+    assert_eq!(settings.host_id, name);
+}
