--- /dev/null
+++ b/src/raft/disk_log.rs
@@ -0,0 +1,300 @@
+use std::collections::VecDeque;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+use crate::raft::frame::{encode_frame, find_frames, FrameHeader};
+use crate::raft::identity::sync_folder;
+use crate::raft::{Entry, Identity, LogStorage};
+
+/// The log of one replica in a folder, as a row of segment files.
+///
+/// Each write is one checksummed frame that is synced before the next one is written. So a frame
+/// that is not whole is a torn write if nothing follows it, and damage otherwise.
+pub struct DiskLog {
+    folder: PathBuf,
+    segment_bytes: u64,
+    compress: bool,
+    segments: VecDeque<Segment>,
+    frames: VecDeque<Frame>,
+    /// The last segment, open for appending.
+    file: Option<File>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Segment {
+    sequence: u64,
+    bytes: u64,
+    last_index: u64,
+}
+
+/// Place of a frame, and the part of it that was not replaced.
+#[derive(Clone, Copy, Debug)]
+struct Frame {
+    sequence: u64,
+    offset: u64,
+    bytes: u64,
+    first_index: u64,
+    last_index: u64,
+}
+
+/// What [`DiskLog::open`] found.
+#[derive(Debug, Default)]
+pub struct Scan {
+    /// Entries in order, up to the end of the log or the first damage.
+    pub entries: Vec<Entry>,
+    /// Bytes of a torn write that were cut off the end.
+    pub torn_bytes: u64,
+    /// Damage that is not a torn write.
+    pub damage: Option<Damage>,
+}
+
+/// A damaged record before the end of the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Damage {
+    /// File and place.
+    pub place: String,
+    /// Highest index in the records that follow.
+    pub through: u64,
+}
+
+impl DiskLog {
+    /// Reads the log in `folder`. A torn write at the end is cut; damage elsewhere is left as it
+    /// is, and nothing may be written before [`DiskLog::set_damaged_aside`].
+    pub fn open(folder: &Path, segment_bytes: u64, compress: bool) -> io::Result<(Self, Scan)> {
+        let mut log = Self {
+            folder: folder.to_owned(),
+            segment_bytes,
+            compress,
+            segments: VecDeque::new(),
+            frames: VecDeque::new(),
+            file: None,
+        };
+        let sequences = list_segments(folder)?;
+        let mut scan = Scan::default();
+        for (at, &sequence) in sequences.iter().enumerate() {
+            if let Some(expected) = log.segments.back().map(|segment| segment.sequence + 1) {
+                if sequence != expected {
+                    let through = log.last_index_from(&sequences[at..], 0)?.unwrap_or(0);
+                    let place = format!("{} is missing", file_name(expected));
+                    scan.damage = Some(Damage { place, through });
+                    return Ok((log, scan));
+                }
+            }
+            let content = fs::read(log.path(sequence))?;
+            let end = log.scan_segment(sequence, &content, &mut scan.entries);
+            if end == content.len() {
+                continue;
+            }
+            if let Some(through) = log.last_index_from(&sequences[at..], end + 1)? {
+                let place = format!("{} at byte {end}", file_name(sequence));
+                scan.damage = Some(Damage { place, through });
+                return Ok((log, scan));
+            }
+            scan.torn_bytes = (content.len() - end) as u64;
+            let file = OpenOptions::new().write(true).open(log.path(sequence))?;
+            file.set_len(end as u64)?;
+            file.sync_all()?;
+            for &later in &sequences[at + 1..] {
+                fs::remove_file(log.path(later))?;
+            }
+            break;
+        }
+        log.open_last()?;
+        Ok((log, scan))
+    }
+
+    /// Keeps the whole records before the damage and moves the other files out of the way.
+    pub fn set_damaged_aside(&mut self) -> io::Result<()> {
+        let kept = self.segments.back().copied();
+        let kept_sequence = kept.map_or(0, |segment| segment.sequence);
+        let sequences = list_segments(&self.folder)?;
+        for &sequence in sequences.iter().rev().filter(|&&sequence| sequence >= kept_sequence) {
+            let aside = self.folder.join(format!("damaged-{}", file_name(sequence)));
+            fs::rename(self.path(sequence), aside)?;
+        }
+        if let Some(segment) = kept {
+            let aside = self.folder.join(format!("damaged-{}", file_name(segment.sequence)));
+            let content = fs::read(aside)?;
+            let mut file = File::create(self.path(segment.sequence))?;
+            file.write_all(&content[..segment.bytes as usize])?;
+            file.sync_all()?;
+        }
+        sync_folder(&self.folder)?;
+        self.open_last()
+    }
+
+    fn path(&self, sequence: u64) -> PathBuf {
+        self.folder.join(file_name(sequence))
+    }
+
+    /// Takes the whole frames of a segment; gives the place after them.
+    fn scan_segment(&mut self, sequence: u64, content: &[u8], entries: &mut Vec<Entry>) -> usize {
+        let mut at = 0;
+        self.segments.push_back(Segment { sequence, bytes: 0, last_index: 0 });
+        while at < content.len() {
+            let rest = &content[at..];
+            let Some(header) = FrameHeader::decode(rest) else { break };
+            let Some(payload) = header.payload(rest) else { break };
+            let Some(read) = header.entries(payload) else { break };
+            let next_index = entries.last().map_or(header.first_index, |entry| entry.index + 1);
+            if header.first_index > next_index {
+                break;
+            }
+            entries.truncate(entries.partition_point(|it| it.index < header.first_index));
+            entries.extend(read);
+            self.note_frame(sequence, at as u64, &header);
+            at += header.frame_bytes() as usize;
+        }
+        at
+    }
+
+    fn last_index_from(&self, sequences: &[u64], skip: usize) -> io::Result<Option<u64>> {
+        let mut last_index = None;
+        for (at, &sequence) in sequences.iter().enumerate() {
+            let content = fs::read(self.path(sequence))?;
+            let skip = if at == 0 { skip.min(content.len()) } else { 0 };
+            last_index = last_index.max(find_frames(&content[skip..]));
+        }
+        Ok(last_index)
+    }
+
+    fn note_frame(&mut self, sequence: u64, offset: u64, header: &FrameHeader) {
+        let FrameHeader { first_index, last_index, .. } = *header;
+        while self.frames.back().is_some_and(|frame| frame.first_index >= first_index) {
+            self.frames.pop_back();
+        }
+        if let Some(frame) = self.frames.back_mut() {
+            frame.last_index = frame.last_index.min(first_index - 1);
+        }
+        let bytes = header.frame_bytes();
+        self.frames.push_back(Frame { sequence, offset, bytes, first_index, last_index });
+        let segment = self.segments.back_mut().expect("the frame's segment is there");
+        segment.bytes = offset + bytes;
+        segment.last_index = segment.last_index.max(last_index);
+    }
+
+    fn open_last(&mut self) -> io::Result<()> {
+        let Some(segment) = self.segments.back() else { return Ok(()) };
+        self.file = Some(OpenOptions::new().append(true).open(self.path(segment.sequence))?);
+        Ok(())
+    }
+
+    fn start_segment(&mut self) -> io::Result<()> {
+        let sequence = self.segments.back().map_or(1, |segment| segment.sequence + 1);
+        let options = OpenOptions::new().append(true).create_new(true).clone();
+        self.file = Some(options.open(self.path(sequence))?);
+        self.segments.push_back(Segment { sequence, bytes: 0, last_index: 0 });
+        sync_folder(&self.folder)
+    }
+}
+
+impl LogStorage for DiskLog {
+    fn save_identity(&mut self, identity: &Identity) -> io::Result<()> {
+        identity.write(&self.folder)
+    }
+
+    fn append(&mut self, entries: &[Entry]) -> io::Result<()> {
+        let is_full = self.segments.back().is_none_or(|it| it.bytes >= self.segment_bytes);
+        if is_full {
+            self.start_segment()?;
+        }
+        let encoded = encode_frame(entries, self.compress);
+        let header = FrameHeader::decode(&encoded).expect("the frame was just encoded");
+        let segment = *self.segments.back().expect("a segment was started");
+        let file = self.file.as_mut().ok_or_else(|| io::Error::other("the log is not open"))?;
+        file.write_all(&encoded)?;
+        self.note_frame(segment.sequence, segment.bytes, &header);
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.file.as_ref().map_or(Ok(()), File::sync_data)
+    }
+
+    fn read(&mut self, first_index: u64, limit_bytes: usize) -> io::Result<Vec<Entry>> {
+        let start = self.frames.partition_point(|frame| frame.last_index < first_index);
+        let mut entries = Vec::new();
+        let mut bytes = 0;
+        for frame in self.frames.range(start..) {
+            if bytes >= limit_bytes || frame.first_index > first_index + entries.len() as u64 {
+                break;
+            }
+            let mut content = vec![0; frame.bytes as usize];
+            File::open(self.path(frame.sequence))?.read_exact_at(&mut content, frame.offset)?;
+            let damaged = || io::Error::new(io::ErrorKind::InvalidData, "damaged record");
+            let header = FrameHeader::decode(&content).ok_or_else(damaged)?;
+            let payload = header.payload(&content).ok_or_else(damaged)?;
+            for entry in header.entries(payload).ok_or_else(damaged)? {
+                if entry.index < first_index || entry.index > frame.last_index {
+                    continue;
+                }
+                if bytes >= limit_bytes {
+                    break;
+                }
+                bytes += entry.size_bytes();
+                entries.push(entry);
+            }
+        }
+        Ok(entries)
+    }
+
+    fn compact(&mut self, index: u64) -> io::Result<()> {
+        // Only from the front: a later segment may replace entries of an earlier one.
+        while self.segments.len() > 1 && self.segments[0].last_index <= index {
+            let sequence = self.segments[0].sequence;
+            fs::remove_file(self.path(sequence))?;
+            self.segments.pop_front();
+            self.frames.retain(|frame| frame.sequence != sequence);
+        }
+        Ok(())
+    }
+
+    fn clear(&mut self) -> io::Result<()> {
+        self.file = None;
+        let next_sequence = self.segments.back().map_or(1, |segment| segment.sequence + 1);
+        // From the end, so that what a crash leaves is a log that ends too early.
+        while let Some(segment) = self.segments.pop_back() {
+            fs::remove_file(self.path(segment.sequence))?;
+            sync_folder(&self.folder)?;
+        }
+        self.frames.clear();
+        self.segments.push_back(Segment { sequence: next_sequence, bytes: 0, last_index: 0 });
+        File::create(self.path(next_sequence))?;
+        sync_folder(&self.folder)?;
+        self.open_last()
+    }
+
+    fn discard_damaged(&mut self) -> io::Result<()> {
+        for file in fs::read_dir(&self.folder)? {
+            let file = file?;
+            if file.file_name().to_string_lossy().starts_with("damaged-") {
+                fs::remove_file(file.path())?;
+            }
+        }
+        Ok(())
+    }
+
+    fn data_bytes(&self) -> u64 {
+        self.segments.iter().map(|segment| segment.bytes).sum()
+    }
+}
+
+fn file_name(sequence: u64) -> String {
+    format!("log-{sequence:010}")
+}
+
+/// Sequence numbers of the segment files, in order.
+fn list_segments(folder: &Path) -> io::Result<Vec<u64>> {
+    let mut sequences = Vec::new();
+    for file in fs::read_dir(folder)? {
+        let name = file?.file_name();
+        let Some(digits) = name.to_str().and_then(|name| name.strip_prefix("log-")) else {
+            continue;
+        };
+        sequences.extend(digits.parse::<u64>());
+    }
+    sequences.sort_unstable();
+    Ok(sequences)
+}
--- /dev/null
+++ b/src/raft/log.rs
@@ -0,0 +1,175 @@
+use std::collections::VecDeque;
+
+use crate::raft::{Entry, Payload, ReplicaSet, SnapshotMeta};
+
+/// What a replica knows of its log: terms and replica sets of all entries, and the newest entries.
+#[derive(Clone, Debug)]
+pub struct Log {
+    /// Index and term before the first entry.
+    base_index: u64,
+    base_term: u64,
+    last_index: u64,
+    /// First index of each run of entries of one term.
+    term_runs: VecDeque<(u64, u64)>,
+    /// Replica sets by index; the first one is that of the base.
+    replica_sets: VecDeque<(u64, ReplicaSet)>,
+    /// The newest entries, up to the last one.
+    cached: VecDeque<Entry>,
+    cached_bytes: usize,
+}
+
+impl Log {
+    /// A log that holds `entries` after the snapshot.
+    pub fn new(snapshot: SnapshotMeta, entries: impl IntoIterator<Item = Entry>) -> Self {
+        let mut log = Self {
+            base_index: snapshot.last_index,
+            base_term: snapshot.last_term,
+            last_index: snapshot.last_index,
+            term_runs: VecDeque::new(),
+            replica_sets: VecDeque::from([(snapshot.last_index, snapshot.replicas)]),
+            cached: VecDeque::new(),
+            cached_bytes: 0,
+        };
+        for entry in entries {
+            log.push(entry);
+        }
+        log
+    }
+
+    /// Index of the first entry that is still in the log.
+    pub fn first_index(&self) -> u64 {
+        self.base_index + 1
+    }
+
+    /// Index of the last entry.
+    pub fn last_index(&self) -> u64 {
+        self.last_index
+    }
+
+    /// Term of the last entry.
+    pub fn last_term(&self) -> u64 {
+        self.term_runs.back().map_or(self.base_term, |run| run.1)
+    }
+
+    /// Term of the entry at `index`, if the log reaches there.
+    pub fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        if index < self.base_index || index > self.last_index {
+            return None;
+        }
+        let after = self.term_runs.partition_point(|run| run.0 <= index);
+        Some(self.term_runs[after - 1].1)
+    }
+
+    /// Index before the first entry of the term that the entry at `index` has.
+    pub fn before_term_of(&self, index: u64) -> u64 {
+        let after = self.term_runs.partition_point(|run| run.0 <= index);
+        after.checked_sub(1).map_or(self.base_index, |run| self.term_runs[run].0 - 1)
+    }
+
+    /// The replica set in force, and the index that brought it.
+    pub fn replicas(&self) -> (&ReplicaSet, u64) {
+        let (index, set) = self.replica_sets.back().expect("the base has a replica set");
+        (set, *index)
+    }
+
+    /// The replica set as of `index`.
+    pub fn replicas_at(&self, index: u64) -> &ReplicaSet {
+        let after = self.replica_sets.partition_point(|set| set.0 <= index);
+        &self.replica_sets[after.saturating_sub(1)].1
+    }
+
+    /// Appends one entry, which must be the next one.
+    pub fn push(&mut self, entry: Entry) {
+        assert_eq!(entry.index, self.last_index + 1, "entries have no gaps");
+        if self.term_runs.back().map_or(self.base_term, |run| run.1) != entry.term
+            || self.term_runs.is_empty()
+        {
+            self.term_runs.push_back((entry.index, entry.term));
+        }
+        if let Payload::Replicas(set) = &entry.payload {
+            self.replica_sets.push_back((entry.index, set.clone()));
+        }
+        self.last_index = entry.index;
+        self.cached_bytes += entry.size_bytes();
+        self.cached.push_back(entry);
+    }
+
+    /// Removes the entry at `index` and all after it.
+    pub fn truncate(&mut self, index: u64) {
+        assert!(index > self.base_index, "the base is committed");
+        while self.cached.back().is_some_and(|entry| entry.index >= index) {
+            let entry = self.cached.pop_back().expect("the entry was seen");
+            self.cached_bytes -= entry.size_bytes();
+        }
+        while self.term_runs.back().is_some_and(|run| run.0 >= index) {
+            self.term_runs.pop_back();
+        }
+        while self.replica_sets.back().is_some_and(|set| set.0 >= index) {
+            self.replica_sets.pop_back();
+        }
+        self.last_index = self.last_index.min(index - 1);
+    }
+
+    /// Forgets the entries up to and with `index`, which a snapshot holds.
+    pub fn compact(&mut self, index: u64) {
+        let index = index.min(self.last_index);
+        let Some(term) = self.term(index) else { return };
+        while self.cached.front().is_some_and(|entry| entry.index <= index) {
+            self.pop_cached();
+        }
+        while self.term_runs.get(1).is_some_and(|run| run.0 <= index + 1) {
+            self.term_runs.pop_front();
+        }
+        if index == self.last_index {
+            self.term_runs.clear();
+        } else if let Some(run) = self.term_runs.front_mut() {
+            run.0 = run.0.max(index + 1);
+        }
+        while self.replica_sets.get(1).is_some_and(|set| set.0 <= index) {
+            self.replica_sets.pop_front();
+        }
+        (self.base_index, self.base_term) = (index, term);
+    }
+
+    /// Drops entries up to and with `index` from memory while more than `limit_bytes` are there.
+    pub fn trim_cache(&mut self, index: u64, limit_bytes: usize) {
+        while self.cached_bytes > limit_bytes
+            && self.cached.front().is_some_and(|entry| entry.index <= index)
+        {
+            self.pop_cached();
+        }
+    }
+
+    /// Entries from `first` on, at least one and at most `limit_bytes`; `None` if not in memory.
+    pub fn slice(&self, first: u64, limit_bytes: usize) -> Option<Vec<Entry>> {
+        if first > self.last_index {
+            return Some(Vec::new());
+        }
+        let cached_first = self.cached.front()?.index;
+        let skip = first.checked_sub(cached_first)?;
+        let mut entries = Vec::new();
+        let mut bytes = 0;
+        for entry in self.cached.range(skip as usize..) {
+            bytes += entry.size_bytes();
+            if bytes > limit_bytes && !entries.is_empty() {
+                break;
+            }
+            entries.push(entry.clone());
+        }
+        Some(entries)
+    }
+
+    /// The entry at `index`, if it is in memory.
+    pub fn get(&self, index: u64) -> Option<&Entry> {
+        let skip = index.checked_sub(self.cached.front()?.index)?;
+        self.cached.get(skip as usize)
+    }
+
+    fn pop_cached(&mut self) {
+        let Some(entry) = self.cached.pop_front() else { return };
+        self.cached_bytes -= entry.size_bytes();
+    }
+}
--- /dev/null
+++ b/src/raft/node_replication.rs
@@ -0,0 +1,189 @@
+use std::collections::VecDeque;
+
+use crate::raft::node::Role;
+use crate::raft::progress::Mode;
+use crate::raft::{
+    Action, AppendRequest, Body, Entry, Message, RaftNode, SnapshotChunk, SnapshotMeta,
+};
+
+/// How a leader sends its log and its snapshot to the followers.
+impl RaftNode {
+    /// Sends new entries to all followers that may get some.
+    pub fn replicate_all(&mut self, now_ms: u64) {
+        let Role::Leader(leader) = &self.role else { return };
+        let followers: Vec<u64> = leader.followers.keys().copied().collect();
+        for to in followers {
+            self.replicate(now_ms, to);
+        }
+    }
+
+    fn replicate(&mut self, now_ms: u64, to: u64) {
+        loop {
+            let last_index = self.log.last_index();
+            let Role::Leader(leader) = &mut self.role else { return };
+            let Some(follower) = leader.followers.get_mut(&to) else { return };
+            let first_index = follower.next_index;
+            if !follower.may_send() || first_index > last_index {
+                return;
+            }
+            if self.log.term(first_index - 1).is_none() {
+                follower.start_snapshot(SnapshotMeta::default(), now_ms);
+                self.tick_snapshots(now_ms);
+                return;
+            }
+            let Some(entries) = self.log.slice(first_index, self.config.append_bytes) else {
+                follower.mode = Mode::Fetch;
+                self.actions.push(Action::Fetch { to, first_index });
+                return;
+            };
+            self.send_entries(to, entries);
+        }
+    }
+
+    fn send_entries(&mut self, to: u64, entries: Vec<Entry>) {
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(follower) = leader.followers.get_mut(&to) else { return };
+        let previous_index = follower.next_index - 1;
+        let Some(previous_term) = self.log.term(previous_index) else { return };
+        follower.sent(previous_index + entries.len() as u64);
+        let body = AppendRequest {
+            previous_index,
+            previous_term,
+            entries,
+            commit_index: self.commit_index,
+            round: leader.round,
+        };
+        let body = Body::AppendRequest(body);
+        let message = Message { from: self.config.id, to, term: self.hard_state.term, body };
+        self.actions.push(Action::Send(message));
+    }
+
+    pub(super) fn send_heartbeat(&mut self, to: u64) {
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(follower) = leader.followers.get_mut(&to) else { return };
+        if let Mode::Probe { sent } = &mut follower.mode {
+            *sent = None;
+        }
+        let previous_index = follower.next_index - 1;
+        // A follower that needs a snapshot is only told that the leader is there.
+        let known = self.log.term(previous_index).map(|term| (previous_index, term));
+        let (previous_index, previous_term) = known.unwrap_or((0, 0));
+        let body = AppendRequest {
+            previous_index,
+            previous_term,
+            entries: Vec::new(),
+            commit_index: self.commit_index,
+            round: leader.round,
+        };
+        let body = Body::AppendRequest(body);
+        let message = Message { from: self.config.id, to, term: self.hard_state.term, body };
+        self.actions.push(Action::Send(message));
+    }
+
+    /// The driver has read entries for a follower; none if they are not on the disk any more.
+    pub fn fetched(&mut self, now_ms: u64, to: u64, mut entries: Vec<Entry>) {
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(follower) = leader.followers.get_mut(&to) else { return };
+        if !matches!(follower.mode, Mode::Fetch) {
+            return;
+        }
+        follower.mode = Mode::Probe { sent: None };
+        let is_next = entries.first().is_some_and(|entry| entry.index == follower.next_index);
+        entries.retain(|entry| self.log.term(entry.index) == Some(entry.term));
+        if is_next && !entries.is_empty() {
+            self.send_entries(to, entries);
+            return;
+        }
+        follower.start_snapshot(SnapshotMeta::default(), now_ms);
+        self.tick_snapshots(now_ms);
+    }
+
+    pub(super) fn step_append_reply(
+        &mut self,
+        now_ms: u64,
+        from: u64,
+        accepted: bool,
+        index: u64,
+        round: u64,
+        settled: bool,
+    ) {
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(follower) = leader.followers.get_mut(&from) else { return };
+        follower.heard_ms = now_ms;
+        follower.settled = settled;
+        follower.acked_round = follower.acked_round.max(round);
+        if accepted {
+            follower.accepted(index);
+        } else {
+            follower.rejected(index);
+        }
+        self.update_quorum_heard(now_ms);
+        self.confirm_rounds(now_ms);
+        self.advance_commit(now_ms);
+        self.check_transfer();
+        self.replicate(now_ms, from);
+    }
+
+    pub(super) fn step_snapshot_reply(
+        &mut self,
+        now_ms: u64,
+        from: u64,
+        last_index: u64,
+        received_bytes: u64,
+        done: bool,
+    ) {
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(follower) = leader.followers.get_mut(&from) else { return };
+        follower.heard_ms = now_ms;
+        let Mode::Snapshot(transfer) = &mut follower.mode else { return };
+        if done {
+            follower.mode = Mode::Replicate(VecDeque::new());
+            follower.next_index = last_index + 1;
+            follower.accepted(last_index);
+            self.advance_commit(now_ms);
+            self.replicate(now_ms, from);
+            return;
+        }
+        if last_index == transfer.meta.last_index {
+            transfer.offset_bytes = received_bytes;
+            transfer.due_ms = transfer.paced_ms.max(now_ms);
+            self.tick_snapshots(now_ms);
+        }
+    }
+
+    /// Asks for the chunks that are due.
+    pub(super) fn tick_snapshots(&mut self, now_ms: u64) {
+        // A chunk that is not acknowledged in this time is sent again.
+        let retry_ms = 2 * self.config.election_timeout_ms;
+        let Role::Leader(leader) = &mut self.role else { return };
+        for (&to, follower) in &mut leader.followers {
+            let Mode::Snapshot(transfer) = &mut follower.mode else { continue };
+            if now_ms < transfer.due_ms {
+                continue;
+            }
+            transfer.due_ms = now_ms + retry_ms;
+            let (last_index, offset_bytes) = (transfer.meta.last_index, transfer.offset_bytes);
+            self.actions.push(Action::ReadChunk { to, last_index, offset_bytes });
+        }
+    }
+
+    /// The driver has read a piece of the snapshot for a follower.
+    pub fn chunk_read(&mut self, now_ms: u64, to: u64, chunk: SnapshotChunk) {
+        let retry_ms = 2 * self.config.election_timeout_ms;
+        let rate = self.config.transfer_bytes_per_s.max(1);
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(follower) = leader.followers.get_mut(&to) else { return };
+        let Mode::Snapshot(transfer) = &mut follower.mode else { return };
+        if transfer.meta.last_index != chunk.meta.last_index {
+            transfer.offset_bytes = 0;
+        }
+        if transfer.offset_bytes != chunk.offset_bytes {
+            return;
+        }
+        transfer.meta = chunk.meta.clone();
+        let pause_ms = chunk.data.len() as u64 * 1000 / rate;
+        transfer.paced_ms = now_ms + pause_ms;
+        transfer.due_ms = now_ms + pause_ms + retry_ms;
+        self.send(to, Body::SnapshotChunk(chunk));
+    }
+}
--- /dev/null
+++ b/src/raft/recovery.rs
@@ -0,0 +1,163 @@
+use std::fs;
+use std::io;
+
+use crate::raft::disk_log::{Damage, DiskLog, Scan};
+use crate::raft::snapshot_file::SnapshotFiles;
+use crate::raft::{
+    Entry, GroupOptions, Identity, Log, LogStorage, OpenError, Recovered, ReplicaSet, SnapshotMeta,
+    Standing, StateMachine,
+};
+
+/// A replica as its data folder has it.
+pub struct Recovery {
+    /// What the node starts with.
+    pub recovered: Recovered,
+    /// Who the replica is.
+    pub identity: Identity,
+    /// The log on the disk.
+    pub storage: DiskLog,
+    /// What was damaged, for the operators.
+    pub fault: Option<String>,
+}
+
+/// Reads the data folder and restores the newest snapshot into the machine.
+pub fn recover(options: &GroupOptions, machine: &dyn StateMachine) -> Result<Recovery, OpenError> {
+    let group = options.group;
+    let io_error = |error| OpenError::Io { group, error };
+    fs::create_dir_all(&options.data_folder).map_err(io_error)?;
+    let mut identity = open_identity(options)?;
+    let mut recovery = recover_log(options, machine, &mut identity).map_err(io_error)?;
+    recovery.identity = identity;
+    Ok(recovery)
+}
+
+/// Reads the identity file, or starts a new one in an empty folder.
+fn open_identity(options: &GroupOptions) -> Result<Identity, OpenError> {
+    let group = options.group;
+    let io_error = |error| OpenError::Io { group, error };
+    if let Some(identity) = Identity::read(&options.data_folder).map_err(io_error)? {
+        if (identity.group, identity.replica_id) != (options.group, options.replica_id) {
+            let (found_group, found_id) = (identity.group, identity.replica_id);
+            return Err(OpenError::OtherReplica { found_group, found_id });
+        }
+        return Ok(identity);
+    }
+    let mut files = fs::read_dir(&options.data_folder).map_err(io_error)?;
+    if files.any(|file| file.is_ok_and(|file| file.file_name() != "identity.tmp")) {
+        return Err(OpenError::IdentityMissing { group });
+    }
+    if options.replica_id == 0 {
+        return Err(OpenError::Options("replica id 0 stands for none"));
+    }
+    let is_initial = options.replicas.iter().any(|replica| replica.id == options.replica_id);
+    if !options.join_existing && !is_initial {
+        return Err(OpenError::Options("the replica is not one of the initial replicas"));
+    }
+    let standing = if options.join_existing { Standing::Joining } else { Standing::Forming };
+    let identity = Identity {
+        group,
+        replica_id: options.replica_id,
+        standing,
+        nonce: rand::random_range(1..u64::MAX),
+        founders: Vec::new(),
+        hard_state: Default::default(),
+    };
+    identity.write(&options.data_folder).map_err(io_error)?;
+    Ok(identity)
+}
+
+fn recover_log(
+    options: &GroupOptions,
+    machine: &dyn StateMachine,
+    identity: &mut Identity,
+) -> io::Result<Recovery> {
+    let folder = &options.data_folder;
+    let snapshots = SnapshotFiles::new(folder);
+    let mut faults = Vec::new();
+    let snapshot_file = match snapshots.open_current() {
+        Ok(file) => Ok(file),
+        Err(error) if is_damage(&error) => Err(error),
+        Err(error) => return Err(error),
+    };
+    let (mut storage, scan) = DiskLog::open(folder, options.segment_bytes, true)?;
+    let Scan { mut entries, torn_bytes, mut damage } = scan;
+    if torn_bytes > 0 {
+        log::warn!("group {}: cut {torn_bytes} bytes of a torn write", options.group);
+    }
+    let snapshot = match &snapshot_file {
+        Ok(Some(file)) if identity.standing != Standing::Forming => file.meta().clone(),
+        Ok(_) => {
+            SnapshotMeta { replicas: initial_replicas(options, identity), ..Default::default() }
+        }
+        Err(_) => SnapshotMeta::default(),
+    };
+    let log_last_index = entries.last().map_or(0, |entry| entry.index);
+    let lacks_start = entries.first().is_some_and(|first| first.index > snapshot.last_index + 1);
+    if snapshot_file.is_err() || lacks_start {
+        // Without the state before it the log is of no use.
+        let through = log_last_index.max(damage.map_or(0, |damage| damage.through)).max(1);
+        let place = if lacks_start { "start of the log" } else { "snapshot" };
+        damage = Some(Damage { place: place.into(), through });
+    }
+    if let Some(Damage { place, through }) = damage {
+        faults.push(format!("damaged: {place}; lost entries up to {through} at most"));
+        let earlier = match identity.standing {
+            Standing::Repairing { through } => through,
+            _ => 0,
+        };
+        if matches!(identity.standing, Standing::Member | Standing::Repairing { .. }) {
+            identity.standing = Standing::Repairing { through: through.max(earlier) };
+        }
+        // The promise not to vote must be on the disk before the records are moved away.
+        identity.write(folder)?;
+        storage.set_damaged_aside()?;
+        if snapshot_file.is_err() || lacks_start {
+            entries.clear();
+            storage.clear()?;
+        }
+        if snapshot_file.is_err() {
+            snapshots.set_damaged_aside()?;
+        }
+    }
+    if identity.standing == Standing::Forming {
+        // From here on the initial replicas are those on the disk, whatever the options say.
+        snapshots.save(&snapshot, machine.capture()?)?;
+        snapshots.keep_saved()?;
+    }
+    if let Ok(Some(file)) = &snapshot_file {
+        file.restore(machine)?;
+    }
+    if !agrees(&snapshot, &entries) {
+        // A snapshot of the leader was installed, and the process ended before the old log went.
+        entries.clear();
+        storage.clear()?;
+    }
+    let known = snapshot.last_index;
+    let log = Log::new(snapshot.clone(), entries.into_iter().filter(|it| it.index > known));
+    let recovered =
+        Recovered { hard_state: identity.hard_state, standing: identity.standing, snapshot, log };
+    let fault = (!faults.is_empty()).then(|| faults.join("; "));
+    Ok(Recovery { recovered, identity: identity.clone(), storage, fault })
+}
+
+/// The replicas of a new group; a replica that joins learns them from the log.
+fn initial_replicas(options: &GroupOptions, identity: &Identity) -> ReplicaSet {
+    if identity.standing == Standing::Joining {
+        return ReplicaSet::default();
+    }
+    ReplicaSet::new(options.replicas.clone())
+}
+
+/// True if the entries continue the snapshot.
+fn agrees(snapshot: &SnapshotMeta, entries: &[Entry]) -> bool {
+    let Some(first) = entries.first() else { return true };
+    if snapshot.last_index < first.index {
+        return first.term >= snapshot.last_term;
+    }
+    let at = (snapshot.last_index - first.index) as usize;
+    entries.get(at).is_some_and(|entry| entry.term == snapshot.last_term)
+}
+
+fn is_damage(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::InvalidData | io::ErrorKind::UnexpectedEof)
+}
--- /dev/null
+++ b/src/raft/snapshot_file.rs
@@ -0,0 +1,214 @@
+use std::fs::{self, File};
+use std::io::{self, BufReader, BufWriter, Read, Write};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+use prost::Message as _;
+
+use crate::raft::identity::sync_folder;
+use crate::raft::{SavedState, SnapshotMeta, StateMachine};
+use crate::schema::peer;
+
+const MAGIC: &[u8; 8] = b"DHSNAP1\n";
+/// Checksum of all that precedes it.
+const TRAILER_BYTES: u64 = 4;
+const COPY_BYTES: usize = 64 * 1024;
+
+/// Name of the newest snapshot.
+const CURRENT: &str = "snapshot";
+/// Name of one that is being saved.
+const SAVING: &str = "snapshot.tmp";
+/// Name of one that is being received.
+const RECEIVING: &str = "snapshot.part";
+
+/// The snapshot files in the data folder of a replica.
+///
+/// A file holds a magic number, the length of the header and the header, the compressed state and
+/// a checksum.
+#[derive(Clone, Debug)]
+pub struct SnapshotFiles {
+    folder: PathBuf,
+}
+
+impl SnapshotFiles {
+    /// The files in `folder`.
+    pub fn new(folder: &Path) -> Self {
+        Self { folder: folder.to_owned() }
+    }
+
+    /// Opens the newest snapshot and checks it; `None` if there is none.
+    pub fn open_current(&self) -> io::Result<Option<SnapshotFile>> {
+        match File::open(self.folder.join(CURRENT)) {
+            Ok(file) => SnapshotFile::check(file).map(Some),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Writes and syncs a snapshot that is not the newest one yet.
+    pub fn save(&self, meta: &SnapshotMeta, state: SavedState) -> io::Result<()> {
+        let header = peer::SnapshotHeader {
+            last_index: meta.last_index,
+            last_term: meta.last_term,
+            replicas: Some((&meta.replicas).into()),
+        };
+        let header = header.encode_to_vec();
+        let file = File::create(self.folder.join(SAVING))?;
+        let mut target = ChecksumWriter { inner: BufWriter::new(file), hasher: Default::default() };
+        target.write_all(MAGIC)?;
+        target.write_all(&(header.len() as u32).to_le_bytes())?;
+        target.write_all(&header)?;
+        let mut compressed = zstd::Encoder::new(&mut target, 1)?;
+        state(&mut compressed)?;
+        compressed.finish()?;
+        let checksum = target.hasher.finalize();
+        let mut file = target.inner;
+        file.write_all(&checksum.to_le_bytes())?;
+        file.into_inner().map_err(io::IntoInnerError::into_error)?.sync_all()
+    }
+
+    /// Makes the saved snapshot the newest one.
+    pub fn keep_saved(&self) -> io::Result<()> {
+        fs::rename(self.folder.join(SAVING), self.folder.join(CURRENT))?;
+        sync_folder(&self.folder)
+    }
+
+    /// Deletes a saved snapshot that has become too old.
+    pub fn drop_saved(&self) -> io::Result<()> {
+        fs::remove_file(self.folder.join(SAVING))
+    }
+
+    /// Stores a piece of a snapshot that is being received.
+    pub fn store_chunk(&self, offset_bytes: u64, data: &[u8]) -> io::Result<()> {
+        let path = self.folder.join(RECEIVING);
+        let mut options = File::options();
+        options.write(true).create(true).truncate(offset_bytes == 0);
+        options.open(path)?.write_all_at(data, offset_bytes)
+    }
+
+    /// Syncs and checks the received snapshot.
+    pub fn check_received(&self) -> io::Result<SnapshotFile> {
+        let file = File::open(self.folder.join(RECEIVING))?;
+        file.sync_all()?;
+        SnapshotFile::check(file)
+    }
+
+    /// Makes the received snapshot the newest one.
+    pub fn keep_received(&self) -> io::Result<()> {
+        fs::rename(self.folder.join(RECEIVING), self.folder.join(CURRENT))?;
+        sync_folder(&self.folder)
+    }
+
+    /// Moves a damaged snapshot out of the way.
+    pub fn set_damaged_aside(&self) -> io::Result<()> {
+        fs::rename(self.folder.join(CURRENT), self.folder.join("damaged-snapshot"))?;
+        sync_folder(&self.folder)
+    }
+
+    /// Bytes of all snapshot files.
+    pub fn data_bytes(&self) -> u64 {
+        let names = [CURRENT, SAVING, RECEIVING];
+        let sizes = names.iter().filter_map(|name| fs::metadata(self.folder.join(name)).ok());
+        sizes.map(|metadata| metadata.len()).sum()
+    }
+}
+
+/// A whole snapshot file.
+#[derive(Debug)]
+pub struct SnapshotFile {
+    file: File,
+    meta: SnapshotMeta,
+    state_offset: u64,
+    bytes: u64,
+}
+
+impl SnapshotFile {
+    fn check(file: File) -> io::Result<Self> {
+        let damaged = || io::Error::new(io::ErrorKind::InvalidData, "snapshot file is damaged");
+        let bytes = file.metadata()?.len();
+        let content_bytes = bytes.checked_sub(TRAILER_BYTES).ok_or_else(damaged)?;
+        let mut hasher = crc32fast::Hasher::new();
+        let mut buffer = vec![0; COPY_BYTES];
+        let mut at = 0;
+        while at < content_bytes {
+            let wanted = buffer.len().min((content_bytes - at) as usize);
+            file.read_exact_at(&mut buffer[..wanted], at)?;
+            hasher.update(&buffer[..wanted]);
+            at += wanted as u64;
+        }
+        let mut checksum = [0; TRAILER_BYTES as usize];
+        file.read_exact_at(&mut checksum, content_bytes)?;
+        if hasher.finalize() != u32::from_le_bytes(checksum) {
+            return Err(damaged());
+        }
+        let mut start = [0; 12];
+        file.read_exact_at(&mut start, 0)?;
+        let (magic, header_bytes) = start.split_at(8);
+        if magic != MAGIC {
+            return Err(damaged());
+        }
+        let header_bytes = u32::from_le_bytes(header_bytes.try_into().expect("four bytes"));
+        let mut header = vec![0; header_bytes as usize];
+        file.read_exact_at(&mut header, 12)?;
+        let header = peer::SnapshotHeader::decode(&header[..]).map_err(|_| damaged())?;
+        let meta = SnapshotMeta {
+            last_index: header.last_index,
+            last_term: header.last_term,
+            replicas: header.replicas.unwrap_or_default().into(),
+        };
+        Ok(Self { file, meta, state_offset: 12 + u64::from(header_bytes), bytes })
+    }
+
+    /// What the snapshot holds.
+    pub fn meta(&self) -> &SnapshotMeta {
+        &self.meta
+    }
+
+    /// Puts the state into the machine.
+    pub fn restore(&self, machine: &dyn StateMachine) -> io::Result<()> {
+        let end = self.bytes - TRAILER_BYTES;
+        let reader = FileReader { file: &self.file, at: self.state_offset, end };
+        machine.restore(&mut zstd::Decoder::new(BufReader::new(reader))?)
+    }
+
+    /// Reads a piece of the file; true if it is the last one.
+    pub fn read(&self, offset_bytes: u64, limit_bytes: u64) -> io::Result<(Vec<u8>, bool)> {
+        let offset_bytes = offset_bytes.min(self.bytes);
+        let wanted = limit_bytes.min(self.bytes - offset_bytes);
+        let mut data = vec![0; wanted as usize];
+        self.file.read_exact_at(&mut data, offset_bytes)?;
+        Ok((data, offset_bytes + wanted == self.bytes))
+    }
+}
+
+struct FileReader<'a> {
+    file: &'a File,
+    at: u64,
+    end: u64,
+}
+
+impl Read for FileReader<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let wanted = buffer.len().min((self.end - self.at) as usize);
+        let read = self.file.read_at(&mut buffer[..wanted], self.at)?;
+        self.at += read as u64;
+        Ok(read)
+    }
+}
+
+struct ChecksumWriter<W> {
+    inner: W,
+    hasher: crc32fast::Hasher,
+}
+
+impl<W: Write> Write for ChecksumWriter<W> {
+    fn write(&mut self, buffer: &[u8]) -> io::Result<usize> {
+        let written = self.inner.write(buffer)?;
+        self.hasher.update(&buffer[..written]);
+        Ok(written)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.inner.flush()
+    }
+}
