Serve one whole path through five processes

Three control hosts and two entry hosts started by hand on loopback stream an online answer, replay it under its key from another host, and finish a job of 200 items after kill -9 of the entry host that had acknowledged it. Known gap: a job fills all slots, so online requests are refused as overloaded until batch gives way.

--- /dev/null
+++ b/src/control/control_role.rs
@@ -0,0 +1,216 @@
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use async_std::task::{self, JoinHandle};
+use bytes::Bytes;
+use miette::{IntoDiagnostic, Result, WrapErr};
+use prost::Message;
+
+use crate::control::CommandClass;
+use crate::peer::{PeerCaller, TrafficClass};
+use crate::raft::{Group, GroupOptions, Outbox, ProposeError, ReadError, Replica};
+use crate::schema::peer::frame::Body;
+use crate::schema::peer::{
+    call, reply, CallFailure, ConfigurationNotice, ControlStatus, FailureKind, RaftMessage,
+    WatchConfiguration,
+};
+use crate::schema::state::{command, Command, Expire, Outcome, Query};
+use crate::settings::{ControlSettings, HostSettings};
+use crate::state::{MemoryBodies, ReplicatedState};
+
+/// Time between two commands that let old state expire.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The control role of a host: the replicas of its groups and their state.
+#[derive(Clone)]
+pub struct Control {
+    shared: Arc<Shared>,
+    expiring: Arc<Mutex<Option<JoinHandle<()>>>>,
+}
+
+struct Shared {
+    host_id: String,
+    group: Group,
+    state: Arc<ReplicatedState>,
+}
+
+/// Sends the messages of a group over the peer connections.
+struct PeerOutbox {
+    caller: Arc<dyn PeerCaller>,
+}
+
+impl Outbox for PeerOutbox {
+    fn send(&self, to_address: &str, message: RaftMessage) {
+        self.caller.send(to_address, TrafficClass::Online, Body::Raft(message));
+    }
+}
+
+impl Control {
+    /// Opens the replicas in the data folder.
+    pub fn open(settings: &HostSettings, caller: Arc<dyn PeerCaller>) -> Result<Self> {
+        let state = Arc::new(ReplicatedState::open(Arc::new(MemoryBodies::default())));
+        let outbox = Arc::new(PeerOutbox { caller });
+        let options = group_options(&settings.control);
+        let group = Group::open(options, state.clone(), outbox)
+            .into_diagnostic()
+            .wrap_err("opening the replica of group 1")?;
+        let shared = Arc::new(Shared { host_id: settings.host_id.clone(), group, state });
+        let expiring = Arc::new(Mutex::new(Some(task::spawn(expire(shared.clone())))));
+        Ok(Self { shared, expiring })
+    }
+
+    /// Takes a message of a group's replica.
+    pub fn receive(&self, message: RaftMessage) {
+        self.shared.group.receive(message);
+    }
+
+    /// Answers a call, if it belongs to the control role.
+    pub async fn handle(&self, call: call::Call) -> reply::Reply {
+        match call {
+            call::Call::Command(command) => self.shared.submit(command).await,
+            call::Call::Query(query) => self.shared.query(&query).await,
+            call::Call::WatchConfiguration(watch) => self.shared.watch(&watch).await,
+            call::Call::ControlStatus(_) => reply::Reply::ControlStatus(self.shared.status()),
+            call::Call::TransferLeadership(transfer) => self.shared.transfer(transfer.to).await,
+            _ => failure(FailureKind::Unsupported, "not a call for a control host"),
+        }
+    }
+
+    /// Hands leadership on and stops the replicas.
+    pub async fn close(self) {
+        let expiring = self.expiring.lock().expect("lock is not poisoned").take();
+        if let Some(expiring) = expiring {
+            expiring.cancel().await;
+        }
+        self.shared.group.clone().close().await;
+    }
+}
+
+impl Shared {
+    async fn submit(&self, mut command: Command) -> reply::Reply {
+        command.proposed_at_unix_ms = unix_ms();
+        let priority = CommandClass::from(&command).into();
+        let proposed = self.group.propose(command.encode_to_vec().into(), priority).await;
+        match proposed.map(|outcome: Bytes| Outcome::decode(outcome)) {
+            Ok(Ok(outcome)) => reply::Reply::Outcome(outcome),
+            Ok(Err(error)) => failure(FailureKind::CommitUnknown, &error.to_string()),
+            Err(error) => propose_failure(error),
+        }
+    }
+
+    async fn query(&self, query: &Query) -> reply::Reply {
+        match self.group.read_barrier().await {
+            Ok(_) => reply::Reply::QueryAnswer(self.state.query(query)),
+            Err(error) => read_failure(error),
+        }
+    }
+
+    /// Answers when the configuration is newer than the known one, at the latest after the wait,
+    /// and only from a state that the quorum confirmed after the question came.
+    async fn watch(&self, watch: &WatchConfiguration) -> reply::Reply {
+        if self.state.configuration().version <= watch.known_version {
+            let wait = Duration::from_millis(watch.wait_ms.into());
+            let changed = self.state.configuration_changed(watch.known_version);
+            let _ = async_std::future::timeout(wait, changed).await;
+        }
+        if let Err(error) = self.group.read_barrier().await {
+            return read_failure(error);
+        }
+        let current = self.state.configuration();
+        let configuration =
+            (current.version > watch.known_version).then(|| current.as_ref().clone());
+        reply::Reply::Configuration(ConfigurationNotice {
+            configuration,
+            version: current.version,
+            confirmed_age_ms: 0,
+        })
+    }
+
+    async fn transfer(&self, to: u64) -> reply::Reply {
+        match self.group.transfer_leadership(to).await {
+            Ok(_) => reply::Reply::Done(Default::default()),
+            Err(error) => failure(FailureKind::NotLeader, &error.to_string()),
+        }
+    }
+
+    fn status(&self) -> ControlStatus {
+        let group = crate::schema::peer::GroupStatus::from(&*self.group.status());
+        ControlStatus { groups: vec![group], host_id: self.host_id.clone() }
+    }
+}
+
+async fn expire(shared: Arc<Shared>) {
+    loop {
+        task::sleep(EXPIRE_INTERVAL).await;
+        if !shared.group.status().is_leader {
+            continue;
+        }
+        let command =
+            Command { command: Some(command::Command::Expire(Expire {})), ..Command::default() };
+        let _ = shared.submit(command).await;
+    }
+}
+
+/// Group that holds the configuration and the ledger.
+const GROUP: u32 = 1;
+
+fn group_options(settings: &ControlSettings) -> GroupOptions {
+    let replicas = settings.replicas.iter().map(|replica| Replica {
+        id: replica.replica_id,
+        peer_address: replica.peer_address.clone(),
+        zone: replica.zone.clone(),
+        voter: true,
+    });
+    let folder = settings.data_folder.join(format!("group-{GROUP}"));
+    GroupOptions {
+        heartbeat_interval_ms: settings.heartbeat_interval_ms,
+        election_timeout_ms: settings.election_timeout_ms,
+        segment_bytes: settings.segment_bytes,
+        snapshot_interval_entries: settings.snapshot_interval_entries,
+        data_limit_bytes: settings.data_limit_bytes,
+        reserved_bytes: settings.reserved_bytes,
+        transfer_bytes_per_s: settings.transfer_bytes_per_s,
+        join_existing: settings.join_existing,
+        seed: rand::random(),
+        ..GroupOptions::new(GROUP, settings.replica_id, folder, replicas.collect())
+    }
+}
+
+fn propose_failure(error: ProposeError) -> reply::Reply {
+    let message = error.to_string();
+    match error {
+        ProposeError::NotLeader { leader_address } => not_leader(leader_address),
+        ProposeError::Unknown => failure(FailureKind::CommitUnknown, &message),
+        ProposeError::Storage(_) => failure(FailureKind::Storage, &message),
+        ProposeError::Overloaded => failure(FailureKind::Overloaded, &message),
+    }
+}
+
+fn read_failure(error: ReadError) -> reply::Reply {
+    match error {
+        ReadError::NotLeader { leader_address } => not_leader(leader_address),
+        error => failure(FailureKind::NoQuorum, &error.to_string()),
+    }
+}
+
+fn not_leader(leader_address: Option<String>) -> reply::Reply {
+    reply::Reply::Failure(CallFailure {
+        kind: FailureKind::NotLeader.into(),
+        message: "this replica does not lead".to_owned(),
+        leader_address: leader_address.unwrap_or_default(),
+    })
+}
+
+fn failure(kind: FailureKind, message: &str) -> reply::Reply {
+    reply::Reply::Failure(CallFailure {
+        kind: kind.into(),
+        message: message.to_owned(),
+        leader_address: String::new(),
+    })
+}
+
+/// Wall-clock time in milliseconds.
+pub(crate) fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.expect("the clock is past 1970").as_millis() as u64
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,9 +1,11 @@
 //! The control role: replicated groups with their state, and access to them from any host.
 
-//mod control;
+mod command_class;
+mod control_role;
 mod remote_state;
+mod status;
 
-//pub(crate) use control::unix_ms;
-//pub use control::Control;
+pub(crate) use command_class::CommandClass;
+pub(crate) use control_role::unix_ms;
+pub use control_role::Control;
 pub use remote_state::RemoteState;
-mod stub; pub use stub::Control; pub(crate) use stub::unix_ms;
--- a/src/control/remote_state.rs
+++ b/src/control/remote_state.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 use async_trait::async_trait;
 
+use crate::control::CommandClass;
 use crate::peer::{CallError, PeerCaller, TrafficClass};
 use crate::schema::peer::{
     call, reply, Call, CallFailure, ConfigurationNotice, FailureKind, Reply, WatchConfiguration,
@@ -140,7 +141,7 @@
 #[async_trait]
 impl StateClient for RemoteState {
     async fn submit(&self, command: Command) -> Result<Outcome, StateError> {
-        let class = command_class(&command);
+        let class = CommandClass::from(&command).into();
         let repeatable = !command.command_id.is_empty() || is_idempotent(&command);
         match self.call(class, call::Call::Command(command), repeatable).await? {
             reply::Reply::Outcome(outcome) => Ok(outcome),
@@ -180,19 +181,6 @@
     }
 }
 
-/// Batch work goes over the bulk connection, so that online commands don't wait behind it.
-fn command_class(command: &Command) -> TrafficClass {
-    match command.command {
-        Some(
-            command::Command::AppendFile(_)
-            | command::Command::CreateJob(_)
-            | command::Command::LeaseItems(_)
-            | command::Command::FinishItems(_),
-        ) => TrafficClass::Bulk,
-        _ => TrafficClass::Online,
-    }
-}
-
 /// Commands whose second application changes nothing.
 fn is_idempotent(command: &Command) -> bool {
     matches!(
--- a/src/entry/entry_server.rs
+++ b/src/entry/entry_server.rs
@@ -77,12 +77,8 @@
         api.at(format.path()).post(Route::new(routes::Completions { format }));
     }
     api.at("/v1/requests/:id").get(Route::new(routes::Recorded));
-    api.at("/v1/files")
-        .post(Route::new(routes::CreateFile))
-        .get(Route::new(routes::ListFiles));
-    api.at("/v1/files/:id")
-        .get(Route::new(routes::GetFile))
-        .delete(Route::new(routes::DeleteFile));
+    api.at("/v1/files").post(Route::new(routes::CreateFile)).get(Route::new(routes::ListFiles));
+    api.at("/v1/files/:id").get(Route::new(routes::GetFile)).delete(Route::new(routes::DeleteFile));
     api.at("/v1/files/:id/content").get(Route::new(routes::ReadFileContent));
     api.at("/v1/batches")
         .post(Route::new(routes::CreateBatch))
--- a/src/entry/event_body.rs
+++ b/src/entry/event_body.rs
@@ -28,10 +28,7 @@
 impl Stream for Events {
     type Item = io::Result<Vec<u8>>;
 
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Self::Item>> {
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         Pin::new(&mut self.0).poll_next(context).map(|event| event.map(Ok))
     }
 }
@@ -69,10 +66,7 @@
 }
 
 impl AsyncBufRead for EventBody {
-    fn poll_fill_buf(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<io::Result<&[u8]>> {
+    fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         Pin::new(&mut self.get_mut().reader).poll_fill_buf(context)
     }
 
--- a/src/entry/routes/announce.rs
+++ b/src/entry/routes/announce.rs
@@ -88,11 +88,7 @@
             home_host_id: String::new(),
             plain: body.plain,
         };
-        Self {
-            record,
-            sequence: body.sequence,
-            leaving: body.status == UpstreamStatus::Leaving,
-        }
+        Self { record, sequence: body.sequence, leaving: body.status == UpstreamStatus::Leaving }
     }
 }
 
--- a/src/entry/routes/batches.rs
+++ b/src/entry/routes/batches.rs
@@ -5,6 +5,7 @@
 use uuid::Uuid;
 
 use crate::admission::{Refusal, RefusalKind};
+use crate::batch::ItemInput;
 use crate::control::unix_ms;
 use crate::entry::caller_request::{invalid, CallerRequest};
 use crate::entry::route::RouteHandler;
@@ -12,9 +13,9 @@
 use crate::entry::shared::EntryShared;
 use crate::schema::state::{
     command, outcome, query, query_answer, CancelJob, CreateJob, GetJob, Item, ItemState, Job,
-    JobState, ListItems, ListJobs,
+    JobState, ListItems, ListJobs, ReadFile,
 };
-use crate::serving::{AnswerFormat, RequestIdentity};
+use crate::serving::{AnswerFormat, EngineRequest, RequestIdentity};
 use crate::telemetry::Span;
 
 /// Time that a job may take when its caller names none.
@@ -91,6 +92,10 @@
                            or `service` must name a plain service";
             return Err(invalid(message.to_owned()));
         }
+        let service = match batch.service.as_str() {
+            "" => shared.service_of_file(&customer, &batch.input_file_id).await?,
+            service => service.to_owned(),
+        };
         let create = CreateJob {
             customer: customer.clone(),
             job_id: format!("batch-{}", Uuid::new_v4().simple()),
@@ -99,8 +104,8 @@
             deadline_unix_ms: batch.deadline_unix_ms()?,
             file_id: batch.input_file_id,
             endpoint: batch.endpoint,
-            max_attempts: shared.configuration.load().max_attempts(&batch.service),
-            service: batch.service,
+            max_attempts: shared.configuration.load().max_attempts(&service),
+            service,
             metadata_json: Value::Object(batch.metadata).to_string(),
         };
         let commit = span.child("commit_job");
@@ -115,6 +120,28 @@
 }
 
 impl EntryShared {
+    /// Service that serves the model of a file's first item.
+    async fn service_of_file(&self, customer: &str, file_id: &str) -> Result<String, Refusal> {
+        let read = ReadFile {
+            customer: customer.to_owned(),
+            file_id: file_id.to_owned(),
+            from_line: 0,
+            limit: 1,
+            limit_bytes: ITEMS_PAGE_BYTES,
+        };
+        let answer = self.query(query::Query::ReadFile(read)).await?;
+        let query_answer::Answer::Lines(page) = answer else { return Err(unexpected()) };
+        let line = page.lines.first().map(|line| &line[..]).unwrap_or_default();
+        let input = ItemInput::try_from(line)
+            .map_err(|reason| invalid(format!("line 1 of file `{file_id}`: {reason}")))?;
+        let model = EngineRequest::model_of(&input.body)?;
+        let fleet = self.dispatcher.fleet().load();
+        fleet.service_of(model).map(str::to_owned).ok_or_else(|| {
+            let message = format!("no upstream serves model `{model}` of line 1");
+            Refusal::not_run(RefusalKind::UnknownModel, message)
+        })
+    }
+
     async fn job(&self, customer: &str, job_id: &str) -> Result<Job, Refusal> {
         let get = GetJob { customer: customer.to_owned(), job_id: job_id.to_owned() };
         match self.query(query::Query::GetJob(get)).await? {
@@ -221,8 +248,7 @@
         }
         more = page.more && !page.items.is_empty();
     }
-    let mut response =
-        Response::builder(200).content_type("application/jsonl").body(lines).build();
+    let mut response = Response::builder(200).content_type("application/jsonl").body(lines).build();
     if more {
         response.insert_header("x-next-item", next_item.to_string());
     }
--- a/src/entry/routes/completions.rs
+++ b/src/entry/routes/completions.rs
@@ -35,7 +35,11 @@
         "completions"
     }
 
-    async fn handle(&self, mut request: CallerRequest, mut span: Span) -> Result<Response, Refusal> {
+    async fn handle(
+        &self,
+        mut request: CallerRequest,
+        mut span: Span,
+    ) -> Result<Response, Refusal> {
         let parsed = self.parse(&mut request).await?;
         let shared = request.shared().clone();
         span.text("model", &parsed.request.model);
--- a/src/entry/routes/files.rs
+++ b/src/entry/routes/files.rs
@@ -119,8 +119,7 @@
 
 impl EntryShared {
     async fn file(&self, customer: &str, file_id: &str) -> Result<File, Refusal> {
-        let get =
-            GetFileQuery { customer: customer.to_owned(), file_id: file_id.to_owned() };
+        let get = GetFileQuery { customer: customer.to_owned(), file_id: file_id.to_owned() };
         match self.query(query::Query::GetFile(get)).await? {
             query_answer::Answer::File(file) => Ok(file),
             _ => Err(not_found(file_id)),
@@ -210,8 +209,7 @@
 
     async fn handle(&self, request: CallerRequest, _span: Span) -> Result<Response, Refusal> {
         let file_id = request.path_parameter("id").to_owned();
-        let delete =
-            DeleteFileCommand { customer: request.customer()?, file_id: file_id.clone() };
+        let delete = DeleteFileCommand { customer: request.customer()?, file_id: file_id.clone() };
         let command = command::Command::DeleteFile(delete);
         request.shared().submit(String::new(), command).await?;
         Ok(json_response(&json!({"id": file_id, "object": "file", "deleted": true})))
--- a/src/entry/routes/service.rs
+++ b/src/entry/routes/service.rs
@@ -18,7 +18,11 @@
         "service"
     }
 
-    async fn handle(&self, mut request: CallerRequest, mut span: Span) -> Result<Response, Refusal> {
+    async fn handle(
+        &self,
+        mut request: CallerRequest,
+        mut span: Span,
+    ) -> Result<Response, Refusal> {
         let customer = request.customer()?;
         let key = request.idempotency_key()?;
         let marked = request.is_not_repeatable()?;
--- a/src/host.rs
+++ b/src/host.rs
@@ -84,6 +84,7 @@
         settings.caller_address = callers.local_addr().into_diagnostic()?;
         settings.peer_address = peers.local_addr().into_diagnostic()?;
         if settings.roles.control && settings.control.replicas.is_empty() {
+            settings.control.replica_id = settings.control.replica_id.max(1);
             settings.control.replicas.push(ReplicaSettings {
                 replica_id: settings.control.replica_id,
                 peer_address: settings.peer_address.to_string(),
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -6,10 +6,17 @@
 use crate::membership::UpstreamRecord;
 use crate::routing::{RequestView, Upstream};
 
+/// The upstreams of one service.
+#[derive(Debug, Default)]
+struct ServiceUpstreams {
+    all: Vec<Arc<Upstream>>,
+    models: HashMap<String, Vec<Arc<Upstream>>>,
+}
+
 /// The upstreams that may get work, by service and by model. Never changed once published.
 #[derive(Debug, Default)]
 pub struct FleetSnapshot {
-    services: HashMap<String, Vec<Arc<Upstream>>>,
+    services: HashMap<String, ServiceUpstreams>,
     models: BTreeMap<String, Vec<Arc<Upstream>>>,
     upstreams: HashMap<String, Arc<Upstream>>,
 }
@@ -19,7 +26,10 @@
     pub fn candidates(&self, request: &RequestView<'_>) -> &[Arc<Upstream>] {
         let list = match (request.service, request.model) {
             ("", model) => self.models.get(model),
-            (service, _) => self.services.get(service),
+            (service, "") => self.services.get(service).map(|service| &service.all),
+            (service, model) => {
+                self.services.get(service).and_then(|service| service.models.get(model))
+            }
         };
         list.map_or(&[], Vec::as_slice)
     }
@@ -31,7 +41,7 @@
 
     /// Names of all services with their upstreams.
     pub fn services(&self) -> impl Iterator<Item = (&str, &[Arc<Upstream>])> {
-        self.services.iter().map(|(name, list)| (name.as_str(), list.as_slice()))
+        self.services.iter().map(|(name, list)| (name.as_str(), list.all.as_slice()))
     }
 
     /// All upstreams, in no order.
@@ -62,11 +72,13 @@
 
     fn insert(&mut self, upstream: Arc<Upstream>) {
         let record = &upstream.record;
-        self.services.entry(record.service.clone()).or_default().push(upstream.clone());
+        let service = self.services.entry(record.service.clone()).or_default();
+        service.all.push(upstream.clone());
         for model in &record.models {
-            self.models.entry(model.name.clone()).or_default().push(upstream.clone());
-            for adapter in &model.adapters {
-                let name = format!("{}:{adapter}", model.name);
+            let adapters = model.adapters.iter();
+            let adapters = adapters.map(|adapter| format!("{}:{adapter}", model.name));
+            for name in adapters.chain([model.name.clone()]) {
+                service.models.entry(name.clone()).or_default().push(upstream.clone());
                 self.models.entry(name).or_default().push(upstream.clone());
             }
         }
--- a/src/serving/online.rs
+++ b/src/serving/online.rs
@@ -2,8 +2,8 @@
 use crate::routing::WorkClass;
 use crate::schema::state::{Answer as RecordedAnswer, ClaimStatus};
 use crate::serving::{
-    Answer, AnswerFormat, AnswerLedger, Dispatcher, EngineRequest, FinishedAnswer,
-    RequestIdentity, RunningAnswer,
+    Answer, AnswerFormat, AnswerLedger, Dispatcher, EngineRequest, FinishedAnswer, RequestIdentity,
+    RunningAnswer,
 };
 use crate::telemetry::Span;
 
@@ -93,11 +93,8 @@
         }
         let identity = &request.identity;
         let body = request.format.whole(&identity.request_id, &request.model, answer).to_string();
-        let finished = FinishedAnswer {
-            status: 200,
-            content_type: "application/json",
-            body: body.as_bytes(),
-        };
+        let finished =
+            FinishedAnswer { status: 200, content_type: "application/json", body: body.as_bytes() };
         self.ledger.record(identity, finished, span).await
     }
 
--- a/src/serving/plain_call.rs
+++ b/src/serving/plain_call.rs
@@ -50,11 +50,7 @@
 impl PlainAnswer {
     /// The answer as the ledger records it.
     pub fn view(&self) -> FinishedAnswer<'_> {
-        FinishedAnswer {
-            status: self.status,
-            content_type: &self.content_type,
-            body: &self.body,
-        }
+        FinishedAnswer { status: self.status, content_type: &self.content_type, body: &self.body }
     }
 }
 
--- a/src/serving/running_answer.rs
+++ b/src/serving/running_answer.rs
@@ -84,10 +84,8 @@
         let Some(attempt) = self.attempt.as_mut() else {
             return Err(failed("no attempt is running".to_owned()));
         };
-        let event = async_std::future::timeout(
-            time_left(self.request.deadline),
-            attempt.stream.next(),
-        );
+        let event =
+            async_std::future::timeout(time_left(self.request.deadline), attempt.stream.next());
         let event = match event.await {
             Err(_) => return Err(failed("the deadline passed".to_owned())),
             Ok(Err(error)) => return Err(failed(error.to_string())),
