Test the agreement under random failures, and let a voter that is being removed stand

Cause: the decisions had no test with failures. Runs of it found a deadlock: when the only replica with an uncommitted removal was the removed one, nobody could be elected.

Change: a simulation with network, disks and clock in memory checks each step against an oracle; a voter may stand for election until its removal is committed.

--- a/src/raft/node_election.rs
+++ b/src/raft/node_election.rs
@@ -8,8 +8,13 @@
 /// Elections.
 impl RaftNode {
     /// True for a voter that has all that it ever acknowledged.
+    ///
+    /// A voter that is being removed still counts until the change is committed: its log may be the
+    /// only one with the change, and then nobody else can be elected.
     pub(super) fn may_campaign(&self) -> bool {
-        self.standing == Standing::Member && self.replicas().is_voter(self.config.id)
+        let (newest, committed) = (self.replicas(), self.log.replicas_at(self.commit_index));
+        let is_voter = newest.is_voter(self.config.id) || committed.is_voter(self.config.id);
+        self.standing == Standing::Member && is_voter
     }
 
     /// True while a leader is surely there, so that nobody else should get a vote.
@@ -26,7 +31,7 @@
         self.reset_election(now_ms);
         self.leader_id = None;
         self.role = Role::PreCandidate(BTreeSet::from([self.config.id]));
-        if self.replicas().quorum() == 1 {
+        if self.is_alone() {
             self.start_election(now_ms, false);
             return;
         }
--- a/src/raft/node_leader.rs
+++ b/src/raft/node_leader.rs
@@ -243,7 +243,8 @@
         }
     }
 
-    fn is_alone(&self) -> bool {
+    /// True for the only voter.
+    pub(super) fn is_alone(&self) -> bool {
         let set = self.log.replicas().0;
         set.quorum() == 1 && set.is_voter(self.config.id)
     }
--- /dev/null
+++ b/tests/raft_sim/mod.rs
@@ -0,0 +1,590 @@
+//! A network, disks and a clock in memory for `RaftNode`s, with an oracle that checks every step.
+
+mod disk;
+mod oracle;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use bytes::Bytes;
+use damaskhoist::raft::{
+    Action, Body, Entry, HardState, Message, NodeConfig, Payload, RaftNode, Replica, ReplicaChange,
+    ReplicaSet, SnapshotChunk, SnapshotMeta, Standing,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use disk::Disk;
+use oracle::Oracle;
+
+/// Small, so that a snapshot takes several messages.
+const CHUNK_BYTES: usize = 40;
+const ELECTION_TIMEOUT_MS: u64 = 200;
+
+/// What happens to the group from outside.
+#[derive(Clone, Debug)]
+pub enum Step {
+    Run { ms: u64 },
+    Propose { node: u8, count: u8 },
+    Read { node: u8 },
+    CutOneWay { from: u8, to: u8 },
+    Isolate { node: u8 },
+    Heal,
+    Loss { percent: u8 },
+    Crash { node: u8, jobs_done: u8 },
+    Restart { node: u8 },
+    DamageRecord { node: u8, place: u8 },
+    LoseDisk { node: u8 },
+    Snapshot { node: u8, kept: u8 },
+    Transfer { node: u8, to: u8 },
+    AddLearner,
+    Promote { node: u8 },
+    Remove { node: u8 },
+}
+
+enum Event {
+    Deliver(Message),
+    JobDone { id: u64, life: u64 },
+    Fetched { id: u64, life: u64, to: u64, entries: Vec<Entry> },
+    ChunkRead { id: u64, life: u64, to: u64, chunk: SnapshotChunk },
+    ChunkStored { id: u64, life: u64, chunk: SnapshotChunk },
+}
+
+struct Job {
+    hard_state: Option<HardState>,
+    standing: Option<Standing>,
+    clear: bool,
+    entries: Vec<Entry>,
+}
+
+struct Host {
+    node: Option<RaftNode>,
+    disk: Disk,
+    /// Counts restarts, so that events of an earlier life are dropped.
+    life: u64,
+    jobs: VecDeque<Job>,
+    applied_index: u64,
+    state: Vec<u64>,
+    waiting: BTreeMap<u64, (u64, u64)>,
+    reads: BTreeMap<u64, u64>,
+    incoming: Vec<u8>,
+    standing: Standing,
+}
+
+pub struct Sim {
+    hosts: BTreeMap<u64, Host>,
+    events: BTreeMap<(u64, u64), Event>,
+    cut: BTreeSet<(u64, u64)>,
+    loss_percent: u8,
+    now_ms: u64,
+    next_event: u64,
+    next_command: u64,
+    next_read: u64,
+    random: SmallRng,
+    lease_reads: bool,
+    /// Hosts that lost something that they may have acknowledged.
+    impaired: BTreeSet<u64>,
+    /// Replica sets that were proposed, with the time; they may still be on their way.
+    proposed_sets: Vec<(u64, ReplicaSet)>,
+    pub oracle: Oracle,
+}
+
+fn replica(id: u64) -> Replica {
+    Replica { id, peer_address: format!("r{id}"), zone: String::new(), voter: true }
+}
+
+impl Sim {
+    pub fn new(voters: u64, seed: u64, lease_reads: bool) -> Self {
+        let mut sim = Self {
+            hosts: BTreeMap::new(),
+            events: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            loss_percent: 0,
+            now_ms: 0,
+            next_event: 0,
+            next_command: 0,
+            next_read: 0,
+            random: SmallRng::seed_from_u64(seed),
+            lease_reads,
+            impaired: BTreeSet::new(),
+            proposed_sets: Vec::new(),
+            oracle: Oracle::default(),
+        };
+        let set = ReplicaSet::new((1..=voters).map(replica).collect());
+        for id in 1..=voters {
+            sim.add_host(id, set.clone(), Standing::Member);
+        }
+        sim
+    }
+
+    fn add_host(&mut self, id: u64, replicas: ReplicaSet, standing: Standing) {
+        let host = Host {
+            node: None,
+            disk: Disk::new(replicas, standing),
+            life: 0,
+            jobs: VecDeque::new(),
+            applied_index: 0,
+            state: Vec::new(),
+            waiting: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            incoming: Vec::new(),
+            standing,
+        };
+        self.hosts.insert(id, host);
+        self.restart(id);
+    }
+
+    pub fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Run { ms } => self.run(ms),
+            Step::Propose { node, count } => {
+                let id = self.pick(node);
+                for _ in 0..count {
+                    self.propose(id);
+                }
+            }
+            Step::Read { node } => self.read(self.pick(node)),
+            Step::CutOneWay { from, to } => {
+                self.cut.insert((self.pick(from), self.pick(to)));
+            }
+            Step::Isolate { node } => self.isolate(self.pick(node)),
+            Step::Heal => self.heal(),
+            Step::Loss { percent } => self.loss_percent = percent,
+            Step::Crash { node, jobs_done } => self.crash(self.pick(node), jobs_done.into()),
+            Step::Restart { node } => self.restart(self.pick(node)),
+            Step::DamageRecord { node, place } => self.damage(self.pick(node), place.into()),
+            Step::LoseDisk { node } => self.lose_disk(self.pick(node)),
+            Step::Snapshot { node, kept } => self.snapshot(self.pick(node), kept.into()),
+            Step::Transfer { node, to } => {
+                let (id, to) = (self.pick(node), self.pick(to));
+                let now_ms = self.now_ms;
+                self.with_node(id, |node| {
+                    let _ = node.transfer_leadership(now_ms, to);
+                });
+            }
+            Step::AddLearner => {
+                let id = self.hosts.keys().max().unwrap() + 1;
+                if self.change(&ReplicaChange::AddLearner(replica(id))) {
+                    self.add_host(id, ReplicaSet::default(), Standing::Joining);
+                }
+            }
+            Step::Promote { node } => {
+                self.change(&ReplicaChange::Promote(self.pick(node)));
+            }
+            Step::Remove { node } => {
+                self.change(&ReplicaChange::Remove(self.pick(node)));
+            }
+        }
+    }
+
+    fn pick(&self, number: u8) -> u64 {
+        let at = number as usize % self.hosts.len();
+        *self.hosts.keys().nth(at).unwrap()
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+        self.loss_percent = 0;
+    }
+
+    pub fn isolate(&mut self, id: u64) {
+        for other in self.hosts.keys().copied() {
+            self.cut.insert((id, other));
+            self.cut.insert((other, id));
+        }
+    }
+
+    /// Heals everything, and checks that the group works and holds all that it acknowledged.
+    pub fn finish(&mut self) {
+        self.heal();
+        for id in self.hosts.keys().copied().collect::<Vec<_>>() {
+            self.restart(id);
+        }
+        self.run(10 * ELECTION_TIMEOUT_MS);
+        let leader = self.wait_for_leader();
+        let last_command = self.propose(leader).expect("a leader that nobody disturbs accepts");
+        self.run(30 * ELECTION_TIMEOUT_MS);
+        assert!(self.oracle.acknowledged.contains_key(&last_command), "no commit after healing");
+        let replicas = self.hosts[&leader].node.as_ref().unwrap().replicas().clone();
+        let expected = self.hosts[&leader].state.clone();
+        for replica in &replicas.replicas {
+            let state = &self.hosts[&replica.id].state;
+            assert_eq!(state, &expected, "replica {} differs from the leader", replica.id);
+        }
+        for command in self.oracle.acknowledged.keys() {
+            let count = expected.iter().filter(|&applied| applied == command).count();
+            assert_eq!(count, 1, "acknowledged command {command} is there {count} times");
+        }
+    }
+
+    pub fn wait_for_leader(&mut self) -> u64 {
+        for _ in 0..100 {
+            if let Some(id) = self.leader() {
+                return id;
+            }
+            self.run(ELECTION_TIMEOUT_MS / 4);
+        }
+        panic!("no leader although nothing fails");
+    }
+
+    /// The leader of the highest term.
+    pub fn leader(&self) -> Option<u64> {
+        let nodes = self.hosts.iter().filter_map(|(id, host)| Some((*id, host.node.as_ref()?)));
+        let leaders = nodes.filter(|(_, node)| node.is_leader());
+        leaders.max_by_key(|(_, node)| node.hard_state().term).map(|(id, _)| id)
+    }
+
+    pub fn node(&self, id: u64) -> &RaftNode {
+        self.hosts[&id].node.as_ref().expect("the host runs")
+    }
+
+    pub fn propose(&mut self, id: u64) -> Option<u64> {
+        self.next_command += 1;
+        let command = self.next_command;
+        let host = self.hosts.get_mut(&id).unwrap();
+        let payload = Payload::Command(Bytes::copy_from_slice(&command.to_le_bytes()));
+        let (index, term) = host.node.as_mut()?.propose(vec![payload])?;
+        host.waiting.insert(index, (term, command));
+        let now_ms = self.now_ms;
+        self.with_node(id, |node| node.replicate_all(now_ms));
+        Some(command)
+    }
+
+    pub fn read(&mut self, id: u64) {
+        self.next_read += 1;
+        let read = self.next_read;
+        let now_ms = self.now_ms;
+        let must_see = self.oracle.acknowledged_index;
+        let host = self.hosts.get_mut(&id).unwrap();
+        host.reads.insert(read, must_see);
+        self.with_node(id, |node| {
+            node.read(now_ms, read);
+            node.flush_reads(now_ms);
+        });
+    }
+
+    /// Proposes a change at the leader, unless it would leave too few whole voters.
+    pub fn change(&mut self, change: &ReplicaChange) -> bool {
+        let Some(id) = self.leader() else { return false };
+        let Ok(set) = self.node(id).replicas().changed(change) else { return false };
+        if !self.is_safe(&set, &self.impaired) {
+            return false;
+        }
+        let now_ms = self.now_ms;
+        let mut started = false;
+        self.with_node(id, |node| started = node.change_replicas(now_ms, change).is_ok());
+        if started {
+            self.proposed_sets.push((now_ms, set));
+        }
+        started
+    }
+
+    /// True if the voters without loss are a quorum. More loss than that loses data in any design.
+    fn is_safe(&self, set: &ReplicaSet, impaired: &BTreeSet<u64>) -> bool {
+        set.is_quorum(|id| !impaired.contains(&id))
+    }
+
+    fn may_impair(&self, id: u64) -> bool {
+        let mut impaired = self.impaired.clone();
+        impaired.insert(id);
+        let longest_ms = 4 * ELECTION_TIMEOUT_MS;
+        let recent = self.proposed_sets.iter().filter(|it| it.0 + longest_ms > self.now_ms);
+        if !recent.clone().all(|(_, set)| self.is_safe(set, &impaired)) {
+            return false;
+        }
+        self.hosts.values().all(|host| {
+            let sets = host.disk.replica_sets().into_iter();
+            let running = host.node.as_ref().map(|node| node.replicas().clone());
+            sets.chain(running).all(|set| set.replicas.is_empty() || self.is_safe(&set, &impaired))
+        })
+    }
+
+    pub fn crash(&mut self, id: u64, jobs_done: usize) {
+        let host = self.hosts.get_mut(&id).unwrap();
+        if host.node.take().is_none() {
+            return;
+        }
+        // Writes reach the disk in order; a torn one is cut when the log is opened.
+        for job in host.jobs.drain(..).take(jobs_done) {
+            host.disk.write(job);
+        }
+        host.jobs.clear();
+        host.waiting.clear();
+        host.reads.clear();
+        host.life += 1;
+    }
+
+    pub fn restart(&mut self, id: u64) {
+        let host = self.hosts.get_mut(&id).unwrap();
+        if host.node.is_some() {
+            return;
+        }
+        let (recovered, state) = host.disk.recover();
+        host.applied_index = recovered.snapshot.last_index;
+        host.state = state;
+        host.standing = recovered.standing;
+        host.incoming.clear();
+        let config = NodeConfig {
+            id,
+            heartbeat_interval_ms: ELECTION_TIMEOUT_MS / 5,
+            election_timeout_ms: ELECTION_TIMEOUT_MS,
+            append_bytes: 200,
+            cache_bytes: 300,
+            transfer_bytes_per_s: 10_000,
+            lease_reads: self.lease_reads,
+        };
+        let seed = self.random.random();
+        host.node = Some(RaftNode::new(config, recovered, self.now_ms, seed));
+        self.after(id);
+    }
+
+    /// Damages a record before the end of the log; the host notices at its next start.
+    pub fn damage(&mut self, id: u64, place: usize) {
+        if !self.may_impair(id) {
+            return;
+        }
+        self.crash(id, 0);
+        if self.hosts.get_mut(&id).unwrap().disk.damage(place) {
+            self.impaired.insert(id);
+        }
+    }
+
+    /// Replaces the disk by an empty one and lets the host return under its old id.
+    pub fn lose_disk(&mut self, id: u64) {
+        if !self.may_impair(id) {
+            return;
+        }
+        self.crash(id, 0);
+        self.impaired.insert(id);
+        let host = self.hosts.get_mut(&id).unwrap();
+        host.disk = Disk::new(ReplicaSet::default(), Standing::Joining);
+        self.restart(id);
+    }
+
+    pub fn snapshot(&mut self, id: u64, kept: u64) {
+        let host = self.hosts.get_mut(&id).unwrap();
+        let Some(node) = &mut host.node else { return };
+        let last_index = host.applied_index;
+        if last_index <= node.snapshot().last_index {
+            return;
+        }
+        let Some(last_term) = node.log().term(last_index) else { return };
+        let replicas = node.log().replicas_at(last_index).clone();
+        let meta = SnapshotMeta { last_index, last_term, replicas };
+        let compact_index = last_index.saturating_sub(kept);
+        host.disk.save_snapshot(meta.clone(), host.state.clone());
+        host.disk.compact(compact_index);
+        node.snapshot_saved(meta, compact_index);
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        let end_ms = self.now_ms + ms;
+        loop {
+            let nodes = self.hosts.iter().filter_map(|(id, host)| Some((*id, host.node.as_ref()?)));
+            let due = nodes.filter_map(|(id, node)| Some((node.due_ms()?, id))).min();
+            let event_ms = self.events.keys().next().map(|key| key.0);
+            let next_ms = due.map(|due| due.0).into_iter().chain(event_ms).min();
+            let Some(next_ms) = next_ms.filter(|&next_ms| next_ms <= end_ms) else { break };
+            self.now_ms = self.now_ms.max(next_ms);
+            if event_ms == Some(next_ms) {
+                let (_, event) = self.events.pop_first().unwrap();
+                self.handle(event);
+            } else if let Some((_, id)) = due {
+                let now_ms = self.now_ms;
+                self.with_node(id, |node| node.tick(now_ms));
+            }
+        }
+        self.now_ms = end_ms;
+    }
+
+    fn schedule(&mut self, delay_ms: u64, event: Event) {
+        self.next_event += 1;
+        self.events.insert((self.now_ms + delay_ms, self.next_event), event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now_ms = self.now_ms;
+        match event {
+            Event::Deliver(message) if self.hosts.contains_key(&message.to) => {
+                self.with_node(message.to, |node| node.step(now_ms, message));
+            }
+            Event::JobDone { id, life } => self.finish_job(id, life),
+            Event::Fetched { id, life, to, entries } if self.hosts[&id].life == life => {
+                self.with_node(id, |node| node.fetched(now_ms, to, entries));
+            }
+            Event::ChunkRead { id, life, to, chunk } if self.hosts[&id].life == life => {
+                self.with_node(id, |node| node.chunk_read(now_ms, to, chunk));
+            }
+            Event::ChunkStored { id, life, chunk } if self.hosts[&id].life == life => {
+                self.store_chunk(id, chunk);
+            }
+            _ => {}
+        }
+    }
+
+    fn finish_job(&mut self, id: u64, life: u64) {
+        let now_ms = self.now_ms;
+        let host = self.hosts.get_mut(&id).unwrap();
+        if host.life != life {
+            return;
+        }
+        let job = host.jobs.pop_front().expect("the job is under way");
+        let hard_state = job.hard_state;
+        let standing = job.standing;
+        let last = job.entries.last().map(|entry| (entry.index, entry.term));
+        host.disk.write(job);
+        self.with_node(id, |node| {
+            if standing == Some(Standing::Member) && node.standing() != Standing::Member {
+                node.become_member(now_ms);
+            }
+            node.persisted(now_ms, hard_state, last);
+        });
+        if standing == Some(Standing::Member) {
+            self.impaired.remove(&id);
+        }
+    }
+
+    fn store_chunk(&mut self, id: u64, chunk: SnapshotChunk) {
+        let host = self.hosts.get_mut(&id).unwrap();
+        host.incoming.truncate(chunk.offset_bytes as usize);
+        host.incoming.extend_from_slice(&chunk.data);
+        let Some(node) = &mut host.node else { return };
+        if !chunk.last {
+            node.chunk_stored();
+        } else if chunk.meta.last_index <= host.applied_index {
+            node.snapshot_failed();
+        } else {
+            let commands = host.incoming.chunks(8);
+            let state = commands.map(|it| u64::from_le_bytes(it.try_into().unwrap())).collect();
+            host.state = state;
+            host.applied_index = chunk.meta.last_index;
+            host.disk.save_snapshot(chunk.meta.clone(), host.state.clone());
+            if !node.keeps_log_after(&chunk.meta) {
+                self.write(id, Job { clear: true, ..Job::empty() });
+            }
+            let node = self.hosts.get_mut(&id).unwrap().node.as_mut().unwrap();
+            node.snapshot_installed(chunk.meta);
+        }
+        self.after(id);
+    }
+
+    fn write(&mut self, id: u64, job: Job) {
+        let host = self.hosts.get_mut(&id).unwrap();
+        host.jobs.push_back(job);
+        let life = host.life;
+        let delay_ms = self.random.random_range(1..20);
+        self.schedule(delay_ms, Event::JobDone { id, life });
+    }
+
+    fn with_node(&mut self, id: u64, act: impl FnOnce(&mut RaftNode)) {
+        let Some(node) = &mut self.hosts.get_mut(&id).unwrap().node else { return };
+        act(node);
+        self.after(id);
+    }
+
+    /// Carries out what a node asks for, and checks it.
+    fn after(&mut self, id: u64) {
+        let host = self.hosts.get_mut(&id).unwrap();
+        let Some(node) = &mut host.node else { return };
+        let actions = node.take_actions();
+        if node.is_leader() {
+            self.oracle.leads(id, node.hard_state().term);
+        }
+        for action in actions {
+            self.act(id, action);
+        }
+        self.apply(id);
+    }
+
+    fn act(&mut self, id: u64, action: Action) {
+        let life = self.hosts[&id].life;
+        let delay_ms = self.random.random_range(1..10);
+        match action {
+            Action::Persist { hard_state, entries } => {
+                if hard_state.is_some() || !entries.is_empty() {
+                    self.write(id, Job { hard_state, entries, ..Job::empty() });
+                }
+            }
+            Action::Send(message) => self.send(message),
+            Action::ReadConfirmed { id: read, index, .. } => {
+                let must_see = self.hosts.get_mut(&id).unwrap().reads.remove(&read);
+                assert!(must_see.is_none_or(|must_see| index >= must_see), "read sees the past");
+            }
+            Action::SteppedDown => {
+                let host = self.hosts.get_mut(&id).unwrap();
+                host.waiting.clear();
+                host.reads.clear();
+            }
+            Action::Fetch { to, first_index } => {
+                let entries = self.hosts[&id].disk.read(first_index);
+                self.schedule(delay_ms, Event::Fetched { id, life, to, entries });
+            }
+            Action::ReadChunk { to, offset_bytes, .. } => {
+                let (meta, bytes) = self.hosts[&id].disk.snapshot_bytes();
+                let start = (offset_bytes as usize).min(bytes.len());
+                let end = (start + CHUNK_BYTES).min(bytes.len());
+                let data = Bytes::copy_from_slice(&bytes[start..end]);
+                let last = end == bytes.len();
+                let chunk = SnapshotChunk { meta, offset_bytes: start as u64, data, last };
+                self.schedule(delay_ms, Event::ChunkRead { id, life, to, chunk });
+            }
+            Action::StoreChunk(chunk) => {
+                self.schedule(delay_ms, Event::ChunkStored { id, life, chunk });
+            }
+            Action::Settled => {
+                let standing = Some(Standing::Member);
+                self.hosts.get_mut(&id).unwrap().standing = Standing::Member;
+                self.write(id, Job { standing, ..Job::empty() });
+            }
+            Action::Fault(reason) => panic!("replica {id}: {reason}"),
+        }
+    }
+
+    fn send(&mut self, message: Message) {
+        if self.cut.contains(&(message.from, message.to)) {
+            return;
+        }
+        // A few messages stay on the way for very long.
+        let copies = if self.random.random_ratio(1, 20) { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.random.random_range(0..100) < self.loss_percent {
+                continue;
+            }
+            let is_late = self.random.random_ratio(1, 50);
+            let longest_ms = if is_late { 3 * ELECTION_TIMEOUT_MS } else { 25 };
+            let delay_ms = self.random.random_range(1..longest_ms);
+            self.schedule(delay_ms, Event::Deliver(message.clone()));
+        }
+    }
+
+    fn apply(&mut self, id: u64) {
+        let host = self.hosts.get_mut(&id).unwrap();
+        let Some(node) = &mut host.node else { return };
+        while host.applied_index < node.commit_index() {
+            let index = host.applied_index + 1;
+            let entry = node.log().get(index).expect("entries that are not applied are in memory");
+            self.oracle.applies(id, entry);
+            host.applied_index = index;
+            let Payload::Command(command) = &entry.payload else { continue };
+            let command = u64::from_le_bytes(command[..].try_into().unwrap());
+            host.state.push(command);
+            let Some((term, proposed)) = host.waiting.remove(&index) else { continue };
+            if term == entry.term {
+                assert_eq!(command, proposed, "another command in the place of the proposed one");
+                self.oracle.acknowledges(command, index);
+            }
+        }
+        node.trim(host.applied_index);
+    }
+}
+
+impl Job {
+    fn empty() -> Self {
+        Self { hard_state: None, standing: None, clear: false, entries: Vec::new() }
+    }
+}
+
+/// True if a message is part of an election.
+#[allow(dead_code)]
+pub fn is_vote(message: &Message) -> bool {
+    matches!(message.body, Body::VoteRequest { .. } | Body::VoteReply { .. })
+}
--- /dev/null
+++ b/tests/raft_sim/oracle.rs
@@ -0,0 +1,31 @@
+use std::collections::BTreeMap;
+
+use damaskhoist::raft::Entry;
+
+/// What the group has done so far, and the rules that it must keep.
+#[derive(Default)]
+pub struct Oracle {
+    leaders: BTreeMap<u64, u64>,
+    applied: BTreeMap<u64, Entry>,
+    /// Acknowledged commands with their index.
+    pub acknowledged: BTreeMap<u64, u64>,
+    /// Highest index that was acknowledged.
+    pub acknowledged_index: u64,
+}
+
+impl Oracle {
+    pub fn leads(&mut self, id: u64, term: u64) {
+        let leader = *self.leaders.entry(term).or_insert(id);
+        assert_eq!(leader, id, "two leaders in term {term}");
+    }
+
+    pub fn applies(&mut self, id: u64, entry: &Entry) {
+        let first = self.applied.entry(entry.index).or_insert_with(|| entry.clone());
+        assert_eq!(first, entry, "replica {id} applies another entry");
+    }
+
+    pub fn acknowledges(&mut self, command: u64, index: u64) {
+        self.acknowledged.insert(command, index);
+        self.acknowledged_index = self.acknowledged_index.max(index);
+    }
+}
