Test groups and the log on disk with failures, and split the driver

Cause: the driver was one file of 570 lines, and torn writes, damage, a full disk, a failed sync and replaced hosts had no tests.

--- a/src/raft/driver.rs
+++ b/src/raft/driver.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::mpsc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -6,18 +6,20 @@
 use arc_swap::ArcSwap;
 use async_std::channel::{Receiver, Sender};
 use bytes::Bytes;
-use futures::channel::oneshot;
 
+use crate::raft::callers::{Callers, ChangeReply, ReadReply};
+use crate::raft::driver_status::Published;
 use crate::raft::event::Event;
-use crate::raft::formation::{Formation, FormationState};
-use crate::raft::proposal_queue::{Proposal, ProposalQueue, QueuePermit};
+use crate::raft::formation::Formation;
+use crate::raft::proposal_queue::{Proposal, ProposalQueue};
+use crate::raft::recovery::Recovery;
 use crate::raft::snapshot_file::{SnapshotFile, SnapshotFiles};
 use crate::raft::space::Space;
 use crate::raft::storage_thread::{StorageEvent, StorageJob};
 use crate::raft::wire::message_to_wire;
 use crate::raft::{
-    Action, ChangeError, GroupOptions, GroupStatus, Identity, Message, Outbox, Payload,
-    ProposeError, RaftNode, ReadError, ReadPoint, Recovered, ReplicaChange, Standing, StateMachine,
+    Action, ChangeError, Entry, GroupOptions, GroupStatus, Identity, Message, Outbox, Payload,
+    ProposeError, RaftNode, ReadError, ReplicaChange, Standing, StateMachine,
 };
 use crate::schema::peer;
 use crate::schema::peer::raft_message::Body as WireBody;
@@ -33,29 +35,20 @@
 
 /// Drives one replica: the only owner of its node.
 pub struct Driver {
+    pub(super) links: Links,
     pub(super) options: GroupOptions,
     pub(super) node: RaftNode,
     pub(super) identity: Identity,
+    /// Present until the group is formed.
     pub(super) formation: Option<Formation>,
     pub(super) formation_due_ms: u64,
-    pub(super) machine: Arc<dyn StateMachine>,
-    pub(super) outbox: Arc<dyn Outbox>,
-    pub(super) events: Receiver<Event>,
-    pub(super) report: Sender<Event>,
-    pub(super) jobs: mpsc::Sender<StorageJob>,
-    pub(super) space: Arc<Space>,
-    pub(super) status: Arc<ArcSwap<GroupStatus>>,
     pub(super) fault: Option<String>,
     /// The replica takes no part any more.
     pub(super) is_stopped: bool,
     started: Instant,
     writes_under_way: usize,
     queue: ProposalQueue,
-    waiting: BTreeMap<u64, Waiting>,
-    reads: HashMap<u64, oneshot::Sender<Result<ReadPoint, ReadError>>>,
-    /// Confirmed reads by the index that must be applied: id and time of the confirmation.
-    confirmed_reads: BTreeMap<u64, Vec<(u64, u64)>>,
-    next_read_id: u64,
+    callers: Callers,
     pub(super) applied_index: u64,
     pub(super) files: SnapshotFiles,
     pub(super) is_saving: bool,
@@ -64,68 +57,55 @@
     pub(super) sent_files: HashMap<u64, Arc<SnapshotFile>>,
     /// Addresses of replicas that are not in the replica set, or not yet.
     addresses: HashMap<u64, String>,
-    published: Published,
+    pub(super) published: Option<Published>,
 }
 
-/// A proposal in the log.
-enum Waiting {
-    Command { term: u64, reply: oneshot::Sender<Result<Bytes, ProposeError>>, _permit: QueuePermit },
-    Change { term: u64, reply: oneshot::Sender<Result<(), ChangeError>> },
+/// What connects a driver to the rest of the process.
+pub struct Links {
+    /// The replicated state.
+    pub machine: Arc<dyn StateMachine>,
+    /// Takes messages for other replicas.
+    pub outbox: Arc<dyn Outbox>,
+    /// Events to handle.
+    pub events: Receiver<Event>,
+    /// Takes events of work that is done elsewhere.
+    pub report: Sender<Event>,
+    /// Takes work for the storage thread.
+    pub jobs: mpsc::Sender<StorageJob>,
+    /// How full the data folder is.
+    pub space: Arc<Space>,
+    /// What the replica publishes about itself.
+    pub status: Arc<ArcSwap<GroupStatus>>,
 }
 
-/// Parts of the status whose change makes it worth publishing.
-type Published = (u64, Option<u64>, u64, u64, bool, Standing, bool, u64);
-
 impl Driver {
     /// A driver that starts with what was found on the disk.
-    #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        options: GroupOptions,
-        recovered: Recovered,
-        identity: Identity,
-        fault: Option<String>,
-        machine: Arc<dyn StateMachine>,
-        outbox: Arc<dyn Outbox>,
-        (report, events): (Sender<Event>, Receiver<Event>),
-        jobs: mpsc::Sender<StorageJob>,
-        space: Arc<Space>,
-        status: Arc<ArcSwap<GroupStatus>>,
-    ) -> Self {
+    pub fn new(options: GroupOptions, recovery: Recovery, links: Links) -> Self {
+        let Recovery { recovered, identity, fault, .. } = recovery;
         let is_forming = identity.standing == Standing::Forming;
         let initial = options.replicas.iter().map(|replica| replica.id);
         let formation = is_forming.then(|| Formation::new(&identity, initial));
-        let addresses =
-            options.replicas.iter().map(|it| (it.id, it.peer_address.clone())).collect();
-        let applied_index = recovered.snapshot.last_index;
+        let addresses = options.replicas.iter().map(|it| (it.id, it.peer_address.clone()));
         let mut driver = Self {
+            addresses: addresses.collect(),
+            applied_index: recovered.snapshot.last_index,
             node: RaftNode::new(options.node_config(), recovered, 0, options.seed),
             files: SnapshotFiles::new(&options.data_folder),
+            links,
             options,
             identity,
             formation,
             formation_due_ms: 0,
-            machine,
-            outbox,
-            events,
-            report,
-            jobs,
-            space,
-            status,
             fault,
             is_stopped: false,
             started: Instant::now(),
             writes_under_way: 0,
             queue: ProposalQueue::default(),
-            waiting: BTreeMap::new(),
-            reads: HashMap::new(),
-            confirmed_reads: BTreeMap::new(),
-            next_read_id: 0,
-            applied_index,
+            callers: Callers::default(),
             is_saving: false,
             bytes_since_snapshot: 0,
             sent_files: HashMap::new(),
-            addresses,
-            published: (0, None, 0, 0, false, Standing::Joining, false, 0),
+            published: None,
         };
         driver.publish();
         driver
@@ -137,10 +117,10 @@
         loop {
             let wait_ms = self.due_ms().saturating_sub(self.now_ms());
             let wait = Duration::from_millis(wait_ms);
-            let mut next = match self.events.try_recv() {
+            let mut next = match self.links.events.try_recv() {
                 Ok(event) => Some(event),
                 Err(_) if wait_ms == 0 => None,
-                Err(_) => async_std::future::timeout(wait, self.events.recv())
+                Err(_) => async_std::future::timeout(wait, self.links.events.recv())
                     .await
                     .ok()
                     .and_then(Result::ok),
@@ -153,7 +133,7 @@
                 self.handle(event).await;
                 handled += 1;
                 next = match handled < EVENT_BATCH {
-                    true => self.events.try_recv().ok(),
+                    true => self.links.events.try_recv().ok(),
                     false => None,
                 };
             }
@@ -225,22 +205,17 @@
         }
     }
 
-    fn handle_read(&mut self, now_ms: u64, reply: oneshot::Sender<Result<ReadPoint, ReadError>>) {
-        self.next_read_id += 1;
-        if self.is_stopped || !self.node.read(now_ms, self.next_read_id) {
+    fn handle_read(&mut self, now_ms: u64, reply: ReadReply) {
+        let id = self.callers.next_read_id();
+        if self.is_stopped || !self.node.read(now_ms, id) {
             let leader_address = self.leader_address();
             let _ = reply.send(Err(ReadError::NotLeader { leader_address }));
             return;
         }
-        self.reads.insert(self.next_read_id, reply);
+        self.callers.add_read(id, reply);
     }
 
-    fn handle_change(
-        &mut self,
-        now_ms: u64,
-        change: &ReplicaChange,
-        reply: oneshot::Sender<Result<(), ChangeError>>,
-    ) {
+    fn handle_change(&mut self, now_ms: u64, change: &ReplicaChange, reply: ChangeReply) {
         if self.is_stopped || !self.node.is_leader() {
             let leader_address = self.leader_address();
             let _ = reply.send(Err(ChangeError::NotLeader { leader_address }));
@@ -248,7 +223,7 @@
         }
         match self.node.change_replicas(now_ms, change) {
             Ok((index, term)) => {
-                self.waiting.insert(index, Waiting::Change { term, reply });
+                self.callers.add_change(index, term, reply);
             }
             Err(reason) => {
                 let _ = reply.send(Err(ChangeError::Refused(reason)));
@@ -275,7 +250,7 @@
         log::error!("group {}: replica stopped: {reason}", self.options.group);
         self.fault = Some(reason);
         self.is_stopped = true;
-        self.fail_waiting();
+        self.callers.fail_all();
     }
 
     /// Hands waiting commands to the node while few writes are under way, so that commands which
@@ -292,8 +267,7 @@
                 continue;
             };
             for (index, proposal) in (first_index..).zip(batch) {
-                let Proposal { reply, _permit, .. } = proposal;
-                self.waiting.insert(index, Waiting::Command { term, reply, _permit });
+                self.callers.add_command(index, term, proposal.reply, proposal.permit);
             }
             self.node.replicate_all(now_ms);
             self.act();
@@ -326,13 +300,13 @@
                 }
                 Action::Send(message) => self.send(&message),
                 Action::ReadConfirmed { id, index, confirmed_ms } => {
-                    self.confirmed_reads.entry(index).or_default().push((id, confirmed_ms));
+                    self.callers.confirm_read(id, index, confirmed_ms);
                 }
-                Action::SteppedDown => self.fail_waiting(),
+                Action::SteppedDown => self.callers.fail_all(),
                 Action::Fetch { to, first_index } => {
                     let limit_bytes = self.options.node_config().append_bytes;
                     let job = StorageJob::Fetch { to, first_index, limit_bytes };
-                    let _ = self.jobs.send(job);
+                    let _ = self.links.jobs.send(job);
                 }
                 Action::ReadChunk { to, last_index, offset_bytes } => {
                     self.read_chunk(to, last_index, offset_bytes);
@@ -344,12 +318,12 @@
         }
     }
 
-    pub(super) fn write(&mut self, identity: Option<Identity>, entries: Vec<crate::raft::Entry>) {
+    pub(super) fn write(&mut self, identity: Option<Identity>, entries: Vec<Entry>) {
         if identity.is_none() && entries.is_empty() {
             return;
         }
         self.writes_under_way += 1;
-        let _ = self.jobs.send(StorageJob::Write { identity, entries });
+        let _ = self.links.jobs.send(StorageJob::Write { identity, entries });
     }
 
     fn send(&mut self, message: &Message) {
@@ -358,7 +332,7 @@
         if let Some(own) = self.node.replicas().get(self.options.replica_id) {
             wire.from_address = own.peer_address.clone();
         }
-        self.outbox.send(&address, wire);
+        self.links.outbox.send(&address, wire);
     }
 
     pub(super) fn address(&self, id: u64) -> Option<String> {
@@ -386,185 +360,13 @@
             let term = entry.term;
             self.bytes_since_snapshot += entry.size_bytes() as u64;
             let outcome = match &entry.payload {
-                Payload::Command(command) => self.machine.apply(index, command),
+                Payload::Command(command) => self.links.machine.apply(index, command),
                 Payload::Empty | Payload::Replicas(_) => Bytes::new(),
             };
             self.applied_index = index;
-            self.answer(index, term, outcome);
+            self.callers.answer(index, term, outcome);
         }
         self.node.trim(self.applied_index);
-        let now_ms = self.now_ms();
-        while let Some(entry) = self.confirmed_reads.first_entry() {
-            let index = *entry.key();
-            if index > self.applied_index {
-                break;
-            }
-            for (id, confirmed_ms) in entry.remove() {
-                let Some(reply) = self.reads.remove(&id) else { continue };
-                let confirmed_age_ms = now_ms.saturating_sub(confirmed_ms);
-                let _ = reply.send(Ok(ReadPoint { index, confirmed_age_ms }));
-            }
-        }
-    }
-
-    /// Gives the outcome of an applied entry to the caller that proposed it.
-    fn answer(&mut self, index: u64, applied_term: u64, outcome: Bytes) {
-        match self.waiting.remove(&index) {
-            None => {}
-            Some(Waiting::Command { term, reply, .. }) => {
-                let answer =
-                    if term == applied_term { Ok(outcome) } else { Err(ProposeError::Unknown) };
-                let _ = reply.send(answer);
-            }
-            Some(Waiting::Change { term, reply }) => {
-                let answer = if term == applied_term { Ok(()) } else { Err(ChangeError::Unknown) };
-                let _ = reply.send(answer);
-            }
-        }
-    }
-
-    /// Tells all callers that their fate is not known.
-    fn fail_waiting(&mut self) {
-        for waiting in std::mem::take(&mut self.waiting).into_values() {
-            match waiting {
-                Waiting::Command { reply, .. } => {
-                    let _ = reply.send(Err(ProposeError::Unknown));
-                }
-                Waiting::Change { reply, .. } => {
-                    let _ = reply.send(Err(ChangeError::Unknown));
-                }
-            }
-        }
-        self.confirmed_reads.clear();
-        for reply in std::mem::take(&mut self.reads).into_values() {
-            let _ = reply.send(Err(ReadError::NoQuorum));
-        }
-    }
-
-    fn tick_formation(&mut self, now_ms: u64) {
-        let Some(formation) = &self.formation else { return };
-        if now_ms < self.formation_due_ms {
-            return;
-        }
-        self.formation_due_ms = now_ms + 2 * self.options.heartbeat_interval_ms;
-        for to in formation.peers().collect::<Vec<_>>() {
-            self.send_formation(to);
-        }
-    }
-
-    pub(super) fn send_formation(&mut self, to: u64) {
-        let Some(address) = self.address(to) else { return };
-        let founders = self.identity.founders.iter();
-        let formation = peer::Formation {
-            nonce: self.identity.nonce,
-            formed: self.formation.is_none(),
-            founders: founders
-                .map(|&(replica_id, nonce)| peer::FoundingReplica { replica_id, nonce })
-                .collect(),
-        };
-        let message = peer::RaftMessage {
-            group: self.options.group,
-            from: self.options.replica_id,
-            to,
-            body: Some(WireBody::Formation(formation)),
-            ..Default::default()
-        };
-        self.outbox.send(&address, message);
-    }
-
-    fn handle_formation(&mut self, from: u64, message: peer::Formation) {
-        let Some(formation) = &mut self.formation else {
-            if !message.formed {
-                self.send_formation(from);
-            }
-            return;
-        };
-        match message.formed {
-            true => {
-                let founders = message.founders.iter();
-                let founders: Vec<_> = founders.map(|it| (it.replica_id, it.nonce)).collect();
-                formation.hear_formed(&founders);
-            }
-            false => formation.hear_new(from, message.nonce),
-        }
-        self.check_formation();
-    }
-
-    fn check_formation(&mut self) {
-        let Some(formation) = &self.formation else { return };
-        match formation.state() {
-            FormationState::Waiting => {}
-            FormationState::Refused => {
-                let reason = "the group exists and knows another identity of this replica; \
-                              join it under a new replica id";
-                if self.fault.is_none() {
-                    log::error!("group {}: {reason}", self.options.group);
-                }
-                self.fault = Some(reason.into());
-            }
-            FormationState::Formed(founders) => {
-                if self.identity.standing != Standing::Member {
-                    self.identity = self.identity.formed(founders);
-                    self.write(Some(self.identity.clone()), Vec::new());
-                }
-            }
-        }
-    }
-
-    /// Records that the replica may vote.
-    fn settle(&mut self) {
-        log::info!("group {}: replica may vote", self.options.group);
-        self.identity.standing = Standing::Member;
-        self.write(Some(self.identity.clone()), Vec::new());
-        let _ = self.jobs.send(StorageJob::DiscardDamaged);
-        self.fault = None;
-    }
-
-    /// The identity on the disk has this standing.
-    fn note_standing(&mut self, now_ms: u64, standing: Standing) {
-        if standing != Standing::Member || self.node.standing() == Standing::Member {
-            return;
-        }
-        self.node.become_member(now_ms);
-        self.formation = None;
-    }
-
-    fn publish(&mut self) {
-        let node = &self.node;
-        let data_bytes = self.space.used_bytes();
-        let current = (
-            node.hard_state().term,
-            node.leader_id(),
-            node.commit_index(),
-            self.applied_index,
-            node.is_leader(),
-            node.standing(),
-            self.fault.is_some(),
-            data_bytes,
-        );
-        if current == self.published {
-            return;
-        }
-        self.published = current;
-        let status = GroupStatus {
-            group: self.options.group,
-            replica_id: self.options.replica_id,
-            is_leader: node.is_leader() && !self.is_stopped,
-            leader_id: node.leader_id(),
-            leader_address: self.leader_address(),
-            term: node.hard_state().term,
-            commit_index: node.commit_index(),
-            applied_index: self.applied_index,
-            first_index: node.log().first_index(),
-            last_index: node.log().last_index(),
-            snapshot_index: node.snapshot().last_index,
-            replicas: node.replicas().clone(),
-            may_vote: node.standing() == Standing::Member && !self.is_stopped,
-            is_stopped: self.is_stopped,
-            fault: self.fault.clone(),
-            data_bytes,
-            followers: node.followers(self.now_ms()),
-        };
-        self.status.store(Arc::new(status));
+        self.callers.answer_reads(self.applied_index, self.now_ms());
     }
 }
--- a/src/raft/driver_snapshots.rs
+++ b/src/raft/driver_snapshots.rs
@@ -29,13 +29,13 @@
         let Some(last_term) = self.node.log().term(self.applied_index) else { return };
         let replicas = self.node.log().replicas_at(self.applied_index).clone();
         let meta = SnapshotMeta { last_index: self.applied_index, last_term, replicas };
-        let state = match self.machine.capture() {
+        let state = match self.links.machine.capture() {
             Ok(state) => state,
             Err(error) => return self.stop(format!("state could not be captured: {error}")),
         };
         self.is_saving = true;
         self.bytes_since_snapshot = 0;
-        let (files, report) = (self.files.clone(), self.report.clone());
+        let (files, report) = (self.files.clone(), self.links.report.clone());
         task::spawn_blocking(move || {
             let saved = files.save(&meta, state);
             let _ = report.try_send(Event::SnapshotSaved(meta, saved));
@@ -60,12 +60,12 @@
         self.count_files();
         let compact_index = self.compact_index(&meta);
         self.node.snapshot_saved(meta, compact_index);
-        let _ = self.jobs.send(StorageJob::Compact(compact_index));
+        let _ = self.links.jobs.send(StorageJob::Compact(compact_index));
     }
 
     /// Entries up to this index go: some stay for followers that lag, unless space is short.
     fn compact_index(&self, meta: &SnapshotMeta) -> u64 {
-        if self.space.used_bytes() > self.options.data_limit_bytes / 2 {
+        if self.links.space.used_bytes() > self.options.data_limit_bytes / 2 {
             return meta.last_index;
         }
         let silence_ms = SILENT_TIMEOUTS * self.options.election_timeout_ms;
@@ -77,7 +77,7 @@
     pub(super) fn read_chunk(&mut self, to: u64, last_index: u64, offset_bytes: u64) {
         let open = self.sent_files.get(&to).cloned();
         let open = open.filter(|file| last_index != 0 && file.meta().last_index == last_index);
-        let (files, report) = (self.files.clone(), self.report.clone());
+        let (files, report) = (self.files.clone(), self.links.report.clone());
         task::spawn_blocking(move || {
             let read = open.map_or_else(
                 || {
@@ -116,7 +116,7 @@
     }
 
     pub(super) fn store_chunk(&mut self, chunk: SnapshotChunk) {
-        let (files, report) = (self.files.clone(), self.report.clone());
+        let (files, report) = (self.files.clone(), self.links.report.clone());
         task::spawn_blocking(move || {
             let stored = files.store_chunk(chunk.offset_bytes, &chunk.data);
             let stored = stored.and_then(|()| match chunk.last {
@@ -149,7 +149,7 @@
             self.node.snapshot_failed();
             return;
         }
-        let (files, machine) = (self.files.clone(), self.machine.clone());
+        let (files, machine) = (self.files.clone(), self.links.machine.clone());
         let installed = task::spawn_blocking(move || {
             files.keep_received()?;
             file.restore(machine.as_ref())
@@ -160,7 +160,7 @@
         }
         log::info!("group {}: installed a snapshot up to {}", self.options.group, meta.last_index);
         if !self.node.keeps_log_after(&meta) {
-            let _ = self.jobs.send(StorageJob::Clear);
+            let _ = self.links.jobs.send(StorageJob::Clear);
         }
         self.count_files();
         self.applied_index = meta.last_index;
@@ -169,6 +169,6 @@
     }
 
     fn count_files(&self) {
-        self.space.snapshot_bytes.store(self.files.data_bytes(), Ordering::Relaxed);
+        self.links.space.snapshot_bytes.store(self.files.data_bytes(), Ordering::Relaxed);
     }
 }
--- /dev/null
+++ b/src/raft/driver_status.rs
@@ -0,0 +1,49 @@
+use std::sync::Arc;
+
+use crate::raft::driver::Driver;
+use crate::raft::{GroupStatus, Standing};
+
+/// Parts of the status whose change makes it worth publishing.
+pub type Published = (u64, Option<u64>, u64, u64, bool, Standing, bool, u64);
+
+impl Driver {
+    /// Publishes the status if it has changed.
+    pub(super) fn publish(&mut self) {
+        let node = &self.node;
+        let data_bytes = self.links.space.used_bytes();
+        let current = (
+            node.hard_state().term,
+            node.leader_id(),
+            node.commit_index(),
+            self.applied_index,
+            node.is_leader(),
+            node.standing(),
+            self.fault.is_some(),
+            data_bytes,
+        );
+        if self.published == Some(current) {
+            return;
+        }
+        self.published = Some(current);
+        let status = GroupStatus {
+            group: self.options.group,
+            replica_id: self.options.replica_id,
+            is_leader: node.is_leader() && !self.is_stopped,
+            leader_id: node.leader_id(),
+            leader_address: self.leader_address(),
+            term: node.hard_state().term,
+            commit_index: node.commit_index(),
+            applied_index: self.applied_index,
+            first_index: node.log().first_index(),
+            last_index: node.log().last_index(),
+            snapshot_index: node.snapshot().last_index,
+            replicas: node.replicas().clone(),
+            may_vote: node.standing() == Standing::Member && !self.is_stopped,
+            is_stopped: self.is_stopped,
+            fault: self.fault.clone(),
+            data_bytes,
+            followers: node.followers(self.now_ms()),
+        };
+        self.links.status.store(Arc::new(status));
+    }
+}
--- a/src/raft/event.rs
+++ b/src/raft/event.rs
@@ -3,10 +3,11 @@
 
 use futures::channel::oneshot;
 
+use crate::raft::callers::{ChangeReply, ReadReply};
 use crate::raft::proposal_queue::Proposal;
 use crate::raft::snapshot_file::SnapshotFile;
 use crate::raft::storage_thread::StorageEvent;
-use crate::raft::{ChangeError, ReadError, ReadPoint, ReplicaChange, SnapshotChunk, SnapshotMeta};
+use crate::raft::{ChangeError, ReplicaChange, SnapshotChunk, SnapshotMeta};
 use crate::schema::peer::RaftMessage;
 
 /// What the driver of a group reacts to.
@@ -16,9 +17,9 @@
     /// A command to replicate.
     Propose(Proposal),
     /// A read to confirm.
-    Read(oneshot::Sender<Result<ReadPoint, ReadError>>),
+    Read(ReadReply),
     /// A change of replicas.
-    Change(ReplicaChange, oneshot::Sender<Result<(), ChangeError>>),
+    Change(ReplicaChange, ChangeReply),
     /// A transfer of leadership, to the best follower if the id is 0.
     Transfer(u64, oneshot::Sender<Result<u64, ChangeError>>),
     /// The storage thread has done something.
--- a/src/raft/group.rs
+++ b/src/raft/group.rs
@@ -6,10 +6,10 @@
 use bytes::Bytes;
 use futures::channel::oneshot;
 
-use crate::raft::driver::Driver;
+use crate::raft::driver::{Driver, Links};
 use crate::raft::event::Event;
 use crate::raft::proposal_queue::{Proposal, QueueLimit};
-use crate::raft::recovery::{recover, Recovery};
+use crate::raft::recovery::recover;
 use crate::raft::snapshot_file::SnapshotFiles;
 use crate::raft::space::Space;
 use crate::raft::storage_thread::StorageThread;
@@ -55,33 +55,31 @@
         wrap: impl FnOnce(Box<dyn LogStorage>) -> Box<dyn LogStorage>,
     ) -> Result<Self, OpenError> {
         let group = options.group;
-        let Recovery { recovered, identity, storage, fault } = recover(&options, machine.as_ref())?;
-        let (events, incoming) = unbounded();
+        let (recovery, storage) = recover(&options, machine.as_ref())?;
+        let (report, events) = unbounded();
         let snapshot_bytes = SnapshotFiles::new(&options.data_folder).data_bytes();
         let space = Arc::new(Space::new(&options, storage.data_bytes(), snapshot_bytes));
-        let report = events.clone();
+        let storage_report = report.clone();
         let (jobs, storage_thread) = StorageThread::spawn(
             format!("raft-log-{group}"),
             wrap(Box::new(storage)),
             space.clone(),
             Box::new(move |event| {
-                let _ = report.try_send(Event::Storage(event));
+                let _ = storage_report.try_send(Event::Storage(event));
             }),
         )
         .map_err(|error| OpenError::Io { group, error })?;
         let status = Arc::new(ArcSwap::from_pointee(GroupStatus::default()));
-        let driver = Driver::new(
-            options,
-            recovered,
-            identity,
-            fault,
+        let links = Links {
             machine,
             outbox,
-            (events.clone(), incoming),
+            events,
+            report: report.clone(),
             jobs,
-            space.clone(),
-            status.clone(),
-        );
+            space: space.clone(),
+            status: status.clone(),
+        };
+        let driver = Driver::new(options, recovery, links);
         let (done, closed) = oneshot::channel();
         task::spawn(async move {
             driver.run().await;
@@ -90,7 +88,7 @@
             let _ = done.send(());
         });
         let closed = futures::FutureExt::shared(closed);
-        Ok(Self { events, status, queue: QueueLimit::default(), space, closed })
+        Ok(Self { events: report, status, queue: QueueLimit::default(), space, closed })
     }
 
     /// Replicates a command; gives the state machine's outcome once it is committed and applied.
@@ -110,7 +108,7 @@
         self.space.check(command.len(), priority)?;
         let permit = self.queue.acquire(&command, priority).ok_or(ProposeError::Overloaded)?;
         let (reply, outcome) = oneshot::channel();
-        let proposal = Proposal { command, priority, reply, _permit: permit };
+        let proposal = Proposal { command, priority, reply, permit };
         if self.events.try_send(Event::Propose(proposal)).is_err() {
             return Err(ProposeError::NotLeader { leader_address: None });
         }
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -4,9 +4,12 @@
 //! timers and the messages, and applies committed commands to a [`StateMachine`].
 
 mod action;
+mod callers;
 mod disk_log;
 mod driver;
+mod driver_formation;
 mod driver_snapshots;
+mod driver_status;
 mod entry;
 mod errors;
 mod event;
--- a/src/raft/proposal_queue.rs
+++ b/src/raft/proposal_queue.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use futures::channel::oneshot;
 
-use crate::raft::{Priority, ProposeError};
+use crate::raft::callers::CommandReply;
+use crate::raft::Priority;
 
 /// Bytes of waiting commands above which bulk commands are refused, and all commands.
 const BULK_LIMIT_BYTES: usize = 8 << 20;
@@ -24,9 +24,9 @@
     /// How urgent it is.
     pub priority: Priority,
     /// Takes the outcome.
-    pub reply: oneshot::Sender<Result<Bytes, ProposeError>>,
+    pub reply: CommandReply,
     /// Returns its bytes to the limit when dropped.
-    pub _permit: QueuePermit,
+    pub permit: QueuePermit,
 }
 
 /// Bytes of the commands that wait for the driver.
--- a/src/raft/recovery.rs
+++ b/src/raft/recovery.rs
@@ -14,21 +14,20 @@
     pub recovered: Recovered,
     /// Who the replica is.
     pub identity: Identity,
-    /// The log on the disk.
-    pub storage: DiskLog,
     /// What was damaged, for the operators.
     pub fault: Option<String>,
 }
 
-/// Reads the data folder and restores the newest snapshot into the machine.
-pub fn recover(options: &GroupOptions, machine: &dyn StateMachine) -> Result<Recovery, OpenError> {
+/// Reads the data folder and restores the newest snapshot into the machine; gives the log as well.
+pub fn recover(
+    options: &GroupOptions,
+    machine: &dyn StateMachine,
+) -> Result<(Recovery, DiskLog), OpenError> {
     let group = options.group;
     let io_error = |error| OpenError::Io { group, error };
     fs::create_dir_all(&options.data_folder).map_err(io_error)?;
-    let mut identity = open_identity(options)?;
-    let mut recovery = recover_log(options, machine, &mut identity).map_err(io_error)?;
-    recovery.identity = identity;
-    Ok(recovery)
+    let identity = open_identity(options)?;
+    recover_log(options, machine, identity).map_err(io_error)
 }
 
 /// Reads the identity file, or starts a new one in an empty folder.
@@ -69,8 +68,8 @@
 fn recover_log(
     options: &GroupOptions,
     machine: &dyn StateMachine,
-    identity: &mut Identity,
-) -> io::Result<Recovery> {
+    mut identity: Identity,
+) -> io::Result<(Recovery, DiskLog)> {
     let folder = &options.data_folder;
     let snapshots = SnapshotFiles::new(folder);
     let mut faults = Vec::new();
@@ -87,7 +86,7 @@
     let snapshot = match &snapshot_file {
         Ok(Some(file)) if identity.standing != Standing::Forming => file.meta().clone(),
         Ok(_) => {
-            SnapshotMeta { replicas: initial_replicas(options, identity), ..Default::default() }
+            SnapshotMeta { replicas: initial_replicas(options, &identity), ..Default::default() }
         }
         Err(_) => SnapshotMeta::default(),
     };
@@ -137,7 +136,7 @@
     let recovered =
         Recovered { hard_state: identity.hard_state, standing: identity.standing, snapshot, log };
     let fault = (!faults.is_empty()).then(|| faults.join("; "));
-    Ok(Recovery { recovered, identity: identity.clone(), storage, fault })
+    Ok((Recovery { recovered, identity, fault }, storage))
 }
 
 /// The replicas of a new group; a replica that joins learns them from the log.
--- a/tests/raft_group.rs
+++ b/tests/raft_group.rs
@@ -2,16 +2,45 @@
 
 mod raft_support;
 
-use raft_support::Cluster;
+use std::fs;
+use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+use async_std::task;
+use bytes::Bytes;
+use damaskhoist::raft::{
+    ChangeError, Entry, Identity, LogStorage, OpenError, Priority, ProposeError, ReplicaChange,
+};
+use raft_support::{replica, segment_files, wait_for, Cluster};
+
+async fn propose_many(cluster: &Cluster, from: usize, to: usize) {
+    for number in from..to {
+        cluster.propose(&format!("c{number}")).await;
+    }
+}
+
+/// Asks for a change until it is made; a busy leader may refuse it for a while.
+async fn change(cluster: &Cluster, change: ReplicaChange) {
+    for _ in 0..2000 {
+        let leader = cluster.leader().await;
+        match cluster.groups[&leader].change_replicas(change.clone()).await {
+            Ok(()) => return,
+            Err(ChangeError::Refused(_) | ChangeError::NotLeader { .. }) => {
+                task::sleep(std::time::Duration::from_millis(10)).await;
+            }
+            Err(ChangeError::Unknown) => {}
+        }
+    }
+    panic!("{change:?} was not made in time");
+}
 
 // Guards against outcomes that are given before the command is applied on a quorum, and against
 // replicas that apply different sequences.
 #[async_std::test]
 async fn commands_reach_all_replicas_in_order() {
     let cluster = Cluster::start(3, |_| {});
-    for number in 0..50 {
-        cluster.propose(&format!("c{number}")).await;
-    }
+    propose_many(&cluster, 0, 50).await;
     cluster.converge(50).await;
     let point = cluster.groups[&cluster.leader().await].read_barrier().await.unwrap();
     assert!(point.index >= 50);
@@ -22,9 +51,7 @@
 #[async_std::test]
 async fn acknowledged_commands_survive_a_restart_of_all() {
     let mut cluster = Cluster::start(3, |_| {});
-    for number in 0..20 {
-        cluster.propose(&format!("c{number}")).await;
-    }
+    propose_many(&cluster, 0, 20).await;
     for id in 1..=3 {
         cluster.close(id).await;
     }
@@ -35,3 +62,229 @@
     cluster.converge(21).await;
     cluster.close_all().await;
 }
+
+// Guards against a follower that tells a caller to go elsewhere without saying where.
+#[async_std::test]
+async fn followers_name_the_leader() {
+    let cluster = Cluster::start(3, |_| {});
+    cluster.propose("first").await;
+    let leader = cluster.leader().await;
+    let follower = &cluster.groups[&(leader % 3 + 1)];
+    let address = Some(format!("r{leader}"));
+    wait_for("the follower to know the leader", || follower.status().leader_address == address)
+        .await;
+    let refused = follower.propose(Bytes::from_static(b"x"), Priority::Online).await;
+    assert_eq!(refused, Err(ProposeError::NotLeader { leader_address: address }));
+    assert!(follower.read_barrier().await.is_err());
+    cluster.close_all().await;
+}
+
+// Guards against a host that returns with an empty disk under its old id, and against loss when a
+// second host fails right after the repair.
+#[async_std::test]
+async fn an_empty_disk_does_not_vote_and_is_replaced() {
+    let mut cluster = Cluster::start(3, |_| {});
+    propose_many(&cluster, 0, 10).await;
+    cluster.close(3).await;
+    fs::remove_dir_all(cluster.data_folder(3)).unwrap();
+    cluster.open(3).unwrap();
+    let returned = cluster.groups[&3].clone();
+    wait_for("the fault to be told", || returned.status().fault.is_some()).await;
+    assert!(!returned.status().may_vote);
+    cluster.close(3).await;
+
+    change(&cluster, ReplicaChange::Remove(3)).await;
+    let leader = cluster.leader().await;
+    let again = cluster.groups[&leader].change_replicas(ReplicaChange::AddLearner(replica(3)));
+    assert!(matches!(again.await, Err(ChangeError::Refused(_))), "an id is used once");
+    change(&cluster, ReplicaChange::AddLearner(replica(4))).await;
+    let mut options = cluster.options(4);
+    options.join_existing = true;
+    cluster.open_with(options, |storage| storage).unwrap();
+    propose_many(&cluster, 10, 20).await;
+    change(&cluster, ReplicaChange::Promote(4)).await;
+    cluster.close(cluster.leader().await).await;
+    propose_many(&cluster, 20, 30).await;
+    cluster.converge(30).await;
+    cluster.close_all().await;
+}
+
+// Guards against a replica that can't come back once the log was compacted, and against a
+// snapshot that stops the group.
+#[async_std::test]
+async fn a_replica_that_was_away_catches_up_by_snapshot() {
+    let mut cluster = Cluster::start(3, |options| {
+        options.snapshot_interval_entries = 20;
+        options.segment_bytes = 512;
+    });
+    propose_many(&cluster, 0, 5).await;
+    cluster.close(3).await;
+    let mut count = 5;
+    // The log is kept for a while for a follower that has just gone silent.
+    while cluster.groups[&cluster.leader().await].status().first_index < 20 {
+        propose_many(&cluster, count, count + 1).await;
+        count += 1;
+    }
+    cluster.open(3).unwrap();
+    propose_many(&cluster, count, count + 100).await;
+    cluster.converge(count + 100).await;
+    assert!(cluster.groups[&3].status().snapshot_index > 5);
+    cluster.close_all().await;
+}
+
+// Guards against a full disk that also stops the completion of accepted work.
+#[async_std::test]
+async fn a_full_disk_refuses_new_work_and_lets_accepted_work_complete() {
+    let cluster = Cluster::start(3, |options| {
+        options.data_limit_bytes = 60_000;
+        options.reserved_bytes = 40_000;
+        options.snapshot_interval_entries = 1_000_000;
+    });
+    cluster.propose("first").await;
+    let leader = cluster.groups[&cluster.leader().await].clone();
+    let mut is_full = false;
+    for number in 0..200u64 {
+        // Random content, because compression must not make room.
+        let bulk: Vec<u8> = (0..512).map(|_| rand::random()).collect();
+        match leader.propose(bulk.into(), Priority::Bulk).await {
+            Ok(_) => assert!(number < 199, "the limit has no effect"),
+            Err(ProposeError::Storage(_)) => is_full = true,
+            Err(other) => panic!("{other}"),
+        }
+        if is_full {
+            break;
+        }
+    }
+    assert!(is_full);
+    let completion = leader.propose(Bytes::from_static(b"done"), Priority::Completion).await;
+    assert!(completion.is_ok(), "{completion:?}");
+    cluster.close_all().await;
+}
+
+/// Fails every sync once it is told to.
+struct FailingStorage {
+    inner: Box<dyn LogStorage>,
+    fails: Arc<AtomicBool>,
+}
+
+impl LogStorage for FailingStorage {
+    fn save_identity(&mut self, identity: &Identity) -> io::Result<()> {
+        self.inner.save_identity(identity)
+    }
+
+    fn append(&mut self, entries: &[Entry]) -> io::Result<()> {
+        self.inner.append(entries)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        if self.fails.load(Ordering::Relaxed) {
+            return Err(io::Error::other("sync failed"));
+        }
+        self.inner.sync()
+    }
+
+    fn read(&mut self, first_index: u64, limit_bytes: usize) -> io::Result<Vec<Entry>> {
+        self.inner.read(first_index, limit_bytes)
+    }
+
+    fn compact(&mut self, index: u64) -> io::Result<()> {
+        self.inner.compact(index)
+    }
+
+    fn clear(&mut self) -> io::Result<()> {
+        self.inner.clear()
+    }
+
+    fn discard_damaged(&mut self) -> io::Result<()> {
+        self.inner.discard_damaged()
+    }
+
+    fn data_bytes(&self) -> u64 {
+        self.inner.data_bytes()
+    }
+}
+
+// Guards against a replica that goes on after a failed sync, when nobody knows what is on its disk.
+#[async_std::test]
+async fn a_failed_sync_is_final_for_the_replica() {
+    let mut cluster = Cluster::start(3, |_| {});
+    propose_many(&cluster, 0, 5).await;
+    let leader = cluster.leader().await;
+    cluster.close(leader).await;
+    let fails = Arc::new(AtomicBool::new(false));
+    let switch = fails.clone();
+    let wrap = |inner| -> Box<dyn LogStorage> { Box::new(FailingStorage { inner, fails }) };
+    cluster.open_with(cluster.options(leader), wrap).unwrap();
+    let failing = cluster.groups[&leader].clone();
+    propose_many(&cluster, 5, 10).await;
+    cluster.converge(10).await;
+    switch.store(true, Ordering::Relaxed);
+    propose_many(&cluster, 10, 15).await;
+    wait_for("the replica to stop", || failing.status().is_stopped).await;
+    // The disk works again, but the replica does not try.
+    switch.store(false, Ordering::Relaxed);
+    propose_many(&cluster, 15, 20).await;
+    assert!(failing.status().fault.as_ref().unwrap().contains("sync failed"));
+    assert!(!failing.status().is_leader);
+    let refused = failing.propose(Bytes::from_static(b"x"), Priority::Online).await;
+    assert!(matches!(refused, Err(ProposeError::Storage(_))), "{refused:?}");
+    cluster.close_all().await;
+}
+
+// Guards against a damaged record that is cut like a torn write, and a replica that votes without
+// what it had acknowledged.
+#[async_std::test]
+async fn a_damaged_record_is_told_and_repaired() {
+    let mut cluster = Cluster::start(3, |_| {});
+    propose_many(&cluster, 0, 20).await;
+    cluster.converge(20).await;
+    cluster.close(3).await;
+    let segment = segment_files(&cluster.data_folder(3)).remove(0);
+    let mut content = fs::read(&segment).unwrap();
+    let middle = content.len() / 2;
+    content[middle] ^= 0x40;
+    fs::write(&segment, &content).unwrap();
+
+    cluster.network.cut(3);
+    cluster.open(3).unwrap();
+    let damaged = cluster.groups[&3].clone();
+    assert!(!damaged.status().may_vote);
+    assert!(damaged.status().fault.as_ref().unwrap().contains("damaged"));
+    cluster.network.heal();
+    cluster.propose("after").await;
+    wait_for("the repair", || damaged.status().may_vote && damaged.status().fault.is_none()).await;
+    cluster.converge(21).await;
+    cluster.close_all().await;
+}
+
+// Guards against a replica that forgets its promises when only its identity file is lost.
+#[async_std::test]
+async fn a_log_without_identity_is_not_opened() {
+    let mut cluster = Cluster::start(1, |_| {});
+    cluster.propose("first").await;
+    cluster.close(1).await;
+    fs::remove_file(cluster.data_folder(1).join("identity")).unwrap();
+    assert!(matches!(cluster.open(1), Err(OpenError::IdentityMissing { .. })));
+    cluster.close_all().await;
+}
+
+// Guards against a planned stop of the leader that leaves the group without one for long.
+#[async_std::test]
+async fn leadership_is_transferred() {
+    let cluster = Cluster::start(3, |_| {});
+    cluster.propose("first").await;
+    cluster.converge(1).await;
+    let leader = cluster.leader().await;
+    let next = loop {
+        // A follower is ready once it has answered the new leader.
+        match cluster.groups[&leader].transfer_leadership(0).await {
+            Ok(next) => break next,
+            Err(_) => task::sleep(std::time::Duration::from_millis(10)).await,
+        }
+    };
+    let group = cluster.groups[&next].clone();
+    wait_for("the next leader", || group.status().is_leader).await;
+    cluster.propose("second").await;
+    cluster.converge(2).await;
+    cluster.close_all().await;
+}
