--- a/src/state/bodies.rs
+++ b/src/state/bodies.rs
@@ -1,3 +1,4 @@
+use std::collections::VecDeque;
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -6,12 +7,17 @@
 
 use crate::state::{BodyRef, BodyStore};
 
+/// Chunks of lines kept after a read, about 4 MiB. One lease command may read from as many jobs.
+const CHUNKS_KEPT: usize = 64;
+
 /// The body store as the tables use it: counts live bytes and delays releases while bodies are
 /// read outside of the state's lock.
 pub(crate) struct Bodies {
     store: Arc<dyn BodyStore>,
     live_bytes: AtomicU64,
     releases: Mutex<Releases>,
+    /// Chunks read last, newest at the back: lines of one chunk are read one after the other.
+    chunks: Mutex<VecDeque<(BodyRef, Bytes)>>,
 }
 
 #[derive(Default)]
@@ -27,7 +33,12 @@
 
 impl Bodies {
     pub(crate) fn new(store: Arc<dyn BodyStore>) -> Self {
-        Self { store, live_bytes: AtomicU64::new(0), releases: Mutex::default() }
+        Self {
+            store,
+            live_bytes: AtomicU64::new(0),
+            releases: Mutex::default(),
+            chunks: Mutex::default(),
+        }
     }
 
     pub(crate) fn store(&self) -> &dyn BodyStore {
@@ -49,6 +60,22 @@
         self.store.read(body)
     }
 
+    /// Reads a chunk of lines, and keeps it for the next read.
+    pub(crate) fn read_chunk(&self, body: BodyRef) -> io::Result<Bytes> {
+        let mut chunks = self.chunks.lock().expect("lock is not poisoned");
+        if let Some(place) = chunks.iter().rposition(|(kept, _)| *kept == body) {
+            return Ok(chunks[place].1.clone());
+        }
+        drop(chunks);
+        let chunk = self.read(body)?;
+        chunks = self.chunks.lock().expect("lock is not poisoned");
+        if chunks.len() == CHUNKS_KEPT {
+            chunks.pop_front();
+        }
+        chunks.push_back((body, chunk.clone()));
+        Ok(chunk)
+    }
+
     pub(crate) fn release(&self, body: BodyRef) {
         if body.is_empty() {
             return;
@@ -71,6 +98,7 @@
     pub(crate) fn reset(&self, live_bytes: u64) {
         self.live_bytes.store(live_bytes, Ordering::Relaxed);
         self.releases.lock().expect("lock is not poisoned").delayed.clear();
+        self.chunks.lock().expect("lock is not poisoned").clear();
     }
 
     pub(crate) fn pin(&self) -> BodyPin<'_> {
--- a/src/state/claims.rs
+++ b/src/state/claims.rs
@@ -36,7 +36,8 @@
         retention_ms: u64,
         full: bool,
     ) -> Result<Outcome, Refusal> {
-        let Some((number, claim)) = self.by_key(&new.customer, &new.key) else {
+        let found = self.find(&new.customer, &new.key, &new.request_id);
+        let Some((number, claim)) = found else {
             if full {
                 return Err(Refusal::storage_full("storage is full; the claim was not taken"));
             }
@@ -93,8 +94,8 @@
         retention_ms: u64,
         bodies: &Bodies,
     ) -> Result<Outcome, Refusal> {
-        let by_key = self.by_key(&new.customer, &new.key);
-        let found = by_key.or_else(|| self.by_request(&new.customer, &new.request_id));
+        let found = self.find(&new.customer, &new.key, &new.request_id);
+        let mut key: Arc<str> = new.key.as_str().into();
         if let Some((number, claim)) = found {
             if claim.fingerprint != new.fingerprint {
                 return Err(other_request(&new.key, claim));
@@ -105,6 +106,9 @@
             if claim.not_repeatable && *claim.request_id != *new.request_id {
                 return Err(other_request(&new.key, claim));
             }
+            if key.is_empty() {
+                key = claim.key.clone();
+            }
             self.remove(number);
         }
         let answer = RecordedAnswer {
@@ -115,7 +119,7 @@
         };
         self.add(Claim {
             customer: new.customer.into(),
-            key: new.key.into(),
+            key,
             fingerprint: new.fingerprint.to_vec().into(),
             request_id: new.request_id.into(),
             not_repeatable: false,
@@ -188,6 +192,15 @@
         Some((number, self.get(number)?))
     }
 
+    /// The record that decides on a request: its own answer, else the record under its key.
+    fn find(&self, customer: &str, key: &str, request_id: &str) -> Option<(u64, &Claim)> {
+        let own = self.by_request(customer, request_id);
+        match own {
+            Some((_, claim)) if claim.answer().is_some() => own,
+            _ => self.by_key(customer, key).or(own),
+        }
+    }
+
     fn add(&mut self, claim: Claim) {
         self.insert(self.last + 1, claim);
     }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -24,6 +24,7 @@
 //! - Places of bodies differ between replicas. No decision depends on them.
 
 mod bodies;
+mod body_record;
 mod body_ref;
 mod body_store;
 mod claim;
@@ -33,6 +34,7 @@
 mod configuration_check;
 mod configuration_table;
 mod configuration_watch;
+mod disk_bodies;
 mod fair_queue;
 mod fences;
 mod file;
@@ -51,6 +53,7 @@
 mod render;
 mod replicated_state;
 mod request;
+mod segment;
 mod segment_name;
 mod snapshot;
 mod snapshot_records;
@@ -60,6 +63,7 @@
 
 pub use body_ref::BodyRef;
 pub use body_store::BodyStore;
+pub use disk_bodies::DiskBodies;
 pub use memory_bodies::MemoryBodies;
 pub use replicated_state::ReplicatedState;
 pub use segment_name::SegmentName;
--- a/src/state/query.rs
+++ b/src/state/query.rs
@@ -142,7 +142,7 @@
             return Ok(Answer::Lines(wire::LinePage { lines, more: true }));
         }
         let chunk = bodies
-            .read(body)
+            .read_chunk(body)
             .map_err(|error| Refusal::not_found(format!("line {line} cannot be read: {error}")))?;
         lines.push(chunk.slice(range));
     }
--- a/src/state/render.rs
+++ b/src/state/render.rs
@@ -122,7 +122,7 @@
 /// The line of an item; none when it cannot be read.
 pub(crate) fn item_line(job: &Job, item: u32, tables: &Tables, bodies: &Bodies) -> Option<Bytes> {
     let (body, range) = tables.files.get(&job.file_id)?.line(item)?;
-    match bodies.read(body) {
+    match bodies.read_chunk(body) {
         Ok(chunk) => Some(chunk.slice(range)),
         Err(error) => {
             log::error!("item {item} of job {}: cannot read its line: {error}", job.job_id);
