Add the query language with its parser and evaluator

Cause: operators need to read hosts, upstreams, jobs and items and give orders in one small language, from the command line and over HTTP.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! put together. See `docs/design.md` for how the parts fit.
 
 pub mod peer;
+pub mod query;
 pub mod raft;
 pub mod schema;
 pub mod settings;
