Add the command line

Cause: callers and operators need to ask, submit and follow jobs, change the configuration and inspect the fleet from a terminal.

--- a/src/bin/damaskhoist.rs
+++ b/src/bin/damaskhoist.rs
@@ -1,3 +1,11 @@
 //! The command line of operators and callers.
 
-fn main() {}
+use std::env;
+use std::process::ExitCode;
+
+use damaskhoist::cmd::{self, Console};
+
+fn main() -> ExitCode {
+    let arguments = env::args_os().skip(1).collect();
+    ExitCode::from(Console::with_process(|console| cmd::run(arguments, console)))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! admission) and the front ends that the `damaskhoistd` daemon and the `damaskhoist` command line
 //! put together. See `docs/design.md` for how the parts fit.
 
+pub mod cmd;
 pub mod peer;
 pub mod query;
 pub mod raft;
