--- a/src/telemetry/counters.rs
+++ b/src/telemetry/counters.rs
@@ -99,7 +99,8 @@
         }
     }
 
-    /// All values by name. A timer `t` appears as `t.count`, `t.total_us` and `t.max_us`.
+    /// All values by name. A timer `t` appears as `t.count`, `t.total_us`, `t.max_us`, `t.p50_us`
+    /// and `t.p99_us`; the percentiles are at most a quarter too large.
     pub fn snapshot(&self) -> BTreeMap<String, u64> {
         let mut values = BTreeMap::new();
         self.shared.counts.for_each(|name, cell| {
@@ -112,6 +113,8 @@
             values.insert(format!("{name}.count"), timer.count());
             values.insert(format!("{name}.total_us"), timer.total_us());
             values.insert(format!("{name}.max_us"), timer.max_us());
+            values.insert(format!("{name}.p50_us"), timer.percentile_us(50));
+            values.insert(format!("{name}.p99_us"), timer.percentile_us(99));
         });
         values
     }
--- a/src/telemetry/tracer.rs
+++ b/src/telemetry/tracer.rs
@@ -1,5 +1,6 @@
 use std::io;
 use std::path::Path;
+use std::time::Duration;
 
 use opentelemetry::trace::{
     SpanBuilder, SpanContext, SpanId, TraceContextExt, TraceFlags, TraceId, TraceState,
@@ -16,6 +17,8 @@
 /// Spans that may wait for the batch thread; more are dropped.
 const QUEUE_SPANS: usize = 16_384;
 const BATCH_SPANS: usize = 1_024;
+/// Longest time that an ended span waits for others before it is written.
+const BATCH_DELAY: Duration = Duration::from_secs(1);
 
 /// Starts spans. Clones share one exporter.
 #[derive(Clone)]
@@ -79,6 +82,7 @@
     let config = BatchConfigBuilder::default()
         .with_max_queue_size(QUEUE_SPANS)
         .with_max_export_batch_size(BATCH_SPANS)
+        .with_scheduled_delay(BATCH_DELAY)
         .build();
     BatchSpanProcessor::builder(exporter).with_batch_config(config).build()
 }
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -4,6 +4,7 @@
 use std::thread;
 
 use damaskhoist::telemetry::{Counters, Tracer};
+use proptest::prelude::*;
 use rstest::rstest;
 use serde_json::Value;
 
@@ -34,6 +35,26 @@
     assert_eq!(snapshot["g"], 7);
 }
 
+proptest! {
+    /// Guards against times that fall into a wrong bucket or outside all of them.
+    #[test]
+    fn percentiles_are_at_most_a_quarter_too_large(
+        mut times in prop::collection::vec((0u64..1 << 40, 0u32..40), 1..200)
+    ) {
+        let counters = Counters::open("h", None);
+        for (time, shift) in &mut times {
+            *time >>= *shift;
+            counters.time_us("t", *time);
+        }
+        times.sort_unstable();
+        for (percent, name) in [(50, "t.p50_us"), (99, "t.p99_us")] {
+            let exact = times[(times.len() * percent).div_ceil(100) - 1].0;
+            let found = counters.snapshot()[name];
+            prop_assert!(found >= exact && found <= exact + exact / 4, "{} for {}", found, exact);
+        }
+    }
+}
+
 #[test]
 fn counters_reach_a_statsd_server() {
     let server = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
