--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,12 +6,14 @@
 
 pub mod admission;
 pub mod batch;
+pub mod cmd;
 pub mod configuration;
 pub mod control;
 pub mod entry;
 mod host;
 pub mod membership;
 pub mod peer;
+pub mod query;
 pub mod raft;
 pub mod routing;
 pub mod schema;
