Answer status and drain calls of other hosts, and keep bodies on disk

A drain can be asked for by an operator through any host; the daemon then drains as on SIGTERM. A control host hands leadership on before it stops. Bodies of files, results and answers are in segment files under the data folder instead of memory.

--- a/src/bin/damaskhoistd.rs
+++ b/src/bin/damaskhoistd.rs
@@ -54,7 +54,7 @@
         log::info!("serving callers on {address}");
     }
     log::info!("serving peers on {}", host.peer_address());
-    let _ = stops.recv().await;
+    futures::future::select(Box::pin(stops.recv()), Box::pin(host.drain_requested())).await;
     let drain = Box::pin(host.drain());
     let again = Box::pin(stops.recv());
     futures::future::select(drain, again).await;
--- a/src/control/control_role.rs
+++ b/src/control/control_role.rs
@@ -1,5 +1,5 @@
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_std::task::{self, JoinHandle};
 use bytes::Bytes;
@@ -16,8 +16,12 @@
 };
 use crate::schema::state::{command, Command, Expire, Outcome, Query};
 use crate::settings::{ControlSettings, HostSettings};
-use crate::state::{MemoryBodies, ReplicatedState};
+use crate::state::{DiskBodies, ReplicatedState};
 
+/// Longest time that a transfer of leadership is waited for.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause between two looks at a transfer of leadership.
+const HAND_OVER_INTERVAL: Duration = Duration::from_millis(10);
 /// Time between two commands that let old state expire.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -48,7 +52,11 @@
 impl Control {
     /// Opens the replicas in the data folder.
     pub fn open(settings: &HostSettings, caller: Arc<dyn PeerCaller>) -> Result<Self> {
-        let state = Arc::new(ReplicatedState::open(Arc::new(MemoryBodies::default())));
+        let folder = settings.control.data_folder.join("bodies");
+        let bodies = DiskBodies::open(&folder)
+            .into_diagnostic()
+            .wrap_err_with(|| format!("opening {}", folder.display()))?;
+        let state = Arc::new(ReplicatedState::open(Arc::new(bodies)));
         let outbox = Arc::new(PeerOutbox { caller });
         let options = group_options(&settings.control);
         let group = Group::open(options, state.clone(), outbox)
@@ -76,8 +84,26 @@
         }
     }
 
+    /// What the replicas say about themselves.
+    pub fn status(&self) -> ControlStatus {
+        self.shared.status()
+    }
+
+    /// Hands leadership to the best follower, if this host leads and there is one.
+    pub async fn hand_over(&self) {
+        let group = &self.shared.group;
+        if !group.status().is_leader || group.transfer_leadership(0).await.is_err() {
+            return;
+        }
+        let started = Instant::now();
+        while group.status().is_leader && started.elapsed() < HAND_OVER_TIMEOUT {
+            task::sleep(HAND_OVER_INTERVAL).await;
+        }
+    }
+
     /// Hands leadership on and stops the replicas.
     pub async fn close(self) {
+        self.hand_over().await;
         let expiring = self.expiring.lock().expect("lock is not poisoned").take();
         if let Some(expiring) = expiring {
             expiring.cancel().await;
--- a/src/entry/routes/status.rs
+++ b/src/entry/routes/status.rs
@@ -70,8 +70,7 @@
     async fn handle(&self, request: CallerRequest, _span: Span) -> Result<Response, Refusal> {
         request.check_operator()?;
         let shared = request.shared();
-        shared.membership.set_leaving();
-        shared.activity.start_draining();
+        shared.activity.request_drain();
         Ok(json_response(&json!({"host_id": shared.settings.host_id, "draining": true})))
     }
 }
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -5,6 +5,8 @@
 use crate::entry::activity::Activity;
 use crate::membership::{select_entries, Membership};
 use crate::peer::PeerCaller;
+use crate::routing::WorkClass;
+use crate::schema::peer::SlotUse;
 use crate::schema::state::{command, outcome, query, query_answer, Command, Query};
 use crate::serving::{unavailable, Dispatcher, OnlineService};
 use crate::settings::HostSettings;
@@ -55,6 +57,20 @@
         Err(Refusal::not_run(RefusalKind::ConfigurationStale, message))
     }
 
+    /// Slots of each upstream that this host uses.
+    pub fn slot_uses(&self) -> Vec<SlotUse> {
+        let fleet = self.dispatcher.fleet().load();
+        let uses = fleet.upstreams().map(|upstream| SlotUse {
+            upstream_id: upstream.record.upstream_id.clone(),
+            upstream_incarnation: upstream.incarnation,
+            online_in_use: upstream.in_use_by(WorkClass::Online),
+            batch_in_use: upstream.in_use_by(WorkClass::Batch),
+            online_wanted: 0,
+            batch_wanted: 0,
+        });
+        uses.collect()
+    }
+
     /// Submits a command; a refusal by the state becomes a refusal of the request.
     pub async fn submit(
         &self,
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,5 +1,5 @@
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use async_std::net::TcpListener;
 use async_trait::async_trait;
@@ -13,7 +13,7 @@
 use crate::peer::{PeerCaller, PeerHandler, PeerListener, PeerPool};
 use crate::routing::{Fleet, WeightedScore};
 use crate::schema::peer::frame::Body;
-use crate::schema::peer::{reply, Call, CallFailure, FailureKind, Reply};
+use crate::schema::peer::{call, reply, Call, CallFailure, FailureKind, HostStatus, Reply};
 use crate::serving::{AnswerLedger, Dispatcher, OnlineService};
 use crate::settings::{HostSettings, ReplicaSettings};
 use crate::state::StateClient;
@@ -47,15 +47,25 @@
 
 /// Hands what peers send to the part that it is for.
 struct Handler {
+    host_id: String,
     membership: Membership,
     control: Option<Control>,
+    activity: Activity,
+    counters: Counters,
+    /// Set once the entry role serves.
+    entry: OnceLock<Arc<EntryShared>>,
 }
 
 #[async_trait]
 impl PeerHandler for Handler {
     async fn handle_call(&self, _from_host_id: &str, call: Call) -> Reply {
-        let reply = match (&self.control, call.call) {
-            (Some(control), Some(call)) => control.handle(call).await,
+        let reply = match (call.call, &self.control) {
+            (Some(call::Call::HostStatus(_)), _) => reply::Reply::HostStatus(self.status()),
+            (Some(call::Call::DrainHost(_)), _) => {
+                self.activity.request_drain();
+                reply::Reply::Done(Default::default())
+            }
+            (Some(call), Some(control)) => control.handle(call).await,
             _ => reply::Reply::Failure(CallFailure {
                 kind: FailureKind::Unsupported.into(),
                 message: "this host does not answer such calls".to_owned(),
@@ -74,6 +84,27 @@
     }
 }
 
+impl Handler {
+    fn status(&self) -> HostStatus {
+        let mut status = HostStatus {
+            host_id: self.host_id.clone(),
+            open_requests: self.activity.open(),
+            draining: self.activity.is_draining(),
+            counters: self.counters.snapshot(),
+            ..HostStatus::default()
+        };
+        if let Some(control) = &self.control {
+            status.groups = control.status().groups;
+        }
+        if let Some(entry) = self.entry.get() {
+            status.configuration_version = entry.configuration.load().version();
+            status.configuration_age_ms = entry.configuration.confirmed_age_ms();
+            status.slots = entry.slot_uses();
+        }
+        status
+    }
+}
+
 impl BoundHost {
     /// Takes the addresses of the settings; port 0 takes any free port.
     ///
@@ -117,7 +148,14 @@
             true => Some(Control::open(&settings, caller.clone())?),
             false => None,
         };
-        let handler = Arc::new(Handler { membership: membership.clone(), control });
+        let handler = Arc::new(Handler {
+            host_id: settings.host_id.clone(),
+            membership: membership.clone(),
+            control,
+            activity: Activity::default(),
+            counters: counters.clone(),
+            entry: OnceLock::new(),
+        });
         let listener = PeerListener::spawn(peers, &settings.peer_key, handler.clone())
             .into_diagnostic()
             .wrap_err("serving peers")?;
@@ -184,11 +222,11 @@
             caller,
             online: OnlineService::open(dispatcher.clone(), ledger),
             dispatcher,
-            activity: Activity::default(),
+            activity: self.handler.activity.clone(),
         };
-        let entry = Entry::spawn(callers, Arc::new(shared))
-            .into_diagnostic()
-            .wrap_err("serving callers")?;
+        let shared = Arc::new(shared);
+        let _ = self.handler.entry.set(shared.clone());
+        let entry = Entry::spawn(callers, shared).into_diagnostic().wrap_err("serving callers")?;
         Ok(EntryParts { entry, batch, configuration })
     }
 
@@ -207,8 +245,16 @@
         self.entry.as_ref().map(|parts| &parts.entry)
     }
 
+    /// Waits until an operator asks this host to drain.
+    pub async fn drain_requested(&self) {
+        self.handler.activity.drain_requested().await;
+    }
+
     /// Stops after every request has ended.
     pub async fn drain(mut self) {
+        if let Some(control) = &self.handler.control {
+            control.hand_over().await;
+        }
         if let Some(parts) = self.entry.take() {
             let (entry, batch) = (parts.entry, parts.batch);
             futures::join!(entry.drain(), batch.close());
