--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! admission) and the front ends that the `damaskhoistd` daemon and the `damaskhoist` command line
 //! put together. See `docs/design.md` for how the parts fit.
 
+pub mod admin;
 pub mod admission;
 pub mod batch;
 pub mod cmd;
