--- a/src/state/bodies.rs
+++ b/src/state/bodies.rs
@@ -1,23 +1,19 @@
-use std::collections::VecDeque;
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
 
+use crate::state::chunk_cache::ChunkCache;
 use crate::state::{BodyRef, BodyStore};
 
-/// Chunks of lines kept after a read, about 4 MiB. One lease command may read from as many jobs.
-const CHUNKS_KEPT: usize = 64;
-
 /// The body store as the tables use it: counts live bytes and delays releases while bodies are
 /// read outside of the state's lock.
 pub(crate) struct Bodies {
     store: Arc<dyn BodyStore>,
     live_bytes: AtomicU64,
     releases: Mutex<Releases>,
-    /// Chunks read last, newest at the back: lines of one chunk are read one after the other.
-    chunks: Mutex<VecDeque<(BodyRef, Bytes)>>,
+    chunks: Mutex<ChunkCache>,
 }
 
 #[derive(Default)]
@@ -62,17 +58,11 @@
 
     /// Reads a chunk of lines, and keeps it for the next read.
     pub(crate) fn read_chunk(&self, body: BodyRef) -> io::Result<Bytes> {
-        let mut chunks = self.chunks.lock().expect("lock is not poisoned");
-        if let Some(place) = chunks.iter().rposition(|(kept, _)| *kept == body) {
-            return Ok(chunks[place].1.clone());
+        if let Some(chunk) = self.chunks.lock().expect("lock is not poisoned").get(body) {
+            return Ok(chunk);
         }
-        drop(chunks);
         let chunk = self.read(body)?;
-        chunks = self.chunks.lock().expect("lock is not poisoned");
-        if chunks.len() == CHUNKS_KEPT {
-            chunks.pop_front();
-        }
-        chunks.push_back((body, chunk.clone()));
+        self.chunks.lock().expect("lock is not poisoned").insert(body, chunk.clone());
         Ok(chunk)
     }
 
@@ -98,7 +88,7 @@
     pub(crate) fn reset(&self, live_bytes: u64) {
         self.live_bytes.store(live_bytes, Ordering::Relaxed);
         self.releases.lock().expect("lock is not poisoned").delayed.clear();
-        self.chunks.lock().expect("lock is not poisoned").clear();
+        *self.chunks.lock().expect("lock is not poisoned") = ChunkCache::default();
     }
 
     pub(crate) fn pin(&self) -> BodyPin<'_> {
--- a/src/state/claim.rs
+++ b/src/state/claim.rs
@@ -1,8 +1,7 @@
 use std::sync::Arc;
 
-use bytes::Bytes;
-
 use crate::state::command::Holder;
+use crate::state::fingerprint::Fingerprint;
 use crate::state::outcome::ClaimStatus;
 use crate::state::BodyRef;
 
@@ -12,7 +11,7 @@
     pub(crate) customer: Arc<str>,
     /// Empty for none.
     pub(crate) key: Arc<str>,
-    pub(crate) fingerprint: Bytes,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) request_id: Arc<str>,
     pub(crate) not_repeatable: bool,
     pub(crate) phase: ClaimPhase,
--- a/src/state/claims.rs
+++ b/src/state/claims.rs
@@ -3,21 +3,26 @@
 
 use crate::state::bodies::Bodies;
 use crate::state::claim::{Claim, ClaimPhase, RecordedAnswer};
+use crate::state::claim_pages::ClaimPages;
 use crate::state::command::{NewAnswer, NewClaim};
 use crate::state::outcome::{ClaimStatus, ClaimTaken, Outcome};
 use crate::state::refusal::Refusal;
 
+/// Callers choose content types, so only the first ones are shared.
+const CONTENT_TYPES_SHARED: usize = 64;
+
 /// Claims and recorded answers of online requests.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Claims {
-    records: BTreeMap<u64, Arc<Claim>>,
+    records: ClaimPages,
     customers: BTreeMap<Arc<str>, CustomerClaims>,
     ends: BTreeSet<(u64, u64)>,
+    content_types: BTreeSet<Arc<str>>,
     /// Number of the newest record.
     last: u64,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 struct CustomerClaims {
     by_key: HashMap<Arc<str>, u64>,
     by_request: HashMap<Arc<str>, u64>,
@@ -76,8 +81,7 @@
         self.add(Claim {
             customer: new.customer.into(),
             key: new.key.into(),
-            // A copy, because the decoded field keeps its whole log entry in memory.
-            fingerprint: new.fingerprint.to_vec().into(),
+            fingerprint: new.fingerprint,
             request_id: request_id.clone(),
             not_repeatable: new.not_repeatable,
             phase: ClaimPhase::Held { holder: new.holder, lease_expires_unix_ms },
@@ -120,7 +124,7 @@
         self.add(Claim {
             customer: new.customer.into(),
             key,
-            fingerprint: new.fingerprint.to_vec().into(),
+            fingerprint: new.fingerprint,
             request_id: new.request_id.into(),
             not_repeatable: false,
             phase: ClaimPhase::Answered(answer),
@@ -151,10 +155,9 @@
             self.remove(number);
             return Ok(Outcome::ClaimSettled(ClaimStatus::Free));
         }
-        if let Some(claim) = self.records.get_mut(&number).map(Arc::make_mut) {
-            if let Some(holder) = claim.holder().cloned() {
-                claim.phase = ClaimPhase::Unknown { holder };
-            }
+        if let Some(holder) = claim.holder().cloned() {
+            let unknown = Claim { phase: ClaimPhase::Unknown { holder }, ..claim.clone() };
+            self.records.set(number, unknown);
         }
         Ok(Outcome::ClaimSettled(ClaimStatus::Unknown))
     }
@@ -175,7 +178,7 @@
     }
 
     pub(crate) fn get(&self, number: u64) -> Option<&Claim> {
-        self.records.get(&number).map(|claim| &**claim)
+        self.records.get(number)
     }
 
     /// The record under a key; none for the empty key.
@@ -206,19 +209,36 @@
     }
 
     /// Adds a record under its number, with all indexes.
-    pub(crate) fn insert(&mut self, number: u64, claim: Claim) {
+    pub(crate) fn insert(&mut self, number: u64, mut claim: Claim) {
         self.last = self.last.max(number);
+        if let Some((name, _)) = self.customers.get_key_value(&claim.customer) {
+            claim.customer = name.clone();
+        }
+        if let ClaimPhase::Answered(answer) = &mut claim.phase {
+            answer.content_type = self.shared_content_type(&answer.content_type);
+        }
         let customer = self.customers.entry(claim.customer.clone()).or_default();
         if !claim.key.is_empty() {
             customer.by_key.insert(claim.key.clone(), number);
         }
         customer.by_request.insert(claim.request_id.clone(), number);
         self.ends.insert((claim.expires_unix_ms, number));
-        self.records.insert(number, Arc::new(claim));
+        self.records.set(number, claim);
+    }
+
+    /// One copy of a content type for all its answers.
+    fn shared_content_type(&mut self, content_type: &Arc<str>) -> Arc<str> {
+        if let Some(shared) = self.content_types.get(content_type) {
+            return shared.clone();
+        }
+        if self.content_types.len() < CONTENT_TYPES_SHARED {
+            self.content_types.insert(content_type.clone());
+        }
+        content_type.clone()
     }
 
-    fn remove(&mut self, number: u64) -> Option<Arc<Claim>> {
-        let claim = self.records.remove(&number)?;
+    fn remove(&mut self, number: u64) -> Option<Claim> {
+        let claim = self.records.remove(number)?;
         self.ends.remove(&(claim.expires_unix_ms, number));
         if let Some(customer) = self.customers.get_mut(&claim.customer) {
             // A later record may have taken over the key or the request.
@@ -235,8 +255,13 @@
         self.last
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (u64, &Arc<Claim>)> {
-        self.records.iter().map(|(number, claim)| (*number, claim))
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (u64, &Claim)> {
+        self.records.iter()
+    }
+
+    /// All records, shared until they change.
+    pub(crate) fn freeze(&self) -> ClaimPages {
+        self.records.clone()
     }
 }
 
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -5,6 +5,7 @@
 use crate::schema::config::edit::Edit as EditKind;
 use crate::schema::state::command::Command as Wire;
 use crate::schema::state::ItemEnd;
+use crate::state::fingerprint::Fingerprint;
 use crate::state::item_attempt::ItemAttempt;
 use crate::state::refusal::Refusal;
 
@@ -53,7 +54,7 @@
     pub(crate) job_id: String,
     /// Empty for none.
     pub(crate) idempotency_key: String,
-    pub(crate) fingerprint: Bytes,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) file_id: String,
     pub(crate) endpoint: String,
     pub(crate) service: String,
@@ -86,7 +87,7 @@
 pub(crate) struct NewClaim {
     pub(crate) customer: String,
     pub(crate) key: String,
-    pub(crate) fingerprint: Bytes,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) request_id: String,
     pub(crate) holder: Holder,
     pub(crate) lease_ms: u32,
@@ -99,7 +100,7 @@
     pub(crate) customer: String,
     /// Empty for none.
     pub(crate) key: String,
-    pub(crate) fingerprint: Bytes,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) request_id: String,
     pub(crate) status: u32,
     pub(crate) content_type: String,
@@ -143,7 +144,7 @@
                 customer: required("customer", create.customer)?,
                 job_id: required("job_id", create.job_id)?,
                 idempotency_key: create.idempotency_key,
-                fingerprint: create.fingerprint,
+                fingerprint: create.fingerprint[..].into(),
                 file_id: required("file_id", create.file_id)?,
                 endpoint: create.endpoint,
                 service: required("service", create.service)?,
@@ -179,7 +180,7 @@
             Wire::TakeClaim(take) => Self::TakeClaim(NewClaim {
                 customer: take.customer,
                 key: required("key", take.key)?,
-                fingerprint: take.fingerprint,
+                fingerprint: take.fingerprint[..].into(),
                 request_id: required("request_id", take.request_id)?,
                 holder: Holder::try_new(take.holder, take.holder_incarnation)?,
                 lease_ms: take.lease_ms,
@@ -188,7 +189,7 @@
             Wire::RecordAnswer(record) => Self::RecordAnswer(NewAnswer {
                 customer: record.customer,
                 key: record.key,
-                fingerprint: record.fingerprint,
+                fingerprint: record.fingerprint[..].into(),
                 request_id: required("request_id", record.request_id)?,
                 status: record.status,
                 content_type: record.content_type,
--- a/src/state/command_results.rs
+++ b/src/state/command_results.rs
@@ -11,7 +11,7 @@
 const DROP_STEP: usize = 8;
 
 /// Outcomes of commands by their id.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct CommandResults {
     by_id: HashMap<Arc<str>, KeptResult>,
     /// Ids in the order in which their results run out.
@@ -62,7 +62,10 @@
     }
 
     /// Results with their ids and ends, oldest first.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&str, u64, &KeptResult)> {
-        self.order.iter().filter_map(|(expires, id)| Some((&**id, *expires, self.by_id.get(id)?)))
+    pub(crate) fn freeze(&self) -> Vec<(Arc<str>, u64, KeptResult)> {
+        let results = self.order.iter();
+        results
+            .filter_map(|(expires, id)| Some((id.clone(), *expires, self.by_id.get(id)?.clone())))
+            .collect()
     }
 }
--- a/src/state/fair_queue.rs
+++ b/src/state/fair_queue.rs
@@ -8,7 +8,7 @@
 /// Jobs of one service with pending items, shared fairly between customers by virtual time: the
 /// customer that has received least for its weight is next. A customer that comes back from idling
 /// starts at the queue's own time, so that it neither catches up on the past nor is held back.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct FairQueue {
     shares: BTreeMap<Arc<str>, Share>,
     /// Customers with pending items by their virtual time.
@@ -17,7 +17,7 @@
     floor: u64,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 struct Share {
     virtual_time: u64,
     /// Jobs by deadline, then id.
--- a/src/state/file.rs
+++ b/src/state/file.rs
@@ -7,7 +7,7 @@
 
 /// Lines are stored in chunks of about this size: large enough to compress, small enough to read
 /// for one line.
-const CHUNK_BYTES: usize = 64 << 10;
+const CHUNK_BYTES: usize = 16 << 10;
 
 /// An uploaded file of lines.
 #[derive(Clone, Debug)]
--- a/src/state/files.rs
+++ b/src/state/files.rs
@@ -8,7 +8,7 @@
 use crate::state::refusal::Refusal;
 
 /// Uploaded files by their id.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Files {
     by_id: BTreeMap<Arc<str>, Arc<File>>,
     by_customer: BTreeSet<(Arc<str>, Arc<str>)>,
@@ -175,8 +175,13 @@
         }
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&str, &Arc<File>)> {
-        self.by_id.iter().map(|(id, file)| (&**id, file))
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Arc<File>> {
+        self.by_id.values()
+    }
+
+    /// All files with their ids, shared until they change.
+    pub(crate) fn freeze(&self) -> Vec<(Arc<str>, Arc<File>)> {
+        self.by_id.iter().map(|(id, file)| (id.clone(), file.clone())).collect()
     }
 
     fn owned(&self, customer: &str, file_id: &str) -> Result<(Arc<str>, &File), Refusal> {
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -1,12 +1,12 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use bytes::Bytes;
-
 use crate::state::bodies::Bodies;
 use crate::state::command::{AttemptEnd, Holder, ItemFinish};
-use crate::state::item::{Item, ItemState};
+use crate::state::fingerprint::Fingerprint;
+use crate::state::item::ItemState;
 use crate::state::item_attempt::ItemAttempt;
+use crate::state::item_table::ItemTable;
 use crate::state::lease::Lease;
 use crate::state::outcome::FinishVerdict;
 use crate::state::BodyRef;
@@ -24,7 +24,7 @@
     pub(crate) endpoint: String,
     pub(crate) metadata_json: String,
     pub(crate) idempotency_key: String,
-    pub(crate) fingerprint: Bytes,
+    pub(crate) fingerprint: Fingerprint,
     /// `u64::MAX` for none.
     pub(crate) deadline_unix_ms: u64,
     pub(crate) created_at_unix_ms: u64,
@@ -36,7 +36,7 @@
     pub(crate) state: JobState,
     /// Hidden, without items; kept so that a resend does not create the job anew.
     pub(crate) deleted: bool,
-    pub(crate) items: Vec<Item>,
+    pub(crate) items: ItemTable,
     pub(crate) counts: ItemCounts,
     pub(crate) pending: PendingItems,
     pub(crate) leases: BTreeMap<u32, Lease>,
@@ -79,7 +79,7 @@
     /// Leases the next pending item and gives its index and attempt.
     pub(crate) fn lease_next(&mut self, holder: &Holder, expires: u64) -> Option<(u32, u32)> {
         let index = self.take_pending()?;
-        let item = &mut self.items[index as usize];
+        let item = self.items.item_mut(index);
         item.state = ItemState::Leased;
         item.attempt += 1;
         item.tries += 1;
@@ -105,14 +105,14 @@
 
     /// The lease of an attempt, when this attempt holds the item.
     pub(crate) fn lease_of(&self, item: u32, attempt: u32, host_id: &str) -> Option<&Lease> {
-        let current = self.items.get(item as usize)?.attempt;
+        let current = self.items.get(item)?.attempt;
         let lease = self.leases.get(&item)?;
         (current == attempt && *lease.holder.host_id == *host_id).then_some(lease)
     }
 
     /// Whether an attempt may end its item.
     pub(crate) fn verdict(&self, host_id: &str, attempt: &ItemAttempt) -> FinishVerdict {
-        match self.items.get(attempt.item as usize) {
+        match self.items.get(attempt.item) {
             None => FinishVerdict::UnknownItem,
             Some(item) if item.has_ended() => FinishVerdict::Duplicate,
             Some(_) if self.state == JobState::Cancelled => FinishVerdict::JobCancelled,
@@ -126,7 +126,7 @@
     /// Ends an attempt whose verdict is accepted.
     pub(crate) fn finish(&mut self, finish: &ItemFinish, bodies: &Bodies) {
         let index = finish.attempt.item;
-        let item = self.items[index as usize];
+        let item = *self.items.item(index);
         self.leases.remove(&index);
         match finish.end {
             AttemptEnd::Succeeded => {
@@ -134,7 +134,7 @@
             }
             AttemptEnd::AttemptFailed if item.tries < self.max_attempts => {
                 self.set_body(index, BodyRef::EMPTY, bodies);
-                self.items[index as usize].state = ItemState::Pending;
+                self.items.item_mut(index).state = ItemState::Pending;
                 self.pending.retries.push_back(index);
             }
             AttemptEnd::Failed | AttemptEnd::AttemptFailed => {
@@ -145,7 +145,7 @@
                 if !finish.body.is_empty() {
                     self.set_body(index, bodies.append(&finish.body), bodies);
                 }
-                let item = &mut self.items[index as usize];
+                let item = self.items.item_mut(index);
                 item.state = ItemState::Pending;
                 item.tries -= 1;
                 self.pending.yielded.push_back(index);
@@ -158,12 +158,12 @@
         if self.leases.remove(&index).is_none() {
             return;
         }
-        let tries = self.items[index as usize].tries;
+        let tries = self.items.item(index).tries;
         if tries >= self.max_attempts {
             self.end_item(index, ItemState::Failed, 0, LEASE_RAN_OUT, bodies);
             return;
         }
-        self.items[index as usize].state = ItemState::Pending;
+        self.items.item_mut(index).state = ItemState::Pending;
         self.pending.retries.push_back(index);
     }
 
@@ -200,7 +200,7 @@
 
     /// Gives up all results and progress.
     pub(crate) fn release(&mut self, bodies: &Bodies) {
-        for item in std::mem::take(&mut self.items) {
+        for item in std::mem::take(&mut self.items).iter() {
             bodies.release(item.body);
         }
     }
@@ -218,13 +218,13 @@
             _ => self.counts.failed += 1,
         }
         self.set_body(index, bodies.append(body), bodies);
-        let item = &mut self.items[index as usize];
+        let item = self.items.item_mut(index);
         item.state = state;
         item.status = status;
     }
 
     fn set_body(&mut self, index: u32, body: BodyRef, bodies: &Bodies) {
-        let old = std::mem::replace(&mut self.items[index as usize].body, body);
+        let old = std::mem::replace(&mut self.items.item_mut(index).body, body);
         bodies.release(old);
     }
 }
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -5,8 +5,8 @@
 use crate::state::command::{Holder, ItemFinish, NewJob};
 use crate::state::configuration_table::ConfigurationTable;
 use crate::state::files::Files;
-use crate::state::item::Item;
 use crate::state::item_attempt::ItemAttempt;
+use crate::state::item_table::ItemTable;
 use crate::state::job::{ItemCounts, Job, JobState, PendingItems};
 use crate::state::outcome::{FinishVerdict, Outcome};
 use crate::state::ready_jobs::ReadyJobs;
@@ -21,7 +21,7 @@
 /// Batch jobs and the order in which their items are leased.
 ///
 /// Jobs are shared with copies made for snapshots, and copied when they change after one.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Jobs {
     by_id: BTreeMap<Arc<str>, Arc<Job>>,
     by_customer: BTreeSet<(Arc<str>, Arc<str>)>,
@@ -302,7 +302,7 @@
         if !job.deleted {
             files.give_back(&job.file_id, now, bodies);
         }
-        for item in &job.items {
+        for item in job.items.iter() {
             bodies.release(item.body);
         }
     }
@@ -397,8 +397,7 @@
         endpoint: new.endpoint,
         metadata_json: new.metadata_json,
         idempotency_key: new.idempotency_key,
-        // A copy, because the decoded field keeps its whole log entry in memory.
-        fingerprint: new.fingerprint.to_vec().into(),
+        fingerprint: new.fingerprint,
         deadline_unix_ms: match new.deadline_unix_ms {
             0 => u64::MAX,
             deadline => deadline,
@@ -409,7 +408,7 @@
         max_attempts,
         state: JobState::InProgress,
         deleted: false,
-        items: vec![Item::default(); lines as usize],
+        items: ItemTable::new(lines),
         counts: ItemCounts { total: lines, ..ItemCounts::default() },
         pending: PendingItems::default(),
         leases: Default::default(),
--- a/src/state/query.rs
+++ b/src/state/query.rs
@@ -72,7 +72,7 @@
     let mut items = Vec::new();
     for index in list.from_item..job.counts.total {
         let body_bytes = match list.with_bodies {
-            true => job.items[index as usize].body.len_bytes.into(),
+            true => job.items.item(index).body.len_bytes.into(),
             false => 0,
         };
         if !page.take(body_bytes) {
@@ -90,7 +90,7 @@
     tables: &Tables,
     bodies: &Bodies,
 ) -> Result<wire::Item, Refusal> {
-    let item = &job.items[index as usize];
+    let item = job.items.item(index);
     let state = match job.state == JobState::Cancelled && !item.has_ended() {
         true => wire::ItemState::ItemCancelled,
         false => item.state.into(),
--- a/src/state/ready_jobs.rs
+++ b/src/state/ready_jobs.rs
@@ -1,12 +1,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::schema::state::FairShareRecord;
 use crate::state::fair_queue::FairQueue;
 use crate::state::job::Job;
 
 /// Jobs with pending items, by service. Shares are kept for each service apart: what a customer
 /// gets from one service does not count against it at another, whose upstreams are others.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct ReadyJobs {
     services: BTreeMap<Arc<str>, FairQueue>,
     /// Counts leases of items, so that several services take turns.
@@ -91,7 +92,15 @@
         self.turn
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&str, &FairQueue)> {
-        self.services.iter().map(|(service, queue)| (&**service, queue))
+    /// The customers' shares as a snapshot has them.
+    pub(crate) fn shares(&self) -> impl Iterator<Item = FairShareRecord> + '_ {
+        self.services.iter().flat_map(|(service, queue)| {
+            queue.shares().map(move |(customer, virtual_time)| FairShareRecord {
+                service: service.to_string(),
+                customer: customer.to_owned(),
+                virtual_time,
+                floor: queue.floor(),
+            })
+        })
     }
 }
--- a/src/state/render.rs
+++ b/src/state/render.rs
@@ -100,7 +100,7 @@
     bodies: &Bodies,
 ) -> Option<wire::LeasedItem> {
     let job = tables.jobs.get(&attempt.job_id)?;
-    let item = job.items.get(attempt.item as usize)?;
+    let item = job.items.get(attempt.item)?;
     let line = item_line(job, attempt.item, tables, bodies)?;
     // An item that has moved on since the first answer has no progress to give.
     let progress = match item.attempt == attempt.attempt && !item.has_ended() {
--- a/src/state/replicated_state.rs
+++ b/src/state/replicated_state.rs
@@ -76,9 +76,9 @@
     fn save(&self, target: &mut dyn io::Write) -> io::Result<()> {
         let tables = self.tables.read().expect("lock is not poisoned");
         let pin = self.bodies.pin();
-        let copy = tables.clone();
+        let frozen = tables.freeze();
         drop(tables);
-        let saved = snapshot::save(&copy, self.bodies.store(), target);
+        let saved = snapshot::save(frozen, self.bodies.store(), target);
         drop(pin);
         saved
     }
--- a/src/state/snapshot.rs
+++ b/src/state/snapshot.rs
@@ -11,22 +11,21 @@
 use crate::state::configuration_table::ConfigurationTable;
 use crate::state::fences::{Fence, Fences};
 use crate::state::file::File;
+use crate::state::frozen_tables::FrozenTables;
 use crate::state::job::Job;
 use crate::state::jobs::Jobs;
 use crate::state::snapshot_records;
 use crate::state::state_clock::StateClock;
-use crate::state::tables::Tables;
+use crate::state::tables::{Tables, SNAPSHOT_FORMAT};
 use crate::state::{BodyStore, SegmentName};
 
-/// Version of the snapshot's form.
-const FORMAT: u32 = 1;
 /// Above the largest record, a job of a million items.
 const RECORD_LIMIT_BYTES: u64 = 256 << 20;
 const BUFFER_BYTES: usize = 256 << 10;
 
 /// Writes the tables and all segments.
 pub(crate) fn save(
-    tables: &Tables,
+    tables: FrozenTables,
     bodies: &dyn BodyStore,
     target: &mut dyn Write,
 ) -> io::Result<()> {
@@ -36,30 +35,21 @@
         checksum: crc32fast::Hasher::new(),
         buffer: Vec::new(),
     };
-    writer.write(Record::Header(header(tables)))?;
-    for (command_id, expires, kept) in tables.results.iter() {
-        writer.write(Record::Result(snapshot_records::result(command_id, expires, kept)))?;
+    for record in tables.small {
+        writer.write(record)?;
     }
-    for (file_id, file) in tables.files.iter() {
-        writer.write(Record::File(snapshot_records::file(file_id, file)))?;
+    for (command_id, expires, kept) in &tables.results {
+        writer.write(Record::Result(snapshot_records::result(command_id, *expires, kept)))?;
     }
-    for (service, queue) in tables.jobs.ready().iter() {
-        for (customer, virtual_time) in queue.shares() {
-            let (service, customer) = (service.to_owned(), customer.to_owned());
-            let floor = queue.floor();
-            let share = wire::FairShareRecord { service, customer, virtual_time, floor };
-            writer.write(Record::Share(share))?;
-        }
+    for (file_id, file) in &tables.files {
+        writer.write(Record::File(snapshot_records::file(file_id, file)))?;
     }
-    for job in tables.jobs.iter() {
+    for job in &tables.jobs {
         writer.write(Record::Job(snapshot_records::job(job)))?;
     }
     for (number, claim) in tables.claims.iter() {
         writer.write(Record::Claim(snapshot_records::claim(number, claim)))?;
     }
-    for (scope, fence) in tables.fences.iter() {
-        writer.write(Record::Fence(snapshot_records::fence(scope, fence)))?;
-    }
     writer.write(Record::Segments(snapshot_records::segments(&segments)))?;
     writer.end()?;
     for segment in &segments {
@@ -102,21 +92,9 @@
     Ok((tables, segments))
 }
 
-fn header(tables: &Tables) -> wire::SnapshotHeader {
-    wire::SnapshotHeader {
-        format: FORMAT,
-        now_unix_ms: tables.clock.now_unix_ms(),
-        configuration: Some((**tables.configuration.current()).clone()),
-        changed_by: tables.configuration.changed_by().to_owned(),
-        last_fence: tables.fences.last(),
-        lease_turn: tables.jobs.ready().turn(),
-        last_claim: tables.claims.last(),
-    }
-}
-
 fn tables_of(header: wire::SnapshotHeader) -> io::Result<Tables> {
-    if header.format != FORMAT {
-        return Err(damaged(&format!("format {} is not {FORMAT}", header.format)));
+    if header.format != SNAPSHOT_FORMAT {
+        return Err(damaged(&format!("format {} is not {SNAPSHOT_FORMAT}", header.format)));
     }
     let configuration = header.configuration.unwrap_or_default();
     Ok(Tables {
--- a/src/state/snapshot_records.rs
+++ b/src/state/snapshot_records.rs
@@ -9,8 +9,10 @@
 use crate::state::command_results::KeptResult;
 use crate::state::fences::Fence;
 use crate::state::file::{File, LineChunk};
+use crate::state::fingerprint::Fingerprint;
 use crate::state::item::{Item, ITEM_BYTES};
 use crate::state::item_attempt::ItemAttempt;
+use crate::state::item_table::ItemTable;
 use crate::state::job::{ItemCounts, Job, JobState, PendingItems};
 use crate::state::lease::Lease;
 use crate::state::outcome::{ClaimStatus, ClaimTaken, FinishVerdict, Outcome};
@@ -157,7 +159,7 @@
 
 pub(crate) fn job(job: &Job) -> wire::JobRecord {
     let mut items = Vec::with_capacity(job.items.len() * ITEM_BYTES);
-    for item in &job.items {
+    for item in job.items.iter() {
         items.extend_from_slice(&item.to_bytes());
     }
     let lease = |(item, lease): (&u32, &Lease)| wire::ItemLeaseRecord {
@@ -168,7 +170,7 @@
     };
     wire::JobRecord {
         job: Some(query::job(job)),
-        fingerprint: job.fingerprint.clone(),
+        fingerprint: job.fingerprint.as_bytes().to_vec().into(),
         deleted: job.deleted,
         expires_unix_ms: job.expires_unix_ms,
         next: job.pending.next,
@@ -190,7 +192,7 @@
             wire::JobState::JobCancelledState => JobState::Cancelled,
             wire::JobState::Unspecified => return Err(damaged("a job has no state")),
         };
-        let items: Option<Vec<Item>> =
+        let items: Option<ItemTable> =
             record.items.chunks_exact(ITEM_BYTES).map(Item::from_bytes).collect();
         let items = items.ok_or_else(|| damaged("an item has an unknown state"))?;
         let lease = |lease: wire::ItemLeaseRecord| {
@@ -206,7 +208,7 @@
             endpoint: job.endpoint,
             metadata_json: job.metadata_json,
             idempotency_key: job.idempotency_key,
-            fingerprint: record.fingerprint,
+            fingerprint: fingerprint(&record.fingerprint)?,
             deadline_unix_ms: match job.deadline_unix_ms {
                 0 => u64::MAX,
                 deadline => deadline,
@@ -239,7 +241,7 @@
         claim: number,
         customer: claim.customer.to_string(),
         key: claim.key.to_string(),
-        fingerprint: claim.fingerprint.clone(),
+        fingerprint: claim.fingerprint.as_bytes().to_vec().into(),
         request_id: claim.request_id.to_string(),
         not_repeatable: claim.not_repeatable,
         expires_unix_ms: claim.expires_unix_ms,
@@ -292,7 +294,7 @@
         Ok(Self {
             customer: record.customer.into(),
             key: record.key.into(),
-            fingerprint: record.fingerprint,
+            fingerprint: fingerprint(&record.fingerprint)?,
             request_id: record.request_id.into(),
             not_repeatable: record.not_repeatable,
             phase,
@@ -301,6 +303,10 @@
     }
 }
 
+fn fingerprint(bytes: &[u8]) -> io::Result<Fingerprint> {
+    Fingerprint::restored(bytes).ok_or_else(|| damaged("a fingerprint has a wrong length"))
+}
+
 pub(crate) fn fence(scope: &str, fence: &Fence) -> wire::FenceRecord {
     wire::FenceRecord {
         scope: scope.to_owned(),
--- a/src/state/tables.rs
+++ b/src/state/tables.rs
@@ -1,5 +1,7 @@
 use std::sync::Arc;
 
+use crate::schema::state as wire;
+use crate::schema::state::snapshot_record::Record;
 use crate::state::bodies::Bodies;
 use crate::state::claims::Claims;
 use crate::state::command::Command;
@@ -7,20 +9,24 @@
 use crate::state::configuration_table::ConfigurationTable;
 use crate::state::fences::Fences;
 use crate::state::files::Files;
+use crate::state::frozen_tables::FrozenTables;
 use crate::state::jobs::Jobs;
 use crate::state::outcome::Outcome;
 use crate::state::refusal::Refusal;
 use crate::state::request::Request;
+use crate::state::snapshot_records;
 use crate::state::state_clock::StateClock;
 use crate::state::BodyRef;
 
+/// Version of the snapshot's form.
+pub(crate) const SNAPSHOT_FORMAT: u32 = 1;
 /// Records of each kind that one Expire command removes.
 const EXPIRE_STEP: usize = 1_000;
 /// Items that one Expire command removes with their jobs, plus the rest of the last job.
 const EXPIRE_ITEMS_STEP: usize = 100_000;
 
 /// All tables of the state machine.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Tables {
     pub(crate) clock: StateClock,
     pub(crate) configuration: ConfigurationTable,
@@ -116,10 +122,37 @@
         }
     }
 
+    /// The content of a snapshot, without copying what is large.
+    pub(crate) fn freeze(&self) -> FrozenTables {
+        let header = wire::SnapshotHeader {
+            format: SNAPSHOT_FORMAT,
+            now_unix_ms: self.clock.now_unix_ms(),
+            configuration: Some((**self.configuration.current()).clone()),
+            changed_by: self.configuration.changed_by().to_owned(),
+            last_fence: self.fences.last(),
+            lease_turn: self.jobs.ready().turn(),
+            last_claim: self.claims.last(),
+        };
+        let mut small = vec![Record::Header(header)];
+        small.extend(
+            self.fences
+                .iter()
+                .map(|(scope, fence)| Record::Fence(snapshot_records::fence(scope, fence))),
+        );
+        small.extend(self.jobs.ready().shares().map(Record::Share));
+        FrozenTables {
+            small,
+            results: self.results.freeze(),
+            files: self.files.freeze(),
+            jobs: self.jobs.iter().cloned().collect(),
+            claims: self.claims.freeze(),
+        }
+    }
+
     /// Places of all bodies in use.
     pub(crate) fn bodies(&self) -> impl Iterator<Item = BodyRef> + '_ {
-        let lines = self.files.iter().flat_map(|(_, file)| &file.chunks).map(|chunk| chunk.body);
-        let items = self.jobs.iter().flat_map(|job| &job.items).map(|item| item.body);
+        let lines = self.files.iter().flat_map(|file| &file.chunks).map(|chunk| chunk.body);
+        let items = self.jobs.iter().flat_map(|job| job.items.iter()).map(|item| item.body);
         let answers = self.claims.iter().filter_map(|(_, claim)| Some(claim.answer()?.body));
         lines.chain(items).chain(answers).filter(|body| !body.is_empty())
     }
