Decide about keeping a span before the SDK sees it

Cause: a span that is not kept still copied shared counters of the SDK, so its cost rose with the number of threads.

Change: the tracer decides whether a trace is kept, and spans that are not kept hold only their context. The SDK records those that are.

--- a/src/telemetry/span.rs
+++ b/src/telemetry/span.rs
@@ -1,53 +1,59 @@
-use opentelemetry::trace::Span as _;
+use opentelemetry::trace::{Span as _, SpanContext};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::trace;
 
+use crate::telemetry::tracer::next_context;
 use crate::telemetry::Tracer;
 
 /// A piece of work with a start and an end; it ends when it is closed or dropped.
 pub struct Span {
-    tracer: Tracer,
-    span: trace::Span,
+    context: SpanContext,
+    // A span that is not kept only passes the trace on, and costs no shared counters.
+    recorded: Option<(Tracer, trace::Span)>,
 }
 
 impl Span {
-    pub(super) fn new(tracer: Tracer, span: trace::Span) -> Self {
-        Self { tracer, span }
+    pub(super) fn passing(context: SpanContext) -> Self {
+        Self { context, recorded: None }
+    }
+
+    pub(super) fn recorded(tracer: Tracer, span: trace::Span) -> Self {
+        Self { context: span.span_context().clone(), recorded: Some((tracer, span)) }
     }
 
     /// Starts a span under this one.
     pub fn child(&self, name: &'static str) -> Self {
-        self.tracer.start_under(name, self.span.span_context().clone())
+        match &self.recorded {
+            Some((tracer, _)) => tracer.record(name, self.context.clone()),
+            None => Self::passing(next_context(Some(&self.context))),
+        }
     }
 
-    /// Sets a text attribute; without effect when the span is not recorded.
+    /// Sets a text attribute; without effect when the span is not kept.
     pub fn text(&mut self, key: &'static str, value: &str) {
-        if self.span.is_recording() {
-            self.span.set_attribute(KeyValue::new(key, value.to_owned()));
+        if let Some((_, span)) = &mut self.recorded {
+            span.set_attribute(KeyValue::new(key, value.to_owned()));
         }
     }
 
-    /// Sets a number attribute; without effect when the span is not recorded.
+    /// Sets a number attribute; without effect when the span is not kept.
     pub fn number(&mut self, key: &'static str, value: i64) {
-        if self.span.is_recording() {
-            self.span.set_attribute(KeyValue::new(key, value));
+        if let Some((_, span)) = &mut self.recorded {
+            span.set_attribute(KeyValue::new(key, value));
         }
     }
 
     /// W3C `traceparent` header for the next hop.
     pub fn traceparent(&self) -> String {
-        let context = self.span.span_context();
-        let flags = context.trace_flags().to_u8();
-        format!("00-{}-{}-{flags:02x}", context.trace_id(), context.span_id())
+        let (trace_id, span_id) = (self.context.trace_id(), self.context.span_id());
+        format!("00-{trace_id}-{span_id}-{:02x}", self.context.trace_flags().to_u8())
     }
 
     /// Trace of the span, 32 hexadecimal digits.
     pub fn trace_id(&self) -> String {
-        self.span.span_context().trace_id().to_string()
+        self.context.trace_id().to_string()
     }
 
     /// Ends the span.
-    pub fn close(mut self) {
-        self.span.end();
-    }
+    pub fn close(self) {}
 }
--- a/src/telemetry/tracer.rs
+++ b/src/telemetry/tracer.rs
@@ -8,7 +8,8 @@
 };
 use opentelemetry::Context;
 use opentelemetry_sdk::trace::{
-    BatchConfigBuilder, BatchSpanProcessor, Sampler, SdkTracer, SdkTracerProvider,
+    BatchConfigBuilder, BatchSpanProcessor, IdGenerator, RandomIdGenerator, Sampler, SdkTracer,
+    SdkTracerProvider,
 };
 
 use crate::telemetry::json_lines_exporter::JsonLinesExporter;
@@ -25,6 +26,8 @@
 pub struct Tracer {
     provider: SdkTracerProvider,
     tracer: SdkTracer,
+    sample_ratio: f64,
+    is_recording: bool,
 }
 
 impl Tracer {
@@ -36,12 +39,8 @@
     /// # Errors
     /// The span file cannot be opened for appending.
     pub fn open(host_id: &str, span_file: Option<&Path>, sample_ratio: f64) -> io::Result<Self> {
-        let root = match span_file {
-            Some(_) => Sampler::TraceIdRatioBased(sample_ratio),
-            None => Sampler::AlwaysOff,
-        };
-        let builder =
-            SdkTracerProvider::builder().with_sampler(Sampler::ParentBased(Box::new(root)));
+        // Spans that are not kept never reach the SDK, so it keeps all that do.
+        let builder = SdkTracerProvider::builder().with_sampler(Sampler::AlwaysOn);
         let provider = match span_file {
             None => builder.build(),
             Some(path) => {
@@ -50,24 +49,34 @@
             }
         };
         let tracer = provider.tracer("damaskhoist");
-        Ok(Self { provider, tracer })
+        let sample_ratio = if span_file.is_some() { sample_ratio } else { 0.0 };
+        Ok(Self { provider, tracer, sample_ratio, is_recording: span_file.is_some() })
     }
 
     /// Starts a span, as a child of the W3C `traceparent` when that is valid, else of none.
     pub fn start(&self, name: &'static str, traceparent: Option<&str>) -> Span {
-        match traceparent.and_then(parse_traceparent) {
-            Some(parent) => self.start_under(name, parent),
+        let parent = traceparent.and_then(parse_traceparent);
+        let is_kept = match &parent {
+            Some(parent) => parent.is_sampled() && self.is_recording,
+            None => self.sample_ratio > 0.0 && rand::random::<f64>() < self.sample_ratio,
+        };
+        if !is_kept {
+            return Span::passing(next_context(parent.as_ref()));
+        }
+        match parent {
+            Some(parent) => self.record(name, parent),
             None => self.build(name, &Context::new()),
         }
     }
 
-    pub(super) fn start_under(&self, name: &'static str, parent: SpanContext) -> Span {
+    /// Starts a span that is kept, under a parent.
+    pub(super) fn record(&self, name: &'static str, parent: SpanContext) -> Span {
         self.build(name, &Context::new().with_remote_span_context(parent))
     }
 
     fn build(&self, name: &'static str, context: &Context) -> Span {
         let span = self.tracer.build_with_context(SpanBuilder::from_name(name), context);
-        Span::new(self.clone(), span)
+        Span::recorded(self.clone(), span)
     }
 
     /// Writes the ended spans to the file and stops the batch thread, for all clones.
@@ -78,6 +87,16 @@
     }
 }
 
+/// Context of a span that is not kept, within the trace of its parent if it has one.
+pub(super) fn next_context(parent: Option<&SpanContext>) -> SpanContext {
+    let ids = RandomIdGenerator::default();
+    let (trace_id, flags) = match parent {
+        Some(parent) => (parent.trace_id(), parent.trace_flags()),
+        None => (ids.new_trace_id(), TraceFlags::default()),
+    };
+    SpanContext::new(trace_id, ids.new_span_id(), flags, false, TraceState::NONE)
+}
+
 fn batch_processor(exporter: JsonLinesExporter) -> BatchSpanProcessor {
     let config = BatchConfigBuilder::default()
         .with_max_queue_size(QUEUE_SPANS)
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -111,3 +111,40 @@
     let next = tracer.start("next", Some(&span.traceparent()));
     assert_eq!(next.trace_id(), span.trace_id());
 }
+
+/// Guards against a host that cuts a trace because it keeps no spans itself.
+#[rstest]
+#[case::kept("01")]
+#[case::not_kept("00")]
+fn a_host_without_a_span_file_passes_the_trace_on(#[case] flags: &str) {
+    let trace = "00-0af7651916cd43dd8448eb211c80319c";
+    let header = format!("{trace}-b7ad6b7169203331-{flags}");
+    let tracer = Tracer::open("h-1", None, 1.0).unwrap();
+    let span = tracer.start("request", Some(&header));
+    for next in [span.traceparent(), span.child("attempt").traceparent()] {
+        assert!(next.starts_with(trace) && next.ends_with(&format!("-{flags}")), "{next}");
+        assert_ne!(next, header);
+    }
+}
+
+#[rstest]
+#[case::none(0.0, 0, 0)]
+#[case::half(0.5, 800, 1_200)]
+#[case::all(1.0, 2_000, 2_000)]
+fn the_ratio_decides_for_whole_traces(
+    #[case] ratio: f64,
+    #[case] least: usize,
+    #[case] most: usize,
+) {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("spans.jsonl");
+    let tracer = Tracer::open("h-1", Some(&file), ratio).unwrap();
+    for _ in 0..2_000 {
+        tracer.start("request", None).child("attempt").close();
+    }
+    tracer.close();
+    let text = std::fs::read_to_string(&file).unwrap();
+    let count = |name: &str| text.lines().filter(|line| line.contains(name)).count();
+    assert_eq!(count("\"request\""), count("\"attempt\""));
+    assert!((least..=most).contains(&count("\"request\"")), "{}", count("\"request\""));
+}
