--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -111,6 +111,10 @@
         return failure;
     }
     let Ok(current) = current(client).await else { return failure };
+    if current.version <= base_version {
+        // The host that answered has not received the winning change yet.
+        return failure.with_advice("run 'damaskhoist config show' in a second, then decide again");
+    }
     let standing = edits.compare(&current).join("\n  ");
     let version = current.version;
     failure.with_advice(format!(
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -157,9 +157,10 @@
     (
         "status",
         "\
-Usage: damaskhoist status [--watch]
+Usage: damaskhoist status [--watch] [--counters]
 
-Shows the fleet at a glance. --watch repeats it every two seconds.
+Shows the fleet at a glance. --watch repeats it every two seconds; --counters adds the counters of
+the host asked.
 
 Example:
   damaskhoist status --entry 10.1.0.4:7400",
--- a/src/cmd/job_status.rs
+++ b/src/cmd/job_status.rs
@@ -10,6 +10,7 @@
     pub(super) total: u64,
     pub(super) completed: u64,
     pub(super) failed: u64,
+    pub(super) cancelled: u64,
 }
 
 impl JobStatus {
@@ -25,12 +26,13 @@
             total: count("total"),
             completed: count("completed"),
             failed: count("failed"),
+            cancelled: count("cancelled"),
         })
     }
 
     /// Items that have ended.
     pub(super) fn done(&self) -> u64 {
-        self.completed + self.failed
+        self.completed + self.failed + self.cancelled
     }
 
     /// Nothing more will happen to the job.
@@ -40,12 +42,13 @@
 
     /// Fails unless every item of the job succeeded.
     pub(super) fn require_success(&self) -> Result<(), Failure> {
-        let Self { id, status, total, completed, failed } = self;
+        let Self { id, status, total, completed, failed, .. } = self;
         if status == "completed" && *failed == 0 {
             return Ok(());
         }
-        let message =
-            format!("job {id} is {status}: {completed} of {total} items done, {failed} failed");
+        let message = format!(
+            "job {id} is {status}: {completed} of {total} items succeeded, {failed} failed"
+        );
         let advice = format!("run 'damaskhoist results {id} --failed' to see the reasons");
         Err(Failure::failed(message, advice))
     }
--- a/src/query/condition.rs
+++ b/src/query/condition.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use crate::query::{Comparison, Literal};
+use crate::query::{Cell, Comparison, Literal};
 
 /// What a row must satisfy.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +31,19 @@
         }
     }
 
+    pub(super) fn fixed_text(&self, column: &str) -> Option<String> {
+        match self {
+            Self::Compare(name, Comparison::Equal, literal) if name == column => {
+                Some(Cell::from(literal).to_string())
+            }
+            Self::In(name, literals) if name == column && literals.len() == 1 => {
+                Some(Cell::from(&literals[0]).to_string())
+            }
+            Self::And(parts) => parts.iter().find_map(|part| part.fixed_text(column)),
+            _ => None,
+        }
+    }
+
     /// Writes a part of this condition, in parentheses when it binds less tightly.
     fn write_part(&self, part: &Self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let is_bare = match (self, part) {
--- a/src/query/show.rs
+++ b/src/query/show.rs
@@ -18,6 +18,15 @@
     pub after: Option<String>,
 }
 
+impl Show {
+    /// The text that every selected row has in `column`, when the filter says so.
+    ///
+    /// A reader uses it to fetch one job's items, say, rather than all of them.
+    pub fn fixed_text(&self, column: &str) -> Option<String> {
+        self.filter.as_ref().and_then(|filter| filter.fixed_text(column))
+    }
+}
+
 impl fmt::Display for Show {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "show {}", self.table)?;
--- a/tests/query.rs
+++ b/tests/query.rs
@@ -1,10 +1,14 @@
 //! The query language: grammar, round trip, error positions and evaluation.
 
+use std::collections::BTreeMap;
+
+use damaskhoist::membership::MembershipView;
 use damaskhoist::query::{
     Cell, Comparison, Condition, CustomerChange, CustomerField, Literal, ObjectKind, OrderKey,
     PolicyChange, PolicyField, Show, Statement, Table, TableName,
 };
-use damaskhoist::schema::config::{Model, Service};
+use damaskhoist::schema::config::{Configuration, Model, Service};
+use damaskhoist::schema::state::{Item, Job};
 use proptest::prelude::*;
 use proptest::sample::select;
 use rstest::rstest;
@@ -52,6 +56,57 @@
     }
 }
 
+/// Guards against a page that lists other columns than the tables have.
+#[test]
+fn columns_of_the_documentation_are_those_of_the_tables() {
+    let page = include_str!("../docs/query-language.md");
+    let tables = [
+        ("hosts", Table::of_hosts(&MembershipView::default())),
+        ("upstreams", Table::of_upstreams(&MembershipView::default(), &|_| 0)),
+        ("jobs", Table::of_jobs(&[])),
+        ("items", Table::of_items(&[])),
+        ("files", Table::of_files(&[])),
+        ("services", Table::of_services(&[])),
+        ("customers", Table::of_customers(&[])),
+        ("configuration", Table::of_configuration(&Configuration::default())),
+        ("counters", Table::of_counters("h", &BTreeMap::new())),
+    ];
+    assert_eq!(tables.len(), TableName::ALL.len());
+    for (name, table) in tables {
+        let row = format!("| `{name}` | `{}` |", table.columns.join("`, `"));
+        assert!(page.contains(&row), "{row}");
+    }
+}
+
+/// Guards against reading the wrong job, or all of them, for a condition on one.
+#[rstest]
+#[case("show items where job = j-17 and state = failed", Some("j-17"))]
+#[case("show items where state = failed and (job in (17))", Some("17"))]
+#[case("show items where job = j-17 or state = failed", None)]
+#[case("show items where not job = j-17", None)]
+#[case("show items where job != j-17", None)]
+#[case("show items", None)]
+fn a_fixed_column_is_found(#[case] text: &str, #[case] job: Option<&str>) {
+    let Statement::Show(show) = parse(text) else { panic!("not a read") };
+    assert_eq!(show.fixed_text("job").as_deref(), job);
+}
+
+#[test]
+fn rows_of_jobs_and_items_have_their_columns() {
+    let job = Job { job_id: "j-1".into(), items: 4, state: 2, ..Job::default() };
+    let fields = Table::of_jobs(&[job]).describe("j-1").unwrap();
+    assert_eq!(fields.rows[2], [Cell::from("state"), Cell::from("completed")]);
+    assert_eq!(fields.rows[5], [Cell::from("items"), Cell::Number(4)]);
+    assert_eq!(Table::of_jobs(&[]).describe("j-1"), None);
+    let items = [1, 2, 3, 4, 5].map(|state| Item { state, ..Item::default() });
+    let table = Table::of_items(&items);
+    assert!(table.rows.iter().all(|row| row.len() == table.columns.len()));
+    let Statement::Show(show) = parse("show items where state in (failed, leased)") else {
+        panic!("not a read")
+    };
+    assert_eq!(show.evaluate(&table).unwrap().rows.len(), 2);
+}
+
 /// Guards against errors that point at the start of the statement instead of the mistake.
 #[rstest]
 #[case("shw hosts", 0, "show")]
