Keep one set of tables for statements

The query module had tables of one host beside those of the fleet. The pure rows stay in the query module; hosts, upstreams and counters take the reports of all hosts.

--- a/examples/bench_log.rs
+++ b/examples/bench_log.rs
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
+use async_std::net::TcpListener;
 use async_std::task;
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -101,7 +102,11 @@
         let mut fleet = Self { hosts: vec![], listeners: vec![], sent_bytes: Arc::default() };
         for _ in 0..HOSTS {
             let host = Arc::new(Host::default());
-            fleet.listeners.push(PeerListener::bind("127.0.0.1:0", "", host.clone()).await?);
+            fleet.listeners.push(PeerListener::spawn(
+                TcpListener::bind("127.0.0.1:0").await?,
+                "",
+                host.clone(),
+            )?);
             fleet.hosts.push(host);
         }
         let replicas: Vec<Replica> = (1..)
--- a/src/admin/admin_service.rs
+++ b/src/admin/admin_service.rs
@@ -4,7 +4,7 @@
 use uuid::Uuid;
 
 use crate::admin::state_tables::StateTables;
-use crate::admin::{tables, AdminAnswer, FleetReports};
+use crate::admin::{AdminAnswer, FleetReports};
 use crate::admission::{Refusal, RefusalKind, RunOutcome};
 use crate::configuration::ConfigurationWatch;
 use crate::control::unix_ms;
@@ -103,23 +103,21 @@
     /// The table of a statement, and the hosts whose part is missing.
     async fn table(&self, show: &Show) -> Result<(Table, Vec<String>), Refusal> {
         let view = self.membership.view();
+        let configuration = self.configuration.load_full();
         let state = StateTables { state: &**self.state, show };
         let table = match show.table {
             TableName::Jobs => state.jobs().await?,
             TableName::Items => state.items().await?,
             TableName::Files => state.files().await?,
-            TableName::Services => tables::services(&self.configuration.load()),
-            TableName::Customers => tables::customers(&self.configuration.load()),
-            TableName::Hosts
-            | TableName::Upstreams
-            | TableName::Configuration
-            | TableName::Counters => {
+            TableName::Services => Table::of_services(&configuration.configuration().services),
+            TableName::Customers => Table::of_customers(&configuration.configuration().customers),
+            TableName::Configuration => Table::of_configuration(configuration.configuration()),
+            TableName::Hosts | TableName::Upstreams | TableName::Counters => {
                 let reports = FleetReports::collect(&view, self.caller).await;
                 let table = match show.table {
-                    TableName::Hosts => tables::hosts(&view, &reports),
-                    TableName::Upstreams => tables::upstreams(&view, &reports),
-                    TableName::Configuration => tables::configuration(&view, &reports),
-                    _ => tables::counters(&reports),
+                    TableName::Hosts => Table::of_hosts(&view, &reports.by_host),
+                    TableName::Upstreams => Table::of_upstreams(&view, &reports.by_host),
+                    _ => Table::of_counters(&reports.by_host),
                 };
                 return Ok((table, reports.missing));
             }
--- a/src/admin/fleet_reports.rs
+++ b/src/admin/fleet_reports.rs
@@ -47,19 +47,6 @@
         reports.missing.sort();
         reports
     }
-
-    /// Slots of an upstream in use for online and batch work, over all hosts.
-    pub fn slots_in_use(&self, upstream_id: &str) -> (u32, u32) {
-        let mut total = (0, 0);
-        for used in self.by_host.values().flat_map(|status| &status.slots) {
-            if used.upstream_id != upstream_id {
-                continue;
-            }
-            total.0 += used.online_in_use;
-            total.1 += used.batch_in_use;
-        }
-        total
-    }
 }
 
 async fn ask(address: &str, caller: &Arc<dyn PeerCaller>) -> Option<HostStatus> {
--- a/src/configuration/configuration_watch.rs
+++ b/src/configuration/configuration_watch.rs
@@ -54,6 +54,11 @@
         self.shared.view.load()
     }
 
+    /// The newest configuration, to be kept across waits.
+    pub fn load_full(&self) -> Arc<ConfigurationView> {
+        self.shared.view.load_full()
+    }
+
     /// Time since the configuration was last confirmed; `None` before the first confirmation.
     pub fn confirmed_age_ms(&self) -> Option<u64> {
         let confirmed_ms = self.shared.confirmed_ms.load(Ordering::Acquire);
--- a/src/query/state_tables.rs
+++ b/src/query/state_tables.rs
@@ -1,5 +1,3 @@
-use std::collections::BTreeMap;
-
 use crate::query::{Cell, Table};
 use crate::schema::config::{Configuration, Customer, Service, ServiceKind};
 use crate::schema::state::{File, Item, ItemState, Job, JobState};
@@ -170,15 +168,6 @@
         }
         table
     }
-
-    /// Rows of `show counters` of one host.
-    pub fn of_counters(host_id: &str, counters: &BTreeMap<String, u64>) -> Self {
-        let mut table = Self::new(&["host", "name", "value"]);
-        for (name, value) in counters {
-            table.rows.push(vec![host_id.into(), text(name), (*value).into()]);
-        }
-        table
-    }
 }
 
 /// Empty text counts as no value.
--- a/tests/query.rs
+++ b/tests/query.rs
@@ -61,15 +61,15 @@
 fn columns_of_the_documentation_are_those_of_the_tables() {
     let page = include_str!("../docs/query-language.md");
     let tables = [
-        ("hosts", Table::of_hosts(&MembershipView::default())),
-        ("upstreams", Table::of_upstreams(&MembershipView::default(), &|_| 0)),
+        ("hosts", Table::of_hosts(&MembershipView::default(), &BTreeMap::new())),
+        ("upstreams", Table::of_upstreams(&MembershipView::default(), &BTreeMap::new())),
         ("jobs", Table::of_jobs(&[])),
         ("items", Table::of_items(&[])),
         ("files", Table::of_files(&[])),
         ("services", Table::of_services(&[])),
         ("customers", Table::of_customers(&[])),
         ("configuration", Table::of_configuration(&Configuration::default())),
-        ("counters", Table::of_counters("h", &BTreeMap::new())),
+        ("counters", Table::of_counters(&BTreeMap::new())),
     ];
     assert_eq!(tables.len(), TableName::ALL.len());
     for (name, table) in tables {
