Renew the configuration lease four times within its length

A lease of 1 s never held, because one question may wait for 1 s and the lease counts from before it was sent. The wait is now at most a quarter of the lease.

--- a/src/configuration/configuration_watch.rs
+++ b/src/configuration/configuration_watch.rs
@@ -9,8 +9,10 @@
 use crate::state::StateClient;
 use crate::telemetry::Counters;
 
-/// Time that a control host may hold the question for a newer configuration.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// Longest time that a control host may hold the question for a newer configuration.
+const WATCH_LIMIT_MS: u64 = 1_000;
+/// Questions that a lease must have room for, as each is counted from before it was sent.
+const WATCHES_PER_LEASE: u64 = 4;
 /// Pause after a question that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -94,11 +96,13 @@
     counters: Counters,
     on_change: impl Fn(&ConfigurationView),
 ) {
+    let wait_ms = WATCH_LIMIT_MS.min(shared.lease_ms / WATCHES_PER_LEASE);
+    let wait = Duration::from_millis(wait_ms);
     loop {
         // The answer is confirmed at some time after the question, so the question's time is safe.
         let asked_ms = shared.elapsed_ms(Instant::now()).max(1);
         let known_version = shared.view.load().version();
-        let notice = match client.watch_configuration(known_version, WATCH_WAIT).await {
+        let notice = match client.watch_configuration(known_version, wait).await {
             Ok(notice) => notice,
             Err(_) => {
                 counters.count("configuration.watch_failed");
