Fix faults that the failure tests found in the agreement

Cause: scenario tests found four faults. A follower whose window was full when the entries after it were compacted was never sent anything again. A late answer counted as recent contact, so an isolated leader went on for longer than its timeout. Two lost rounds of an election took 2.7 s.

Nothing is read for a follower that is away.

--- a/src/raft/group_options.rs
+++ b/src/raft/group_options.rs
@@ -15,7 +15,8 @@
     pub replicas: Vec<Replica>,
     /// Time between heartbeats.
     pub heartbeat_interval_ms: u64,
-    /// Silence after which a leader counts as lost; the real wait is up to twice that.
+    /// Silence after which a leader counts as lost; the real wait is up to half as long
+    /// again.
     pub election_timeout_ms: u64,
     /// Size at which a new file of the log is started.
     pub segment_bytes: u64,
--- a/src/raft/leader.rs
+++ b/src/raft/leader.rs
@@ -13,14 +13,16 @@
     pub round: u64,
     /// Rounds that no quorum has answered, with the time of sending.
     pub open_rounds: VecDeque<(u64, u64)>,
-    /// When the newest round was sent that a quorum answered.
-    pub confirmed_ms: Option<u64>,
+    /// When the newest round was sent that a quorum answered; at first, when the leader was elected.
+    ///
+    /// The time of sending counts, because answers may be late.
+    pub confirmed_ms: u64,
+    /// A round was answered, so followers keep their promise not to vote since `confirmed_ms`.
+    pub has_lease: bool,
     /// Reads with the round that confirms them, in order.
     pub reads: VecDeque<PendingRead>,
     /// When the next heartbeat is due.
     pub heartbeat_due_ms: u64,
-    /// When the leader last knew a quorum.
-    pub quorum_heard_ms: u64,
     /// Transfer of leadership that is under way.
     pub transfer: Option<Transfer>,
     /// A follower was told to take over, so the lease can't be relied on any more.
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -286,9 +286,17 @@
         (self.log.last_term(), self.log.last_index())
     }
 
+    /// Waits for a leader: 1 to 1.5 times the election timeout.
     pub(super) fn reset_election(&mut self, now_ms: u64) {
         let timeout_ms = self.config.election_timeout_ms;
-        self.election_due_ms = now_ms + timeout_ms + self.random.random_range(0..timeout_ms);
+        self.election_due_ms = now_ms + timeout_ms + self.random.random_range(0..timeout_ms / 2);
+    }
+
+    /// Waits for answers in an election: a third to two thirds of the election timeout, so that two
+    /// rounds with lost messages still end within 2 s.
+    pub(super) fn retry_election(&mut self, now_ms: u64) {
+        let third_ms = self.config.election_timeout_ms / 3;
+        self.election_due_ms = now_ms + third_ms + self.random.random_range(0..third_ms);
     }
 
     /// Becomes a follower in `term`.
--- a/src/raft/node_config.rs
+++ b/src/raft/node_config.rs
@@ -5,7 +5,8 @@
     pub id: u64,
     /// Time between heartbeats.
     pub heartbeat_interval_ms: u64,
-    /// Silence after which a leader counts as lost; the real wait is up to twice that.
+    /// Silence after which a leader counts as lost; the real wait is up to half as long
+    /// again.
     pub election_timeout_ms: u64,
     /// Largest append request.
     pub append_bytes: usize,
--- a/src/raft/node_election.rs
+++ b/src/raft/node_election.rs
@@ -20,7 +20,7 @@
     /// True while a leader is surely there, so that nobody else should get a vote.
     pub(super) fn hears_leader(&self, now_ms: u64) -> bool {
         let heard_ms = match &self.role {
-            Role::Leader(leader) => leader.quorum_heard_ms,
+            Role::Leader(leader) => leader.confirmed_ms,
             _ => self.leader_heard_ms,
         };
         now_ms < heard_ms + self.config.election_timeout_ms
@@ -28,7 +28,7 @@
 
     /// Asks whether an election could be won, without a new term.
     pub(super) fn start_pre_vote(&mut self, now_ms: u64) {
-        self.reset_election(now_ms);
+        self.retry_election(now_ms);
         self.leader_id = None;
         self.role = Role::PreCandidate(BTreeSet::from([self.config.id]));
         if self.is_alone() {
@@ -52,6 +52,7 @@
         }
         let term = self.hard_state.term + 1;
         self.follow(now_ms, term, None);
+        self.retry_election(now_ms);
         self.hard_state = HardState { term, vote: Some(self.config.id) };
         self.role = Role::Candidate(BTreeSet::new());
         self.persist(Vec::new());
--- a/src/raft/node_leader.rs
+++ b/src/raft/node_leader.rs
@@ -12,7 +12,7 @@
     pub(super) fn lead(&mut self, now_ms: u64) {
         let leader = Leader {
             term_start_index: self.log.last_index() + 1,
-            quorum_heard_ms: now_ms,
+            confirmed_ms: now_ms,
             ..Leader::default()
         };
         self.role = Role::Leader(leader);
@@ -42,11 +42,12 @@
         let Role::Leader(leader) = &mut self.role else { return false };
         // Until the first entry of the term is committed, the commit index may be behind.
         let index = self.commit_index.max(leader.term_start_index);
-        let lease_from_ms = leader.confirmed_ms.filter(|&confirmed_ms| {
-            self.config.lease_reads && !leader.lease_ended && now_ms < confirmed_ms + lease_ms
-        });
-        let confirmed_ms = if is_alone { Some(now_ms) } else { lease_from_ms };
-        if let Some(confirmed_ms) = confirmed_ms {
+        let holds_lease = self.config.lease_reads
+            && leader.has_lease
+            && !leader.lease_ended
+            && now_ms < leader.confirmed_ms + lease_ms;
+        if is_alone || holds_lease {
+            let confirmed_ms = if is_alone { now_ms } else { leader.confirmed_ms };
             self.actions.push(Action::ReadConfirmed { id, index, confirmed_ms });
             return true;
         }
@@ -131,9 +132,11 @@
 
     pub(super) fn tick_leader(&mut self, now_ms: u64) {
         let timeout_ms = self.config.election_timeout_ms;
-        self.update_quorum_heard(now_ms);
+        if self.is_alone() {
+            self.confirm_rounds(now_ms);
+        }
         let Role::Leader(leader) = &mut self.role else { return };
-        if now_ms >= leader.quorum_heard_ms + timeout_ms {
+        if now_ms >= leader.confirmed_ms + timeout_ms {
             // Nobody can rely on a leader without a quorum, and another one may lead already.
             self.follow(now_ms, self.hard_state.term, None);
             return;
@@ -173,9 +176,11 @@
             None => 0,
         });
         while leader.open_rounds.front().is_some_and(|open| open.0 <= confirmed) {
-            leader.confirmed_ms = leader.open_rounds.pop_front().map(|open| open.1);
+            let Some((_, sent_ms)) = leader.open_rounds.pop_front() else { break };
+            leader.confirmed_ms = sent_ms;
+            leader.has_lease = true;
         }
-        let Some(confirmed_ms) = leader.confirmed_ms else { return };
+        let confirmed_ms = leader.confirmed_ms;
         while leader.reads.front().is_some_and(|read| read.round <= confirmed) {
             let Some(PendingRead { id, index, .. }) = leader.reads.pop_front() else { break };
             self.actions.push(Action::ReadConfirmed { id, index, confirmed_ms });
@@ -183,19 +188,6 @@
         self.flush_reads(now_ms);
     }
 
-    pub(super) fn update_quorum_heard(&mut self, now_ms: u64) {
-        let own_id = self.config.id;
-        let set = self.log.replicas().0;
-        let Role::Leader(leader) = &mut self.role else { return };
-        let followers = &leader.followers;
-        let heard_ms = set.quorum_value(|id| match followers.get(&id) {
-            Some(follower) => follower.heard_ms,
-            None if id == own_id => now_ms,
-            None => 0,
-        });
-        leader.quorum_heard_ms = leader.quorum_heard_ms.max(heard_ms);
-    }
-
     /// Commits what a quorum has synced, if it is of this term.
     pub(super) fn advance_commit(&mut self, now_ms: u64) {
         let (own_id, durable_index) = (self.config.id, self.durable_index);
--- a/src/raft/node_replication.rs
+++ b/src/raft/node_replication.rs
@@ -23,14 +23,16 @@
             let Role::Leader(leader) = &mut self.role else { return };
             let Some(follower) = leader.followers.get_mut(&to) else { return };
             let first_index = follower.next_index;
-            if !follower.may_send() || first_index > last_index {
-                return;
-            }
-            if self.log.term(first_index - 1).is_none() {
+            let is_compacted = self.log.term(first_index - 1).is_none();
+            // Even if the window is full: nothing that is on its way can be sent again.
+            if is_compacted && matches!(follower.mode, Mode::Probe { .. } | Mode::Replicate(_)) {
                 follower.start_snapshot(SnapshotMeta::default(), now_ms);
                 self.tick_snapshots(now_ms);
                 return;
             }
+            if !follower.may_send() || first_index > last_index {
+                return;
+            }
             let Some(entries) = self.log.slice(first_index, self.config.append_bytes) else {
                 follower.mode = Mode::Fetch;
                 self.actions.push(Action::Fetch { to, first_index });
@@ -117,7 +119,6 @@
         } else {
             follower.rejected(index);
         }
-        self.update_quorum_heard(now_ms);
         self.confirm_rounds(now_ms);
         self.advance_commit(now_ms);
         self.check_transfer();
@@ -144,7 +145,11 @@
             self.replicate(now_ms, from);
             return;
         }
-        if last_index == transfer.meta.last_index {
+        // A follower that has restarted says 0. Other answers that bring nothing new are late or
+        // doubled; a chunk for each of them would multiply the chunks.
+        let is_news = received_bytes > transfer.offset_bytes
+            || (received_bytes == 0 && transfer.offset_bytes > 0);
+        if last_index == transfer.meta.last_index && is_news {
             transfer.offset_bytes = received_bytes;
             transfer.due_ms = transfer.paced_ms.max(now_ms);
             self.tick_snapshots(now_ms);
@@ -162,6 +167,10 @@
                 continue;
             }
             transfer.due_ms = now_ms + retry_ms;
+            if now_ms > follower.heard_ms + retry_ms {
+                // Nothing is read and sent for a follower that is away.
+                continue;
+            }
             let (last_index, offset_bytes) = (transfer.meta.last_index, transfer.offset_bytes);
             self.actions.push(Action::ReadChunk { to, last_index, offset_bytes });
         }
--- /dev/null
+++ b/tests/raft_node.rs
@@ -0,0 +1,188 @@
+//! Rules of a single `RaftNode` that random failures seldom reach.
+
+use bytes::Bytes;
+use damaskhoist::raft::{
+    Action, AppendRequest, Body, Entry, HardState, Log, Message, NodeConfig, Payload, RaftNode,
+    Recovered, Replica, ReplicaSet, SnapshotMeta, Standing,
+};
+use rstest::rstest;
+
+fn entries(terms: &[u64]) -> Vec<Entry> {
+    let command = || Payload::Command(Bytes::from_static(b"c"));
+    (1..).zip(terms).map(|(index, &term)| Entry { index, term, payload: command() }).collect()
+}
+
+fn replicas(count: u64) -> ReplicaSet {
+    let replica =
+        |id| Replica { id, peer_address: format!("r{id}"), zone: String::new(), voter: true };
+    ReplicaSet::new((1..=count).map(replica).collect())
+}
+
+fn node(standing: Standing, terms: &[u64]) -> RaftNode {
+    node_with(standing, terms, false)
+}
+
+fn node_with(standing: Standing, terms: &[u64], lease_reads: bool) -> RaftNode {
+    let config = NodeConfig {
+        id: 1,
+        heartbeat_interval_ms: 100,
+        election_timeout_ms: 600,
+        append_bytes: 1000,
+        cache_bytes: 1000,
+        transfer_bytes_per_s: 1000,
+        lease_reads,
+    };
+    let snapshot = SnapshotMeta { replicas: replicas(3), ..Default::default() };
+    let log = Log::new(snapshot.clone(), entries(terms));
+    let hard_state = HardState { term: terms.last().copied().unwrap_or(0), vote: None };
+    RaftNode::new(config, Recovered { hard_state, standing, snapshot, log }, 0, 1)
+}
+
+fn message(from: u64, term: u64, body: Body) -> Message {
+    Message { from, to: 1, term, body }
+}
+
+fn append(terms: &[u64], commit_index: u64, term: u64) -> Message {
+    let body = AppendRequest {
+        previous_index: 0,
+        previous_term: 0,
+        entries: entries(terms),
+        commit_index,
+        round: 1,
+    };
+    message(2, term, Body::AppendRequest(body))
+}
+
+/// Stores what the node asks to store; gives the other actions.
+fn persist(node: &mut RaftNode, now_ms: u64) -> Vec<Action> {
+    let mut others = Vec::new();
+    loop {
+        let actions = node.take_actions();
+        if actions.is_empty() {
+            return others;
+        }
+        for action in actions {
+            match action {
+                Action::Persist { hard_state, entries } => {
+                    let last = entries.last().map(|entry| (entry.index, entry.term));
+                    node.persisted(now_ms, hard_state, last);
+                }
+                other => others.push(other),
+            }
+        }
+    }
+}
+
+/// Makes the node the leader of the term after its last one.
+fn elect(node: &mut RaftNode) -> u64 {
+    let now_ms = node.due_ms().unwrap();
+    let term = node.hard_state().term + 1;
+    node.tick(now_ms);
+    node.step(now_ms, message(2, term, Body::VoteReply { pre_vote: true, granted: true }));
+    persist(node, now_ms);
+    node.step(now_ms, message(2, term, Body::VoteReply { pre_vote: false, granted: true }));
+    persist(node, now_ms);
+    assert!(node.is_leader());
+    now_ms
+}
+
+fn reply(term: u64, index: u64, round: u64) -> Message {
+    message(2, term, Body::AppendReply { accepted: true, index, round, settled: true })
+}
+
+// Guards against an entry of an earlier term that counts as committed and is replaced later.
+#[test]
+fn entries_of_earlier_terms_are_committed_only_with_one_of_the_own_term() {
+    let mut node = node(Standing::Member, &[1, 2]);
+    let now_ms = elect(&mut node);
+    node.step(now_ms, reply(3, 2, 1));
+    assert_eq!(node.commit_index(), 0);
+    node.step(now_ms, reply(3, 3, 1));
+    assert_eq!(node.commit_index(), 3);
+}
+
+// Guards against a vote that is told before it is on the disk, and given twice after a crash.
+#[test]
+fn a_vote_is_sent_after_it_is_on_the_disk() {
+    let mut node = node(Standing::Member, &[1]);
+    let request =
+        Body::VoteRequest { pre_vote: false, last_index: 1, last_term: 1, transfer: false };
+    node.step(5_000, message(2, 2, request));
+    let sends = |actions: &[Action]| actions.iter().any(|it| matches!(it, Action::Send(_)));
+    assert!(!sends(&node.take_actions()));
+    node.persisted(5_000, Some(HardState { term: 2, vote: Some(2) }), None);
+    assert!(sends(&node.take_actions()));
+}
+
+// Guards against a replica that votes without what it may have acknowledged: one that lost records
+// must have them all again, one that joins must have the leader's log, and a voter with an empty
+// disk never votes.
+#[rstest]
+#[case::too_short(Standing::Repairing { through: 5 }, append(&[1, 1, 2], 3, 2), false)]
+#[case::not_committed(Standing::Repairing { through: 3 }, append(&[1, 1, 1], 2, 2), false)]
+#[case::repaired(Standing::Repairing { through: 3 }, append(&[1, 1, 2], 3, 2), true)]
+#[case::empty_disk_of_a_voter(Standing::Joining, append(&[1, 1, 2], 3, 2), false)]
+fn a_replica_votes_only_with_all_that_it_acknowledged(
+    #[case] standing: Standing,
+    #[case] append: Message,
+    #[case] settles: bool,
+) {
+    let mut node = node(standing, &[]);
+    node.step(0, append);
+    let actions = persist(&mut node, 0);
+    assert_eq!(actions.contains(&Action::Settled), settles);
+    let request =
+        Body::VoteRequest { pre_vote: false, last_index: 9, last_term: 9, transfer: true };
+    node.step(10, message(3, 9, request));
+    let granted = persist(&mut node, 10).iter().any(|action| {
+        matches!(action, Action::Send(Message { body: Body::VoteReply { granted: true, .. }, .. }))
+    });
+    assert!(!granted, "the vote comes only after the standing is on the disk");
+}
+
+// Guards against an old lease that still holds after a restart: the replica may have promised its
+// leader just before not to vote.
+#[test]
+fn a_restarted_replica_waits_before_it_votes() {
+    let mut node = node(Standing::Member, &[1]);
+    let request =
+        || Body::VoteRequest { pre_vote: false, last_index: 1, last_term: 1, transfer: false };
+    node.step(599, message(2, 2, request()));
+    assert_eq!(node.hard_state().vote, None);
+    node.step(600, message(2, 2, request()));
+    assert_eq!(node.hard_state().vote, Some(2));
+}
+
+// Guards against a read that is confirmed by an answer to a question from before the read, when
+// another leader may have committed something in between.
+#[test]
+fn a_read_needs_an_answer_to_a_later_question() {
+    let mut node = node(Standing::Member, &[1]);
+    let now_ms = elect(&mut node);
+    let confirms = |actions: &[Action]| {
+        actions.iter().any(|action| matches!(action, Action::ReadConfirmed { id: 7, .. }))
+    };
+    assert!(node.read(now_ms, 7));
+    node.step(now_ms, reply(2, 2, 1));
+    assert!(!confirms(&persist(&mut node, now_ms)));
+    node.flush_reads(now_ms);
+    node.step(now_ms, reply(2, 2, 2));
+    assert!(confirms(&persist(&mut node, now_ms)));
+}
+
+// Guards against a lease read after a follower was told to take over: it gets votes despite the
+// lease, even when the message arrives after the transfer was given up.
+#[test]
+fn a_transfer_ends_the_lease_for_good() {
+    let mut node = node_with(Standing::Member, &[1], true);
+    let now_ms = elect(&mut node);
+    node.step(now_ms, reply(2, 2, 1));
+    let confirms = |node: &mut RaftNode, id| {
+        assert!(node.read(now_ms, id));
+        let actions = persist(node, now_ms);
+        actions.iter().any(|action| matches!(action, Action::ReadConfirmed { .. }))
+    };
+    assert!(confirms(&mut node, 1));
+    node.transfer_leadership(now_ms, 2).unwrap();
+    assert!(!confirms(&mut node, 2));
+}
--- a/tests/raft_sim/disk.rs
+++ b/tests/raft_sim/disk.rs
@@ -63,17 +63,15 @@
         (self.snapshot.0.clone(), bytes.collect())
     }
 
-    pub fn replica_sets(&self) -> Vec<ReplicaSet> {
+    /// Replica sets with their index.
+    pub fn replica_sets(&self) -> Vec<(u64, ReplicaSet)> {
         let entries = self.records.iter().flat_map(|record| &record.0);
         let sets = entries.filter_map(|entry| match &entry.payload {
-            Payload::Replicas(set) => Some(set.clone()),
+            Payload::Replicas(set) => Some((entry.index, set.clone())),
             _ => None,
         });
-        // Only the newest few can still be in force somewhere.
-        let mut sets: Vec<_> = sets.collect();
-        sets.drain(..sets.len().saturating_sub(2));
-        sets.push(self.snapshot.0.replicas.clone());
-        sets
+        let meta = &self.snapshot.0;
+        sets.chain([(meta.last_index, meta.replicas.clone())]).collect()
     }
 
     /// Opens the disk like the real recovery does.
--- a/tests/raft_sim/mod.rs
+++ b/tests/raft_sim/mod.rs
@@ -1,5 +1,8 @@
 //! A network, disks and a clock in memory for `RaftNode`s, with an oracle that checks every step.
 
+// Each test file that includes this module uses a part of it.
+#![allow(dead_code)]
+
 mod disk;
 mod oracle;
 
@@ -7,7 +10,7 @@
 
 use bytes::Bytes;
 use damaskhoist::raft::{
-    Action, Body, Entry, HardState, Message, NodeConfig, Payload, RaftNode, Replica, ReplicaChange,
+    Action, Entry, HardState, Message, NodeConfig, Payload, RaftNode, Replica, ReplicaChange,
     ReplicaSet, SnapshotChunk, SnapshotMeta, Standing,
 };
 use rand::rngs::SmallRng;
@@ -81,6 +84,7 @@
     next_read: u64,
     random: SmallRng,
     lease_reads: bool,
+    election_timeout_ms: u64,
     /// Hosts that lost something that they may have acknowledged.
     impaired: BTreeSet<u64>,
     /// Replica sets that were proposed, with the time; they may still be on their way.
@@ -94,6 +98,15 @@
 
 impl Sim {
     pub fn new(voters: u64, seed: u64, lease_reads: bool) -> Self {
+        Self::with_timeout(voters, seed, lease_reads, ELECTION_TIMEOUT_MS)
+    }
+
+    pub fn with_timeout(
+        voters: u64,
+        seed: u64,
+        lease_reads: bool,
+        election_timeout_ms: u64,
+    ) -> Self {
         let mut sim = Self {
             hosts: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -105,6 +118,7 @@
             next_read: 0,
             random: SmallRng::seed_from_u64(seed),
             lease_reads,
+            election_timeout_ms,
             impaired: BTreeSet::new(),
             proposed_sets: Vec::new(),
             oracle: Oracle::default(),
@@ -199,10 +213,10 @@
         for id in self.hosts.keys().copied().collect::<Vec<_>>() {
             self.restart(id);
         }
-        self.run(10 * ELECTION_TIMEOUT_MS);
+        self.run(10 * self.election_timeout_ms);
         let leader = self.wait_for_leader();
         let last_command = self.propose(leader).expect("a leader that nobody disturbs accepts");
-        self.run(30 * ELECTION_TIMEOUT_MS);
+        self.run(30 * self.election_timeout_ms);
         assert!(self.oracle.acknowledged.contains_key(&last_command), "no commit after healing");
         let replicas = self.hosts[&leader].node.as_ref().unwrap().replicas().clone();
         let expected = self.hosts[&leader].state.clone();
@@ -216,12 +230,16 @@
         }
     }
 
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
     pub fn wait_for_leader(&mut self) -> u64 {
         for _ in 0..100 {
             if let Some(id) = self.leader() {
                 return id;
             }
-            self.run(ELECTION_TIMEOUT_MS / 4);
+            self.run(self.election_timeout_ms / 4);
         }
         panic!("no leader although nothing fails");
     }
@@ -286,16 +304,22 @@
     fn may_impair(&self, id: u64) -> bool {
         let mut impaired = self.impaired.clone();
         impaired.insert(id);
-        let longest_ms = 4 * ELECTION_TIMEOUT_MS;
+        let longest_ms = 4 * self.election_timeout_ms;
         let recent = self.proposed_sets.iter().filter(|it| it.0 + longest_ms > self.now_ms);
         if !recent.clone().all(|(_, set)| self.is_safe(set, &impaired)) {
             return false;
         }
-        self.hosts.values().all(|host| {
-            let sets = host.disk.replica_sets().into_iter();
-            let running = host.node.as_ref().map(|node| node.replicas().clone());
-            sets.chain(running).all(|set| set.replicas.is_empty() || self.is_safe(&set, &impaired))
-        })
+        let committed = self.oracle.replicas.clone();
+        let newest = committed.as_ref().map_or(0, |it| it.0);
+        let stored = self.hosts.values().flat_map(|host| host.disk.replica_sets());
+        let nodes = self.hosts.values().filter_map(|host| host.node.as_ref());
+        let running = nodes.map(|node| {
+            let (set, index) = node.log().replicas();
+            (index, set.clone())
+        });
+        let in_force = stored.chain(running).filter(|set| set.0 > newest || newest == 0);
+        let mut in_force = in_force.chain(committed);
+        in_force.all(|(_, set)| set.replicas.is_empty() || self.is_safe(&set, &impaired))
     }
 
     pub fn crash(&mut self, id: u64, jobs_done: usize) {
@@ -325,8 +349,8 @@
         host.incoming.clear();
         let config = NodeConfig {
             id,
-            heartbeat_interval_ms: ELECTION_TIMEOUT_MS / 5,
-            election_timeout_ms: ELECTION_TIMEOUT_MS,
+            heartbeat_interval_ms: self.election_timeout_ms / 5,
+            election_timeout_ms: self.election_timeout_ms,
             append_bytes: 200,
             cache_bytes: 300,
             transfer_bytes_per_s: 10_000,
@@ -550,7 +574,7 @@
                 continue;
             }
             let is_late = self.random.random_ratio(1, 50);
-            let longest_ms = if is_late { 3 * ELECTION_TIMEOUT_MS } else { 25 };
+            let longest_ms = if is_late { 3 * self.election_timeout_ms } else { 25 };
             let delay_ms = self.random.random_range(1..longest_ms);
             self.schedule(delay_ms, Event::Deliver(message.clone()));
         }
@@ -582,9 +606,3 @@
         Self { hard_state: None, standing: None, clear: false, entries: Vec::new() }
     }
 }
-
-/// True if a message is part of an election.
-#[allow(dead_code)]
-pub fn is_vote(message: &Message) -> bool {
-    matches!(message.body, Body::VoteRequest { .. } | Body::VoteReply { .. })
-}
--- a/tests/raft_sim/oracle.rs
+++ b/tests/raft_sim/oracle.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use damaskhoist::raft::Entry;
+use damaskhoist::raft::{Entry, Payload, ReplicaSet};
 
 /// What the group has done so far, and the rules that it must keep.
 #[derive(Default)]
@@ -11,6 +11,8 @@
     pub acknowledged: BTreeMap<u64, u64>,
     /// Highest index that was acknowledged.
     pub acknowledged_index: u64,
+    /// Newest committed replica set, with its index.
+    pub replicas: Option<(u64, ReplicaSet)>,
 }
 
 impl Oracle {
@@ -22,6 +24,10 @@
     pub fn applies(&mut self, id: u64, entry: &Entry) {
         let first = self.applied.entry(entry.index).or_insert_with(|| entry.clone());
         assert_eq!(first, entry, "replica {id} applies another entry");
+        let Payload::Replicas(set) = &entry.payload else { return };
+        if self.replicas.as_ref().is_none_or(|newest| newest.0 < entry.index) {
+            self.replicas = Some((entry.index, set.clone()));
+        }
     }
 
     pub fn acknowledges(&mut self, command: u64, index: u64) {
--- a/tests/raft_support/mod.rs
+++ b/tests/raft_support/mod.rs
@@ -1,5 +1,6 @@
 //! A state machine, a network and a cluster in one process, for the tests of the agreement.
 
+// Each test file that includes this module uses a part of it.
 #![allow(dead_code)]
 
 use std::collections::{HashMap, HashSet};
