--- a/src/state/bodies.rs
+++ b/src/state/bodies.rs
@@ -7,34 +7,16 @@
 use crate::state::chunk_cache::ChunkCache;
 use crate::state::{BodyRef, BodyStore};
 
-/// The body store as the tables use it: counts live bytes and delays releases while bodies are
-/// read outside of the state's lock.
+/// The body store as the tables use it, with a count of live bytes and a cache of lines.
 pub(crate) struct Bodies {
     store: Arc<dyn BodyStore>,
     live_bytes: AtomicU64,
-    releases: Mutex<Releases>,
     chunks: Mutex<ChunkCache>,
 }
 
-#[derive(Default)]
-struct Releases {
-    pins: usize,
-    delayed: Vec<BodyRef>,
-}
-
-/// Keeps all bodies readable until it is dropped.
-pub(crate) struct BodyPin<'a> {
-    bodies: &'a Bodies,
-}
-
 impl Bodies {
     pub(crate) fn new(store: Arc<dyn BodyStore>) -> Self {
-        Self {
-            store,
-            live_bytes: AtomicU64::new(0),
-            releases: Mutex::default(),
-            chunks: Mutex::default(),
-        }
+        Self { store, live_bytes: AtomicU64::new(0), chunks: Mutex::default() }
     }
 
     pub(crate) fn store(&self) -> &dyn BodyStore {
@@ -71,11 +53,6 @@
             return;
         }
         self.live_bytes.fetch_sub(u64::from(body.len_bytes), Ordering::Relaxed);
-        let mut releases = self.releases.lock().expect("lock is not poisoned");
-        if releases.pins > 0 {
-            releases.delayed.push(body);
-            return;
-        }
         self.store.release(body);
     }
 
@@ -84,28 +61,9 @@
         self.live_bytes.load(Ordering::Relaxed)
     }
 
-    /// Sets the count after a restore; releases that were delayed belong to the replaced state.
+    /// Sets the count after a restore.
     pub(crate) fn reset(&self, live_bytes: u64) {
         self.live_bytes.store(live_bytes, Ordering::Relaxed);
-        self.releases.lock().expect("lock is not poisoned").delayed.clear();
         *self.chunks.lock().expect("lock is not poisoned") = ChunkCache::default();
     }
-
-    pub(crate) fn pin(&self) -> BodyPin<'_> {
-        self.releases.lock().expect("lock is not poisoned").pins += 1;
-        BodyPin { bodies: self }
-    }
-}
-
-impl Drop for BodyPin<'_> {
-    fn drop(&mut self) {
-        let mut releases = self.bodies.releases.lock().expect("lock is not poisoned");
-        releases.pins -= 1;
-        if releases.pins > 0 {
-            return;
-        }
-        for body in std::mem::take(&mut releases.delayed) {
-            self.bodies.store.release(body);
-        }
-    }
 }
--- a/src/state/body_record.rs
+++ b/src/state/body_record.rs
@@ -1,11 +1,14 @@
-//! The form of a body in a segment: length and checksum, then the body, compressed if it pays.
+//! The form of a body in a segment: length and checksum, then the body, compressed if it pays. It
+//! is the same in all stores, so that a snapshot of one can be restored into another.
 
 use std::io;
 
 use bytes::Bytes;
 
+use crate::state::BodyRef;
+
 /// Length of the payload with the compression flag, then its CRC-32.
-pub(crate) const HEAD_BYTES: usize = 8;
+const HEAD_BYTES: usize = 8;
 const COMPRESSED: u32 = 1 << 31;
 /// Smaller bodies gain too little for the time that compression takes.
 const COMPRESS_FROM_BYTES: usize = 4 << 10;
@@ -13,7 +16,7 @@
 const WORTHWHILE_PART: usize = 8;
 const LEVEL: i32 = 1;
 
-pub(crate) struct Head {
+struct Head {
     length_and_flag: u32,
     crc32: u32,
 }
@@ -25,6 +28,20 @@
     }
 }
 
+/// Reads a body's record through `read_exact_at`, which fills a buffer from an offset.
+pub(crate) fn read(
+    body: BodyRef,
+    read_exact_at: impl Fn(&mut [u8], u64) -> io::Result<()>,
+) -> io::Result<Bytes> {
+    let offset = u64::from(body.offset_bytes);
+    let mut head = [0; HEAD_BYTES];
+    read_exact_at(&mut head, offset)?;
+    let head = Head::parse(head);
+    let mut payload = vec![0; head.payload_bytes(body.len_bytes)?];
+    read_exact_at(&mut payload, offset + HEAD_BYTES as u64)?;
+    head.decode(payload, body.len_bytes)
+}
+
 fn compress(body: &[u8]) -> Option<Vec<u8>> {
     if body.len() < COMPRESS_FROM_BYTES {
         return None;
@@ -42,7 +59,7 @@
 }
 
 impl Head {
-    pub(crate) fn parse(bytes: [u8; HEAD_BYTES]) -> Self {
+    fn parse(bytes: [u8; HEAD_BYTES]) -> Self {
         let [a, b, c, d, e, f, g, h] = bytes;
         Self {
             length_and_flag: u32::from_le_bytes([a, b, c, d]),
@@ -51,7 +68,7 @@
     }
 
     /// Length of the payload, which is never above that of the body.
-    pub(crate) fn payload_bytes(&self, body_bytes: u32) -> io::Result<usize> {
+    fn payload_bytes(&self, body_bytes: u32) -> io::Result<usize> {
         let payload_bytes = self.length_and_flag & !COMPRESSED;
         if payload_bytes > body_bytes {
             return Err(damaged());
@@ -59,7 +76,7 @@
         Ok(payload_bytes as usize)
     }
 
-    pub(crate) fn decode(&self, payload: Vec<u8>, body_bytes: u32) -> io::Result<Bytes> {
+    fn decode(&self, payload: Vec<u8>, body_bytes: u32) -> io::Result<Bytes> {
         if crc32fast::hash(&payload) != self.crc32 {
             return Err(damaged());
         }
--- a/src/state/body_store.rs
+++ b/src/state/body_store.rs
@@ -2,12 +2,12 @@
 
 use bytes::Bytes;
 
-use crate::state::{BodyRef, SegmentName};
+use crate::state::{BodyRef, SealedBodies, SegmentName};
 
 /// Keeps bodies in append-only segments.
 ///
 /// The bodies that it must keep are also in the log or a snapshot, so nothing needs to be durable
-/// before [`BodyStore::seal`].
+/// before [`SealedBodies::sync`].
 pub trait BodyStore: Send + Sync {
     /// Appends a body. One that cannot be written is kept in memory and reported as a fault.
     fn append(&self, body: &[u8]) -> BodyRef;
@@ -18,17 +18,13 @@
     /// Gives up a body. A segment whose bodies are all given up is deleted.
     fn release(&self, body: BodyRef);
 
-    /// Ends the open segment, makes all segments durable and names them.
-    fn seal(&self) -> io::Result<Vec<SegmentName>>;
+    /// The segments as they are now, with all bodies appended so far. Cheap: nothing is written.
+    fn seal(&self) -> Box<dyn SealedBodies>;
 
-    /// Writes the `len_bytes` of a sealed segment.
-    fn export(&self, segment: &SegmentName, target: &mut dyn io::Write) -> io::Result<()>;
-
-    /// Whether the segment is here, whole.
+    /// Whether the segment is here, whole. It may have grown since it was named.
     fn holds(&self, segment: &SegmentName) -> bool;
 
-    /// Reads `len_bytes` of a segment that another store exported, for a later
-    /// [`BodyStore::adopt`].
+    /// Reads the `len_bytes` of an exported segment, for a later [`BodyStore::adopt`].
     fn import(&self, segment: &SegmentName, source: &mut dyn io::Read) -> io::Result<()>;
 
     /// Replaces all segments by `segments`, held or imported before, in which only `live` is kept.
--- a/src/state/disk_bodies.rs
+++ b/src/state/disk_bodies.rs
@@ -8,7 +8,7 @@
 
 use crate::state::body_record;
 use crate::state::segment::{self, Segment, Storage};
-use crate::state::{BodyRef, BodyStore, SegmentName};
+use crate::state::{BodyRef, BodyStore, SealedBodies, SegmentName};
 
 /// Large, because every segment keeps a file open; a segment is deleted as a whole.
 const SEGMENT_BYTES: u64 = 256 << 20;
@@ -99,13 +99,7 @@
             return Ok(Bytes::new());
         }
         let storage = self.storage(body.segment)?;
-        let mut head = [0; body_record::HEAD_BYTES];
-        let offset = u64::from(body.offset_bytes);
-        storage.read_exact_at(&mut head, offset)?;
-        let head = body_record::Head::parse(head);
-        let mut payload = vec![0; head.payload_bytes(body.len_bytes)?];
-        storage.read_exact_at(&mut payload, offset + body_record::HEAD_BYTES as u64)?;
-        head.decode(payload, body.len_bytes)
+        body_record::read(body, |buffer, offset| storage.read_exact_at(buffer, offset))
     }
 
     fn release(&self, body: BodyRef) {
@@ -125,37 +119,18 @@
         }
     }
 
-    fn seal(&self) -> io::Result<Vec<SegmentName>> {
-        let mut inner = self.inner.lock().expect("lock is not poisoned");
-        end_segment(&mut inner);
+    fn seal(&self) -> Box<dyn SealedBodies> {
+        let inner = self.inner.lock().expect("lock is not poisoned");
         let names = inner.segments.iter().map(|(number, segment)| segment.name(*number)).collect();
-        let unsynced: Vec<(u32, Storage)> = inner
-            .segments
-            .iter()
-            .filter(|(_, segment)| !segment.synced)
-            .map(|(number, segment)| (*number, segment.storage.clone()))
-            .collect();
-        drop(inner);
-        for (number, storage) in unsynced {
-            storage.sync()?;
-            let mut inner = self.inner.lock().expect("lock is not poisoned");
-            if let Some(segment) = inner.segments.get_mut(&number) {
-                segment.synced = true;
-            }
-        }
-        File::open(&self.folder)?.sync_all()?;
-        Ok(names)
-    }
-
-    fn export(&self, segment: &SegmentName, target: &mut dyn io::Write) -> io::Result<()> {
-        self.storage(segment.segment)?.export(segment.len_bytes, target)
+        let storages = inner.segments.values().map(|segment| segment.storage.clone()).collect();
+        Box::new(SealedSegments { folder: self.folder.clone(), names, storages })
     }
 
     fn holds(&self, segment: &SegmentName) -> bool {
         let inner = self.inner.lock().expect("lock is not poisoned");
         let here = inner.segments.get(&segment.segment);
-        here.is_some_and(|here| here.name(segment.segment) == *segment)
-            || inner.found.iter().any(|found| is_whole(found, segment))
+        here.is_some_and(|here| here.name(segment.segment).holds(segment))
+            || inner.found.iter().any(|found| found.holds(segment))
     }
 
     fn import(&self, segment: &SegmentName, source: &mut dyn io::Read) -> io::Result<()> {
@@ -179,7 +154,9 @@
                     Segment::reopen(&self.folder, name)?
                 }
             };
-            kept.insert(name.segment, Segment { live: 0, ..segment });
+            // A longer segment has bodies of commands that the restored state does not know.
+            let segment = Segment { live: 0, len_bytes: name.len_bytes, ..segment };
+            kept.insert(name.segment, segment);
         }
         for body in live {
             if let Some(segment) = kept.get_mut(&body.segment) {
@@ -191,7 +168,7 @@
             inner.open = inner.open.max(number + 1);
             segment.delete();
         }
-        inner.found.retain(|found| !segments.iter().any(|name| is_whole(found, name)));
+        inner.found.retain(|found| !segments.iter().any(|name| found.holds(name)));
         self.delete_found(&mut inner);
         let newest = segments.iter().map(|name| name.segment).max().unwrap_or_default();
         inner.open = inner.open.max(newest + 1);
@@ -235,9 +212,25 @@
     }
 }
 
-/// Whether a file holds a sealed segment. It may be longer by a record whose write failed.
-fn is_whole(found: &SegmentName, sealed: &SegmentName) -> bool {
-    found.segment == sealed.segment
-        && found.nonce == sealed.nonce
-        && found.len_bytes >= sealed.len_bytes
+struct SealedSegments {
+    folder: PathBuf,
+    names: Vec<SegmentName>,
+    storages: Vec<Storage>,
+}
+
+impl SealedBodies for SealedSegments {
+    fn names(&self) -> &[SegmentName] {
+        &self.names
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        for storage in &self.storages {
+            storage.sync()?;
+        }
+        File::open(&self.folder)?.sync_all()
+    }
+
+    fn export(&self, place: usize, target: &mut dyn io::Write) -> io::Result<()> {
+        self.storages[place].export(self.names[place].len_bytes, target)
+    }
 }
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use crate::state::bodies::Bodies;
-use crate::state::command::{AttemptEnd, Holder, ItemFinish};
+use crate::state::command::{AttemptEnd, Holder, ItemFinish, NewJob};
 use crate::state::fingerprint::Fingerprint;
 use crate::state::item::ItemState;
 use crate::state::item_attempt::ItemAttempt;
@@ -69,6 +69,34 @@
 }
 
 impl Job {
+    /// An accepted job with all items pending.
+    pub(crate) fn new(new: NewJob, max_attempts: u8, lines: u32, now: u64) -> Job {
+        Self {
+            job_id: new.job_id.into(),
+            customer: new.customer.into(),
+            service: new.service.into(),
+            file_id: new.file_id.into(),
+            endpoint: new.endpoint,
+            metadata_json: new.metadata_json,
+            idempotency_key: new.idempotency_key,
+            fingerprint: new.fingerprint,
+            deadline_unix_ms: match new.deadline_unix_ms {
+                0 => u64::MAX,
+                deadline => deadline,
+            },
+            created_at_unix_ms: now,
+            finished_at_unix_ms: 0,
+            expires_unix_ms: 0,
+            max_attempts,
+            state: JobState::InProgress,
+            deleted: false,
+            items: ItemTable::new(lines),
+            counts: ItemCounts { total: lines, ..ItemCounts::default() },
+            pending: PendingItems::default(),
+            leases: Default::default(),
+        }
+    }
+
     pub(crate) fn has_pending(&self) -> bool {
         self.state == JobState::InProgress
             && !(self.pending.yielded.is_empty()
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -6,8 +6,7 @@
 use crate::state::configuration_table::ConfigurationTable;
 use crate::state::files::Files;
 use crate::state::item_attempt::ItemAttempt;
-use crate::state::item_table::ItemTable;
-use crate::state::job::{ItemCounts, Job, JobState, PendingItems};
+use crate::state::job::{Job, JobState};
 use crate::state::outcome::{FinishVerdict, Outcome};
 use crate::state::ready_jobs::ReadyJobs;
 use crate::state::refusal::Refusal;
@@ -86,7 +85,7 @@
             )));
         }
         files.take(&new.customer, &new.file_id)?;
-        let job = new_job(new, max_attempts as u8, lines, now);
+        let job = Job::new(new, max_attempts as u8, lines, now);
         let outcome =
             Outcome::JobCreated { job_id: job.job_id.clone(), items: lines, existed: false };
         self.insert(job);
@@ -387,30 +386,3 @@
     let (job_id, items) = (job.job_id.clone(), job.counts.total);
     Ok(Some(Outcome::JobCreated { job_id, items, existed: true }))
 }
-
-fn new_job(new: NewJob, max_attempts: u8, lines: u32, now: u64) -> Job {
-    Job {
-        job_id: new.job_id.into(),
-        customer: new.customer.into(),
-        service: new.service.into(),
-        file_id: new.file_id.into(),
-        endpoint: new.endpoint,
-        metadata_json: new.metadata_json,
-        idempotency_key: new.idempotency_key,
-        fingerprint: new.fingerprint,
-        deadline_unix_ms: match new.deadline_unix_ms {
-            0 => u64::MAX,
-            deadline => deadline,
-        },
-        created_at_unix_ms: now,
-        finished_at_unix_ms: 0,
-        expires_unix_ms: 0,
-        max_attempts,
-        state: JobState::InProgress,
-        deleted: false,
-        items: ItemTable::new(lines),
-        counts: ItemCounts { total: lines, ..ItemCounts::default() },
-        pending: PendingItems::default(),
-        leases: Default::default(),
-    }
-}
--- a/src/state/memory_bodies.rs
+++ b/src/state/memory_bodies.rs
@@ -1,10 +1,11 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Read as _};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
 
-use crate::state::{BodyRef, BodyStore, SegmentName};
+use crate::state::body_record;
+use crate::state::{BodyRef, BodyStore, SealedBodies, SegmentName};
 
 /// Small, so that memory comes back soon after its bodies are given up.
 const SEGMENT_BYTES: usize = 1 << 20;
@@ -17,14 +18,14 @@
 
 #[derive(Default)]
 struct Inner {
-    segments: HashMap<u32, Segment>,
-    imported: HashMap<u64, Vec<u8>>,
+    segments: BTreeMap<u32, Segment>,
+    imported: HashMap<u64, Arc<Vec<u8>>>,
     open: u32,
 }
 
 struct Segment {
     nonce: u64,
-    data: Vec<u8>,
+    data: Arc<Vec<u8>>,
     live: u64,
 }
 
@@ -42,13 +43,15 @@
 }
 
 impl Inner {
-    fn open_segment(&mut self, body_bytes: usize) -> (u32, &mut Segment) {
-        let full = match self.segments.get(&self.open) {
-            Some(segment) => segment.data.len() + body_bytes > SEGMENT_BYTES,
-            None => true,
-        };
-        if full {
-            self.open += 1;
+    /// The segment that takes a record of this length.
+    fn open_segment(&mut self, record_bytes: usize) -> (u32, &mut Segment) {
+        if let Some(segment) = self.segments.get(&self.open) {
+            if segment.data.len() + record_bytes > SEGMENT_BYTES {
+                if segment.live == 0 {
+                    self.segments.remove(&self.open);
+                }
+                self.open += 1;
+            }
         }
         let segment = self.segments.entry(self.open).or_insert_with(Segment::empty);
         (self.open, segment)
@@ -62,7 +65,7 @@
 
 impl Segment {
     fn empty() -> Self {
-        Self { nonce: rand::random(), data: Vec::new(), live: 0 }
+        Self { nonce: rand::random(), data: Arc::default(), live: 0 }
     }
 }
 
@@ -71,14 +74,15 @@
         if body.is_empty() {
             return BodyRef::EMPTY;
         }
+        let record = body_record::encode(body);
         let mut inner = self.inner.lock().expect("lock is not poisoned");
-        let (number, segment) = inner.open_segment(body.len());
+        let (number, segment) = inner.open_segment(record.len());
         let place = BodyRef {
             segment: number,
             offset_bytes: segment.data.len() as u32,
             len_bytes: body.len() as u32,
         };
-        segment.data.extend_from_slice(body);
+        Arc::make_mut(&mut segment.data).extend_from_slice(&record);
         segment.live += 1;
         place
     }
@@ -88,11 +92,15 @@
             return Ok(Bytes::new());
         }
         let inner = self.inner.lock().expect("lock is not poisoned");
-        let start = body.offset_bytes as usize;
-        let data = inner.segments.get(&body.segment).map(|segment| &segment.data[..]);
-        data.and_then(|data| data.get(start..start + body.len_bytes as usize))
-            .map(Bytes::copy_from_slice)
-            .ok_or_else(|| io::Error::new(io::ErrorKind::NotFound, "body is not in the store"))
+        let data = inner.segments.get(&body.segment).map(|segment| segment.data.clone());
+        drop(inner);
+        let data = data.ok_or(io::ErrorKind::NotFound)?;
+        body_record::read(body, |buffer, offset| {
+            let start = offset as usize;
+            let found = data.get(start..start + buffer.len());
+            buffer.copy_from_slice(found.ok_or(io::ErrorKind::UnexpectedEof)?);
+            Ok(())
+        })
     }
 
     fn release(&self, body: BodyRef) {
@@ -109,24 +117,17 @@
         }
     }
 
-    fn seal(&self) -> io::Result<Vec<SegmentName>> {
-        let mut inner = self.inner.lock().expect("lock is not poisoned");
-        inner.open += 1;
-        let mut numbers: Vec<u32> = inner.segments.keys().copied().collect();
-        numbers.sort_unstable();
-        Ok(numbers.into_iter().filter_map(|number| inner.name(number)).collect())
-    }
-
-    fn export(&self, segment: &SegmentName, target: &mut dyn io::Write) -> io::Result<()> {
+    fn seal(&self) -> Box<dyn SealedBodies> {
         let inner = self.inner.lock().expect("lock is not poisoned");
-        let data = inner.segments.get(&segment.segment).map(|found| found.data.clone());
-        drop(inner);
-        target.write_all(&data.ok_or(io::ErrorKind::NotFound)?)
+        let numbers = inner.segments.keys();
+        let names = numbers.filter_map(|number| inner.name(*number)).collect();
+        let data = inner.segments.values().map(|segment| segment.data.clone()).collect();
+        Box::new(SealedMemory { names, data })
     }
 
     fn holds(&self, segment: &SegmentName) -> bool {
         let inner = self.inner.lock().expect("lock is not poisoned");
-        inner.name(segment.segment) == Some(*segment)
+        inner.name(segment.segment).is_some_and(|name| name.holds(segment))
     }
 
     fn import(&self, segment: &SegmentName, source: &mut dyn io::Read) -> io::Result<()> {
@@ -135,7 +136,11 @@
         if data.len() as u64 != segment.len_bytes {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
-        self.inner.lock().expect("lock is not poisoned").imported.insert(segment.nonce, data);
+        self.inner
+            .lock()
+            .expect("lock is not poisoned")
+            .imported
+            .insert(segment.nonce, data.into());
         Ok(())
     }
 
@@ -145,12 +150,13 @@
         live: &mut dyn Iterator<Item = BodyRef>,
     ) -> io::Result<()> {
         let mut inner = self.inner.lock().expect("lock is not poisoned");
-        let mut kept = HashMap::new();
+        let mut kept = BTreeMap::new();
         for name in segments {
-            let data = match inner.imported.remove(&name.nonce) {
+            let mut data = match inner.imported.remove(&name.nonce) {
                 Some(data) => data,
                 None => inner.segments.remove(&name.segment).ok_or(io::ErrorKind::NotFound)?.data,
             };
+            Arc::make_mut(&mut data).truncate(name.len_bytes as usize);
             kept.insert(name.segment, Segment { nonce: name.nonce, data, live: 0 });
         }
         for body in live {
@@ -164,3 +170,22 @@
         Ok(())
     }
 }
+
+struct SealedMemory {
+    names: Vec<SegmentName>,
+    data: Vec<Arc<Vec<u8>>>,
+}
+
+impl SealedBodies for SealedMemory {
+    fn names(&self) -> &[SegmentName] {
+        &self.names
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn export(&self, place: usize, target: &mut dyn io::Write) -> io::Result<()> {
+        target.write_all(&self.data[place])
+    }
+}
--- a/src/state/replicated_state.rs
+++ b/src/state/replicated_state.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use prost::Message;
 
-use crate::raft::StateMachine;
+use crate::raft::{SavedState, StateMachine};
 use crate::schema::config::Configuration;
 use crate::schema::state::{Query, QueryAnswer};
 use crate::state::bodies::Bodies;
@@ -74,13 +74,15 @@
     }
 
     fn save(&self, target: &mut dyn io::Write) -> io::Result<()> {
+        self.capture()?(target)
+    }
+
+    fn capture(&self) -> io::Result<SavedState> {
         let tables = self.tables.read().expect("lock is not poisoned");
-        let pin = self.bodies.pin();
         let frozen = tables.freeze();
+        let sealed = self.bodies.store().seal();
         drop(tables);
-        let saved = snapshot::save(frozen, self.bodies.store(), target);
-        drop(pin);
-        saved
+        Ok(Box::new(move |target| snapshot::save(frozen, &*sealed, target)))
     }
 
     fn restore(&self, source: &mut dyn io::Read) -> io::Result<()> {
--- a/src/state/segment.rs
+++ b/src/state/segment.rs
@@ -14,8 +14,6 @@
     pub(crate) len_bytes: u64,
     /// Records whose bodies are in use.
     pub(crate) live: u64,
-    /// No write is outstanding to the disk.
-    pub(crate) synced: bool,
     pub(crate) storage: Storage,
 }
 
@@ -31,12 +29,12 @@
         let path = path_of(folder, number, nonce);
         let file = File::options().read(true).write(true).create_new(true).open(&path)?;
         let storage = Storage::File { file: Arc::new(file), path: path.into() };
-        Ok(Self { nonce, len_bytes: 0, live: 0, synced: false, storage })
+        Ok(Self { nonce, len_bytes: 0, live: 0, storage })
     }
 
     pub(crate) fn in_memory() -> Self {
         let storage = Storage::Memory(Arc::default());
-        Self { nonce: rand::random(), len_bytes: 0, live: 0, synced: true, storage }
+        Self { nonce: rand::random(), len_bytes: 0, live: 0, storage }
     }
 
     /// Opens a whole segment that is on disk.
@@ -44,7 +42,7 @@
         let path = path_of(folder, name.segment, name.nonce);
         let file = File::open(&path)?;
         let storage = Storage::File { file: Arc::new(file), path: path.into() };
-        Ok(Self { nonce: name.nonce, len_bytes: name.len_bytes, live: 0, synced: true, storage })
+        Ok(Self { nonce: name.nonce, len_bytes: name.len_bytes, live: 0, storage })
     }
 
     /// Appends a record and gives its offset. After an error the segment is as before.
--- a/src/state/snapshot.rs
+++ b/src/state/snapshot.rs
@@ -17,7 +17,7 @@
 use crate::state::snapshot_records;
 use crate::state::state_clock::StateClock;
 use crate::state::tables::{Tables, SNAPSHOT_FORMAT};
-use crate::state::{BodyStore, SegmentName};
+use crate::state::{BodyStore, SealedBodies, SegmentName};
 
 /// Above the largest record, a job of a million items.
 const RECORD_LIMIT_BYTES: u64 = 256 << 20;
@@ -26,10 +26,11 @@
 /// Writes the tables and all segments.
 pub(crate) fn save(
     tables: FrozenTables,
-    bodies: &dyn BodyStore,
+    bodies: &dyn SealedBodies,
     target: &mut dyn Write,
 ) -> io::Result<()> {
-    let segments = bodies.seal()?;
+    // The segments must be on the disk before a snapshot that a restart may trust to find them.
+    bodies.sync()?;
     let mut writer = RecordWriter {
         target: BufWriter::with_capacity(BUFFER_BYTES, target),
         checksum: crc32fast::Hasher::new(),
@@ -50,10 +51,10 @@
     for (number, claim) in tables.claims.iter() {
         writer.write(Record::Claim(snapshot_records::claim(number, claim)))?;
     }
-    writer.write(Record::Segments(snapshot_records::segments(&segments)))?;
+    writer.write(Record::Segments(snapshot_records::segments(bodies.names())))?;
     writer.end()?;
-    for segment in &segments {
-        bodies.export(segment, &mut writer.target)?;
+    for place in 0..bodies.names().len() {
+        bodies.export(place, &mut writer.target)?;
     }
     writer.target.flush()
 }
--- a/tests/state_commands.rs
+++ b/tests/state_commands.rs
@@ -1,184 +1,23 @@
 //! Commands and reads of the replicated state, one rule each.
 
+mod state_support;
+
 use std::sync::Arc;
 
-use damaskhoist::raft::StateMachine;
-use damaskhoist::schema::config::{edit, Configuration, Customer, Edit, Policy, Service};
+use damaskhoist::schema::config::{edit, Configuration, Customer, Policy, Service};
 use damaskhoist::schema::state::command::Command as Kind;
 use damaskhoist::schema::state::outcome::Outcome;
 use damaskhoist::schema::state::query::Query as Read;
 use damaskhoist::schema::state::query_answer::Answer as Found;
 use damaskhoist::schema::state::*;
-use damaskhoist::state::{MemoryBodies, ReplicatedState};
-use prost::Message;
 use rstest::rstest;
-
-/// A state with a clock and command ids.
-struct Replica {
-    state: ReplicatedState,
-    now_ms: u64,
-}
-
-impl Replica {
-    fn open() -> Self {
-        let state = ReplicatedState::open(Arc::new(MemoryBodies::open()));
-        Self { state, now_ms: 1_000_000 }
-    }
-
-    fn submit_as(&self, command_id: &str, kind: Kind) -> Outcome {
-        let command = Command {
-            command_id: command_id.to_owned(),
-            proposed_at_unix_ms: self.now_ms,
-            command: Some(kind),
-        };
-        let outcome = self.state.apply(1, &command.encode_to_vec());
-        damaskhoist::schema::state::Outcome::decode(outcome).unwrap().outcome.unwrap()
-    }
-
-    fn submit(&self, kind: Kind) -> Outcome {
-        self.submit_as("", kind)
-    }
-
-    fn read(&self, read: Read) -> Found {
-        self.state.query(&Query { query: Some(read) }).answer.unwrap()
-    }
-
-    /// Replaces the state by a restore of its snapshot on another replica.
-    fn move_to_other_replica(&mut self) {
-        let mut snapshot = Vec::new();
-        self.state.save(&mut snapshot).unwrap();
-        let other = Self::open();
-        other.state.restore(&mut &snapshot[..]).unwrap();
-        self.state = other.state;
-    }
-
-    fn create_job(&self, customer: &str, job_id: &str, items: u32) -> Outcome {
-        let file_id = format!("file-{job_id}");
-        let line = |item| format!(r#"{{"custom_id":"{job_id}-{item}"}}"#).into();
-        self.submit(Kind::AppendFile(AppendFile {
-            customer: customer.to_owned(),
-            file_id: file_id.clone(),
-            lines: (0..items).map(line).collect(),
-            last: true,
-            ..AppendFile::default()
-        }));
-        self.submit(Kind::CreateJob(CreateJob {
-            customer: customer.to_owned(),
-            job_id: job_id.to_owned(),
-            idempotency_key: format!("key-{job_id}"),
-            fingerprint: vec![1].into(),
-            file_id,
-            service: "draft".to_owned(),
-            max_attempts: 2,
-            ..CreateJob::default()
-        }))
-    }
-
-    fn lease(&self, max_items: u32) -> Vec<LeasedItem> {
-        let lease = LeaseItems {
-            holder: "host-1".to_owned(),
-            max_items,
-            lease_ms: 5_000,
-            ..LeaseItems::default()
-        };
-        match self.submit(Kind::LeaseItems(lease)) {
-            Outcome::ItemsLeased(leased) => leased.items,
-            other => panic!("{other:?}"),
-        }
-    }
-
-    fn finish(&self, item: &LeasedItem, end: ItemEnd) -> FinishVerdict {
-        let finish = ItemFinish {
-            attempt: item.attempt.clone(),
-            end: end.into(),
-            status: 200,
-            body: format!("result of {}", item.custom_id).into(),
-        };
-        let finish = FinishItems { holder: "host-1".to_owned(), items: vec![finish] };
-        match self.submit(Kind::FinishItems(finish)) {
-            Outcome::ItemsFinished(finished) => finished.verdicts().next().unwrap(),
-            other => panic!("{other:?}"),
-        }
-    }
-
-    fn job(&self, job_id: &str) -> Job {
-        let get = GetJob { customer: String::new(), job_id: job_id.to_owned() };
-        match self.read(Read::GetJob(get)) {
-            Found::Job(job) => job,
-            other => panic!("{other:?}"),
-        }
-    }
-
-    fn items(&self, job_id: &str) -> Vec<Item> {
-        let list = ListItems { job_id: job_id.to_owned(), with_bodies: true, ..Default::default() };
-        match self.read(Read::ListItems(list)) {
-            Found::Items(page) => page.items,
-            other => panic!("{other:?}"),
-        }
-    }
-
-    fn take_claim(&self, request: &str, holder: &str, not_repeatable: bool) -> ClaimTaken {
-        let take = TakeClaim {
-            customer: "ana".to_owned(),
-            key: "k".to_owned(),
-            fingerprint: vec![7].into(),
-            request_id: request.to_owned(),
-            holder: holder.to_owned(),
-            lease_ms: 1_000,
-            not_repeatable,
-            ..TakeClaim::default()
-        };
-        match self.submit(Kind::TakeClaim(take)) {
-            Outcome::ClaimTaken(taken) => taken,
-            other => panic!("{other:?}"),
-        }
-    }
-
-    fn settle(&self, request: &str, not_run: bool) -> Outcome {
-        let (customer, key) = ("ana".to_owned(), "k".to_owned());
-        let request_id = request.to_owned();
-        self.submit(Kind::SettleClaim(SettleClaim { customer, key, request_id, not_run }))
-    }
-
-    fn record(&self, request: &str, body: &str) -> Outcome {
-        self.submit(Kind::RecordAnswer(RecordAnswer {
-            customer: "ana".to_owned(),
-            key: "k".to_owned(),
-            fingerprint: vec![7].into(),
-            request_id: request.to_owned(),
-            status: 200,
-            content_type: "application/json".to_owned(),
-            body: body.as_bytes().to_vec().into(),
-        }))
-    }
-
-    fn take_fence(&self, holder: &str) -> FenceTaken {
-        let take =
-            TakeFence { scope: "orders".to_owned(), holder: holder.to_owned(), lease_ms: 1_000 };
-        match self.submit(Kind::TakeFence(take)) {
-            Outcome::FenceTaken(taken) => taken,
-            other => panic!("{other:?}"),
-        }
-    }
-}
+use state_support::{change, refused, Replica};
 
 fn put_service(base_version: u64, name: &str) -> Kind {
     let service = Service { name: name.to_owned(), ..Service::default() };
     change(base_version, vec![edit::Edit::PutService(service)])
 }
 
-fn change(base_version: u64, edits: Vec<edit::Edit>) -> Kind {
-    let edits = edits.into_iter().map(|edit| Edit { edit: Some(edit) }).collect();
-    Kind::ChangeConfiguration(ChangeConfiguration { base_version, edits })
-}
-
-fn refused(outcome: Outcome) -> (RefusalCode, String) {
-    match outcome {
-        Outcome::Refused(refused) => (refused.code(), refused.message),
-        other => panic!("{other:?}"),
-    }
-}
-
 /// Guards against two operators under equal numbers both winning, and against a resend losing.
 #[test]
 fn one_of_two_racing_operators_wins_and_its_resend_gets_the_first_answer() {
