Never hand on a short answer as a whole one

Several ends of a stream looked like the end of its answer: a last piece took the place of a late one, an engine's `cancelled` and a [DONE] without a finish reason passed as whole, a plain answer cut below its content-length was taken as it was, and a producer that stopped ended the caller's body cleanly. A frozen upstream held its caller until the deadline.

Silence is bounded by the upstream's usual token times. Claims are given back when the caller goes away, and a claim that fails while the upstream already runs no longer answers `not_run`.

--- a/src/admission/refusal.rs
+++ b/src/admission/refusal.rs
@@ -2,8 +2,8 @@
 
 use crate::schema::state::{RefusalCode, Refused};
 
-/// What is known of a request that got no whole answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What is known of a request that got no whole answer, the least first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RunOutcome {
     /// No upstream has started it, and none will.
     NotRun,
@@ -143,6 +143,12 @@
         self.outcome = outcome;
         self
     }
+
+    /// The same refusal for a request of which at least `outcome` is known.
+    pub fn at_least(mut self, outcome: RunOutcome) -> Self {
+        self.outcome = self.outcome.max(outcome);
+        self
+    }
 }
 
 impl From<Refused> for Refusal {
--- a/src/entry/caller_stream.rs
+++ b/src/entry/caller_stream.rs
@@ -37,6 +37,11 @@
         self.reads_head.store(false, Ordering::Relaxed);
     }
 
+    /// True until the head of the request was read whole.
+    pub fn is_reading_head(&self) -> bool {
+        self.reads_head.load(Ordering::Relaxed)
+    }
+
     /// What the caller still sends is not read; the connection ends after the answer.
     pub fn ignore_rest(&self) {
         self.ignores_rest.store(true, Ordering::Relaxed);
--- a/src/entry/http_server.rs
+++ b/src/entry/http_server.rs
@@ -129,6 +129,11 @@
         match select(request, gone).await {
             Either::Left((Ok(ConnectionStatus::KeepAlive), _)) if !state.ignores_rest() => {}
             Either::Left((Ok(_), _)) => return,
+            // The answer broke off; its end must not look like the end of a whole answer.
+            Either::Left((Err(_), _)) if !state.is_reading_head() => {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+                return;
+            }
             Either::Left((Err(error), _)) => {
                 context.counters.count("request.malformed");
                 answer_malformed(stream.clone(), &error, head_limit_bytes).await;
--- a/src/entry/routes/completions.rs
+++ b/src/entry/routes/completions.rs
@@ -12,8 +12,7 @@
 use crate::entry::shared::EntryShared;
 use crate::schema::state::Answer as RecordedAnswer;
 use crate::serving::{
-    Answer, AnswerFormat, EngineRequest, OnlineAnswer, OnlineRequest, RequestIdentity,
-    RunningAnswer,
+    Answer, AnswerFormat, EngineRequest, OnlineAnswer, OnlineRequest, OnlineRun, RequestIdentity,
 };
 use crate::telemetry::Span;
 
@@ -45,11 +44,9 @@
         span.text("model", &parsed.request.model);
         let answer = shared.online.begin(&parsed.request, &span).await?;
         match (answer, parsed.stream) {
-            (OnlineAnswer::Running(running), true) => {
-                Ok(stream(shared, parsed.request, *running, span))
-            }
-            (OnlineAnswer::Running(running), false) => {
-                whole(&shared, &parsed.request, *running, span).await
+            (OnlineAnswer::Running(run), true) => Ok(stream(shared, parsed.request, *run, span)),
+            (OnlineAnswer::Running(run), false) => {
+                whole(&shared, &parsed.request, *run, span).await
             }
             (OnlineAnswer::Recorded(recorded), true) => Ok(replay(&parsed.request, &recorded)),
             (OnlineAnswer::Recorded(recorded), false) => Ok(recorded_response(&recorded)),
@@ -89,12 +86,14 @@
             not_repeatable: not_repeatable || configuration.is_not_repeatable(&service),
             deadline,
         };
+        // A claim ends with the record, so that a resend under its key gets the answer.
+        let recorded = identity.needs_claim() || configuration.records_answers(&service);
         let request = OnlineRequest {
             identity,
             model,
             format: self.format,
             body: EngineRequest::streamed_body(body),
-            recorded: configuration.records_answers(&service),
+            recorded,
         };
         Ok(Parsed { request, stream })
     }
@@ -110,7 +109,7 @@
 fn stream(
     shared: Arc<EntryShared>,
     request: OnlineRequest,
-    running: RunningAnswer,
+    run: OnlineRun,
     span: Span,
 ) -> Response {
     let (sender, body) = EventBody::open();
@@ -118,7 +117,7 @@
     let activity = shared.activity.enter();
     task::spawn(async move {
         let _activity = activity;
-        AnswerStream { shared, request, running, span }.run(sender).await;
+        AnswerStream { shared, request, span }.send(run, sender).await;
     });
     stream_response(&request_id, body)
 }
@@ -126,21 +125,14 @@
 async fn whole(
     shared: &EntryShared,
     request: &OnlineRequest,
-    mut running: RunningAnswer,
+    mut run: OnlineRun,
     span: Span,
 ) -> Result<Response, Refusal> {
     let mut answer = Answer::default();
-    loop {
-        match running.next(&span).await {
-            Ok(Some(chunk)) => answer.push(&chunk),
-            Ok(None) => break,
-            Err(refusal) => {
-                shared.online.release(request, refusal.outcome).await;
-                return Err(refusal);
-            }
-        }
+    while let Some(chunk) = run.next(&span).await? {
+        answer.push(&chunk);
     }
-    let recorded = shared.online.record(request, &answer, &span).await;
+    let recorded = shared.online.record(request, run, &answer, &span).await;
     let body = request.format.whole(&request.identity.request_id, &request.model, &answer);
     let response = Response::builder(200)
         .content_type("application/json")
--- a/src/entry/routes/service.rs
+++ b/src/entry/routes/service.rs
@@ -1,12 +1,12 @@
 use async_trait::async_trait;
 use tide::Response;
 
-use crate::admission::Refusal;
+use crate::admission::{Refusal, RunOutcome};
 use crate::entry::caller_request::CallerRequest;
 use crate::entry::route::RouteHandler;
 use crate::entry::routes::completions::recorded_response;
 use crate::routing::WorkClass;
-use crate::serving::{PlainCall, RequestIdentity};
+use crate::serving::{ClaimGuard, PlainCall, RequestIdentity};
 use crate::telemetry::Span;
 
 /// `/v1/services/:service/*path`: passes any call to a plain service.
@@ -49,8 +49,10 @@
             deadline,
         };
         let ledger = shared.online.ledger();
+        let mut claim = ClaimGuard::new(ledger, &identity);
         if identity.needs_claim() {
             if let Some(recorded) = ledger.claim(&identity, &span).await? {
+                claim.settled();
                 return Ok(recorded_response(&recorded));
             }
         }
@@ -66,15 +68,18 @@
             class: WorkClass::Online,
             deadline,
         };
+        // Holds if the caller goes away while the call is on its way.
+        claim.progress = RunOutcome::MayHaveRun;
         let answer = match shared.dispatcher.call_plain_whole(&call, &span).await {
             Ok(answer) => answer,
             Err(refusal) => {
-                ledger.release(&identity, refusal.outcome).await;
+                claim.release(refusal.outcome).await;
                 return Err(refusal);
             }
         };
-        if identity.needs_claim() {
-            ledger.record(&identity, answer.view(), &span).await;
+        claim.progress = RunOutcome::Ran;
+        if identity.needs_claim() && ledger.record(&identity, answer.view(), &span).await {
+            claim.settled();
         }
         let response = Response::builder(answer.status)
             .content_type(answer.content_type.as_str())
--- a/src/membership/crash_record.rs
+++ b/src/membership/crash_record.rs
@@ -11,8 +11,10 @@
     pub fingerprint: Vec<u8>,
     /// Losses of upstreams where the request was present.
     pub losses: u32,
-    /// Upstreams that were lost.
+    /// Upstreams that were lost, each with its incarnation.
     pub upstream_ids: BTreeSet<String>,
+    /// Those of the lost upstreams that the request is cleared of, because it finished later.
+    pub cleared_ids: BTreeSet<String>,
     /// The request is refused.
     pub convicted: bool,
     /// When the record is forgotten.
@@ -29,12 +31,18 @@
         Key::Crash(hex.into())
     }
 
+    /// Losses that the request is not cleared of.
+    pub fn open_losses(&self) -> usize {
+        self.upstream_ids.difference(&self.cleared_ids).count()
+    }
+
     /// Union of two records of one fingerprint.
     pub fn union(&self, other: &Self) -> Self {
         Self {
             fingerprint: self.fingerprint.clone(),
             losses: self.losses.max(other.losses),
             upstream_ids: self.upstream_ids.union(&other.upstream_ids).cloned().collect(),
+            cleared_ids: self.cleared_ids.union(&other.cleared_ids).cloned().collect(),
             convicted: self.convicted || other.convicted,
             expires_unix_ms: self.expires_unix_ms.max(other.expires_unix_ms),
         }
@@ -47,6 +55,7 @@
             fingerprint: record.fingerprint.clone().into(),
             losses: record.losses,
             upstream_ids: record.upstream_ids.iter().cloned().collect(),
+            cleared_ids: record.cleared_ids.iter().cloned().collect(),
             convicted: record.convicted,
             expires_unix_ms: record.expires_unix_ms,
         }
@@ -59,6 +68,7 @@
             fingerprint: record.fingerprint.to_vec(),
             losses: record.losses,
             upstream_ids: record.upstream_ids.into_iter().collect(),
+            cleared_ids: record.cleared_ids.into_iter().collect(),
             convicted: record.convicted,
             expires_unix_ms: record.expires_unix_ms,
         }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -3,6 +3,7 @@
 mod balancer;
 mod fleet;
 mod least_outstanding;
+mod pace;
 mod request_view;
 mod round_robin;
 mod upstream;
@@ -11,6 +12,7 @@
 pub use balancer::Balancer;
 pub use fleet::{Fleet, FleetSnapshot};
 pub use least_outstanding::LeastOutstanding;
+pub use pace::Pace;
 pub use request_view::{RequestView, WorkClass};
 pub use round_robin::RoundRobin;
 pub use upstream::{SlotPermit, Upstream};
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -1,8 +1,8 @@
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 
 use crate::membership::UpstreamRecord;
-use crate::routing::WorkClass;
+use crate::routing::{Pace, WorkClass};
 
 /// One upstream as this host sees it: its record and what was sent to it.
 #[derive(Debug)]
@@ -11,10 +11,11 @@
     pub record: Arc<UpstreamRecord>,
     /// Grows with each start of the upstream.
     pub incarnation: u64,
+    /// Times that it took lately.
+    pub pace: Pace,
     online_in_use: AtomicU32,
     batch_in_use: AtomicU32,
     failures: AtomicU32,
-    first_token_us: AtomicU64,
     reported_running: AtomicU32,
     reported_waiting: AtomicU32,
 }
@@ -25,10 +26,10 @@
         Self {
             record,
             incarnation,
+            pace: Pace::default(),
             online_in_use: AtomicU32::new(0),
             batch_in_use: AtomicU32::new(0),
             failures: AtomicU32::new(0),
-            first_token_us: AtomicU64::new(0),
             reported_running: AtomicU32::new(0),
             reported_waiting: AtomicU32::new(0),
         }
@@ -54,11 +55,6 @@
         self.failures.load(Ordering::Relaxed)
     }
 
-    /// Average time to the first token, in microseconds.
-    pub fn first_token_us(&self) -> u64 {
-        self.first_token_us.load(Ordering::Relaxed)
-    }
-
     /// Takes one slot, or `None` when all are in use.
     pub fn acquire(self: &Arc<Self>, class: WorkClass) -> Option<SlotPermit> {
         let counter = self.counter(class);
@@ -70,12 +66,9 @@
         Some(SlotPermit { upstream: self.clone(), class })
     }
 
-    /// Notes a finished attempt with its time to the first token.
-    pub fn record_success(&self, first_token_us: u64) {
+    /// Notes an attempt that was answered in full.
+    pub fn record_success(&self) {
         self.failures.store(0, Ordering::Relaxed);
-        let old = self.first_token_us.load(Ordering::Relaxed);
-        let new = if old == 0 { first_token_us } else { (old * 7 + first_token_us) / 8 };
-        self.first_token_us.store(new, Ordering::Relaxed);
     }
 
     /// Notes an attempt that the upstream failed.
--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -1,21 +1,87 @@
 use std::time::Duration;
 
 use crate::admission::{Refusal, RefusalKind, RunOutcome};
+use crate::upstream::{StreamFault, UpstreamError};
 
 /// Attempts of one request at most.
 const ATTEMPT_LIMIT: u32 = 3;
+/// Pause before the first retry; it doubles with each further one.
+const PAUSE_MS: u64 = 10;
+/// Statuses with which an upstream says that another one, or a later try, may do: no such model
+/// here, timeout, too early, too many requests.
+const TRANSIENT_STATUSES: [u16; 4] = [404, 408, 425, 429];
+
+/// How an attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailureCause {
+    /// No byte of the request was sent.
+    NotSent,
+    /// The connection broke after the request was sent.
+    Lost,
+    /// The upstream sent nothing for too long.
+    Silent,
+    /// The upstream answered with this status instead of a stream.
+    Status(u16),
+    /// The upstream's answer is not whole or not well formed.
+    Invalid,
+    /// The deadline of the request passed.
+    Deadline,
+}
 
 /// What a failed attempt left behind.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AttemptFailure {
-    /// A byte of the request may have reached the upstream.
-    pub sent: bool,
-    /// The upstream answered with this status; 0 for no answer.
-    pub status: u16,
+    /// How it failed.
+    pub cause: FailureCause,
     /// Explanation.
     pub reason: String,
 }
 
+impl AttemptFailure {
+    /// The deadline passed during an attempt.
+    pub fn deadline() -> Self {
+        Self { cause: FailureCause::Deadline, reason: "the deadline passed".to_owned() }
+    }
+
+    /// The upstream answered with a status that is not 200.
+    pub fn status(status: u16) -> Self {
+        Self { cause: FailureCause::Status(status), reason: format!("status {status}") }
+    }
+
+    /// True when a byte of the request may have reached the upstream.
+    pub fn was_sent(&self) -> bool {
+        self.cause != FailureCause::NotSent
+    }
+
+    /// True when the upstream refused the request itself, as any other upstream would.
+    fn is_final(&self) -> bool {
+        match self.cause {
+            FailureCause::Status(status) => {
+                (400..500).contains(&status) && !TRANSIENT_STATUSES.contains(&status)
+            }
+            _ => false,
+        }
+    }
+}
+
+impl From<UpstreamError> for AttemptFailure {
+    fn from(error: UpstreamError) -> Self {
+        let cause = match error {
+            UpstreamError::NotSent(_) => FailureCause::NotSent,
+            UpstreamError::Lost(_) => FailureCause::Lost,
+            UpstreamError::Silent(_) => FailureCause::Silent,
+            UpstreamError::Invalid(_) => FailureCause::Invalid,
+        };
+        Self { cause, reason: error.to_string() }
+    }
+}
+
+impl From<StreamFault> for AttemptFailure {
+    fn from(fault: StreamFault) -> Self {
+        Self { cause: FailureCause::Invalid, reason: fault.to_string() }
+    }
+}
+
 /// What to do after a failed attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum NextStep {
@@ -33,10 +99,12 @@
 pub struct AttemptPolicy {
     /// The request may be sent again after an upstream may have started it.
     pub repeatable: bool,
+    /// Another upstream can go on where the answer broke off.
+    pub can_resume: bool,
     /// Attempts made so far, the failed one included.
     pub attempts: u32,
-    /// An earlier attempt may have reached an upstream.
-    pub sent_before: bool,
+    /// What is known of the attempts before the failed one and of its answer so far.
+    pub progress: RunOutcome,
     /// Time left before the deadline.
     pub time_left: Duration,
 }
@@ -44,23 +112,46 @@
 impl AttemptPolicy {
     /// The step after `failure`. `random` spreads the pause.
     pub fn next_step(&self, failure: &AttemptFailure, random: u64) -> NextStep {
-        let sent = failure.sent || self.sent_before;
-        if (400..500).contains(&failure.status) && failure.status != 429 {
-            let message = format!("the upstream refused the request: {}", failure.reason);
-            let refusal = Refusal::not_run(RefusalKind::InvalidRequest, message);
-            return NextStep::GiveUp(refusal.with_outcome(RunOutcome::Ran));
+        let may_repeat = self.repeatable && self.can_resume;
+        if failure.is_final()
+            || failure.cause == FailureCause::Deadline
+            || (!may_repeat && self.outcome(failure) != RunOutcome::NotRun)
+            || self.attempts >= ATTEMPT_LIMIT
+        {
+            return NextStep::GiveUp(self.refusal(failure));
         }
-        if sent && !self.repeatable {
-            let message = format!("the request may have run: {}", failure.reason);
-            let refusal = Refusal::not_run(RefusalKind::OutcomeUnknown, message);
-            return NextStep::GiveUp(refusal.with_outcome(RunOutcome::MayHaveRun));
+        // Jitter of half the pause to each side keeps the requests of a lost upstream apart.
+        let usual_ms = PAUSE_MS << (self.attempts.max(1) - 1);
+        let pause = Duration::from_millis(usual_ms / 2 + random % usual_ms.max(1));
+        if self.time_left <= pause {
+            return NextStep::GiveUp(self.refusal(failure));
         }
-        let pause = Duration::from_millis(5 + random % 20);
-        if self.attempts < ATTEMPT_LIMIT && self.time_left > pause {
-            return NextStep::Retry { pause };
+        NextStep::Retry { pause }
+    }
+
+    /// What the caller is told when no attempt follows `failure`.
+    pub fn refusal(&self, failure: &AttemptFailure) -> Refusal {
+        let outcome = self.outcome(failure);
+        let reason = &failure.reason;
+        let (kind, message) = match failure.cause {
+            _ if failure.is_final() => {
+                (RefusalKind::InvalidRequest, format!("the upstream refused the request: {reason}"))
+            }
+            FailureCause::Deadline => (RefusalKind::DeadlineExceeded, reason.clone()),
+            _ if !self.repeatable && outcome != RunOutcome::NotRun => {
+                (RefusalKind::OutcomeUnknown, format!("the request may have run: {reason}"))
+            }
+            _ => (RefusalKind::UpstreamFailed, reason.clone()),
+        };
+        Refusal::not_run(kind, message).with_outcome(outcome)
+    }
+
+    /// What is known of the request after `failure`.
+    pub fn outcome(&self, failure: &AttemptFailure) -> RunOutcome {
+        match self.progress {
+            RunOutcome::NotRun if failure.is_final() => RunOutcome::Ran,
+            RunOutcome::NotRun if failure.was_sent() => RunOutcome::MayHaveRun,
+            progress => progress,
         }
-        let outcome = if sent { RunOutcome::MayHaveRun } else { RunOutcome::NotRun };
-        let refusal = Refusal::not_run(RefusalKind::UpstreamFailed, failure.reason.clone());
-        NextStep::GiveUp(refusal.with_outcome(outcome))
     }
 }
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -5,7 +5,7 @@
 use crate::routing::{Balancer, Fleet, RequestView, SlotPermit};
 use crate::serving::{EngineRequest, RunningAnswer};
 use crate::telemetry::{Counters, Span};
-use crate::upstream::{EngineStream, UpstreamCall, UpstreamConnector, UpstreamError};
+use crate::upstream::{EngineStream, UpstreamCall, UpstreamConnector};
 
 use super::attempt::AttemptFailure;
 
@@ -85,11 +85,13 @@
     }
 
     /// Opens a stream at the upstream of `permit`, from the given position of the answer on.
+    /// Waits at most `timeout` for the head of the answer.
     pub async fn open_stream(
         &self,
         request: &EngineRequest,
         permit: &SlotPermit,
         position: u64,
+        timeout: Duration,
     ) -> Result<EngineStream, AttemptFailure> {
         let position = position.to_string();
         let headers = [
@@ -106,15 +108,11 @@
             headers,
             body: &request.body,
             repeatable: request.repeatable,
-            timeout: time_left(request.deadline),
+            timeout,
         };
-        let response = self.shared.connector.open(call).await.map_err(|error| match error {
-            UpstreamError::NotSent(reason) => AttemptFailure { sent: false, status: 0, reason },
-            UpstreamError::Lost(reason) => AttemptFailure { sent: true, status: 0, reason },
-        })?;
+        let response = self.shared.connector.open(call).await?;
         if response.status != 200 {
-            let (status, reason) = (response.status, format!("status {}", response.status));
-            return Err(AttemptFailure { sent: true, status, reason });
+            return Err(AttemptFailure::status(response.status));
         }
         Ok(EngineStream::new(response))
     }
--- a/src/serving/online.rs
+++ b/src/serving/online.rs
@@ -1,11 +1,18 @@
-use crate::admission::{Refusal, RunOutcome};
+use std::time::Duration;
+
+use crate::admission::{Refusal, RefusalKind, RunOutcome};
 use crate::routing::WorkClass;
 use crate::schema::state::{Answer as RecordedAnswer, ClaimStatus};
 use crate::serving::{
-    Answer, AnswerFormat, AnswerLedger, Dispatcher, EngineRequest, FinishedAnswer, RequestIdentity,
-    RunningAnswer,
+    Answer, AnswerFormat, AnswerLedger, ClaimGuard, Dispatcher, EngineRequest, FinishedAnswer,
+    RequestIdentity, RunningAnswer,
 };
 use crate::telemetry::Span;
+use crate::upstream::Chunk;
+
+/// Longest time that the first token of a repeatable request waits for its claim. Without an answer
+/// of the quorum the request goes on, and its answer is marked as not recorded unless that works.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// An online request as its caller sent it.
 #[derive(Clone, Debug)]
@@ -25,11 +32,48 @@
 /// How an online request is answered.
 pub enum OnlineAnswer {
     /// An upstream produces the answer.
-    Running(Box<RunningAnswer>),
+    Running(Box<OnlineRun>),
     /// The answer was recorded before.
     Recorded(RecordedAnswer),
 }
 
+/// An answer that is produced, and the claim under which it runs. Dropping it cancels the work and
+/// gives the claim back.
+pub struct OnlineRun {
+    running: RunningAnswer,
+    claim: ClaimGuard,
+}
+
+impl OnlineRun {
+    /// Tokens that were handed on so far.
+    pub fn position(&self) -> u64 {
+        self.running.position()
+    }
+
+    /// What is known of the request now.
+    pub fn progress(&self) -> RunOutcome {
+        self.running.progress()
+    }
+
+    /// The next piece in order; `None` once the answer is whole. A refusal gives the claim back.
+    pub async fn next(&mut self, span: &Span) -> Result<Option<Chunk>, Refusal> {
+        let next = self.running.next(span).await;
+        match &next {
+            Ok(_) => self.claim.progress = self.running.progress(),
+            Err(refusal) => self.claim.release(refusal.outcome).await,
+        }
+        next
+    }
+
+    /// Gives the claim back after the caller went away or reads too slowly.
+    pub async fn abandon(mut self) {
+        let progress = self.running.progress();
+        // The slot at the upstream does not wait for the claim.
+        drop(self.running);
+        self.claim.release(progress).await;
+    }
+}
+
 /// Serves online requests and keeps their answers.
 #[derive(Clone)]
 pub struct OnlineService {
@@ -55,39 +99,93 @@
         span: &Span,
     ) -> Result<OnlineAnswer, Refusal> {
         let identity = &request.identity;
+        let mut claim = ClaimGuard::new(&self.ledger, identity);
         if !identity.needs_claim() {
-            return self.start(request, span).await;
+            return self.start(request, claim, span).await;
         }
         if !identity.not_repeatable {
-            // The claim is committed while the upstream works on the first token.
-            let claim = self.ledger.take(identity, 0, span);
-            let (taken, started) = futures::join!(claim, self.start(request, span));
-            let taken = taken?;
-            if taken.status() == ClaimStatus::Held {
-                return started;
+            return self.begin_beside_claim(request, claim, span).await;
+        }
+        if let Some(recorded) = self.ledger.claim(identity, span).await? {
+            claim.settled();
+            return Ok(OnlineAnswer::Recorded(recorded));
+        }
+        self.start(request, claim, span).await
+    }
+
+    /// Commits the claim of a repeatable request while the upstream works on the first token.
+    async fn begin_beside_claim(
+        &self,
+        request: &OnlineRequest,
+        mut claim: ClaimGuard,
+        span: &Span,
+    ) -> Result<OnlineAnswer, Refusal> {
+        let identity = &request.identity;
+        let taken = self.ledger.take(identity, 0, span);
+        let taken = async_std::future::timeout(CLAIM_TIMEOUT, taken);
+        let started = self.dispatcher.start(self.engine_request(request), span);
+        let (taken, started) = futures::join!(taken, started);
+        let taken = match taken {
+            Ok(Ok(taken)) => taken,
+            Err(_) => return self.started(started, claim).await,
+            Ok(Err(refusal)) if refusal.kind == RefusalKind::ControlUnavailable => {
+                return self.started(started, claim).await;
             }
-            drop(started);
-            if let Some(recorded) = self.ledger.resolve(identity, taken, span).await? {
-                return Ok(OnlineAnswer::Recorded(recorded));
+            Ok(Err(refusal)) => return Err(refusal.at_least(outcome_of(&started))),
+        };
+        if taken.status() == ClaimStatus::Held {
+            return self.started(started, claim).await;
+        }
+        // Another request runs or ran under the key; what was started here is cancelled.
+        let outcome = outcome_of(&started);
+        drop(started);
+        match self.ledger.resolve(identity, taken, span).await {
+            Ok(Some(recorded)) => {
+                claim.settled();
+                Ok(OnlineAnswer::Recorded(recorded))
             }
-        } else if let Some(recorded) = self.ledger.claim(identity, span).await? {
-            return Ok(OnlineAnswer::Recorded(recorded));
+            Ok(None) => self.start(request, claim, span).await,
+            Err(refusal) => Err(refusal.at_least(outcome)),
         }
-        self.start(request, span).await
     }
 
-    async fn start(&self, request: &OnlineRequest, span: &Span) -> Result<OnlineAnswer, Refusal> {
-        match self.dispatcher.start(self.engine_request(request), span).await {
-            Ok(running) => Ok(OnlineAnswer::Running(Box::new(running))),
+    async fn start(
+        &self,
+        request: &OnlineRequest,
+        mut claim: ClaimGuard,
+        span: &Span,
+    ) -> Result<OnlineAnswer, Refusal> {
+        // Holds if this call is dropped while the request is on its way.
+        claim.progress = RunOutcome::MayHaveRun;
+        let started = self.dispatcher.start(self.engine_request(request), span).await;
+        self.started(started, claim).await
+    }
+
+    async fn started(
+        &self,
+        started: Result<RunningAnswer, Refusal>,
+        mut claim: ClaimGuard,
+    ) -> Result<OnlineAnswer, Refusal> {
+        match started {
+            Ok(running) => {
+                claim.progress = running.progress();
+                Ok(OnlineAnswer::Running(Box::new(OnlineRun { running, claim })))
+            }
             Err(refusal) => {
-                self.release(request, refusal.outcome).await;
+                claim.release(refusal.outcome).await;
                 Err(refusal)
             }
         }
     }
 
-    /// Records a whole answer. `false` when no quorum confirmed it in time.
-    pub async fn record(&self, request: &OnlineRequest, answer: &Answer, span: &Span) -> bool {
+    /// Records the whole answer of a run. `false` when no quorum confirmed it in time.
+    pub async fn record(
+        &self,
+        request: &OnlineRequest,
+        mut run: OnlineRun,
+        answer: &Answer,
+        span: &Span,
+    ) -> bool {
         if !request.recorded {
             return false;
         }
@@ -95,12 +193,11 @@
         let body = request.format.whole(&identity.request_id, &request.model, answer).to_string();
         let finished =
             FinishedAnswer { status: 200, content_type: "application/json", body: body.as_bytes() };
-        self.ledger.record(identity, finished, span).await
-    }
-
-    /// Gives a claim back after a request without a whole answer.
-    pub async fn release(&self, request: &OnlineRequest, outcome: RunOutcome) {
-        self.ledger.release(&request.identity, outcome).await;
+        let recorded = self.ledger.record(identity, finished, span).await;
+        if recorded {
+            run.claim.settled();
+        }
+        recorded
     }
 
     fn engine_request(&self, request: &OnlineRequest) -> EngineRequest {
@@ -117,3 +214,7 @@
         }
     }
 }
+
+fn outcome_of(started: &Result<RunningAnswer, Refusal>) -> RunOutcome {
+    started.as_ref().map_or_else(|refusal| refusal.outcome, RunningAnswer::progress)
+}
--- a/src/serving/plain_call.rs
+++ b/src/serving/plain_call.rs
@@ -8,7 +8,7 @@
 use crate::serving::dispatcher::time_left;
 use crate::serving::{AttemptFailure, AttemptPolicy, Dispatcher, FinishedAnswer, NextStep};
 use crate::telemetry::Span;
-use crate::upstream::{UpstreamCall, UpstreamError, UpstreamResponse};
+use crate::upstream::{UpstreamCall, UpstreamResponse};
 
 /// Largest answer of a plain service.
 const ANSWER_LIMIT_BYTES: u64 = 4 * 1024 * 1024;
@@ -88,7 +88,7 @@
         parent: &Span,
     ) -> Result<(SlotPermit, UpstreamResponse), Refusal> {
         let mut excluded = Vec::new();
-        let mut sent = false;
+        let mut progress = RunOutcome::NotRun;
         for attempts in 1.. {
             let view = RequestView {
                 service: call.service,
@@ -97,10 +97,8 @@
                 prefix_hashes: &[],
                 excluded: &excluded,
             };
-            let permit = self.acquire_for(&view).map_err(|refusal| match sent {
-                true => refusal.with_outcome(RunOutcome::MayHaveRun),
-                false => refusal,
-            })?;
+            let permit = self.acquire_for(&view);
+            let permit = permit.map_err(|refusal| refusal.with_outcome(progress))?;
             let mut span = parent.child("upstream_attempt");
             span.text("upstream_id", &permit.upstream().record.upstream_id);
             let failure = match self.open_plain(call, &permit, &span).await {
@@ -113,11 +111,12 @@
             drop(permit);
             let policy = AttemptPolicy {
                 repeatable: call.repeatable,
+                can_resume: true,
                 attempts,
-                sent_before: sent,
+                progress,
                 time_left: time_left(call.deadline),
             };
-            sent |= failure.sent;
+            progress = policy.outcome(&failure);
             match policy.next_step(&failure, rand::random()) {
                 NextStep::GiveUp(refusal) => return Err(refusal),
                 NextStep::Retry { pause } => task::sleep(pause).await,
@@ -147,10 +146,7 @@
             repeatable: call.repeatable,
             timeout: time_left(call.deadline),
         };
-        self.connector().open(call).await.map_err(|error| match error {
-            UpstreamError::NotSent(reason) => AttemptFailure { sent: false, status: 0, reason },
-            UpstreamError::Lost(reason) => AttemptFailure { sent: true, status: 0, reason },
-        })
+        Ok(self.connector().open(call).await?)
     }
 }
 
--- a/src/serving/running_answer.rs
+++ b/src/serving/running_answer.rs
@@ -17,7 +17,9 @@
     attempt: Option<Attempt>,
     excluded: Vec<String>,
     attempts: u32,
-    sent: bool,
+    progress: RunOutcome,
+    /// The last piece, once all others were handed on.
+    last: Option<Chunk>,
     done: bool,
 }
 
@@ -42,7 +44,8 @@
             attempt: None,
             excluded: Vec::new(),
             attempts: 0,
-            sent: false,
+            progress: RunOutcome::NotRun,
+            last: None,
             done: false,
         };
         answer.attempt = Some(answer.open(span).await?);
@@ -60,16 +63,22 @@
         self.assembler.next_position()
     }
 
+    /// What is known of the request now.
+    pub fn progress(&self) -> RunOutcome {
+        self.progress
+    }
+
     /// The next piece in order; `None` once the answer is whole.
     ///
     /// When an upstream fails in the middle, another one continues at the same position.
     pub async fn next(&mut self, span: &Span) -> Result<Option<Chunk>, Refusal> {
         loop {
             if let Some(chunk) = self.assembler.pop() {
+                self.progress = RunOutcome::Ran;
                 return Ok(Some(chunk));
             }
             if self.done {
-                return Ok(None);
+                return Ok(self.last.take());
             }
             let Err(failure) = self.read().await else { continue };
             self.close_failed_attempt(&failure);
@@ -82,39 +91,45 @@
     /// Reads one event into the assembler.
     async fn read(&mut self) -> Result<(), AttemptFailure> {
         let Some(attempt) = self.attempt.as_mut() else {
-            return Err(failed("no attempt is running".to_owned()));
+            return Err(AttemptFailure::deadline());
         };
-        let event =
-            async_std::future::timeout(time_left(self.request.deadline), attempt.stream.next());
-        let event = match event.await {
-            Err(_) => return Err(failed("the deadline passed".to_owned())),
-            Ok(Err(error)) => return Err(failed(error.to_string())),
-            Ok(Ok(event)) => event,
+        let pace = &attempt.permit.upstream().pace;
+        let time_left = time_left(self.request.deadline);
+        let limit = match (self.request.repeatable, attempt.has_token) {
+            // No other upstream may take over, so nothing is gained by giving up early.
+            (false, _) => time_left,
+            (true, false) => pace.first_token_limit().saturating_sub(attempt.started.elapsed()),
+            (true, true) => pace.token_limit(),
+        };
+        let asked = Instant::now();
+        let event = match attempt.stream.next(limit.min(time_left)).await {
+            Err(_) if time_left <= limit && asked.elapsed() >= time_left => {
+                return Err(AttemptFailure::deadline());
+            }
+            event => event?,
         };
         let chunk = match event {
             EngineEvent::Chunk(chunk) => chunk,
-            EngineEvent::Done if self.assembler.has_gap() => {
-                return Err(failed("the stream ended with a gap".to_owned()));
-            }
             EngineEvent::Done => {
-                self.finish().await;
+                self.last = Some(self.assembler.finish()?);
+                self.finish();
                 return Ok(());
             }
         };
-        if !attempt.has_token {
+        if attempt.has_token {
+            pace.record_token(asked.elapsed());
+        } else if !chunk.text.is_empty() {
+            pace.record_first_token(attempt.started.elapsed());
             attempt.has_token = true;
-            attempt.permit.upstream().record_success(attempt.started.elapsed().as_micros() as u64);
-        }
-        if !self.assembler.push(chunk) {
-            return Err(failed("a piece of the stream is missing".to_owned()));
         }
-        Ok(())
+        Ok(self.assembler.push(chunk)?)
     }
 
-    async fn finish(&mut self) {
+    fn finish(&mut self) {
         self.done = true;
         let Some(attempt) = self.attempt.take() else { return };
-        attempt.stream.close().await;
+        attempt.permit.upstream().record_success();
+        attempt.stream.close();
         attempt.span.close();
     }
 
@@ -132,7 +147,7 @@
                 return Err(self.deadline_refusal());
             }
             let acquired = self.dispatcher.acquire(&self.request, &self.excluded);
-            let permit = acquired.map_err(|refusal| self.adjust(refusal))?;
+            let permit = acquired.map_err(|refusal| refusal.with_outcome(self.progress))?;
             let mut span = parent.child("upstream_attempt");
             span.text("upstream_id", &permit.upstream().record.upstream_id);
             span.number("position", self.assembler.next_position() as i64);
@@ -140,34 +155,45 @@
             self.attempts += 1;
             self.dispatcher.counters().count("attempt.started");
             let started = Instant::now();
-            let position = self.assembler.next_position();
-            let opened = self.dispatcher.open_stream(&self.request, &permit, position).await;
-            let failure = match opened {
+            let failure = match self.open_stream(&permit).await {
                 Ok(stream) => {
-                    self.sent = true;
+                    self.progress = self.progress.max(RunOutcome::MayHaveRun);
                     return Ok(Attempt { permit, stream, span, started, has_token: false });
                 }
                 Err(failure) => failure,
             };
             span.text("error", &failure.reason);
-            if failure.status == 0 {
-                permit.upstream().record_failure();
-            }
+            permit.upstream().record_failure();
             self.excluded.push(permit.upstream().record.upstream_id.clone());
             drop(permit);
             self.pause_after(failure).await?;
         }
     }
 
+    async fn open_stream(&self, permit: &SlotPermit) -> Result<EngineStream, AttemptFailure> {
+        let time_left = time_left(self.request.deadline);
+        let limit = permit.upstream().pace.first_token_limit();
+        let timeout = if self.request.repeatable { limit.min(time_left) } else { time_left };
+        let position = self.assembler.next_position();
+        let opened = self.dispatcher.open_stream(&self.request, permit, position, timeout).await;
+        match opened {
+            Err(failure) if failure.was_sent() && self.request.deadline <= Instant::now() => {
+                Err(AttemptFailure::deadline())
+            }
+            opened => opened,
+        }
+    }
+
     async fn pause_after(&mut self, failure: AttemptFailure) -> Result<(), Refusal> {
         self.dispatcher.counters().count("attempt.failed");
         let policy = AttemptPolicy {
             repeatable: self.request.repeatable,
+            can_resume: self.assembler.can_resume(),
             attempts: self.attempts,
-            sent_before: self.sent,
+            progress: self.progress,
             time_left: time_left(self.request.deadline),
         };
-        self.sent |= failure.sent;
+        self.progress = policy.outcome(&failure);
         match policy.next_step(&failure, rand::random()) {
             NextStep::GiveUp(refusal) => Err(refusal),
             NextStep::Retry { pause } => {
@@ -177,18 +203,8 @@
         }
     }
 
-    /// A refusal of a later attempt must tell what earlier ones may have done.
-    fn adjust(&self, refusal: Refusal) -> Refusal {
-        let outcome = if self.sent { RunOutcome::MayHaveRun } else { refusal.outcome };
-        refusal.with_outcome(outcome)
-    }
-
     fn deadline_refusal(&self) -> Refusal {
         let message = "the deadline passed before an upstream answered";
-        self.adjust(Refusal::not_run(RefusalKind::DeadlineExceeded, message))
+        Refusal::not_run(RefusalKind::DeadlineExceeded, message).with_outcome(self.progress)
     }
 }
-
-fn failed(reason: String) -> AttemptFailure {
-    AttemptFailure { sent: true, status: 0, reason }
-}
--- a/src/upstream/connector.rs
+++ b/src/upstream/connector.rs
@@ -43,15 +43,28 @@
 pub enum UpstreamError {
     /// No byte of the call was sent.
     NotSent(String),
-    /// The call was sent; the upstream may have run it.
+    /// The connection broke after bytes were sent; the upstream may have run the call.
     Lost(String),
+    /// The upstream keeps its connection and sends nothing for too long.
+    Silent(String),
+    /// The upstream sent something that is not the expected answer.
+    Invalid(String),
+}
+
+impl UpstreamError {
+    /// True when a byte of the call may have reached the upstream.
+    pub fn was_sent(&self) -> bool {
+        !matches!(self, Self::NotSent(_))
+    }
 }
 
 impl fmt::Display for UpstreamError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(reason) => write!(formatter, "not sent to the upstream: {reason}"),
-            Self::Lost(reason) => write!(formatter, "no answer of the upstream: {reason}"),
+            Self::Lost(reason) => write!(formatter, "the connection broke: {reason}"),
+            Self::Silent(reason) => write!(formatter, "the upstream is silent: {reason}"),
+            Self::Invalid(reason) => write!(formatter, "the upstream's answer: {reason}"),
         }
     }
 }
--- a/src/upstream/http_connector.rs
+++ b/src/upstream/http_connector.rs
@@ -5,6 +5,7 @@
 
 use async_std::net::TcpStream;
 use async_trait::async_trait;
+use futures::FutureExt;
 use tide::http::{Method, Request, Response, Url};
 
 use crate::upstream::response_body::ResponseBody;
@@ -39,7 +40,7 @@
         let mut by_address = self.by_address.lock().expect("lock is not poisoned");
         let idle = by_address.get_mut(address)?;
         while let Some((since, stream)) = idle.pop() {
-            if since.elapsed() < IDLE_AGE {
+            if since.elapsed() < IDLE_AGE && is_open(&stream) {
                 return Some(stream);
             }
         }
@@ -61,7 +62,7 @@
     }
 
     async fn connection(&self, call: &UpstreamCall<'_>) -> Result<TcpStream, UpstreamError> {
-        // A kept connection may be dead, which shows only after bytes were sent on it.
+        // A kept connection may be dead without a sign before bytes are sent on it.
         if call.repeatable {
             if let Some(stream) = self.idle.take(call.address) {
                 return Ok(stream);
@@ -85,7 +86,10 @@
         let response = match async_std::future::timeout(call.timeout, answer).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => return Err(UpstreamError::Lost(error.to_string())),
-            Err(_) => return Err(UpstreamError::Lost("timeout".to_owned())),
+            Err(_) => {
+                let reason = format!("no answer within {} ms", call.timeout.as_millis());
+                return Err(UpstreamError::Silent(reason));
+            }
         };
         guard.stream = None;
         let status = response.status() as u16;
@@ -127,6 +131,11 @@
     Ok(request)
 }
 
+/// False when the upstream has closed the connection or sent bytes that no call asked for.
+fn is_open(stream: &TcpStream) -> bool {
+    stream.peek(&mut [0]).now_or_never().is_none()
+}
+
 fn closes(response: &Response) -> bool {
     let connection = response.header("connection");
     connection.is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"))
--- a/src/upstream/response_body.rs
+++ b/src/upstream/response_body.rs
@@ -18,6 +18,8 @@
     stream: TcpStream,
     address: String,
     idle: Option<IdleConnections>,
+    /// Bytes that are still to come, where the head of the answer said so.
+    expected_bytes: Option<u64>,
     finished: bool,
 }
 
@@ -29,7 +31,24 @@
         address: &str,
         idle: Option<IdleConnections>,
     ) -> Self {
-        Self { response, stream, address: address.to_owned(), idle, finished: false }
+        let expected_bytes = response.len().map(|length| length as u64);
+        let address = address.to_owned();
+        Self { response, stream, address, idle, expected_bytes, finished: false }
+    }
+
+    /// Counts bytes that were read. The HTTP library gives a body that was cut as if it were whole.
+    fn count(&mut self, read: usize) {
+        if let Some(expected_bytes) = &mut self.expected_bytes {
+            *expected_bytes = expected_bytes.saturating_sub(read as u64);
+        }
+    }
+
+    fn end(&mut self) -> io::Result<()> {
+        if self.expected_bytes.is_some_and(|expected_bytes| expected_bytes > 0) {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        self.finished = true;
+        Ok(())
     }
 }
 
@@ -41,7 +60,10 @@
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         let read = ready!(Pin::new(&mut this.response).poll_read(context, buffer))?;
-        this.finished |= read == 0 && !buffer.is_empty();
+        if read == 0 && !buffer.is_empty() {
+            this.end()?;
+        }
+        this.count(read);
         Poll::Ready(Ok(read))
     }
 }
@@ -49,13 +71,17 @@
 impl AsyncBufRead for ResponseBody {
     fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let this = self.get_mut();
-        let bytes = ready!(Pin::new(&mut this.response).poll_fill_buf(context))?;
-        this.finished |= bytes.is_empty();
-        Poll::Ready(Ok(bytes))
+        if ready!(Pin::new(&mut this.response).poll_fill_buf(context))?.is_empty() {
+            this.end()?;
+            return Poll::Ready(Ok(&[]));
+        }
+        Pin::new(&mut this.response).poll_fill_buf(context)
     }
 
     fn consume(self: Pin<&mut Self>, amount: usize) {
-        Pin::new(&mut self.get_mut().response).consume(amount);
+        let this = self.get_mut();
+        this.count(amount);
+        Pin::new(&mut this.response).consume(amount);
     }
 }
 
--- a/tests/membership_merge.rs
+++ b/tests/membership_merge.rs
@@ -22,15 +22,16 @@
 }
 
 fn crash() -> impl Strategy<Value = Record> {
-    let losses = prop::collection::btree_set("[ab]", 0..3);
-    (0..2u8, 0..4u32, losses, any::<bool>(), 1..4u64).prop_map(
-        |(fingerprint, losses, upstream_ids, convicted, expires_ms)| {
+    let ids = || prop::collection::btree_set("[ab]", 0..3);
+    (0..2u8, 0..4u32, ids(), ids(), any::<bool>(), 1..4u64).prop_map(
+        |(fingerprint, losses, upstream_ids, cleared_ids, convicted, expires_ms)| {
             let fingerprint = vec![fingerprint];
             let expires_unix_ms = NOW_MS + expires_ms * 1_000;
             Record::crash(CrashRecord {
                 fingerprint,
                 losses,
                 upstream_ids,
+                cleared_ids,
                 convicted,
                 expires_unix_ms,
             })
