--- /dev/null
+++ b/src/admin/state_tables.rs
@@ -0,0 +1,106 @@
+use crate::admission::{Refusal, RefusalKind};
+use crate::query::{Cell, Show, Table};
+use crate::schema::state::{query, query_answer, ListFiles, ListItems, ListJobs, Query};
+use crate::serving::unavailable;
+use crate::state::StateClient;
+
+/// Rows of one read.
+const PAGE_ROWS: u32 = 1_000;
+/// Rows that a statement may select before it must be narrower.
+const MATCH_LIMIT: usize = 200_000;
+
+/// Reads tables of the replicated state page by page and keeps the rows that a statement selects.
+pub struct StateTables<'a> {
+    /// Access to the state.
+    pub state: &'a dyn StateClient,
+    /// The statement.
+    pub show: &'a Show,
+}
+
+impl StateTables<'_> {
+    /// Jobs that the statement selects.
+    pub async fn jobs(&self) -> Result<Table, Refusal> {
+        let customer = self.required("customer").unwrap_or_default();
+        let mut selected = Table::of_jobs(&[]);
+        let mut after_job_id = String::new();
+        loop {
+            let list = ListJobs { customer: customer.clone(), after_job_id, limit: PAGE_ROWS };
+            let answer = self.read(query::Query::ListJobs(list)).await?;
+            let query_answer::Answer::Jobs(page) = answer else { return Err(unexpected()) };
+            self.select(&mut selected, Table::of_jobs(&page.jobs))?;
+            let Some(last) = page.jobs.last().filter(|_| page.more) else { return Ok(selected) };
+            after_job_id = last.job_id.clone();
+        }
+    }
+
+    /// Items of the job that the statement names.
+    pub async fn items(&self) -> Result<Table, Refusal> {
+        let Some(job_id) = self.required("job") else {
+            let message = "`show items` needs a condition such as `where job = j-17`";
+            return Err(Refusal::not_run(RefusalKind::InvalidRequest, message));
+        };
+        let mut selected = Table::of_items(&[]);
+        let mut from_item = 0;
+        loop {
+            let list = ListItems {
+                customer: String::new(),
+                job_id: job_id.clone(),
+                from_item,
+                limit: PAGE_ROWS,
+                with_bodies: false,
+                limit_bytes: 0,
+            };
+            let answer = self.read(query::Query::ListItems(list)).await?;
+            let query_answer::Answer::Items(page) = answer else { return Err(unexpected()) };
+            self.select(&mut selected, Table::of_items(&page.items))?;
+            let Some(last) = page.items.last().filter(|_| page.more) else { return Ok(selected) };
+            from_item = last.item + 1;
+        }
+    }
+
+    /// Files that the statement selects.
+    pub async fn files(&self) -> Result<Table, Refusal> {
+        let customer = self.required("customer").unwrap_or_default();
+        let mut selected = Table::of_files(&[]);
+        let mut after_file_id = String::new();
+        loop {
+            let list = ListFiles { customer: customer.clone(), after_file_id, limit: PAGE_ROWS };
+            let answer = self.read(query::Query::ListFiles(list)).await?;
+            let query_answer::Answer::Files(page) = answer else { return Err(unexpected()) };
+            self.select(&mut selected, Table::of_files(&page.files))?;
+            let Some(last) = page.files.last().filter(|_| page.more) else { return Ok(selected) };
+            after_file_id = last.file_id.clone();
+        }
+    }
+
+    fn required(&self, column: &str) -> Option<String> {
+        self.show.fixed_text(column)
+    }
+
+    async fn read(&self, query: query::Query) -> Result<query_answer::Answer, Refusal> {
+        let query = Query { query: Some(query) };
+        match self.state.query(query).await.map_err(unavailable)?.answer {
+            Some(query_answer::Answer::Refused(refused)) => Err(refused.into()),
+            Some(answer) => Ok(answer),
+            None => Err(unexpected()),
+        }
+    }
+
+    /// Keeps the rows of a page that satisfy the statement's condition.
+    fn select(&self, selected: &mut Table, page: Table) -> Result<(), Refusal> {
+        let filter = Show { order: Vec::new(), limit: None, after: None, ..self.show.clone() };
+        let kept = filter
+            .evaluate(&page)
+            .map_err(|error| Refusal::not_run(RefusalKind::InvalidRequest, error.to_string()))?;
+        selected.rows.extend(kept.rows.into_iter().map(<[Cell]>::to_vec));
+        if selected.rows.len() > MATCH_LIMIT {
+            let message = format!("over {MATCH_LIMIT} rows match: narrow the condition");
+            return Err(Refusal::not_run(RefusalKind::InvalidRequest, message));
+        }
+        Ok(())
+    }
+}
+
+fn unexpected() -> Refusal {
+    Refusal::not_run(RefusalKind::ControlUnavailable, "unexpected answer of the control hosts")
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,14 +4,17 @@
 //! admission) and the front ends that the `damaskhoistd` daemon and the `damaskhoist` command line
 //! put together. See `docs/design.md` for how the parts fit.
 
+pub mod admin;
 pub mod admission;
 pub mod batch;
+pub mod cmd;
 pub mod configuration;
 pub mod control;
 pub mod entry;
 mod host;
 pub mod membership;
 pub mod peer;
+pub mod query;
 pub mod raft;
 pub mod routing;
 pub mod schema;
