--- a/src/raft/driver.rs
+++ b/src/raft/driver.rs
@@ -52,6 +52,8 @@
     pub(super) applied_index: u64,
     pub(super) files: SnapshotFiles,
     pub(super) is_saving: bool,
+    /// The machine has not fixed yet what it saves, so nothing may be applied.
+    pub(super) is_fixing: bool,
     pub(super) bytes_since_snapshot: u64,
     /// Snapshot files that followers are being sent.
     pub(super) sent_files: HashMap<u64, Arc<SnapshotFile>>,
@@ -103,6 +105,7 @@
             queue: ProposalQueue::default(),
             callers: Callers::default(),
             is_saving: false,
+            is_fixing: false,
             bytes_since_snapshot: 0,
             sent_files: HashMap::new(),
             published: None,
@@ -154,7 +157,8 @@
     }
 
     fn due_ms(&self) -> u64 {
-        if self.applied_index < self.node.commit_index() && !self.is_stopped {
+        let may_apply = !self.is_stopped && !self.is_fixing;
+        if may_apply && self.applied_index < self.node.commit_index() {
             return 0;
         }
         let formation_ms = self.formation.as_ref().map(|_| self.formation_due_ms);
@@ -178,6 +182,7 @@
                 let _ = reply.send(answer);
             }
             Event::Storage(event) => self.handle_storage(now_ms, event),
+            Event::SnapshotFixed => self.is_fixing = false,
             Event::SnapshotSaved(meta, saved) => self.handle_saved(meta, saved),
             Event::ChunkStored(stored) => self.handle_chunk_stored(stored).await,
             Event::ChunkRead(to, read) => self.handle_chunk_read(now_ms, to, read),
@@ -345,7 +350,7 @@
     }
 
     fn apply(&mut self) {
-        if self.is_stopped {
+        if self.is_stopped || self.is_fixing {
             return;
         }
         for _ in 0..APPLY_BATCH {
--- a/src/raft/driver_snapshots.rs
+++ b/src/raft/driver_snapshots.rs
@@ -29,21 +29,21 @@
         let Some(last_term) = self.node.log().term(self.applied_index) else { return };
         let replicas = self.node.log().replicas_at(self.applied_index).clone();
         let meta = SnapshotMeta { last_index: self.applied_index, last_term, replicas };
-        let state = match self.links.machine.capture() {
-            Ok(state) => state,
-            Err(error) => return self.stop(format!("state could not be captured: {error}")),
-        };
-        self.is_saving = true;
+        (self.is_saving, self.is_fixing) = (true, true);
         self.bytes_since_snapshot = 0;
         let (files, report) = (self.files.clone(), self.links.report.clone());
+        let machine = self.links.machine.clone();
         task::spawn_blocking(move || {
-            let saved = files.save(&meta, state);
+            let tell_fixed = || {
+                let _ = report.try_send(Event::SnapshotFixed);
+            };
+            let saved = files.save(&meta, machine.as_ref(), &tell_fixed);
             let _ = report.try_send(Event::SnapshotSaved(meta, saved));
         });
     }
 
     pub(super) fn handle_saved(&mut self, meta: SnapshotMeta, saved: io::Result<()>) {
-        self.is_saving = false;
+        (self.is_saving, self.is_fixing) = (false, false);
         let is_newer = meta.last_index > self.node.snapshot().last_index;
         let kept = match saved {
             Ok(()) if is_newer => self.files.keep_saved(),
@@ -145,7 +145,8 @@
     /// Puts a received snapshot in place of state and log.
     async fn install(&mut self, file: SnapshotFile) {
         let meta = file.meta().clone();
-        if meta.last_index <= self.applied_index {
+        if meta.last_index <= self.applied_index || self.is_fixing {
+            // What the machine is about to save must not change under it; the leader tries again.
             self.node.snapshot_failed();
             return;
         }
--- a/src/raft/event.rs
+++ b/src/raft/event.rs
@@ -24,6 +24,8 @@
     Transfer(u64, oneshot::Sender<Result<u64, ChangeError>>),
     /// The storage thread has done something.
     Storage(StorageEvent),
+    /// The state machine has fixed what it saves.
+    SnapshotFixed,
     /// A snapshot was written.
     SnapshotSaved(SnapshotMeta, io::Result<()>),
     /// A piece of the snapshot being received was stored; holds the file after the last piece.
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -65,4 +65,4 @@
 pub use replica_set::{Replica, ReplicaChange, ReplicaSet};
 pub use snapshot_meta::SnapshotMeta;
 pub use standing::Standing;
-pub use state_machine::{SavedState, StateMachine};
+pub use state_machine::StateMachine;
--- a/src/raft/recovery.rs
+++ b/src/raft/recovery.rs
@@ -120,7 +120,7 @@
     }
     if identity.standing == Standing::Forming {
         // From here on the initial replicas are those on the disk, whatever the options say.
-        snapshots.save(&snapshot, machine.capture()?)?;
+        snapshots.save(&snapshot, machine, &|| {})?;
         snapshots.keep_saved()?;
     }
     if let Ok(Some(file)) = &snapshot_file {
--- a/src/raft/snapshot_file.rs
+++ b/src/raft/snapshot_file.rs
@@ -6,7 +6,7 @@
 use prost::Message as _;
 
 use crate::raft::identity::sync_folder;
-use crate::raft::{SavedState, SnapshotMeta, StateMachine};
+use crate::raft::{SnapshotMeta, StateMachine};
 use crate::schema::peer;
 
 const MAGIC: &[u8; 8] = b"DHSNAP1\n";
@@ -45,8 +45,14 @@
         }
     }
 
-    /// Writes and syncs a snapshot that is not the newest one yet.
-    pub fn save(&self, meta: &SnapshotMeta, state: SavedState) -> io::Result<()> {
+    /// Writes and syncs a snapshot that is not the newest one yet. Calls `fixed` at the machine's
+    /// first write.
+    pub fn save(
+        &self,
+        meta: &SnapshotMeta,
+        machine: &dyn StateMachine,
+        fixed: &dyn Fn(),
+    ) -> io::Result<()> {
         let header = peer::SnapshotHeader {
             last_index: meta.last_index,
             last_term: meta.last_term,
@@ -59,7 +65,7 @@
         target.write_all(&(header.len() as u32).to_le_bytes())?;
         target.write_all(&header)?;
         let mut compressed = zstd::Encoder::new(&mut target, 1)?;
-        state(&mut compressed)?;
+        machine.save(&mut NotifyingWriter { inner: &mut compressed, fixed: Some(fixed) })?;
         compressed.finish()?;
         let checksum = target.hasher.finalize();
         let mut file = target.inner;
@@ -212,3 +218,22 @@
         self.inner.flush()
     }
 }
+
+/// Tells of the first write.
+struct NotifyingWriter<'a> {
+    inner: &'a mut dyn Write,
+    fixed: Option<&'a dyn Fn()>,
+}
+
+impl Write for NotifyingWriter<'_> {
+    fn write(&mut self, buffer: &[u8]) -> io::Result<usize> {
+        if let Some(fixed) = self.fixed.take() {
+            fixed();
+        }
+        self.inner.write(buffer)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.inner.flush()
+    }
+}
--- a/tests/raft_group.rs
+++ b/tests/raft_group.rs
@@ -132,6 +132,28 @@
     cluster.close_all().await;
 }
 
+// Guards against a group that stops while a snapshot is saved, and against a snapshot with commands
+// from after its index.
+#[async_std::test]
+async fn commands_go_on_while_a_snapshot_is_saved() {
+    let mut cluster = Cluster::start(1, |options| options.snapshot_interval_entries = 10);
+    propose_many(&cluster, 0, 5).await;
+    let (machine, group) = (cluster.machines[&1].clone(), cluster.groups[&1].clone());
+    let gate = machine.save_gate.lock().await;
+    for number in 5..40 {
+        cluster.propose(&format!("c{number}")).await;
+    }
+    assert_eq!(group.status().snapshot_index, 0);
+    drop(gate);
+    wait_for("the snapshot", || group.status().snapshot_index > 0).await;
+    cluster.close(1).await;
+    cluster.open(1).unwrap();
+    cluster.propose("after").await;
+    let expected = (0..40).map(|number| format!("c{number}")).chain(["after".into()]);
+    assert!(cluster.machines[&1].commands().into_iter().eq(expected));
+    cluster.close_all().await;
+}
+
 // Guards against a full disk that also stops the completion of accepted work.
 #[async_std::test]
 async fn a_full_disk_refuses_new_work_and_lets_accepted_work_complete() {
--- a/tests/raft_support/mod.rs
+++ b/tests/raft_support/mod.rs
@@ -21,6 +21,8 @@
 #[derive(Default)]
 pub struct ListMachine {
     commands: Mutex<Vec<Bytes>>,
+    /// A save goes on after its first write only while this is not locked.
+    pub save_gate: async_std::sync::Mutex<()>,
 }
 
 impl ListMachine {
@@ -37,9 +39,10 @@
     }
 
     fn save(&self, target: &mut dyn io::Write) -> io::Result<()> {
-        for command in self.commands.lock().unwrap().iter() {
+        for command in self.commands() {
             target.write_all(&(command.len() as u32).to_le_bytes())?;
-            target.write_all(command)?;
+            let _gate = task::block_on(self.save_gate.lock());
+            target.write_all(&command)?;
         }
         Ok(())
     }
