--- a/src/membership/announcement.rs
+++ b/src/membership/announcement.rs
@@ -5,7 +5,8 @@
 pub struct Announcement {
     /// What the upstream says about itself. Its home host is filled in by the table.
     pub record: UpstreamRecord,
-    /// Number of the announcement within the incarnation; must grow.
+    /// Number of the announcement within the incarnation, which must grow; 0 for none. Without
+    /// numbers, late announcements can move the home of an upstream for one announcement.
     pub sequence: u64,
     /// The upstream takes no new work. Can't be taken back within an incarnation.
     pub leaving: bool,
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -241,7 +241,8 @@
             _ => {}
         }
         let held = self.leases.held(key).map(|lease| lease.sequence);
-        if sequence < held.unwrap_or(known.version.sequence) {
+        // Upstreams that do not number their announcements send 0.
+        if sequence != 0 && sequence < held.unwrap_or(known.version.sequence) {
             return Err(AnnounceOutcome::Stale);
         }
         let sequence = sequence.max(known.version.sequence.saturating_add(1));
--- a/src/membership/gossip_table.rs
+++ b/src/membership/gossip_table.rs
@@ -52,7 +52,9 @@
 
 impl GossipTable {
     /// A table that knows this host only.
-    pub fn new(options: MembershipOptions, seed: u64, now_ms: u64) -> Self {
+    pub fn new(mut options: MembershipOptions, seed: u64, now_ms: u64) -> Self {
+        // Fewer than five probes without an answer may be chance.
+        options.isolation_ms = options.isolation_ms.max(5 * options.gossip_interval_ms);
         Self {
             directory: Directory::new(&options, now_ms),
             detector: FailureDetector::new(&options, now_ms),
--- a/src/membership/options.rs
+++ b/src/membership/options.rs
@@ -15,7 +15,8 @@
     pub probe_timeout_ms: u64,
     /// Time in which a suspected host can refute.
     pub suspicion_ms: u64,
-    /// Time without an answer from any host after which this host takes itself for cut off.
+    /// Time without an answer from any host after which this host takes itself for cut off; at
+    /// least five gossip rounds.
     pub isolation_ms: u64,
     /// Time after which a host that is cut off shows all others as dead, in its own view only.
     pub isolation_limit_ms: u64,
@@ -34,7 +35,6 @@
             // Seven round trips between regions of 40 ms.
             probe_timeout_ms: 300,
             suspicion_ms: 800,
-            // Five probes go unanswered within this time.
             isolation_ms: 1_000,
             isolation_limit_ms: 10_000,
             // Longer than a region split of an hour, so that both sides still know each other.
--- a/tests/membership_gossip.rs
+++ b/tests/membership_gossip.rs
@@ -6,7 +6,7 @@
 #[path = "support/fleet.rs"]
 mod fleet;
 
-use damaskhoist::membership::{Announcement, GossipTable, Status};
+use damaskhoist::membership::{AnnounceOutcome, Announcement, GossipTable, Status};
 use fleet::{
     host_key, region, status, upstream_key, zone, Fleet, LEASE_MS, START_MS, TOMBSTONE_MS,
 };
@@ -190,6 +190,25 @@
     });
 }
 
+/// Guards against an upstream that is refused when it changes its home host again.
+#[rstest]
+#[case::numbered(1)]
+#[case::unnumbered(0)]
+fn upstream_moves_from_host_to_host(#[case] numbered: u64) {
+    let mut fleet = Fleet::new(12, 12, 12);
+    fleet.heartbeats = false;
+    for home in [4, 5, 6, 3] {
+        fleet.run(2_000);
+        for upstream in 0..12 {
+            let mut announcement = fleet.announcement(upstream);
+            announcement.sequence *= numbered;
+            assert_eq!(fleet.announce(upstream, home, announcement), AnnounceOutcome::Accepted);
+        }
+    }
+    fleet.run(2_000);
+    assert!(fleet.tables.iter().flatten().all(all_alive));
+}
+
 /// Guards against a restarted host that its own earlier record keeps out, also when its clock
 /// went back.
 #[rstest]
