Bound retries, eject failing upstreams and stop requests that crash them

Retries had no bound over the host, a failing upstream was only scored down, and a request that crashes its upstream went on to the next one.

RetryBudget gives each request a share of a retry, with one a second for quiet hosts. Ejector takes an upstream out after two failures that no request causes or three of any kind, for 1 s doubling to 60 s, within ejection_limit_percent of its service, and brings it back after a probe. A connection that breaks under a request while the upstream no longer answers makes the request a suspect in the gossiped crash records. A suspect runs alone on an upstream; two losses convict it, finishing clears it. The refusal waits 1 s, so that a resend meets the verdict elsewhere.

--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -8,7 +8,7 @@
 use futures::future::{select, Either};
 use futures::{pin_mut, StreamExt};
 
-use crate::admission::{Refusal, RefusalKind, RunOutcome};
+use crate::admission::{Fingerprint, Refusal, RefusalKind, RunOutcome};
 use crate::batch::ItemInput;
 use crate::configuration::ConfigurationWatch;
 use crate::control::unix_ms;
@@ -243,12 +243,14 @@
     span.number("item", attempt.item.into());
     let model = EngineRequest::model_of(&input.body)?.to_owned();
     let request_id = format!("{}-{}-{}", attempt.job_id, attempt.item, attempt.attempt);
+    let (body, fingerprint) = EngineRequest::streamed_body(input.body);
     let request = EngineRequest {
         request_id: request_id.clone(),
         service: item.service.clone(),
         model: model.clone(),
         path: item.endpoint.clone(),
-        body: EngineRequest::streamed_body(input.body),
+        body,
+        fingerprint,
         class: WorkClass::Batch,
         repeatable: true,
         deadline: deadline(item),
@@ -279,11 +281,12 @@
         path: &item.endpoint,
         content_type: "application/json",
         body: &body,
+        fingerprint: Fingerprint::of(&[item.service.as_bytes(), item.endpoint.as_bytes(), &body]),
         repeatable: true,
         class: WorkClass::Batch,
         deadline: deadline(item),
     };
-    let answer = shared.dispatcher.call_plain_whole(&call, &span).await?;
+    let answer = shared.dispatcher.call_plain(&call, &span).await?;
     Ok((answer.status, answer.body))
 }
 
--- a/src/entry/routes/completions.rs
+++ b/src/entry/routes/completions.rs
@@ -88,13 +88,9 @@
         };
         // A claim ends with the record, so that a resend under its key gets the answer.
         let recorded = identity.needs_claim() || configuration.records_answers(&service);
-        let request = OnlineRequest {
-            identity,
-            model,
-            format: self.format,
-            body: EngineRequest::streamed_body(body),
-            recorded,
-        };
+        let (body, fingerprint) = EngineRequest::streamed_body(body);
+        let request =
+            OnlineRequest { identity, model, format: self.format, body, fingerprint, recorded };
         Ok(Parsed { request, stream })
     }
 }
--- a/src/entry/routes/service.rs
+++ b/src/entry/routes/service.rs
@@ -1,7 +1,7 @@
 use async_trait::async_trait;
 use tide::Response;
 
-use crate::admission::{Refusal, RunOutcome};
+use crate::admission::{Fingerprint, Refusal, RunOutcome};
 use crate::entry::caller_request::CallerRequest;
 use crate::entry::route::RouteHandler;
 use crate::entry::routes::completions::recorded_response;
@@ -64,13 +64,14 @@
             path: &path,
             content_type,
             body: &body,
+            fingerprint: Fingerprint::of(&[&identity.fingerprint]),
             repeatable: !not_repeatable && is_repeatable(method, &identity.key),
             class: WorkClass::Online,
             deadline,
         };
         // Holds if the caller goes away while the call is on its way.
         claim.progress = RunOutcome::MayHaveRun;
-        let answer = match shared.dispatcher.call_plain_whole(&call, &span).await {
+        let answer = match shared.dispatcher.call_plain(&call, &span).await {
             Ok(answer) => answer,
             Err(refusal) => {
                 claim.release(refusal.outcome).await;
--- a/src/host.rs
+++ b/src/host.rs
@@ -186,18 +186,22 @@
         let host_id = settings.host_id.clone();
         let remote = RemoteState::open(caller.clone(), &settings.control_addresses, &host_id);
         let state: Arc<dyn StateClient> = Arc::new(remote);
-        let members = self.membership.clone();
+        let fleet = Arc::new(Fleet::default());
+        follow_members(&self.membership, fleet.clone());
+        let balancer = Box::new(WeightedScore::new(&settings.zone, &settings.region));
+        let connector = Box::new(HttpConnector::open());
+        let crashes = Arc::new(self.membership.clone());
+        let dispatcher = Dispatcher::open(fleet, balancer, connector, crashes, counters.clone());
+        let (members, policies) = (self.membership.clone(), dispatcher.clone());
         let configuration = ConfigurationWatch::spawn(
             state.clone(),
             settings.entry.configuration_lease_ms,
             counters.clone(),
-            move |view| members.set_configuration_version(view.version()),
+            move |view| {
+                members.set_configuration_version(view.version());
+                policies.apply_policy(&view.configuration().policy.unwrap_or_default());
+            },
         );
-        let fleet = Arc::new(Fleet::default());
-        follow_members(&self.membership, fleet.clone());
-        let balancer = Box::new(WeightedScore::new(&settings.zone, &settings.region));
-        let connector = Box::new(HttpConnector::open());
-        let dispatcher = Dispatcher::open(fleet, balancer, connector, counters.clone());
         let ledger = AnswerLedger::open(state.clone(), counters.clone(), &host_id, incarnation);
         let options = BatchOptions {
             host_id,
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -44,6 +44,11 @@
         self.services.iter().map(|(name, list)| (name.as_str(), list.all.as_slice()))
     }
 
+    /// Upstreams of one service.
+    pub fn service_upstreams(&self, service: &str) -> &[Arc<Upstream>] {
+        self.services.get(service).map_or(&[], |service| &service.all)
+    }
+
     /// All upstreams, in no order.
     pub fn upstreams(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.upstreams.values()
--- a/src/routing/least_outstanding.rs
+++ b/src/routing/least_outstanding.rs
@@ -18,7 +18,9 @@
         for step in 0..candidates.len() {
             let index = (start + step) % candidates.len();
             let upstream = &candidates[index];
-            if request.excluded.contains(&upstream.record.upstream_id) {
+            if !upstream.health.takes_requests()
+                || request.excluded.contains(&upstream.record.upstream_id)
+            {
                 continue;
             }
             let in_use = upstream.in_use();
--- a/src/routing/round_robin.rs
+++ b/src/routing/round_robin.rs
@@ -19,8 +19,10 @@
         let start = self.next.fetch_add(1, Ordering::Relaxed);
         for step in 0..candidates.len() {
             let index = (start + step) % candidates.len();
-            let id = &candidates[index].record.upstream_id;
-            if request.excluded.contains(id) {
+            let upstream = &candidates[index];
+            if !upstream.health.takes_requests()
+                || request.excluded.contains(&upstream.record.upstream_id)
+            {
                 continue;
             }
             return Some(index);
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use crate::membership::UpstreamRecord;
-use crate::routing::{Pace, WorkClass};
+use crate::routing::{Health, Pace, WorkClass};
 
 /// One upstream as this host sees it: its record and what was sent to it.
 #[derive(Debug)]
@@ -13,9 +13,10 @@
     pub incarnation: u64,
     /// Times that it took lately.
     pub pace: Pace,
+    /// Whether it may get requests.
+    pub health: Health,
     online_in_use: AtomicU32,
     batch_in_use: AtomicU32,
-    failures: AtomicU32,
     reported_running: AtomicU32,
     reported_waiting: AtomicU32,
 }
@@ -27,9 +28,9 @@
             record,
             incarnation,
             pace: Pace::default(),
+            health: Health::default(),
             online_in_use: AtomicU32::new(0),
             batch_in_use: AtomicU32::new(0),
-            failures: AtomicU32::new(0),
             reported_running: AtomicU32::new(0),
             reported_waiting: AtomicU32::new(0),
         }
@@ -37,7 +38,7 @@
 
     /// Requests of this host in flight at the upstream.
     pub fn in_use(&self) -> u32 {
-        self.online_in_use.load(Ordering::Relaxed) + self.batch_in_use.load(Ordering::Relaxed)
+        self.online_in_use.load(Ordering::SeqCst) + self.batch_in_use.load(Ordering::SeqCst)
     }
 
     /// Requests of one class in flight at the upstream.
@@ -50,15 +51,17 @@
         self.record.slots.saturating_sub(self.in_use())
     }
 
-    /// Attempts in a row that failed here.
-    pub fn failures(&self) -> u32 {
-        self.failures.load(Ordering::Relaxed)
+    /// Takes one slot, or `None` when all are in use or the upstream gets no requests now.
+    pub fn acquire(self: &Arc<Self>, class: WorkClass) -> Option<SlotPermit> {
+        let permit = self.acquire_on_trial(class)?;
+        // Looked at after the slot was taken, as a trial looks at the slots after it began.
+        self.health.takes_requests().then_some(permit)
     }
 
-    /// Takes one slot, or `None` when all are in use.
-    pub fn acquire(self: &Arc<Self>, class: WorkClass) -> Option<SlotPermit> {
+    /// Takes one slot whether or not the upstream gets ordinary requests.
+    pub(super) fn acquire_on_trial(self: &Arc<Self>, class: WorkClass) -> Option<SlotPermit> {
         let counter = self.counter(class);
-        counter.fetch_add(1, Ordering::AcqRel);
+        counter.fetch_add(1, Ordering::SeqCst);
         if self.in_use() > self.record.slots {
             counter.fetch_sub(1, Ordering::AcqRel);
             return None;
@@ -66,16 +69,6 @@
         Some(SlotPermit { upstream: self.clone(), class })
     }
 
-    /// Notes an attempt that was answered in full.
-    pub fn record_success(&self) {
-        self.failures.store(0, Ordering::Relaxed);
-    }
-
-    /// Notes an attempt that the upstream failed.
-    pub fn record_failure(&self) {
-        self.failures.fetch_add(1, Ordering::Relaxed);
-    }
-
     /// Notes the load of all hosts together, as the upstream reported it some time ago.
     pub fn report_load(&self, running: u32, waiting: u32) {
         self.reported_running.store(running, Ordering::Relaxed);
--- a/src/routing/weighted_score.rs
+++ b/src/routing/weighted_score.rs
@@ -30,7 +30,7 @@
             (true, false) => OTHER_ZONE_COST,
             (false, _) => OTHER_REGION_COST,
         };
-        used + distance + FAILURE_COST * upstream.failures().min(8) as f32
+        used + distance + FAILURE_COST * upstream.health.failures().min(8) as f32
     }
 }
 
@@ -46,7 +46,7 @@
         for step in 0..candidates.len() {
             let index = (start + step) % candidates.len();
             let upstream = &candidates[index];
-            if upstream.free_slots() == 0 {
+            if upstream.free_slots() == 0 || !upstream.health.takes_requests() {
                 continue;
             }
             if request.excluded.contains(&upstream.record.upstream_id) {
--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use crate::admission::{Refusal, RefusalKind, RunOutcome};
+use crate::routing::UpstreamFailure;
 use crate::upstream::{StreamFault, UpstreamError};
 
 /// Attempts of one request at most.
@@ -24,6 +25,8 @@
     Status(u16),
     /// The upstream's answer is not whole or not well formed.
     Invalid,
+    /// The upstream's answer is over its limit, as it would be at any other upstream.
+    TooLarge,
     /// The deadline of the request passed.
     Deadline,
 }
@@ -53,12 +56,24 @@
         self.cause != FailureCause::NotSent
     }
 
+    /// What the failure says of the upstream's health; `None` when it says nothing.
+    pub fn upstream_failure(&self) -> Option<UpstreamFailure> {
+        match self.cause {
+            FailureCause::NotSent => Some(UpstreamFailure::Unreachable),
+            FailureCause::Silent => Some(UpstreamFailure::Silent),
+            FailureCause::Lost | FailureCause::Invalid => Some(UpstreamFailure::Failed),
+            FailureCause::Status(status) => (status >= 500).then_some(UpstreamFailure::Failed),
+            FailureCause::TooLarge | FailureCause::Deadline => None,
+        }
+    }
+
     /// True when the upstream refused the request itself, as any other upstream would.
     fn is_final(&self) -> bool {
         match self.cause {
             FailureCause::Status(status) => {
                 (400..500).contains(&status) && !TRANSIENT_STATUSES.contains(&status)
             }
+            FailureCause::TooLarge => true,
             _ => false,
         }
     }
@@ -134,6 +149,7 @@
         let outcome = self.outcome(failure);
         let reason = &failure.reason;
         let (kind, message) = match failure.cause {
+            FailureCause::TooLarge => (RefusalKind::UpstreamFailed, reason.clone()),
             _ if failure.is_final() => {
                 (RefusalKind::InvalidRequest, format!("the upstream refused the request: {reason}"))
             }
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -1,13 +1,28 @@
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::admission::{Refusal, RefusalKind};
-use crate::routing::{Balancer, Fleet, RequestView, SlotPermit};
-use crate::serving::{EngineRequest, RunningAnswer};
+use async_std::task;
+
+use crate::admission::{
+    CrashRecords, CrashStanding, Fingerprint, Refusal, RefusalKind, RetryBudget,
+};
+use crate::control::unix_ms;
+use crate::routing::{
+    Balancer, Ejector, Fleet, RequestView, SlotPermit, Upstream, DEFAULT_EJECTION_LIMIT_PERCENT,
+};
+use crate::schema::config::Policy;
+use crate::serving::{
+    probe, AttemptFailure, CrashWatch, EngineRequest, FailureCause, RunningAnswer,
+    DEFAULT_CRASH_VERDICT_MS,
+};
 use crate::telemetry::{Counters, Span};
 use crate::upstream::{EngineStream, UpstreamCall, UpstreamConnector};
 
-use super::attempt::AttemptFailure;
+/// Time in which gossip brings a verdict to all hosts.
+const VERDICT_SPREAD: Duration = Duration::from_millis(1_000);
+/// Share of requests that may be retries where the configuration says nothing.
+const DEFAULT_RETRY_BUDGET_PERCENT: u32 = 20;
 
 /// Sends requests to upstreams that the balancer picks.
 #[derive(Clone)]
@@ -15,22 +30,50 @@
     shared: Arc<Shared>,
 }
 
-struct Shared {
-    fleet: Arc<Fleet>,
+pub(super) struct Shared {
+    pub(super) fleet: Arc<Fleet>,
     balancer: Box<dyn Balancer>,
-    connector: Box<dyn UpstreamConnector>,
+    pub(super) connector: Box<dyn UpstreamConnector>,
     counters: Counters,
+    started: Instant,
+    pub(super) ejector: Ejector,
+    crashes: CrashWatch,
+    retries: RetryBudget,
+    retry_percent: AtomicU32,
 }
 
 impl Dispatcher {
-    /// A dispatcher over the fleet.
+    /// A dispatcher over the fleet. `crashes` are the crash records that all hosts share.
     pub fn open(
         fleet: Arc<Fleet>,
         balancer: Box<dyn Balancer>,
         connector: Box<dyn UpstreamConnector>,
+        crashes: Arc<dyn CrashRecords>,
         counters: Counters,
     ) -> Self {
-        Self { shared: Arc::new(Shared { fleet, balancer, connector, counters }) }
+        let shared = Arc::new(Shared {
+            fleet,
+            balancer,
+            connector,
+            counters,
+            started: Instant::now(),
+            ejector: Ejector::open(),
+            crashes: CrashWatch::open(crashes),
+            retries: RetryBudget::default(),
+            retry_percent: AtomicU32::new(DEFAULT_RETRY_BUDGET_PERCENT),
+        });
+        probe::spawn(&shared);
+        Self { shared }
+    }
+
+    /// Applies the policy of a new configuration.
+    pub fn apply_policy(&self, policy: &Policy) {
+        let shared = &self.shared;
+        let retry_percent = policy.retry_budget_percent.unwrap_or(DEFAULT_RETRY_BUDGET_PERCENT);
+        shared.retry_percent.store(retry_percent, Ordering::Relaxed);
+        let limit = policy.ejection_limit_percent.unwrap_or(DEFAULT_EJECTION_LIMIT_PERCENT);
+        shared.ejector.set_limit_percent(limit);
+        shared.crashes.set_verdict_ms(policy.crash_verdict_ms.unwrap_or(DEFAULT_CRASH_VERDICT_MS));
     }
 
     /// The upstreams that requests may go to.
@@ -43,6 +86,59 @@
         &*self.shared.connector
     }
 
+    /// Requests that crash upstreams.
+    pub fn crashes(&self) -> &CrashWatch {
+        &self.shared.crashes
+    }
+
+    /// Upstreams that get no requests for a while.
+    pub fn ejector(&self) -> &Ejector {
+        &self.shared.ejector
+    }
+
+    /// Notes a new request, whose share of the retry budget it adds to.
+    pub(super) fn note_request(&self) {
+        self.shared.retries.note_request(self.shared.retry_percent.load(Ordering::Relaxed));
+    }
+
+    /// Takes a retry out of the budget; `false` when it is used up.
+    pub(super) fn take_retry(&self) -> bool {
+        let taken = self.shared.retries.take(self.shared.started.elapsed().as_millis() as u64);
+        if !taken {
+            self.shared.counters.count("attempt.budget_empty");
+        }
+        taken
+    }
+
+    /// Notes a failed attempt: ejects an upstream that fails often, and makes a request a suspect
+    /// when the upstream died under it. Refuses the request when this convicts it.
+    pub(super) async fn note_failure(
+        &self,
+        upstream: &Arc<Upstream>,
+        fingerprint: &Fingerprint,
+        deadline: Instant,
+        failure: &AttemptFailure,
+    ) -> Result<(), Refusal> {
+        let shared = &self.shared;
+        shared.counters.count("attempt.failed");
+        if let Some(kind) = failure.upstream_failure() {
+            if shared.ejector.note_failure(&shared.fleet.load(), upstream, kind) {
+                shared.counters.count("upstream.ejected");
+            }
+        }
+        // A connection may break without a crash, so the upstream is asked.
+        if failure.cause != FailureCause::Lost || shared.is_alive(upstream).await {
+            return Ok(());
+        }
+        shared.counters.count("upstream.lost_under_request");
+        let standing = shared.crashes.note_loss(fingerprint, upstream);
+        let CrashStanding::Convicted { expires_unix_ms } = standing else { return Ok(()) };
+        shared.counters.count("crash.convicted");
+        // A caller that sends the request again must meet the verdict on each host.
+        task::sleep(VERDICT_SPREAD.min(time_left(deadline))).await;
+        Err(convicted(expires_unix_ms))
+    }
+
     /// Counters of attempts.
     pub fn counters(&self) -> &Counters {
         &self.shared.counters
@@ -118,12 +214,21 @@
     }
 }
 
+/// The refusal of a request that is known to crash upstreams.
+pub(super) fn convicted(expires_unix_ms: u64) -> Refusal {
+    let left_ms = expires_unix_ms.saturating_sub(unix_ms());
+    let message = format!(
+        "two upstreams died with this request in flight; it is refused for another {left_ms} ms"
+    );
+    Refusal::not_run(RefusalKind::CrashesUpstreams, message)
+}
+
 /// Time until `deadline`, zero when it has passed.
 pub(super) fn time_left(deadline: Instant) -> Duration {
     deadline.saturating_duration_since(Instant::now())
 }
 
-fn unknown_target(request: &RequestView<'_>) -> Refusal {
+pub(super) fn unknown_target(request: &RequestView<'_>) -> Refusal {
     if request.service.is_empty() {
         let message = format!("no upstream serves model `{}`", request.model);
         return Refusal::not_run(RefusalKind::UnknownModel, message);
--- a/src/serving/engine_request.rs
+++ b/src/serving/engine_request.rs
@@ -1,6 +1,6 @@
 use std::time::Instant;
 
-use crate::admission::{Refusal, RefusalKind};
+use crate::admission::{Fingerprint, Refusal, RefusalKind};
 use crate::routing::{RequestView, WorkClass};
 
 /// A request for a model engine, ready to be sent to any upstream.
@@ -16,6 +16,8 @@
     pub path: String,
     /// Body that asks for a stream.
     pub body: Vec<u8>,
+    /// Recognises the content of the body.
+    pub fingerprint: Fingerprint,
     /// Online or batch.
     pub class: WorkClass,
     /// It may be sent again after an upstream may have started it.
@@ -36,12 +38,17 @@
         })
     }
 
-    /// The body with `stream` set, as engines always answer in a stream.
-    pub fn streamed_body(mut body: serde_json::Value) -> Vec<u8> {
+    /// The body with `stream` set, as engines always answer in a stream, and the fingerprint of
+    /// the body without it. Callers have checked that the body is an object.
+    pub fn streamed_body(mut body: serde_json::Value) -> (Vec<u8>, Fingerprint) {
         if let Some(object) = body.as_object_mut() {
-            object.insert("stream".to_owned(), true.into());
+            object.remove("stream");
         }
-        body.to_string().into_bytes()
+        let mut bytes = body.to_string().into_bytes();
+        let fingerprint = Fingerprint::of(&[&bytes]);
+        bytes.pop();
+        bytes.extend_from_slice(br#","stream":true}"#);
+        (bytes, fingerprint)
     }
 
     /// What routing needs to know.
--- a/src/serving/online.rs
+++ b/src/serving/online.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::admission::{Refusal, RefusalKind, RunOutcome};
+use crate::admission::{Fingerprint, Refusal, RefusalKind, RunOutcome};
 use crate::routing::WorkClass;
 use crate::schema::state::{Answer as RecordedAnswer, ClaimStatus};
 use crate::serving::{
@@ -25,6 +25,8 @@
     pub format: AnswerFormat,
     /// Body for the engine.
     pub body: Vec<u8>,
+    /// Recognises the content of the body.
+    pub fingerprint: Fingerprint,
     /// The answer is recorded before its end is sent.
     pub recorded: bool,
 }
@@ -207,6 +209,7 @@
             model: request.model.clone(),
             path: request.format.path().to_owned(),
             body: request.body.clone(),
+            fingerprint: request.fingerprint,
             class: WorkClass::Online,
             repeatable: !request.identity.not_repeatable,
             deadline: request.identity.deadline,
--- a/src/serving/plain_call.rs
+++ b/src/serving/plain_call.rs
@@ -3,12 +3,14 @@
 use async_std::task;
 use futures::AsyncReadExt;
 
-use crate::admission::{Refusal, RefusalKind, RunOutcome};
-use crate::routing::{RequestView, SlotPermit, WorkClass};
+use crate::admission::{Fingerprint, Refusal, RefusalKind, RunOutcome};
+use crate::routing::{RequestView, Upstream, WorkClass};
 use crate::serving::dispatcher::time_left;
-use crate::serving::{AttemptFailure, AttemptPolicy, Dispatcher, FinishedAnswer, NextStep};
+use crate::serving::{
+    AttemptFailure, AttemptPolicy, Dispatcher, FailureCause, FinishedAnswer, NextStep,
+};
 use crate::telemetry::Span;
-use crate::upstream::{UpstreamCall, UpstreamResponse};
+use crate::upstream::{UpstreamCall, UpstreamError};
 
 /// Largest answer of a plain service.
 const ANSWER_LIMIT_BYTES: u64 = 4 * 1024 * 1024;
@@ -28,6 +30,8 @@
     pub content_type: &'a str,
     /// Whole body.
     pub body: &'a [u8],
+    /// Recognises the content of the call.
+    pub fingerprint: Fingerprint,
     /// It may be sent again after an upstream may have started it.
     pub repeatable: bool,
     /// Online or batch.
@@ -55,38 +59,14 @@
 }
 
 impl Dispatcher {
-    /// Calls a plain service and reads its whole answer.
-    pub async fn call_plain_whole(
-        &self,
-        call: &PlainCall<'_>,
-        parent: &Span,
-    ) -> Result<PlainAnswer, Refusal> {
-        let (permit, response) = self.call_plain(call, parent).await?;
-        let mut body = Vec::new();
-        let mut reader = response.body.take(ANSWER_LIMIT_BYTES + 1);
-        let read = reader.read_to_end(&mut body);
-        let read = async_std::future::timeout(time_left(call.deadline), read).await;
-        drop(permit);
-        match read {
-            Err(_) => Err(broken("the deadline passed during the answer".to_owned())),
-            Ok(Err(error)) => Err(broken(format!("the answer broke off: {error}"))),
-            Ok(Ok(_)) if body.len() as u64 > ANSWER_LIMIT_BYTES => {
-                Err(broken(format!("the answer is over {ANSWER_LIMIT_BYTES} bytes")))
-            }
-            Ok(Ok(_)) => Ok(PlainAnswer {
-                status: response.status,
-                content_type: response.content_type,
-                body,
-            }),
-        }
-    }
-
-    /// Calls a plain service and waits for the head of its answer.
+    /// Calls a plain service and reads its whole answer, at another upstream when one fails and
+    /// the call may be repeated.
     pub async fn call_plain(
         &self,
         call: &PlainCall<'_>,
         parent: &Span,
-    ) -> Result<(SlotPermit, UpstreamResponse), Refusal> {
+    ) -> Result<PlainAnswer, Refusal> {
+        self.note_request();
         let mut excluded = Vec::new();
         let mut progress = RunOutcome::NotRun;
         for attempts in 1.. {
@@ -97,17 +77,22 @@
                 prefix_hashes: &[],
                 excluded: &excluded,
             };
-            let permit = self.acquire_for(&view);
-            let permit = permit.map_err(|refusal| refusal.with_outcome(progress))?;
+            let acquired = self.acquire_by_standing(&view, &call.fingerprint, call.deadline).await;
+            let (permit, trial) = acquired.map_err(|refusal| refusal.at_least(progress))?;
+            let upstream = permit.upstream().clone();
             let mut span = parent.child("upstream_attempt");
-            span.text("upstream_id", &permit.upstream().record.upstream_id);
-            let failure = match self.open_plain(call, &permit, &span).await {
-                Ok(response) => return Ok((permit, response)),
+            span.text("upstream_id", &upstream.record.upstream_id);
+            self.counters().count("attempt.started");
+            let failure = match self.attempt_plain(call, &upstream, &span).await {
+                Ok(answer) => {
+                    upstream.health.record_success();
+                    self.crashes().note_finish(&call.fingerprint);
+                    return Ok(answer);
+                }
                 Err(failure) => failure,
             };
             span.text("error", &failure.reason);
-            permit.upstream().record_failure();
-            excluded.push(permit.upstream().record.upstream_id.clone());
+            excluded.push(upstream.record.upstream_id.clone());
             drop(permit);
             let policy = AttemptPolicy {
                 repeatable: call.repeatable,
@@ -117,28 +102,34 @@
                 time_left: time_left(call.deadline),
             };
             progress = policy.outcome(&failure);
+            self.note_failure(&upstream, &call.fingerprint, call.deadline, &failure)
+                .await
+                .map_err(|refusal| refusal.at_least(progress))?;
+            // Nothing else may run on an upstream before it is known whether this call killed it.
+            drop(trial);
             match policy.next_step(&failure, rand::random()) {
                 NextStep::GiveUp(refusal) => return Err(refusal),
-                NextStep::Retry { pause } => task::sleep(pause).await,
+                NextStep::Retry { pause } if self.take_retry() => task::sleep(pause).await,
+                NextStep::Retry { .. } => return Err(policy.refusal(&failure)),
             }
         }
         Err(Refusal::not_run(RefusalKind::UpstreamFailed, "no attempt was made"))
     }
 
-    async fn open_plain(
+    async fn attempt_plain(
         &self,
         call: &PlainCall<'_>,
-        permit: &SlotPermit,
+        upstream: &Upstream,
         span: &Span,
-    ) -> Result<UpstreamResponse, AttemptFailure> {
+    ) -> Result<PlainAnswer, AttemptFailure> {
         let traceparent = span.traceparent();
         let headers = [
             ("content-type", call.content_type),
             ("x-request-id", call.request_id),
             ("traceparent", traceparent.as_str()),
         ];
-        let call = UpstreamCall {
-            address: &permit.upstream().record.address,
+        let open = UpstreamCall {
+            address: &upstream.record.address,
             method: call.method,
             path: call.path,
             headers: &headers,
@@ -146,11 +137,28 @@
             repeatable: call.repeatable,
             timeout: time_left(call.deadline),
         };
-        Ok(self.connector().open(call).await?)
+        let is_late =
+            |failure: &AttemptFailure| failure.was_sent() && time_left(call.deadline).is_zero();
+        let opened = self.connector().open(open).await.map_err(AttemptFailure::from);
+        let response = match opened {
+            Err(failure) if is_late(&failure) => return Err(AttemptFailure::deadline()),
+            opened => opened?,
+        };
+        let mut body = Vec::new();
+        let mut reader = response.body.take(ANSWER_LIMIT_BYTES + 1);
+        let read = reader.read_to_end(&mut body);
+        match async_std::future::timeout(time_left(call.deadline), read).await {
+            Err(_) => Err(AttemptFailure::deadline()),
+            Ok(Err(error)) => Err(UpstreamError::Lost(error.to_string()).into()),
+            Ok(Ok(_)) if body.len() as u64 > ANSWER_LIMIT_BYTES => {
+                let reason = format!("the answer is over {ANSWER_LIMIT_BYTES} bytes");
+                Err(AttemptFailure { cause: FailureCause::TooLarge, reason })
+            }
+            Ok(Ok(_)) => Ok(PlainAnswer {
+                status: response.status,
+                content_type: response.content_type,
+                body,
+            }),
+        }
     }
 }
-
-/// The service ran, but its answer is not whole.
-fn broken(message: String) -> Refusal {
-    Refusal::not_run(RefusalKind::UpstreamFailed, message).with_outcome(RunOutcome::Ran)
-}
--- /dev/null
+++ b/src/serving/probe.rs
@@ -0,0 +1,48 @@
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use async_std::task;
+
+use crate::routing::Upstream;
+use crate::serving::dispatcher::Shared;
+use crate::upstream::UpstreamCall;
+
+/// Time between two looks at ejected upstreams.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Probes ejected upstreams until the dispatcher is gone.
+pub(super) fn spawn(shared: &Arc<Shared>) {
+    task::spawn(run(Arc::downgrade(shared)));
+}
+
+async fn run(shared: Weak<Shared>) {
+    loop {
+        task::sleep(PROBE_INTERVAL).await;
+        let Some(shared) = shared.upgrade() else { return };
+        let due: Vec<_> = shared.ejector.due(&shared.fleet.load()).cloned().collect();
+        let probes = due.iter().map(|upstream| async {
+            shared.ejector.note_probe(upstream, shared.is_alive(upstream).await);
+        });
+        futures::future::join_all(probes).await;
+    }
+}
+
+impl Shared {
+    /// Asks an upstream for its load on a new connection. Any answer will do, as plain services
+    /// need not know the path.
+    pub(super) async fn is_alive(&self, upstream: &Upstream) -> bool {
+        let call = UpstreamCall {
+            address: &upstream.record.address,
+            method: "GET",
+            path: "/v1/load",
+            headers: &[],
+            body: &[],
+            repeatable: false,
+            timeout: PROBE_TIMEOUT,
+        };
+        let answer = async_std::future::timeout(PROBE_TIMEOUT, self.connector.open(call));
+        matches!(answer.await, Ok(Ok(_)))
+    }
+}
--- a/src/serving/running_answer.rs
+++ b/src/serving/running_answer.rs
@@ -3,7 +3,7 @@
 use async_std::task;
 
 use crate::admission::{Refusal, RefusalKind, RunOutcome};
-use crate::routing::SlotPermit;
+use crate::routing::{SlotPermit, Trial};
 use crate::serving::dispatcher::time_left;
 use crate::serving::{AttemptFailure, AttemptPolicy, Dispatcher, EngineRequest, NextStep};
 use crate::telemetry::Span;
@@ -23,9 +23,12 @@
     done: bool,
 }
 
+/// An attempt in flight. Fields are dropped in this order: the connection is closed before the
+/// slot is free, and the slot is free before the trial ends.
 struct Attempt {
-    permit: SlotPermit,
     stream: EngineStream,
+    permit: SlotPermit,
+    _trial: Option<Trial>,
     span: Span,
     started: Instant,
     has_token: bool,
@@ -37,6 +40,7 @@
         request: EngineRequest,
         span: &Span,
     ) -> Result<Self, Refusal> {
+        dispatcher.note_request();
         let mut answer = Self {
             dispatcher,
             request,
@@ -81,8 +85,13 @@
                 return Ok(self.last.take());
             }
             let Err(failure) = self.read().await else { continue };
-            self.close_failed_attempt(&failure);
-            self.pause_after(failure).await?;
+            let Some(attempt) = self.attempt.take() else {
+                return Err(self.deadline_refusal());
+            };
+            let Attempt { stream, permit, _trial: trial, span: attempt_span, .. } = attempt;
+            // The upstream must not go on with what another one may continue.
+            drop(stream);
+            self.fail(permit, trial, attempt_span, failure).await?;
             self.assembler.restart();
             self.attempt = Some(self.open(span).await?);
         }
@@ -128,26 +137,25 @@
     fn finish(&mut self) {
         self.done = true;
         let Some(attempt) = self.attempt.take() else { return };
-        attempt.permit.upstream().record_success();
+        attempt.permit.upstream().health.record_success();
+        self.dispatcher.crashes().note_finish(&self.request.fingerprint);
         attempt.stream.close();
         attempt.span.close();
     }
 
-    fn close_failed_attempt(&mut self, failure: &AttemptFailure) {
-        let Some(mut attempt) = self.attempt.take() else { return };
-        attempt.span.text("error", &failure.reason);
-        attempt.permit.upstream().record_failure();
-        self.excluded.push(attempt.permit.upstream().record.upstream_id.clone());
-    }
-
     /// Opens an attempt, trying other upstreams while the policy allows it.
     async fn open(&mut self, parent: &Span) -> Result<Attempt, Refusal> {
         loop {
             if time_left(self.request.deadline).is_zero() {
                 return Err(self.deadline_refusal());
             }
-            let acquired = self.dispatcher.acquire(&self.request, &self.excluded);
-            let permit = acquired.map_err(|refusal| refusal.with_outcome(self.progress))?;
+            let request = &self.request;
+            let view = request.view(&self.excluded);
+            let acquired = self
+                .dispatcher
+                .acquire_by_standing(&view, &request.fingerprint, request.deadline)
+                .await;
+            let (permit, trial) = acquired.map_err(|refusal| refusal.at_least(self.progress))?;
             let mut span = parent.child("upstream_attempt");
             span.text("upstream_id", &permit.upstream().record.upstream_id);
             span.number("position", self.assembler.next_position() as i64);
@@ -158,15 +166,12 @@
             let failure = match self.open_stream(&permit).await {
                 Ok(stream) => {
                     self.progress = self.progress.max(RunOutcome::MayHaveRun);
-                    return Ok(Attempt { permit, stream, span, started, has_token: false });
+                    let has_token = false;
+                    return Ok(Attempt { stream, permit, _trial: trial, span, started, has_token });
                 }
                 Err(failure) => failure,
             };
-            span.text("error", &failure.reason);
-            permit.upstream().record_failure();
-            self.excluded.push(permit.upstream().record.upstream_id.clone());
-            drop(permit);
-            self.pause_after(failure).await?;
+            self.fail(permit, trial, span, failure).await?;
         }
     }
 
@@ -184,8 +189,18 @@
         }
     }
 
-    async fn pause_after(&mut self, failure: AttemptFailure) -> Result<(), Refusal> {
-        self.dispatcher.counters().count("attempt.failed");
+    /// Ends a failed attempt, and waits before the next one if there may be one.
+    async fn fail(
+        &mut self,
+        permit: SlotPermit,
+        trial: Option<Trial>,
+        mut span: Span,
+        failure: AttemptFailure,
+    ) -> Result<(), Refusal> {
+        span.text("error", &failure.reason);
+        let upstream = permit.upstream().clone();
+        drop(permit);
+        self.excluded.push(upstream.record.upstream_id.clone());
         let policy = AttemptPolicy {
             repeatable: self.request.repeatable,
             can_resume: self.assembler.can_resume(),
@@ -194,12 +209,20 @@
             time_left: time_left(self.request.deadline),
         };
         self.progress = policy.outcome(&failure);
+        let (fingerprint, deadline) = (&self.request.fingerprint, self.request.deadline);
+        self.dispatcher
+            .note_failure(&upstream, fingerprint, deadline, &failure)
+            .await
+            .map_err(|refusal| refusal.at_least(self.progress))?;
+        // Nothing else may run on an upstream before it is known whether this request killed it.
+        drop(trial);
         match policy.next_step(&failure, rand::random()) {
             NextStep::GiveUp(refusal) => Err(refusal),
-            NextStep::Retry { pause } => {
+            NextStep::Retry { pause } if self.dispatcher.take_retry() => {
                 task::sleep(pause).await;
                 Ok(())
             }
+            NextStep::Retry { .. } => Err(policy.refusal(&failure)),
         }
     }
 
