--- a/src/state/replicated_state.rs
+++ b/src/state/replicated_state.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use prost::Message;
 
-use crate::raft::{SavedState, StateMachine};
+use crate::raft::StateMachine;
 use crate::schema::config::Configuration;
 use crate::schema::state::{Query, QueryAnswer};
 use crate::state::bodies::Bodies;
@@ -73,16 +73,13 @@
         render::outcome(&outcome, &tables, &self.bodies).encode_to_vec().into()
     }
 
+    /// Fixes a shared view of the tables before the first write, so that later commands do not wait.
     fn save(&self, target: &mut dyn io::Write) -> io::Result<()> {
-        self.capture()?(target)
-    }
-
-    fn capture(&self) -> io::Result<SavedState> {
         let tables = self.tables.read().expect("lock is not poisoned");
         let frozen = tables.freeze();
         let sealed = self.bodies.store().seal();
         drop(tables);
-        Ok(Box::new(move |target| snapshot::save(frozen, &*sealed, target)))
+        snapshot::save(frozen, &*sealed, target)
     }
 
     fn restore(&self, source: &mut dyn io::Read) -> io::Result<()> {
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -5,9 +5,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use process_support::{
-    assert_each_item_once, chat, eventually, results, submit_job, Fleet, MODEL,
-};
+use process_support::{assert_each_item_once, chat, eventually, results, submit_job, Fleet, MODEL};
 use serde_json::json;
 
 /// Guards against losing a job whose entry host is lost right after its acknowledgement.
@@ -67,7 +65,9 @@
         let addresses: Vec<_> = fleet.entries.iter().map(|entry| entry.caller_address).collect();
         let stop = async_std::channel::bounded::<()>(1);
         let callers: Vec<_> = (0..3)
-            .map(|index| task::spawn(call_through_entries(index, addresses.clone(), stop.1.clone())))
+            .map(|index| {
+                task::spawn(call_through_entries(index, addresses.clone(), stop.1.clone()))
+            })
             .collect();
         for index in 0..3 {
             fleet.entries[index].terminate();
--- a/tests/state_bodies.rs
+++ b/tests/state_bodies.rs
@@ -3,6 +3,7 @@
 mod state_support;
 
 use std::fs;
+use std::io::{self, Write};
 use std::path::Path;
 use std::sync::Arc;
 
@@ -55,6 +56,25 @@
     assert_results(&replica, "job-2");
 }
 
+/// Changes the state once the snapshot that it takes has begun.
+struct ActsOnFirstWrite<F> {
+    action: Option<F>,
+    written: Vec<u8>,
+}
+
+impl<F: FnOnce()> Write for ActsOnFirstWrite<F> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if let Some(action) = self.action.take() {
+            action();
+        }
+        self.written.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Guards against a snapshot that mixes two moments when the state is replaced or moves on before
 /// it is written.
 #[rstest]
@@ -66,13 +86,18 @@
     let mut empty = Vec::new();
     replica.state.save(&mut empty).unwrap();
     run_job(&replica, "job-1");
-    let captured = replica.state.capture().unwrap();
-    run_job(&replica, "job-2");
-    if is_replaced {
-        replica.state.restore(&mut &empty[..]).unwrap();
-    }
-    let mut snapshot = Vec::new();
-    captured(&mut snapshot).unwrap();
+    let mut target = ActsOnFirstWrite {
+        action: Some(|| {
+            run_job(&replica, "job-2");
+            if is_replaced {
+                replica.state.restore(&mut &empty[..]).unwrap();
+            }
+        }),
+        written: Vec::new(),
+    };
+    replica.state.save(&mut target).unwrap();
+    assert!(target.action.is_none(), "nothing was written");
+    let snapshot = target.written;
 
     let other = Replica::open();
     other.state.restore(&mut &snapshot[..]).unwrap();
