Let operators change replicas, and test repair and isolation with real processes

POST /v1/admin/replicas adds a learner, promotes it or removes a replica through any entry host. Real processes show that a second host may fail right after a repair, that a host with an empty disk does not vote under its old identity, and that an isolated leader steps down and comes back quietly.

--- a/src/control/control_role.rs
+++ b/src/control/control_role.rs
@@ -8,11 +8,13 @@
 
 use crate::control::CommandClass;
 use crate::peer::{PeerCaller, TrafficClass};
-use crate::raft::{Group, GroupOptions, Outbox, ProposeError, ReadError, Replica};
+use crate::raft::{
+    ChangeError, Group, GroupOptions, Outbox, ProposeError, ReadError, Replica, ReplicaChange,
+};
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{
-    call, reply, CallFailure, ConfigurationNotice, ControlStatus, FailureKind, RaftMessage,
-    WatchConfiguration,
+    call, reply, CallFailure, ChangeReplicas, ConfigurationNotice, ControlStatus, FailureKind,
+    RaftMessage, WatchConfiguration,
 };
 use crate::schema::state::{command, Command, Expire, Outcome, Query};
 use crate::settings::{ControlSettings, HostSettings};
@@ -79,6 +81,7 @@
             call::Call::Query(query) => self.shared.query(&query).await,
             call::Call::WatchConfiguration(watch) => self.shared.watch(&watch).await,
             call::Call::ControlStatus(_) => reply::Reply::ControlStatus(self.shared.status()),
+            call::Call::ChangeReplicas(change) => self.shared.change_replicas(change).await,
             call::Call::TransferLeadership(transfer) => self.shared.transfer(transfer.to).await,
             _ => failure(FailureKind::Unsupported, "not a call for a control host"),
         }
@@ -159,6 +162,20 @@
         }
     }
 
+    async fn change_replicas(&self, change: ChangeReplicas) -> reply::Reply {
+        let Some(change) = change.change else {
+            return failure(FailureKind::Unsupported, "the change is empty");
+        };
+        match self.group.change_replicas(ReplicaChange::from(change)).await {
+            Ok(()) => reply::Reply::Done(Default::default()),
+            Err(ChangeError::NotLeader { leader_address }) => not_leader(leader_address),
+            Err(ChangeError::Refused(reason)) => failure(FailureKind::Refused, &reason),
+            Err(error @ ChangeError::Unknown) => {
+                failure(FailureKind::CommitUnknown, &error.to_string())
+            }
+        }
+    }
+
     fn status(&self) -> ControlStatus {
         let group = crate::schema::peer::GroupStatus::from(&*self.group.status());
         ControlStatus { groups: vec![group], host_id: self.host_id.clone() }
--- a/src/control/remote_state.rs
+++ b/src/control/remote_state.rs
@@ -9,7 +9,8 @@
 use crate::control::CommandClass;
 use crate::peer::{CallError, PeerCaller, TrafficClass};
 use crate::schema::peer::{
-    call, reply, Call, CallFailure, ConfigurationNotice, FailureKind, Reply, WatchConfiguration,
+    call, reply, Call, CallFailure, ChangeReplicas, ConfigurationNotice, FailureKind, Reply,
+    WatchConfiguration,
 };
 use crate::schema::state::{command, query, Command, Outcome, Query, QueryAnswer};
 use crate::state::{StateClient, StateError};
@@ -35,6 +36,8 @@
     Reply(reply::Reply),
     /// Nothing happened; another host may do.
     Refused(String),
+    /// Nothing happened, and no host will do it.
+    Final(String),
     /// The command may have been proposed.
     Unknown(String),
 }
@@ -98,6 +101,9 @@
         if failure.kind() == FailureKind::CommitUnknown {
             return CallResult::Unknown(failure.message);
         }
+        if failure.kind() == FailureKind::Refused {
+            return CallResult::Final(failure.message);
+        }
         if !failure.leader_address.is_empty() {
             self.leader.store(Some(Arc::new(failure.leader_address)));
         }
@@ -121,6 +127,7 @@
             let reason = match self.call_once(class, call.clone(), CALL_TIMEOUT).await {
                 CallResult::Reply(reply) => return Ok(reply),
                 CallResult::Refused(reason) => reason,
+                CallResult::Final(reason) => return Err(StateError::NotSubmitted(reason)),
                 CallResult::Unknown(reason) if repeatable => {
                     lost = Some(reason.clone());
                     reason
@@ -175,10 +182,20 @@
         match self.call_once(TrafficClass::Online, call, timeout).await {
             CallResult::Reply(reply::Reply::Configuration(notice)) => Ok(notice),
             CallResult::Reply(_) => Err(StateError::Unknown("unexpected reply".to_owned())),
-            CallResult::Refused(reason) => Err(StateError::NotSubmitted(reason)),
+            CallResult::Refused(reason) | CallResult::Final(reason) => {
+                Err(StateError::NotSubmitted(reason))
+            }
             CallResult::Unknown(reason) => Err(StateError::Unknown(reason)),
         }
     }
+
+    async fn change_replicas(&self, change: ChangeReplicas) -> Result<(), StateError> {
+        let call = call::Call::ChangeReplicas(change);
+        match self.call(TrafficClass::Online, call, false).await? {
+            reply::Reply::Done(_) => Ok(()),
+            _ => Err(StateError::Unknown("unexpected reply".to_owned())),
+        }
+    }
 }
 
 /// Commands whose second application changes nothing.
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -1,5 +1,5 @@
 use crate::raft;
-use crate::schema::peer::{GroupStatus, Replica, ReplicaProgress, ReplicaSet};
+use crate::schema::peer::{change_replicas, GroupStatus, Replica, ReplicaProgress, ReplicaSet};
 
 impl From<&raft::GroupStatus> for GroupStatus {
     fn from(status: &raft::GroupStatus) -> Self {
@@ -33,3 +33,18 @@
     });
     ReplicaSet { replicas: replicas.collect(), ..ReplicaSet::default() }
 }
+
+impl From<change_replicas::Change> for raft::ReplicaChange {
+    fn from(change: change_replicas::Change) -> Self {
+        match change {
+            change_replicas::Change::AddLearner(replica) => Self::AddLearner(raft::Replica {
+                id: replica.replica_id,
+                peer_address: replica.peer_address,
+                zone: replica.zone,
+                voter: false,
+            }),
+            change_replicas::Change::Promote(replica_id) => Self::Promote(replica_id),
+            change_replicas::Change::Remove(replica_id) => Self::Remove(replica_id),
+        }
+    }
+}
--- a/src/entry/entry_server.rs
+++ b/src/entry/entry_server.rs
@@ -90,6 +90,7 @@
     api.at("/v1/upstreams/announce").post(Route::new(routes::Announce));
     api.at("/v1/admin/status").get(Route::new(routes::Status));
     api.at("/v1/admin/query").post(Route::new(routes::RunQuery));
+    api.at("/v1/admin/replicas").post(Route::new(routes::ChangeReplicas));
     api.at("/v1/admin/drain").post(Route::new(routes::Drain));
     api.at("/v1/admin/configuration")
         .get(Route::new(routes::GetConfiguration))
--- a/src/entry/routes/mod.rs
+++ b/src/entry/routes/mod.rs
@@ -11,6 +11,7 @@
 mod models;
 mod query;
 mod recorded;
+mod replicas;
 mod service;
 mod status;
 
@@ -23,5 +24,6 @@
 pub use models::Models;
 pub use query::RunQuery;
 pub use recorded::Recorded;
+pub use replicas::ChangeReplicas;
 pub use service::Service;
 pub use status::{Drain, Status};
--- /dev/null
+++ b/src/entry/routes/replicas.rs
@@ -0,0 +1,63 @@
+use async_trait::async_trait;
+use serde::Deserialize;
+use serde_json::json;
+use tide::Response;
+
+use crate::admission::Refusal;
+use crate::entry::caller_request::{invalid, CallerRequest};
+use crate::entry::route::RouteHandler;
+use crate::entry::routes::json::json_response;
+use crate::schema::peer::{change_replicas, ChangeReplicas as Change, Replica};
+use crate::serving::unavailable;
+use crate::telemetry::Span;
+
+/// `POST /v1/admin/replicas`: adds a learner, makes it a voter, or removes a replica.
+pub struct ChangeReplicas;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+enum Body {
+    AddLearner(NewReplica),
+    Promote(u64),
+    Remove(u64),
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct NewReplica {
+    replica_id: u64,
+    peer_address: String,
+    zone: String,
+}
+
+impl From<Body> for change_replicas::Change {
+    fn from(body: Body) -> Self {
+        match body {
+            Body::AddLearner(replica) => Self::AddLearner(Replica {
+                replica_id: replica.replica_id,
+                peer_address: replica.peer_address,
+                zone: replica.zone,
+                voter: false,
+            }),
+            Body::Promote(replica_id) => Self::Promote(replica_id),
+            Body::Remove(replica_id) => Self::Remove(replica_id),
+        }
+    }
+}
+
+#[async_trait]
+impl RouteHandler for ChangeReplicas {
+    fn name(&self) -> &'static str {
+        "change_replicas"
+    }
+
+    async fn handle(&self, mut request: CallerRequest, _span: Span) -> Result<Response, Refusal> {
+        request.check_operator()?;
+        let bytes = request.body().await?;
+        let body: Body = serde_json::from_slice(&bytes)
+            .map_err(|error| invalid(format!("the change is not valid: {error}")))?;
+        let change = Change { change: Some(body.into()) };
+        request.shared().state.change_replicas(change).await.map_err(unavailable)?;
+        Ok(json_response(&json!({"done": true})))
+    }
+}
--- a/src/state/state_client.rs
+++ b/src/state/state_client.rs
@@ -3,7 +3,7 @@
 
 use async_trait::async_trait;
 
-use crate::schema::peer::ConfigurationNotice;
+use crate::schema::peer::{ChangeReplicas, ConfigurationNotice};
 use crate::schema::state::{Command, Outcome, Query, QueryAnswer};
 
 /// Access to the replicated state from any host.
@@ -24,6 +24,9 @@
         known_version: u64,
         wait: Duration,
     ) -> Result<ConfigurationNotice, StateError>;
+
+    /// Adds, promotes or removes one replica; ends once the change is committed.
+    async fn change_replicas(&self, change: ChangeReplicas) -> Result<(), StateError>;
 }
 
 /// Why the replicated state gave no answer.
--- a/tests/process_support/mod.rs
+++ b/tests/process_support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+mod relay;
+
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -13,6 +15,8 @@
 use standin::{Caller, Engine, EngineOptions};
 use tempfile::TempDir;
 
+use relay::Relay;
+
 pub const MODEL: &str = "engraver-llm";
 pub const SERVICE: &str = "engraving";
 const ZONES: [(&str, &str); 3] =
@@ -95,13 +99,46 @@
     pub controls: Vec<Process>,
     pub entries: Vec<Process>,
     folder: TempDir,
+    /// Relays between control hosts, each with the hosts that it joins.
+    relays: Vec<(usize, usize, Relay)>,
 }
 
 impl Fleet {
     /// Starts the processes and waits until a quorum answers through each entry host.
     pub async fn start(entries: usize, adjust: impl Fn(&mut Value)) -> Self {
-        let folder = tempfile::tempdir().expect("a temporary folder");
         let addresses = free_addresses(2 * (3 + entries));
+        let direct = |_: usize, to: usize| addresses[to];
+        Self::start_at(entries, &addresses, Vec::new(), direct, adjust).await
+    }
+
+    /// As [`Self::start`], with a relay on the way of each control host to each other one.
+    pub async fn start_with_relays(entries: usize) -> Self {
+        let addresses = free_addresses(2 * (3 + entries));
+        let mut relays = Vec::new();
+        for from in 0..3 {
+            for (to, address) in addresses.iter().enumerate().take(3) {
+                if from != to {
+                    relays.push((from, to, Relay::open(*address).await));
+                }
+            }
+        }
+        let routes: Vec<_> =
+            relays.iter().map(|(from, to, relay)| (*from, *to, relay.address)).collect();
+        let through_relay = |from: usize, to: usize| {
+            let route = routes.iter().find(|route| (route.0, route.1) == (from, to));
+            route.map_or(addresses[to], |route| route.2)
+        };
+        Self::start_at(entries, &addresses, relays, through_relay, |_| {}).await
+    }
+
+    async fn start_at(
+        entries: usize,
+        addresses: &[SocketAddr],
+        relays: Vec<(usize, usize, Relay)>,
+        peer_address: impl Fn(usize, usize) -> SocketAddr,
+        adjust: impl Fn(&mut Value),
+    ) -> Self {
+        let folder = tempfile::tempdir().expect("a temporary folder");
         let peers: Vec<_> = addresses[..3].iter().map(SocketAddr::to_string).collect();
         let mut processes = Vec::new();
         for index in 0..3 + entries {
@@ -118,8 +155,8 @@
             });
             if is_control {
                 let replicas = (0..3).map(|id| {
-                    json!({"replica_id": (id + 1).to_string(), "peer_address": peers[id],
-                        "zone": ZONES[id].0})
+                    json!({"replica_id": (id + 1).to_string(), "zone": ZONES[id].0,
+                        "peer_address": peer_address(index, id).to_string()})
                 });
                 settings["control"] = json!({
                     "data_folder": folder.path().join(&name),
@@ -140,13 +177,37 @@
         }
         processes.iter_mut().for_each(Process::start);
         let entries = processes.split_off(3);
-        let fleet = Self { controls: processes, entries, folder };
+        let fleet = Self { controls: processes, entries, folder, relays };
         for entry in &fleet.entries {
             fleet.wait_until_serving(entry).await;
         }
         fleet
     }
 
+    /// Cuts a control host off the other ones without closing a connection, or ends that.
+    pub fn isolate(&self, control: usize, is_cut: bool) {
+        for (from, to, relay) in &self.relays {
+            if [*from, *to].contains(&control) {
+                relay.set_silent(is_cut);
+            }
+        }
+    }
+
+    /// Last applied index of each control host, as the hosts themselves report it.
+    pub async fn applied(&self, through: &Process) -> Vec<Option<u64>> {
+        let text = json!({"text": "show hosts where control = true"});
+        let answer = through.caller().post("/v1/admin/query", &[], &text).await;
+        let answer = answer.map(|answer| answer.json()).unwrap_or_default();
+        let columns = answer["columns"].as_array().cloned().unwrap_or_default();
+        let column = columns.iter().position(|name| name == "applied_index");
+        let rows = answer["rows"].as_array().cloned().unwrap_or_default();
+        let applied = |control: &Process| {
+            let row = rows.iter().find(|row| row[0] == control.name.as_str())?;
+            row[column?].as_u64()
+        };
+        self.controls.iter().map(applied).collect()
+    }
+
     /// Waits until an entry host has a confirmed configuration.
     pub async fn wait_until_serving(&self, entry: &Process) {
         let caller = entry.caller();
@@ -178,6 +239,37 @@
         engine
     }
 
+    /// Starts a control host with an empty disk that is to join the group as `replica_id`.
+    pub fn add_control(&mut self, replica_id: u64, lost: usize) {
+        let file = &self.controls[lost].settings_file;
+        let text = std::fs::read_to_string(file).expect("the settings are there");
+        let mut settings: Value = serde_json::from_str(&text).expect("the settings are JSON");
+        let addresses = free_addresses(2);
+        let name = format!("replacement-{replica_id}");
+        settings["host_id"] = json!(name);
+        settings["peer_address"] = json!(addresses[0].to_string());
+        settings["caller_address"] = json!(addresses[1].to_string());
+        settings["control"]["replica_id"] = json!(replica_id.to_string());
+        settings["control"]["join_existing"] = json!(true);
+        settings["control"]["data_folder"] = json!(self.folder.path().join(&name));
+        let mut process = Process {
+            caller_address: addresses[1],
+            peer_address: addresses[0],
+            settings_file: write_settings(self.folder.path(), &name, &settings),
+            log_file: self.folder.path().join(format!("{name}.log")),
+            name,
+            child: None,
+        };
+        process.start();
+        self.controls.push(process);
+    }
+
+    /// Removes the files of a control host, as when its disk is lost.
+    pub fn lose_disk(&self, control: usize) {
+        let folder = self.folder.path().join(&self.controls[control].name);
+        std::fs::remove_dir_all(folder).expect("the data folder is ours");
+    }
+
     /// Index of the control host that leads, as the hosts themselves report it.
     pub async fn leader(&self, through: &Process) -> Option<usize> {
         let text = json!({"text": "show hosts where leads = true"});
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -55,6 +55,80 @@
     });
 }
 
+/// Guards against lost work when a control host is replaced and another one fails right after the
+/// repair, and against a lost host that comes back under its old identity with an empty disk.
+#[test]
+fn a_second_host_may_fail_right_after_a_repair() {
+    task::block_on(async {
+        let mut fleet = Fleet::start(1, |_| {}).await;
+        let engine = fleet.engine(|_| {}).await;
+        let caller = fleet.entries[0].caller();
+        let before = submit_job(&caller, 40, "before").await;
+        assert_each_item_once(&results(&caller, &before).await, 40);
+
+        let leader = fleet.leader(&fleet.entries[0]).await.expect("a leader is known");
+        let lost = (leader + 1) % 3;
+        fleet.controls[lost].kill();
+        fleet.lose_disk(lost);
+        fleet.controls[lost].start();
+        fleet.add_control(4, lost);
+        let learner = json!({"add_learner": {"replica_id": 4, "zone": "santander",
+            "peer_address": fleet.controls[3].peer_address.to_string()}});
+        change_replicas(&caller, &learner).await;
+        change_replicas(&caller, &json!({"promote": 4})).await;
+        change_replicas(&caller, &json!({"remove": lost + 1})).await;
+
+        let second = (leader + 2) % 3;
+        fleet.controls[second].kill();
+        let after = submit_job(&caller, 40, "after").await;
+        assert_each_item_once(&results(&caller, &after).await, 40);
+        assert_each_item_once(&results(&caller, &before).await, 40);
+        engine.close().await;
+    });
+}
+
+/// Repeats a change until it is accepted: a learner must catch up before it may vote.
+async fn change_replicas(caller: &standin::Caller, change: &serde_json::Value) {
+    eventually(&format!("{change} is accepted"), async || {
+        let answer = caller.post("/v1/admin/replicas", &[], change).await.unwrap();
+        answer.status == 200
+    })
+    .await;
+}
+
+/// Guards against a leader that goes on after a silent partition, against disturbance when it comes
+/// back, and against configuration that it acknowledged and lost.
+#[test]
+fn a_leader_in_a_silent_partition_steps_down_and_comes_back() {
+    task::block_on(async {
+        let fleet = Fleet::start_with_relays(1).await;
+        let engine = fleet.engine(|_| {}).await;
+        let caller = fleet.entries[0].caller();
+        let isolated = fleet.leader(&fleet.entries[0]).await.expect("a leader is known");
+        fleet.isolate(isolated, true);
+        let job_id = submit_job(&caller, 40, "job-1").await;
+        let change = json!({"command_id": "c-1", "base_version": 0,
+            "edits": [{"put_customer": {"name": "parish"}}]});
+        let changed = caller.post("/v1/admin/configuration", &[], &change).await.unwrap();
+        assert_eq!(changed.json()["version"], 1, "{}", changed.body);
+        let leader = fleet.leader(&fleet.entries[0]).await.expect("a leader is known");
+        assert_ne!(leader, isolated, "the isolated host still says that it leads");
+        assert_each_item_once(&results(&caller, &job_id).await, 40);
+
+        fleet.isolate(isolated, false);
+        eventually("the isolated host catches up", async || {
+            let applied = fleet.applied(&fleet.entries[0]).await;
+            applied[isolated].is_some() && applied.iter().all(|index| *index == applied[isolated])
+        })
+        .await;
+        let after = fleet.leader(&fleet.entries[0]).await;
+        assert_eq!(after, Some(leader), "the host that came back disturbed the leader");
+        let status = caller.get("/v1/admin/status").await.unwrap();
+        assert_eq!(status.json()["configuration_version"], 1);
+        engine.close().await;
+    });
+}
+
 /// Guards against a planned stop that cuts a request: each host is stopped and started in turn
 /// while callers follow `/v1/entries`.
 #[test]
