--- a/src/cmd/ask.rs
+++ b/src/cmd/ask.rs
@@ -10,6 +10,7 @@
 
 struct Ask {
     body: Value,
+    shows_id: bool,
     endpoint: String,
     key: String,
 }
@@ -19,7 +20,8 @@
     console: &mut Console<'_>,
 ) -> Result<(), Failure> {
     let options = Options::take(&mut arguments)?;
-    let ask = Ask::take(arguments, console)?;
+    let mut ask = Ask::take(arguments, console)?;
+    ask.body["stream"] = json!(options.output == OutputFormat::Table);
     let body = ask.body.to_string();
     let call = Call::post(&ask.endpoint, body.as_bytes()).under_key(&ask.key);
     let mut client = EntryClient::new(&options);
@@ -28,6 +30,9 @@
         return console.line(&answer.to_string());
     }
     let response = client.open(call).await.map_err(|failure| ask.explain(failure))?;
+    if let (true, Some(id)) = (ask.shows_id, response.header("x-request-id")) {
+        console.note(&format!("request {}", id.as_str()));
+    }
     let is_stream = response.content_type().is_some_and(|kind| kind.subtype() == "event-stream");
     let events = ServerEvents::new(response, options.timeout);
     if !is_stream {
@@ -44,6 +49,7 @@
         let max_tokens: Option<u32> = arguments.opt_value_from_str("--max-tokens")?;
         let key: Option<String> = arguments.opt_value_from_str("--key")?;
         let endpoint: Option<String> = arguments.opt_value_from_str("--endpoint")?;
+        let shows_id = arguments.contains("--show-id");
         let mut text = positional(&mut arguments, "TEXT")?;
         finish(arguments)?;
         let Some(service) = service else {
@@ -61,12 +67,17 @@
             messages.push(json!({"role": "system", "content": system}));
         }
         messages.push(json!({"role": "user", "content": text}));
-        let mut body = json!({"model": service, "messages": messages, "stream": true});
+        let mut body = json!({"model": service, "messages": messages});
         if let Some(max_tokens) = max_tokens {
             body["max_tokens"] = json!(max_tokens);
         }
         let key = key.unwrap_or_else(|| Uuid::new_v4().to_string());
-        Ok(Self { body, endpoint: endpoint.unwrap_or_else(|| DEFAULT_ENDPOINT.to_owned()), key })
+        Ok(Self {
+            body,
+            shows_id,
+            endpoint: endpoint.unwrap_or_else(|| DEFAULT_ENDPOINT.to_owned()),
+            key,
+        })
     }
 
     async fn print<R>(
@@ -110,7 +121,10 @@
         if is_final {
             return failure;
         }
-        let advice = format!("run the command again with --key {}; it runs at most once", self.key);
+        let advice = format!(
+            "run the command again with --key {}; the same key does not run it twice",
+            self.key
+        );
         failure.with_advice(advice)
     }
 }
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -19,6 +19,7 @@
     let is_waiting = arguments.contains("--wait");
     finish(arguments)?;
     let mut client = EntryClient::new(&options);
+    let mut probe = EntryClient::new(&Options { timeout: POLL_INTERVAL, ..options.clone() });
     if let Some(host) = host {
         if is_waiting {
             let advice = "name the host's own address with --entry instead of --host";
@@ -31,7 +32,7 @@
         return Err(Failure::usage("a drain needs one host, but --entry names several", advice));
     }
     client.send(Call::post("/v1/admin/drain", b"{}")).await?;
-    while is_waiting && is_answering(&mut client).await? {
+    while is_waiting && is_answering(&mut probe).await? {
         task::sleep(POLL_INTERVAL).await;
     }
     Ok(())
--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -57,7 +57,7 @@
   --max-tokens N       bound on the length of the answer
   --key KEY            idempotency key: the same key brings the same answer, run once
   --endpoint PATH      /v1/chat/completions by default
-  --traceparent VALUE  W3C trace context to continue
+  --show-id            show the request id on standard error, for 'damaskhoist trace'
 
 Without --key a new one is made; an answer that breaks off names it, for the next try.
 
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -226,15 +226,37 @@
     #[case] message: &str,
 ) {
     let body = format!("{EVENT}{end}");
-    let host = EntryHost::open(&[answer(200, "content-type: text/event-stream\r\n", &body)]);
+    let head = "content-type: text/event-stream\r\nx-request-id: req-1\r\n";
+    let host = EntryHost::open(&[answer(200, head, &body)]);
     let key = ["--key", "k-1"];
     let service = ["--service", "engraver-llm"];
     let entry = ["--entry", &host.address];
-    let outcome = run(&[&["ask", "hello"], &key[..], &service, &entry].concat());
+    let outcome = run(&[&["ask", "--show-id", "hello"], &key[..], &service, &entry].concat());
     assert_eq!(outcome.code, code, "{}", outcome.err);
+    assert!(outcome.err.starts_with("request req-1\n"), "{}", outcome.err);
     assert!(outcome.out.starts_with("brass") && outcome.err.contains(message), "{}", outcome.err);
 }
 
+#[test]
+fn json_output_asks_for_a_whole_answer() {
+    let host = EntryHost::open(&[ok("{\"choices\":[]}")]);
+    let entry = format!("--entry={}", host.address);
+    let outcome = run(&["ask", "--service=s", "--output=json", &entry, "hello"]);
+    assert_eq!((outcome.code, outcome.out.as_str()), (0, "{\"choices\":[]}\n"), "{}", outcome.err);
+    assert!(host.requests()[0].contains("\"stream\":false"));
+}
+
+/// Guards against a wait that takes the whole time bound once the host has stopped.
+#[test]
+fn a_drain_waits_until_the_host_is_gone() {
+    let refusal = "{\"error\":{\"code\":\"draining\",\"outcome\":\"not_run\"}}";
+    let host = EntryHost::open(&[ok("{}"), ok("{}"), answer(503, "", refusal)]);
+    let started = std::time::Instant::now();
+    let outcome = run(&["drain", "--wait", "--timeout", "60", "--entry", &host.address]);
+    assert_eq!((outcome.code, host.requests().len()), (0, 3), "{}", outcome.err);
+    assert!(started.elapsed().as_secs() < 30);
+}
+
 #[test]
 fn statements_are_checked_before_they_are_sent() {
     let rows = r#"{"columns":["host_id","zone"],"rows":[["h-1","Santander"],["h-2",null]],"next":"2","missing_hosts":["h-3"]}"#;
