Let online requests wait for slots and batch give way to them

Cause: an online request that found no free slot was refused as overloaded, so a batch job that filled all slots stopped online work.

Change: requests wait in a queue of the host, fair between customers by weighted virtual time and with the earliest deadline first within one. A dropped permit hands its slot on. A waiting online request cuts the newest batch stream on a fitting upstream; the slot is free once the engine has confirmed the end of the stream. A cut item is given back with its text and position, and its next attempt resumes there. Slots in use and their limits are in one atomic word. Counters of an upstream survive a change of its record.

--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -27,6 +27,9 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time that a lease of items holds without a renewal.
 const LEASE_MS: u32 = 10_000;
+/// A runner leases one item more than its slots have room for, for each so many slots. Items of
+/// 300 ms end at about the rate at which a commit of 10 ms in the other region replaces them.
+const AHEAD_DIVISOR: u32 = 8;
 /// Items of one command at most.
 const COMMAND_ITEMS: usize = 128;
 
@@ -57,6 +60,8 @@
     running: Mutex<HashMap<(String, u32), RunningItem>>,
     finished: Sender<ItemFinish>,
     stopping: AtomicBool,
+    /// Holds a notice when an item has ended.
+    room_made: (Sender<()>, Receiver<()>),
 }
 
 struct RunningItem {
@@ -86,6 +91,7 @@
             running: Mutex::default(),
             finished,
             stopping: AtomicBool::new(false),
+            room_made: bounded(1),
         });
         let tasks = vec![
             task::spawn(lease(shared.clone())),
@@ -126,12 +132,27 @@
         self.running.lock().expect("lock is not poisoned")
     }
 
-    /// Items that the idle slots have room for.
+    /// Items that the idle slots have room for, and a few more that wait here for the next slots,
+    /// so that no slot stays idle while items are leased.
     fn room(&self) -> u32 {
+        if self.dispatcher.queue().is_paused() {
+            return 0;
+        }
         let in_flight = self.running().len() as u32;
+        let waiting = self.dispatcher.queue().waiting(WorkClass::Batch) as u32;
         let fleet = self.dispatcher.fleet().load();
-        let free: u32 = fleet.upstreams().map(|upstream| upstream.free_slots()).sum();
-        free.min(self.options.in_flight_limit.saturating_sub(in_flight))
+        let (mut free, mut all) = (0, 0);
+        for upstream in fleet.upstreams() {
+            free += upstream.free_slots(WorkClass::Batch);
+            all += u32::from(upstream.slots().batch_slots);
+        }
+        let wanted = (free + all.div_ceil(AHEAD_DIVISOR)).saturating_sub(waiting);
+        wanted.min(self.options.in_flight_limit.saturating_sub(in_flight))
+    }
+
+    /// Waits until an item has ended, for the idle pause at most.
+    async fn wait_for_room(&self) {
+        let _ = async_std::future::timeout(IDLE_PAUSE, self.room_made.1.recv()).await;
     }
 
     async fn submit(&self, command: command::Command) -> Option<outcome::Outcome> {
@@ -146,6 +167,12 @@
         }
     }
 
+    /// Gives an item back with the part of its answer that is there.
+    fn yield_item(&self, item: &LeasedItem, answer: &Answer) {
+        self.counters.count("batch.item_yielded");
+        self.end(item, ItemEnd::Yielded, 0, answer.to_progress());
+    }
+
     fn end(&self, item: &LeasedItem, end: ItemEnd, status: u32, body: Vec<u8>) {
         let attempt = item.attempt.clone();
         let finish = ItemFinish { attempt, end: end.into(), status, body: body.into() };
@@ -158,7 +185,7 @@
     while !shared.stopping.load(Ordering::Acquire) {
         let room = shared.room();
         if room == 0 || !shared.configuration.is_confirmed() {
-            task::sleep(IDLE_PAUSE).await;
+            shared.wait_for_room().await;
             continue;
         }
         let lease = LeaseItems {
@@ -187,38 +214,49 @@
     let Some(attempt) = item.attempt.clone() else { return };
     let (stop, stopped) = bounded(1);
     let key = (attempt.job_id, attempt.item);
-    let running = RunningItem { attempt: attempt.attempt, stop };
+    let running = RunningItem { attempt: attempt.attempt, stop: stop.clone() };
     shared.running().insert(key.clone(), running);
     shared.counters.count("batch.item_started");
     let shared = shared.clone();
     task::spawn(async move {
-        run(&shared, &item, stopped).await;
+        run(&shared, &item, stop, stopped).await;
         shared.running().remove(&key);
+        // A full queue means that the leasing task is about to look anyway.
+        let _ = shared.room_made.0.try_send(());
     });
 }
 
 /// Runs one attempt of an item and reports how it ended.
-async fn run(shared: &Shared, item: &LeasedItem, stopped: Receiver<()>) {
+async fn run(shared: &Shared, item: &LeasedItem, stop: Sender<()>, stopped: Receiver<()>) {
     let input = match ItemInput::try_from(&*item.body) {
         Ok(input) => input,
         Err(reason) => return shared.end(item, ItemEnd::Failed, 400, reason.into_bytes()),
     };
-    let work = async {
-        match AnswerFormat::of_path(&item.endpoint) {
-            Some(format) => run_engine(shared, item, input, format).await,
-            None => run_plain(shared, item, input).await,
+    let mut answer = Answer::from_progress(&item.progress);
+    let result = {
+        let work = async {
+            match AnswerFormat::of_path(&item.endpoint) {
+                Some(format) => run_engine(shared, item, input, format, stop, &mut answer).await,
+                None => run_plain(shared, item, input).await,
+            }
+        };
+        pin_mut!(work);
+        let stop = stopped.recv();
+        pin_mut!(stop);
+        match select(work, stop).await {
+            Either::Left((result, _)) => Some(result),
+            Either::Right(_) => None,
         }
     };
-    pin_mut!(work);
-    let stop = stopped.recv();
-    pin_mut!(stop);
-    let result = match select(work, stop).await {
-        Either::Left((result, _)) => result,
-        Either::Right(_) => return shared.end(item, ItemEnd::Yielded, 0, Vec::new()),
-    };
     match result {
-        Ok((status, body)) => shared.end(item, ItemEnd::Succeeded, status.into(), body),
-        Err(refusal) => shared.end(item, end_of(&refusal), 0, refusal.to_string().into_bytes()),
+        Some(Ok((status, body))) => shared.end(item, ItemEnd::Succeeded, status.into(), body),
+        Some(Err(refusal)) if end_of(&refusal) == ItemEnd::Yielded => {
+            shared.yield_item(item, &answer)
+        }
+        Some(Err(refusal)) => {
+            shared.end(item, end_of(&refusal), 0, refusal.to_string().into_bytes());
+        }
+        None => shared.yield_item(item, &answer),
     }
 }
 
@@ -236,6 +274,8 @@
     item: &LeasedItem,
     input: ItemInput,
     format: AnswerFormat,
+    stop: Sender<()>,
+    answer: &mut Answer,
 ) -> Result<(u16, Vec<u8>), Refusal> {
     let attempt = item.attempt.as_ref().expect("checked when the item was started");
     let mut span = shared.tracer.start("batch_item", None);
@@ -248,18 +288,24 @@
         service: item.service.clone(),
         model: model.clone(),
         path: item.endpoint.clone(),
+        expected_tokens: EngineRequest::expected_tokens_of(&input.body),
         body: EngineRequest::streamed_body(input.body),
         class: WorkClass::Batch,
         repeatable: true,
         deadline: deadline(item),
         traceparent: String::new(),
+        customer: item.customer.clone(),
+        first_position: answer.tokens.into(),
+        stop: Some(stop),
     };
+    if answer.tokens > 0 {
+        shared.counters.count("batch.item_resumed");
+    }
     let mut running = shared.dispatcher.start(request, &span).await?;
-    let mut answer = Answer::default();
     while let Some(chunk) = running.next(&span).await? {
         answer.push(&chunk);
     }
-    let body = format.whole(&request_id, &model, &answer);
+    let body = format.whole(&request_id, &model, answer);
     Ok((200, body.to_string().into_bytes()))
 }
 
@@ -274,6 +320,7 @@
     let request_id = format!("{}-{}-{}", attempt.job_id, attempt.item, attempt.attempt);
     let call = PlainCall {
         request_id: &request_id,
+        customer: &item.customer,
         service: &item.service,
         method: "POST",
         path: &item.endpoint,
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -1,5 +1,6 @@
 //! The configuration in force on this host.
 
+mod admission_policy;
 mod configuration_view;
 mod configuration_watch;
 
--- a/src/entry/routes/completions.rs
+++ b/src/entry/routes/completions.rs
@@ -93,6 +93,7 @@
             identity,
             model,
             format: self.format,
+            expected_tokens: EngineRequest::expected_tokens_of(&body),
             body: EngineRequest::streamed_body(body),
             recorded: configuration.records_answers(&service),
         };
--- a/src/entry/routes/service.rs
+++ b/src/entry/routes/service.rs
@@ -57,6 +57,7 @@
         let content_type = request.header("content-type").unwrap_or("application/octet-stream");
         let call = PlainCall {
             request_id: &identity.request_id,
+            customer: &identity.customer,
             service: &service,
             method,
             path: &path,
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,10 +1,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use async_std::channel::{bounded, Receiver};
 use async_std::net::TcpListener;
 use async_trait::async_trait;
 use miette::{IntoDiagnostic, Result, WrapErr};
 
+use crate::admission::SlotQueue;
 use crate::batch::{BatchOptions, BatchRunner};
 use crate::configuration::ConfigurationWatch;
 use crate::control::{unix_ms, Control, RemoteState};
@@ -149,17 +151,23 @@
         let remote = RemoteState::open(caller.clone(), &settings.control_addresses, &host_id);
         let state: Arc<dyn StateClient> = Arc::new(remote);
         let members = self.membership.clone();
+        let (changes, changed) = bounded(1);
         let configuration = ConfigurationWatch::spawn(
             state.clone(),
             settings.entry.configuration_lease_ms,
             counters.clone(),
-            move |view| members.set_configuration_version(view.version()),
+            move |view| {
+                members.set_configuration_version(view.version());
+                let _ = changes.try_send(());
+            },
         );
-        let fleet = Arc::new(Fleet::default());
-        follow_members(&self.membership, fleet.clone());
+        let queue = SlotQueue::open(Box::new(configuration.clone()), true);
+        let fleet = Arc::new(Fleet::open(queue.clone()));
+        follow_members(&self.membership, fleet.clone(), queue.clone());
+        follow_share(changed, fleet.clone(), queue.clone());
         let balancer = Box::new(WeightedScore::new(&settings.zone, &settings.region));
         let connector = Box::new(HttpConnector::open());
-        let dispatcher = Dispatcher::open(fleet, balancer, connector, counters.clone());
+        let dispatcher = Dispatcher::open(fleet, balancer, connector, queue, counters.clone());
         let ledger = AnswerLedger::open(state.clone(), counters.clone(), &host_id, incarnation);
         let options = BatchOptions {
             host_id,
@@ -257,12 +265,22 @@
 }
 
 /// Publishes a new fleet after each change of the members.
-fn follow_members(membership: &Membership, fleet: Arc<Fleet>) {
+fn follow_members(membership: &Membership, fleet: Arc<Fleet>, queue: Arc<SlotQueue>) {
     let changes = membership.subscribe();
     async_std::task::spawn(async move {
         while let Ok(view) = changes.recv().await {
             let serving = view.upstreams.iter().filter(|entry| entry.status == Status::Alive);
             fleet.replace(serving.map(|entry| (&entry.record, entry.incarnation)));
+            fleet.apply_share(queue.share());
+        }
+    });
+}
+
+/// Applies the balance between online and batch after each change of the configuration.
+fn follow_share(changed: Receiver<()>, fleet: Arc<Fleet>, queue: Arc<SlotQueue>) {
+    async_std::task::spawn(async move {
+        while changed.recv().await.is_ok() {
+            fleet.apply_share(queue.share());
         }
     });
 }
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -3,8 +3,9 @@
 
 use arc_swap::ArcSwap;
 
+use crate::admission::BatchShare;
 use crate::membership::UpstreamRecord;
-use crate::routing::{RequestView, Upstream};
+use crate::routing::{RequestView, SlotWatcher, Upstream};
 
 /// The upstreams of one service.
 #[derive(Debug, Default)]
@@ -87,17 +88,28 @@
 }
 
 /// The published snapshot of the fleet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Fleet {
     snapshot: ArcSwap<FleetSnapshot>,
+    watcher: Arc<dyn SlotWatcher>,
 }
 
 impl Fleet {
+    /// A fleet without upstreams. `watcher` learns of the slots that become free.
+    pub fn open(watcher: Arc<dyn SlotWatcher>) -> Self {
+        Self { snapshot: ArcSwap::default(), watcher }
+    }
+
     /// The newest snapshot.
     pub fn load(&self) -> arc_swap::Guard<Arc<FleetSnapshot>> {
         self.snapshot.load()
     }
 
+    /// The newest snapshot, to be kept across waits.
+    pub fn load_full(&self) -> Arc<FleetSnapshot> {
+        self.snapshot.load_full()
+    }
+
     /// Notes the load that an upstream reported, which lags behind what was sent to it.
     pub fn report_load(&self, upstream_id: &str, running: u32, waiting: u32) {
         if let Some(upstream) = self.snapshot.load().upstreams.get(upstream_id) {
@@ -111,14 +123,28 @@
         let mut new = FleetSnapshot::default();
         for (record, incarnation) in records {
             let known = old.upstreams.get(&record.upstream_id);
-            let known =
-                known.filter(|known| known.incarnation == incarnation && known.record == *record);
+            let known = known.filter(|known| known.incarnation == incarnation);
             let upstream = match known {
-                Some(known) => known.clone(),
-                None => Arc::new(Upstream::new(record.clone(), incarnation)),
+                Some(known) if known.record == *record => known.clone(),
+                Some(known) => Arc::new(known.with_record(record.clone())),
+                None => {
+                    let watcher = self.watcher.clone();
+                    Arc::new(Upstream::new(record.clone(), incarnation, watcher))
+                }
             };
             new.insert(upstream);
         }
-        self.snapshot.store(Arc::new(new));
+        let new = Arc::new(new);
+        self.snapshot.store(new.clone());
+        // Requests may wait for the slots of an upstream that is new.
+        new.upstreams().for_each(|upstream| self.watcher.slot_freed(upstream));
+    }
+
+    /// Sets the part of each upstream's slots that batch may use.
+    pub fn apply_share(&self, share: BatchShare) {
+        for upstream in self.snapshot.load().upstreams() {
+            let slots = upstream.record.slots;
+            upstream.set_limits(slots, slots - share.kept_free(slots));
+        }
     }
 }
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -1,8 +1,12 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use async_std::channel::Sender;
+
+use crate::admission::{SlotCell, SlotCounts};
 use crate::membership::UpstreamRecord;
-use crate::routing::WorkClass;
+use crate::routing::{CuttableStreams, RequestView, SlotWatcher, WorkClass};
 
 /// One upstream as this host sees it: its record and what was sent to it.
 #[derive(Debug)]
@@ -11,96 +15,167 @@
     pub record: Arc<UpstreamRecord>,
     /// Grows with each start of the upstream.
     pub incarnation: u64,
-    online_in_use: AtomicU32,
-    batch_in_use: AtomicU32,
+    watcher: Arc<dyn SlotWatcher>,
+    use_state: Arc<UseState>,
+}
+
+/// What was sent to one incarnation of an upstream, whatever record it announces meanwhile.
+#[derive(Debug, Default)]
+struct UseState {
+    slots: SlotCell,
+    cuttable: CuttableStreams,
     failures: AtomicU32,
     first_token_us: AtomicU64,
+    token_us: AtomicU64,
+    service_us: AtomicU64,
     reported_running: AtomicU32,
     reported_waiting: AtomicU32,
 }
 
 impl Upstream {
-    /// An upstream with nothing in flight.
-    pub fn new(record: Arc<UpstreamRecord>, incarnation: u64) -> Self {
-        Self {
-            record,
-            incarnation,
-            online_in_use: AtomicU32::new(0),
-            batch_in_use: AtomicU32::new(0),
-            failures: AtomicU32::new(0),
-            first_token_us: AtomicU64::new(0),
-            reported_running: AtomicU32::new(0),
-            reported_waiting: AtomicU32::new(0),
-        }
+    /// An upstream with nothing in flight, whose slots this host may all use. `watcher` learns of
+    /// each slot that becomes free.
+    pub fn new(
+        record: Arc<UpstreamRecord>,
+        incarnation: u64,
+        watcher: Arc<dyn SlotWatcher>,
+    ) -> Self {
+        let use_state = UseState::default();
+        let all = u16::try_from(record.slots).unwrap_or(u16::MAX);
+        use_state.slots.set_limits(all, all);
+        Self { record, incarnation, watcher, use_state: Arc::new(use_state) }
+    }
+
+    /// The same incarnation with a new record; what is in flight stays counted.
+    pub fn with_record(&self, record: Arc<UpstreamRecord>) -> Self {
+        let (watcher, use_state) = (self.watcher.clone(), self.use_state.clone());
+        Self { record, incarnation: self.incarnation, watcher, use_state }
+    }
+
+    /// Slots in use by this host and their limits.
+    pub fn slots(&self) -> SlotCounts {
+        self.use_state.slots.load()
     }
 
     /// Requests of this host in flight at the upstream.
     pub fn in_use(&self) -> u32 {
-        self.online_in_use.load(Ordering::Relaxed) + self.batch_in_use.load(Ordering::Relaxed)
+        self.use_state.slots.load().in_use().into()
     }
 
     /// Requests of one class in flight at the upstream.
     pub fn in_use_by(&self, class: WorkClass) -> u32 {
-        self.counter(class).load(Ordering::Relaxed)
+        let counts = self.use_state.slots.load();
+        match class {
+            WorkClass::Online => counts.online_in_use.into(),
+            WorkClass::Batch => counts.batch_in_use.into(),
+        }
+    }
+
+    /// Slots that this host may still use for a class.
+    pub fn free_slots(&self, class: WorkClass) -> u32 {
+        self.use_state.slots.load().free(class).into()
+    }
+
+    /// Sets the slots that this host may use, and the part of them that batch may.
+    pub fn set_limits(self: &Arc<Self>, slots: u32, batch_slots: u32) -> SlotCounts {
+        let old = self.use_state.slots.load();
+        let bounded = |slots: u32| u16::try_from(slots).unwrap_or(u16::MAX);
+        let new = self.use_state.slots.set_limits(bounded(slots), bounded(batch_slots));
+        if new.slots > old.slots || new.batch_slots > old.batch_slots {
+            self.watcher.slot_freed(self);
+        }
+        new
     }
 
-    /// Slots that this host may still use.
-    pub fn free_slots(&self) -> u32 {
-        self.record.slots.saturating_sub(self.in_use())
+    /// True when the upstream can run a request and did not fail it before.
+    pub fn fits(&self, request: &RequestView<'_>) -> bool {
+        let record = &self.record;
+        let has_model = || {
+            record.models.iter().any(|model| match request.model.strip_prefix(&*model.name) {
+                Some("") => true,
+                Some(rest) => rest
+                    .strip_prefix(':')
+                    .is_some_and(|name| model.adapters.iter().any(|adapter| adapter == name)),
+                None => false,
+            })
+        };
+        (request.service.is_empty() || request.service == record.service)
+            && (request.model.is_empty() || has_model())
+            && !request.excluded.contains(&record.upstream_id)
     }
 
     /// Attempts in a row that failed here.
     pub fn failures(&self) -> u32 {
-        self.failures.load(Ordering::Relaxed)
+        self.use_state.failures.load(Ordering::Relaxed)
     }
 
-    /// Average time to the first token, in microseconds.
+    /// Average time to the first token, in microseconds; 0 before the first one.
     pub fn first_token_us(&self) -> u64 {
-        self.first_token_us.load(Ordering::Relaxed)
+        self.use_state.first_token_us.load(Ordering::Relaxed)
+    }
+
+    /// Average time of a token after the first, in microseconds; 0 before the first answer.
+    pub fn token_us(&self) -> u64 {
+        self.use_state.token_us.load(Ordering::Relaxed)
     }
 
-    /// Takes one slot, or `None` when all are in use.
+    /// Average time that an online request uses a slot, in microseconds; 0 before the first one.
+    pub fn service_us(&self) -> u64 {
+        self.use_state.service_us.load(Ordering::Relaxed)
+    }
+
+    /// Takes one slot, or `None` when the class may use no more.
     pub fn acquire(self: &Arc<Self>, class: WorkClass) -> Option<SlotPermit> {
-        let counter = self.counter(class);
-        counter.fetch_add(1, Ordering::AcqRel);
-        if self.in_use() > self.record.slots {
-            counter.fetch_sub(1, Ordering::AcqRel);
-            return None;
-        }
-        Some(SlotPermit { upstream: self.clone(), class })
+        let acquired = self.use_state.slots.acquire(class);
+        acquired.then(|| SlotPermit {
+            upstream: self.clone(),
+            class,
+            taken: Instant::now(),
+            cuttable: None,
+        })
+    }
+
+    /// Batch streams that can be cut.
+    pub fn cuttable(&self) -> &CuttableStreams {
+        &self.use_state.cuttable
     }
 
     /// Notes a finished attempt with its time to the first token.
     pub fn record_success(&self, first_token_us: u64) {
-        self.failures.store(0, Ordering::Relaxed);
-        let old = self.first_token_us.load(Ordering::Relaxed);
-        let new = if old == 0 { first_token_us } else { (old * 7 + first_token_us) / 8 };
-        self.first_token_us.store(new, Ordering::Relaxed);
+        self.use_state.failures.store(0, Ordering::Relaxed);
+        average(&self.use_state.first_token_us, first_token_us);
+    }
+
+    /// Notes the time that an answer took for its tokens after the first.
+    pub fn record_tokens(&self, tokens: u64, time: Duration) {
+        if let Some(token_us) = (time.as_micros() as u64).checked_div(tokens) {
+            average(&self.use_state.token_us, token_us);
+        }
     }
 
     /// Notes an attempt that the upstream failed.
     pub fn record_failure(&self) {
-        self.failures.fetch_add(1, Ordering::Relaxed);
+        self.use_state.failures.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Notes the load of all hosts together, as the upstream reported it some time ago.
     pub fn report_load(&self, running: u32, waiting: u32) {
-        self.reported_running.store(running, Ordering::Relaxed);
-        self.reported_waiting.store(waiting, Ordering::Relaxed);
+        self.use_state.reported_running.store(running, Ordering::Relaxed);
+        self.use_state.reported_waiting.store(waiting, Ordering::Relaxed);
     }
 
     /// Load that the upstream reported last: requests running and waiting.
     pub fn reported_load(&self) -> (u32, u32) {
-        let running = self.reported_running.load(Ordering::Relaxed);
-        (running, self.reported_waiting.load(Ordering::Relaxed))
+        let running = self.use_state.reported_running.load(Ordering::Relaxed);
+        (running, self.use_state.reported_waiting.load(Ordering::Relaxed))
     }
+}
 
-    fn counter(&self, class: WorkClass) -> &AtomicU32 {
-        match class {
-            WorkClass::Online => &self.online_in_use,
-            WorkClass::Batch => &self.batch_in_use,
-        }
-    }
+/// Moves an average by an eighth towards a new value; a lost update between threads is harmless.
+fn average(cell: &AtomicU64, value: u64) {
+    let old = cell.load(Ordering::Relaxed);
+    let new = if old == 0 { value } else { (old * 7 + value) / 8 };
+    cell.store(new, Ordering::Relaxed);
 }
 
 /// A slot in use; dropping it gives the slot back.
@@ -108,6 +183,8 @@
 pub struct SlotPermit {
     upstream: Arc<Upstream>,
     class: WorkClass,
+    taken: Instant,
+    cuttable: Option<u64>,
 }
 
 impl SlotPermit {
@@ -115,10 +192,22 @@
     pub fn upstream(&self) -> &Arc<Upstream> {
         &self.upstream
     }
+
+    /// Lets online requests that wait for a slot cut this work by closing `stop`.
+    pub fn allow_cut(&mut self, stop: &Sender<()>) {
+        self.cuttable = Some(self.upstream.use_state.cuttable.add(stop.clone()));
+    }
 }
 
 impl Drop for SlotPermit {
     fn drop(&mut self) {
-        self.upstream.counter(self.class).fetch_sub(1, Ordering::AcqRel);
+        if let Some(id) = self.cuttable {
+            self.upstream.use_state.cuttable.remove(id);
+        }
+        if self.class == WorkClass::Online {
+            average(&self.upstream.use_state.service_us, self.taken.elapsed().as_micros() as u64);
+        }
+        self.upstream.use_state.slots.release(self.class);
+        self.upstream.watcher.slot_freed(&self.upstream);
     }
 }
--- a/src/routing/weighted_score.rs
+++ b/src/routing/weighted_score.rs
@@ -24,7 +24,8 @@
 
     fn cost(&self, upstream: &Upstream) -> f32 {
         let record = &upstream.record;
-        let used = upstream.in_use() as f32 / record.slots.max(1) as f32;
+        let slots = upstream.slots();
+        let used = f32::from(slots.in_use()) / f32::from(slots.slots.max(1));
         let distance = match (record.region == self.region, record.zone == self.zone) {
             (true, true) => 0.0,
             (true, false) => OTHER_ZONE_COST,
@@ -46,7 +47,7 @@
         for step in 0..candidates.len() {
             let index = (start + step) % candidates.len();
             let upstream = &candidates[index];
-            if upstream.free_slots() == 0 {
+            if upstream.free_slots(request.class) == 0 {
                 continue;
             }
             if request.excluded.contains(&upstream.record.upstream_id) {
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -1,14 +1,20 @@
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::admission::{Refusal, RefusalKind};
-use crate::routing::{Balancer, Fleet, RequestView, SlotPermit};
+use async_std::task;
+
+use crate::admission::{Refusal, RefusalKind, SlotDemand, SlotQueue};
+use crate::routing::{Balancer, Fleet, RequestView, SlotPermit, Upstream, WorkClass};
 use crate::serving::{EngineRequest, RunningAnswer};
 use crate::telemetry::{Counters, Span};
 use crate::upstream::{EngineStream, UpstreamCall, UpstreamConnector, UpstreamError};
 
 use super::attempt::AttemptFailure;
 
+/// Longest time that a batch item waits here before another host may run it.
+const BATCH_WAIT: Duration = Duration::from_secs(2);
+
 /// Sends requests to upstreams that the balancer picks.
 #[derive(Clone)]
 pub struct Dispatcher {
@@ -19,18 +25,23 @@
     fleet: Arc<Fleet>,
     balancer: Box<dyn Balancer>,
     connector: Box<dyn UpstreamConnector>,
+    queue: Arc<SlotQueue>,
+    /// A task waits for the end of the pause of batch.
+    pausing: AtomicBool,
     counters: Counters,
 }
 
 impl Dispatcher {
-    /// A dispatcher over the fleet.
+    /// A dispatcher over the fleet; requests wait in `queue` for a slot.
     pub fn open(
         fleet: Arc<Fleet>,
         balancer: Box<dyn Balancer>,
         connector: Box<dyn UpstreamConnector>,
+        queue: Arc<SlotQueue>,
         counters: Counters,
     ) -> Self {
-        Self { shared: Arc::new(Shared { fleet, balancer, connector, counters }) }
+        let pausing = AtomicBool::new(false);
+        Self { shared: Arc::new(Shared { fleet, balancer, connector, queue, pausing, counters }) }
     }
 
     /// The upstreams that requests may go to.
@@ -57,31 +68,139 @@
         RunningAnswer::start(self.clone(), request, span).await
     }
 
-    /// Takes a slot at the upstream that fits best.
-    pub fn acquire(
+    /// Requests that wait for a slot.
+    pub fn queue(&self) -> &SlotQueue {
+        &self.shared.queue
+    }
+
+    /// Takes a slot at the upstream that fits best, and waits for one when none is free.
+    pub async fn acquire(
         &self,
         request: &EngineRequest,
         excluded: &[String],
     ) -> Result<SlotPermit, Refusal> {
-        self.acquire_for(&request.view(excluded))
+        let mut permit = self.acquire_for(&request.view(excluded), &request.demand()).await?;
+        if let Some(stop) = &request.stop {
+            permit.allow_cut(stop);
+        }
+        Ok(permit)
     }
 
-    pub(super) fn acquire_for(&self, view: &RequestView<'_>) -> Result<SlotPermit, Refusal> {
-        let snapshot = self.shared.fleet.load();
+    pub(super) async fn acquire_for(
+        &self,
+        view: &RequestView<'_>,
+        demand: &SlotDemand<'_>,
+    ) -> Result<SlotPermit, Refusal> {
+        if !self.shared.queue.is_held(view.class) {
+            let snapshot = self.shared.fleet.load();
+            if let Some(permit) = self.take_free_slot(view, snapshot.candidates(view)) {
+                return Ok(permit);
+            }
+        }
+        let snapshot = self.shared.fleet.load_full();
         let candidates = snapshot.candidates(view);
         if candidates.is_empty() {
             return Err(unknown_target(view));
         }
+        if !candidates.iter().any(|upstream| upstream.fits(view)) {
+            let message = "no other upstream can run the request";
+            return Err(Refusal::not_run(RefusalKind::Overloaded, message));
+        }
+        self.wait_for_slot(view, demand, candidates).await
+    }
+
+    fn take_free_slot(
+        &self,
+        view: &RequestView<'_>,
+        candidates: &[Arc<Upstream>],
+    ) -> Option<SlotPermit> {
         // Another thread may take the last slot between the choice and the acquisition.
         for _ in 0..candidates.len() {
             let choice = self.shared.balancer.choose(view, candidates, rand::random());
-            let Some(index) = choice else { break };
-            if let Some(permit) = candidates[index].acquire(view.class) {
-                return Ok(permit);
+            if let Some(permit) = candidates[choice?].acquire(view.class) {
+                return Some(permit);
             }
         }
-        let message = "all slots of the upstreams are in use";
-        Err(Refusal::not_run(RefusalKind::Overloaded, message))
+        None
+    }
+
+    async fn wait_for_slot(
+        &self,
+        view: &RequestView<'_>,
+        demand: &SlotDemand<'_>,
+        candidates: &[Arc<Upstream>],
+    ) -> Result<SlotPermit, Refusal> {
+        let queue = &self.shared.queue;
+        let mut place = queue.enter(view, demand);
+        // A slot may have become free before the request was in its line.
+        candidates.iter().for_each(|upstream| queue.serve(upstream));
+        if let Some(permit) = place.try_permit() {
+            return Ok(permit);
+        }
+        queue.check(&place, demand, candidates)?;
+        let entered = Instant::now();
+        let latest = match view.class {
+            WorkClass::Online => {
+                self.shared.counters.count("admission.queued");
+                self.cut_batch(view, candidates);
+                demand.deadline.checked_sub(demand.run_time(candidates)).unwrap_or(entered)
+            }
+            WorkClass::Batch => demand.deadline.min(entered + BATCH_WAIT),
+        };
+        if let Some(permit) = place.permit(latest).await {
+            let wait_us = entered.elapsed().as_micros() as u64;
+            if view.class == WorkClass::Online {
+                self.shared.counters.time_us("admission.wait", wait_us);
+            }
+            return Ok(permit);
+        }
+        Err(match view.class {
+            WorkClass::Online => {
+                let message = "no slot became free early enough for the deadline";
+                Refusal::not_run(RefusalKind::DeadlineExceeded, message)
+            }
+            WorkClass::Batch => {
+                let message = "no slot became idle";
+                Refusal::not_run(RefusalKind::Overloaded, message)
+            }
+        })
+    }
+
+    /// Cuts one batch stream for an online request that waits, at the fitting upstream with most.
+    fn cut_batch(&self, view: &RequestView<'_>, candidates: &[Arc<Upstream>]) {
+        let queue = &self.shared.queue;
+        if !queue.gives_way() {
+            return;
+        }
+        let fitting = candidates.iter().filter(|upstream| upstream.fits(view));
+        let Some(upstream) = fitting.max_by_key(|upstream| upstream.cuttable().len()) else {
+            return;
+        };
+        if upstream.cuttable().cut_newest() {
+            self.shared.counters.count("batch.cut");
+        }
+        self.pause_batch();
+    }
+
+    /// Keeps batch from slots for a while, and offers them to it afterwards.
+    fn pause_batch(&self) {
+        let shared = &self.shared;
+        if shared.queue.pause_batch().is_zero() || shared.pausing.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let shared = shared.clone();
+        task::spawn(async move {
+            loop {
+                let left = shared.queue.pause_left();
+                if left.is_zero() {
+                    break;
+                }
+                task::sleep(left).await;
+            }
+            shared.pausing.store(false, Ordering::Release);
+            let snapshot = shared.fleet.load_full();
+            snapshot.upstreams().for_each(|upstream| shared.queue.serve(upstream));
+        });
     }
 
     /// Opens a stream at the upstream of `permit`, from the given position of the answer on.
--- a/src/serving/engine_request.rs
+++ b/src/serving/engine_request.rs
@@ -1,6 +1,8 @@
 use std::time::Instant;
 
-use crate::admission::{Refusal, RefusalKind};
+use async_std::channel::Sender;
+
+use crate::admission::{Refusal, RefusalKind, SlotDemand};
 use crate::routing::{RequestView, WorkClass};
 
 /// A request for a model engine, ready to be sent to any upstream.
@@ -24,6 +26,14 @@
     pub deadline: Instant,
     /// Trace context for the upstream.
     pub traceparent: String,
+    /// Customer whose share of the slots it uses.
+    pub customer: String,
+    /// Tokens of the whole answer at most; 0 when the body does not say.
+    pub expected_tokens: u32,
+    /// Position in the answer from which on it is wanted.
+    pub first_position: u64,
+    /// Closed to stop batch work for an online request; `None` for work that is not cut.
+    pub stop: Option<Sender<()>>,
 }
 
 impl EngineRequest {
@@ -36,6 +46,22 @@
         })
     }
 
+    /// Tokens that the body asks for at most; 0 when it does not say.
+    pub fn expected_tokens_of(body: &serde_json::Value) -> u32 {
+        let tokens = ["max_tokens", "max_completion_tokens"].iter().find_map(|name| body.get(name));
+        tokens.and_then(serde_json::Value::as_u64).map_or(0, |tokens| tokens.min(1 << 20) as u32)
+    }
+
+    /// What the request expects of a slot.
+    pub fn demand(&self) -> SlotDemand<'_> {
+        let first = u32::try_from(self.first_position).unwrap_or(u32::MAX);
+        SlotDemand {
+            customer: &self.customer,
+            expected_tokens: self.expected_tokens.saturating_sub(first),
+            deadline: self.deadline,
+        }
+    }
+
     /// The body with `stream` set, as engines always answer in a stream.
     pub fn streamed_body(mut body: serde_json::Value) -> Vec<u8> {
         if let Some(object) = body.as_object_mut() {
--- a/src/serving/online.rs
+++ b/src/serving/online.rs
@@ -18,6 +18,8 @@
     pub format: AnswerFormat,
     /// Body for the engine.
     pub body: Vec<u8>,
+    /// Tokens of the answer at most; 0 when the caller does not say.
+    pub expected_tokens: u32,
     /// The answer is recorded before its end is sent.
     pub recorded: bool,
 }
@@ -114,6 +116,10 @@
             repeatable: !request.identity.not_repeatable,
             deadline: request.identity.deadline,
             traceparent: String::new(),
+            customer: request.identity.customer.clone(),
+            expected_tokens: request.expected_tokens,
+            first_position: 0,
+            stop: None,
         }
     }
 }
--- a/src/serving/plain_call.rs
+++ b/src/serving/plain_call.rs
@@ -3,7 +3,7 @@
 use async_std::task;
 use futures::AsyncReadExt;
 
-use crate::admission::{Refusal, RefusalKind, RunOutcome};
+use crate::admission::{Refusal, RefusalKind, RunOutcome, SlotDemand};
 use crate::routing::{RequestView, SlotPermit, WorkClass};
 use crate::serving::dispatcher::time_left;
 use crate::serving::{AttemptFailure, AttemptPolicy, Dispatcher, FinishedAnswer, NextStep};
@@ -18,6 +18,8 @@
 pub struct PlainCall<'a> {
     /// Names the request towards the service.
     pub request_id: &'a str,
+    /// Customer whose share of the slots it uses.
+    pub customer: &'a str,
     /// Service.
     pub service: &'a str,
     /// HTTP method.
@@ -97,7 +99,10 @@
                 prefix_hashes: &[],
                 excluded: &excluded,
             };
-            let permit = self.acquire_for(&view).map_err(|refusal| match sent {
+            let demand =
+                SlotDemand { customer: call.customer, expected_tokens: 0, deadline: call.deadline };
+            let acquired = self.acquire_for(&view, &demand).await;
+            let permit = acquired.map_err(|refusal| match sent {
                 true => refusal.with_outcome(RunOutcome::MayHaveRun),
                 false => refusal,
             })?;
--- a/src/serving/running_answer.rs
+++ b/src/serving/running_answer.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 
@@ -9,6 +9,10 @@
 use crate::telemetry::Span;
 use crate::upstream::{Chunk, EngineEvent, EngineStream, StreamAssembler};
 
+/// Longest time that a cancelled stream keeps its slot. A cut must free a slot in under 100 ms, and
+/// the connection is closed after this time in any case.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// An answer that an upstream produces. Dropping it cancels the work at the upstream.
 pub struct RunningAnswer {
     dispatcher: Dispatcher,
@@ -26,7 +30,25 @@
     stream: EngineStream,
     span: Span,
     started: Instant,
-    has_token: bool,
+    first_token: Option<Duration>,
+    pieces: u64,
+}
+
+impl Attempt {
+    /// Cancels the stream; the slot is free once the upstream has confirmed it, or after a bound.
+    async fn cancel(self) {
+        let _ = async_std::future::timeout(CANCEL_TIMEOUT, self.stream.cancel()).await;
+        drop(self.permit);
+        self.span.close();
+    }
+}
+
+impl Drop for RunningAnswer {
+    fn drop(&mut self) {
+        if let Some(attempt) = self.attempt.take() {
+            task::spawn(attempt.cancel());
+        }
+    }
 }
 
 impl RunningAnswer {
@@ -35,10 +57,11 @@
         request: EngineRequest,
         span: &Span,
     ) -> Result<Self, Refusal> {
+        let assembler = StreamAssembler::starting_at(request.first_position);
         let mut answer = Self {
             dispatcher,
             request,
-            assembler: StreamAssembler::default(),
+            assembler,
             attempt: None,
             excluded: Vec::new(),
             attempts: 0,
@@ -101,9 +124,11 @@
                 return Ok(());
             }
         };
-        if !attempt.has_token {
-            attempt.has_token = true;
-            attempt.permit.upstream().record_success(attempt.started.elapsed().as_micros() as u64);
+        attempt.pieces += 1;
+        if attempt.first_token.is_none() {
+            let first_token = attempt.started.elapsed();
+            attempt.first_token = Some(first_token);
+            attempt.permit.upstream().record_success(first_token.as_micros() as u64);
         }
         if !self.assembler.push(chunk) {
             return Err(failed("a piece of the stream is missing".to_owned()));
@@ -114,6 +139,11 @@
     async fn finish(&mut self) {
         self.done = true;
         let Some(attempt) = self.attempt.take() else { return };
+        if let Some(first_token) = attempt.first_token {
+            // The last piece has no token.
+            let time = attempt.started.elapsed().saturating_sub(first_token);
+            attempt.permit.upstream().record_tokens(attempt.pieces.saturating_sub(2), time);
+        }
         attempt.stream.close().await;
         attempt.span.close();
     }
@@ -131,7 +161,7 @@
             if time_left(self.request.deadline).is_zero() {
                 return Err(self.deadline_refusal());
             }
-            let acquired = self.dispatcher.acquire(&self.request, &self.excluded);
+            let acquired = self.dispatcher.acquire(&self.request, &self.excluded).await;
             let permit = acquired.map_err(|refusal| self.adjust(refusal))?;
             let mut span = parent.child("upstream_attempt");
             span.text("upstream_id", &permit.upstream().record.upstream_id);
@@ -145,7 +175,14 @@
             let failure = match opened {
                 Ok(stream) => {
                     self.sent = true;
-                    return Ok(Attempt { permit, stream, span, started, has_token: false });
+                    return Ok(Attempt {
+                        permit,
+                        stream,
+                        span,
+                        started,
+                        first_token: None,
+                        pieces: 0,
+                    });
                 }
                 Err(failure) => failure,
             };
--- a/src/upstream/connector.rs
+++ b/src/upstream/connector.rs
@@ -24,9 +24,11 @@
 }
 
 /// The body of an answer. Dropping it before its end cancels the call.
-pub trait ResponseReader: AsyncBufRead + Send + Sync + Unpin {}
-
-impl<T: AsyncBufRead + Send + Sync + Unpin> ResponseReader for T {}
+pub trait ResponseReader: AsyncBufRead + Send + Sync + Unpin {
+    /// Tells the upstream that the rest is not wanted. The body then ends as soon as the upstream
+    /// has stopped the call.
+    fn cancel(&mut self);
+}
 
 /// Head and body of an upstream's answer.
 pub struct UpstreamResponse {
--- a/src/upstream/engine_stream.rs
+++ b/src/upstream/engine_stream.rs
@@ -32,6 +32,12 @@
         Ok(EngineEvent::Chunk(chunk))
     }
 
+    /// Cancels the stream and reads until the engine has ended it.
+    pub async fn cancel(mut self) {
+        self.events.cancel();
+        while let Ok(Some(_)) = self.events.next().await {}
+    }
+
     /// Reads to the end, so that the connection can serve the next call.
     pub async fn close(mut self) {
         let _ = self.events.next().await;
--- a/src/upstream/response_body.rs
+++ b/src/upstream/response_body.rs
@@ -8,6 +8,7 @@
 use tide::http::Response;
 
 use crate::upstream::http_connector::IdleConnections;
+use crate::upstream::ResponseReader;
 
 /// Body of an upstream's answer on its connection.
 ///
@@ -33,6 +34,14 @@
     }
 }
 
+impl ResponseReader for ResponseBody {
+    /// Closes the sending half, which upstreams see as a caller that went away.
+    fn cancel(&mut self) {
+        self.idle = None;
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+}
+
 impl AsyncRead for ResponseBody {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/src/upstream/sse_reader.rs
+++ b/src/upstream/sse_reader.rs
@@ -19,6 +19,11 @@
         Self { body, line: Vec::new() }
     }
 
+    /// Tells the upstream that the rest is not wanted.
+    pub fn cancel(&mut self) {
+        self.body.cancel();
+    }
+
     /// Data of the next event, or `None` at the end of the body.
     pub async fn next(&mut self) -> io::Result<Option<&[u8]>> {
         loop {
--- a/src/upstream/stream_assembler.rs
+++ b/src/upstream/stream_assembler.rs
@@ -13,6 +13,11 @@
 }
 
 impl StreamAssembler {
+    /// An assembler for the rest of an answer from `position` on.
+    pub fn starting_at(position: u64) -> Self {
+        Self { next_position: position, ..Self::default() }
+    }
+
     /// Position that the next piece must have.
     pub fn next_position(&self) -> u64 {
         self.next_position
