--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -1,13 +1,25 @@
-//! Decisions on whether a request runs: refusals, limits and shares.
+//! Decisions on whether a request runs and when: refusals, slots, queues and shares.
 
+mod admission_policy;
+mod batch_share;
 mod crash_detector;
 mod crash_records;
+mod fair_queue;
 mod fingerprint;
 mod refusal;
 mod retry_budget;
+mod slot_cell;
+mod slot_demand;
+mod slot_queue;
 
+pub use admission_policy::AdmissionPolicy;
+pub use batch_share::{BatchShare, DEFAULT_BATCH_YIELD};
 pub use crash_detector::{CrashDetector, CrashStanding};
 pub use crash_records::CrashRecords;
+pub use fair_queue::{FairQueue, QueueKey, QueuedRequest};
 pub use fingerprint::Fingerprint;
 pub use refusal::{Refusal, RefusalKind, RunOutcome};
 pub use retry_budget::RetryBudget;
+pub use slot_cell::{SlotCell, SlotCounts};
+pub use slot_demand::SlotDemand;
+pub use slot_queue::{QueuePlace, SlotQueue};
--- a/src/entry/routes/completions.rs
+++ b/src/entry/routes/completions.rs
@@ -88,9 +88,17 @@
         };
         // A claim ends with the record, so that a resend under its key gets the answer.
         let recorded = identity.needs_claim() || configuration.records_answers(&service);
+        let expected_tokens = EngineRequest::expected_tokens_of(&body);
         let (body, fingerprint) = EngineRequest::streamed_body(body);
-        let request =
-            OnlineRequest { identity, model, format: self.format, body, fingerprint, recorded };
+        let request = OnlineRequest {
+            identity,
+            model,
+            format: self.format,
+            body,
+            fingerprint,
+            expected_tokens,
+            recorded,
+        };
         Ok(Parsed { request, stream })
     }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,10 +1,12 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 
+use async_std::channel::{bounded, Receiver};
 use async_std::net::TcpListener;
 use async_trait::async_trait;
 use miette::{IntoDiagnostic, Result, WrapErr};
 
+use crate::admission::SlotQueue;
 use crate::batch::{BatchOptions, BatchRunner};
 use crate::configuration::ConfigurationWatch;
 use crate::control::{unix_ms, Control, RemoteState};
@@ -186,22 +188,32 @@
         let host_id = settings.host_id.clone();
         let remote = RemoteState::open(caller.clone(), &settings.control_addresses, &host_id);
         let state: Arc<dyn StateClient> = Arc::new(remote);
-        let fleet = Arc::new(Fleet::default());
-        follow_members(&self.membership, fleet.clone());
-        let balancer = Box::new(WeightedScore::new(&settings.zone, &settings.region));
-        let connector = Box::new(HttpConnector::open());
-        let crashes = Arc::new(self.membership.clone());
-        let dispatcher = Dispatcher::open(fleet, balancer, connector, crashes, counters.clone());
-        let (members, policies) = (self.membership.clone(), dispatcher.clone());
+        let members = self.membership.clone();
+        let (changes, changed) = bounded(1);
         let configuration = ConfigurationWatch::spawn(
             state.clone(),
             settings.entry.configuration_lease_ms,
             counters.clone(),
             move |view| {
                 members.set_configuration_version(view.version());
-                policies.apply_policy(&view.configuration().policy.unwrap_or_default());
+                let _ = changes.try_send(());
             },
         );
+        let queue = SlotQueue::open(Box::new(configuration.clone()), true);
+        let fleet = Arc::new(Fleet::open(queue.clone()));
+        follow_members(&self.membership, fleet.clone(), queue.clone());
+        let balancer = Box::new(WeightedScore::new(&settings.zone, &settings.region));
+        let connector = Box::new(HttpConnector::open());
+        let crashes = Arc::new(self.membership.clone());
+        let dispatcher = Dispatcher::open(
+            fleet.clone(),
+            balancer,
+            connector,
+            queue.clone(),
+            crashes,
+            counters.clone(),
+        );
+        follow_policy(changed, configuration.clone(), fleet, queue, dispatcher.clone());
         let ledger = AnswerLedger::open(state.clone(), counters.clone(), &host_id, incarnation);
         let options = BatchOptions {
             host_id,
@@ -307,12 +319,30 @@
 }
 
 /// Publishes a new fleet after each change of the members.
-fn follow_members(membership: &Membership, fleet: Arc<Fleet>) {
+fn follow_members(membership: &Membership, fleet: Arc<Fleet>, queue: Arc<SlotQueue>) {
     let changes = membership.subscribe();
     async_std::task::spawn(async move {
         while let Ok(view) = changes.recv().await {
             let serving = view.upstreams.iter().filter(|entry| entry.status == Status::Alive);
             fleet.replace(serving.map(|entry| (&entry.record, entry.incarnation)));
+            fleet.apply_share(queue.share());
+        }
+    });
+}
+
+/// Applies the policy after each change of the configuration.
+fn follow_policy(
+    changed: Receiver<()>,
+    configuration: ConfigurationWatch,
+    fleet: Arc<Fleet>,
+    queue: Arc<SlotQueue>,
+    dispatcher: Dispatcher,
+) {
+    async_std::task::spawn(async move {
+        while changed.recv().await.is_ok() {
+            fleet.apply_share(queue.share());
+            let policy = configuration.load().configuration().policy.unwrap_or_default();
+            dispatcher.apply_policy(&policy);
         }
     });
 }
--- a/src/routing/trial.rs
+++ b/src/routing/trial.rs
@@ -1,3 +1,4 @@
+use std::sync::atomic::{fence, Ordering};
 use std::sync::Arc;
 
 use crate::routing::{SlotPermit, Upstream, WorkClass};
@@ -25,6 +26,8 @@
 
     /// A slot, once no other request of this host is in flight at the upstream.
     pub fn acquire(&self, class: WorkClass) -> Option<SlotPermit> {
+        // The other half of the order in `Upstream::acquire`.
+        fence(Ordering::SeqCst);
         if self.upstream.in_use() > 0 {
             return None;
         }
@@ -35,5 +38,6 @@
 impl Drop for Trial {
     fn drop(&mut self) {
         self.upstream.health.end_trial();
+        self.upstream.offer_slots();
     }
 }
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -1,15 +1,17 @@
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_std::task;
 
 use crate::admission::{
-    CrashRecords, CrashStanding, Fingerprint, Refusal, RefusalKind, RetryBudget,
+    CrashRecords, CrashStanding, Fingerprint, Refusal, RefusalKind, RetryBudget, SlotDemand,
+    SlotQueue,
 };
 use crate::control::unix_ms;
 use crate::routing::{
-    Balancer, Ejector, Fleet, RequestView, SlotPermit, Upstream, DEFAULT_EJECTION_LIMIT_PERCENT,
+    Balancer, Ejector, Fleet, RequestView, SlotPermit, Upstream, WorkClass,
+    DEFAULT_EJECTION_LIMIT_PERCENT,
 };
 use crate::schema::config::Policy;
 use crate::serving::{
@@ -24,6 +26,9 @@
 /// Share of requests that may be retries where the configuration says nothing.
 const DEFAULT_RETRY_BUDGET_PERCENT: u32 = 20;
 
+/// Longest time that a batch item waits here before another host may run it.
+const BATCH_WAIT: Duration = Duration::from_secs(2);
+
 /// Sends requests to upstreams that the balancer picks.
 #[derive(Clone)]
 pub struct Dispatcher {
@@ -34,6 +39,9 @@
     pub(super) fleet: Arc<Fleet>,
     balancer: Box<dyn Balancer>,
     pub(super) connector: Box<dyn UpstreamConnector>,
+    queue: Arc<SlotQueue>,
+    /// A task waits for the end of the pause of batch.
+    pausing: AtomicBool,
     counters: Counters,
     started: Instant,
     pub(super) ejector: Ejector,
@@ -43,11 +51,13 @@
 }
 
 impl Dispatcher {
-    /// A dispatcher over the fleet. `crashes` are the crash records that all hosts share.
+    /// A dispatcher over the fleet; requests wait in `queue` for a slot. `crashes` are the crash
+    /// records that all hosts share.
     pub fn open(
         fleet: Arc<Fleet>,
         balancer: Box<dyn Balancer>,
         connector: Box<dyn UpstreamConnector>,
+        queue: Arc<SlotQueue>,
         crashes: Arc<dyn CrashRecords>,
         counters: Counters,
     ) -> Self {
@@ -55,6 +65,8 @@
             fleet,
             balancer,
             connector,
+            queue,
+            pausing: AtomicBool::new(false),
             counters,
             started: Instant::now(),
             ejector: Ejector::open(),
@@ -153,31 +165,139 @@
         RunningAnswer::start(self.clone(), request, span).await
     }
 
-    /// Takes a slot at the upstream that fits best.
-    pub fn acquire(
+    /// Requests that wait for a slot.
+    pub fn queue(&self) -> &SlotQueue {
+        &self.shared.queue
+    }
+
+    /// Takes a slot at the upstream that fits best, and waits for one when none is free.
+    pub async fn acquire(
         &self,
         request: &EngineRequest,
         excluded: &[String],
     ) -> Result<SlotPermit, Refusal> {
-        self.acquire_for(&request.view(excluded))
+        let mut permit = self.acquire_for(&request.view(excluded), &request.demand()).await?;
+        if let Some(stop) = &request.stop {
+            permit.allow_cut(stop);
+        }
+        Ok(permit)
     }
 
-    pub(super) fn acquire_for(&self, view: &RequestView<'_>) -> Result<SlotPermit, Refusal> {
-        let snapshot = self.shared.fleet.load();
+    pub(super) async fn acquire_for(
+        &self,
+        view: &RequestView<'_>,
+        demand: &SlotDemand<'_>,
+    ) -> Result<SlotPermit, Refusal> {
+        if !self.shared.queue.is_held(view.class) {
+            let snapshot = self.shared.fleet.load();
+            if let Some(permit) = self.take_free_slot(view, snapshot.candidates(view)) {
+                return Ok(permit);
+            }
+        }
+        let snapshot = self.shared.fleet.load_full();
         let candidates = snapshot.candidates(view);
         if candidates.is_empty() {
             return Err(unknown_target(view));
         }
+        if !candidates.iter().any(|upstream| upstream.fits(view)) {
+            let message = "no other upstream can run the request";
+            return Err(Refusal::not_run(RefusalKind::Overloaded, message));
+        }
+        self.wait_for_slot(view, demand, candidates).await
+    }
+
+    fn take_free_slot(
+        &self,
+        view: &RequestView<'_>,
+        candidates: &[Arc<Upstream>],
+    ) -> Option<SlotPermit> {
         // Another thread may take the last slot between the choice and the acquisition.
         for _ in 0..candidates.len() {
             let choice = self.shared.balancer.choose(view, candidates, rand::random());
-            let Some(index) = choice else { break };
-            if let Some(permit) = candidates[index].acquire(view.class) {
-                return Ok(permit);
+            if let Some(permit) = candidates[choice?].acquire(view.class) {
+                return Some(permit);
+            }
+        }
+        None
+    }
+
+    async fn wait_for_slot(
+        &self,
+        view: &RequestView<'_>,
+        demand: &SlotDemand<'_>,
+        candidates: &[Arc<Upstream>],
+    ) -> Result<SlotPermit, Refusal> {
+        let queue = &self.shared.queue;
+        let mut place = queue.enter(view, demand);
+        // A slot may have become free before the request was in its line.
+        candidates.iter().for_each(|upstream| queue.serve(upstream));
+        if let Some(permit) = place.try_permit() {
+            return Ok(permit);
+        }
+        queue.check(&place, demand, candidates)?;
+        let entered = Instant::now();
+        let latest = match view.class {
+            WorkClass::Online => {
+                self.shared.counters.count("admission.queued");
+                self.cut_batch(view, candidates);
+                demand.deadline.checked_sub(demand.run_time(candidates)).unwrap_or(entered)
+            }
+            WorkClass::Batch => demand.deadline.min(entered + BATCH_WAIT),
+        };
+        if let Some(permit) = place.permit(latest).await {
+            let wait_us = entered.elapsed().as_micros() as u64;
+            if view.class == WorkClass::Online {
+                self.shared.counters.time_us("admission.wait", wait_us);
             }
+            return Ok(permit);
+        }
+        Err(match view.class {
+            WorkClass::Online => {
+                let message = "no slot became free early enough for the deadline";
+                Refusal::not_run(RefusalKind::DeadlineExceeded, message)
+            }
+            WorkClass::Batch => {
+                let message = "no slot became idle";
+                Refusal::not_run(RefusalKind::Overloaded, message)
+            }
+        })
+    }
+
+    /// Cuts one batch stream for an online request that waits, at the fitting upstream with most.
+    fn cut_batch(&self, view: &RequestView<'_>, candidates: &[Arc<Upstream>]) {
+        let queue = &self.shared.queue;
+        if !queue.gives_way() {
+            return;
+        }
+        let fitting = candidates.iter().filter(|upstream| upstream.fits(view));
+        let Some(upstream) = fitting.max_by_key(|upstream| upstream.cuttable().len()) else {
+            return;
+        };
+        if upstream.cuttable().cut_newest() {
+            self.shared.counters.count("batch.cut");
         }
-        let message = "all slots of the upstreams are in use";
-        Err(Refusal::not_run(RefusalKind::Overloaded, message))
+        self.pause_batch();
+    }
+
+    /// Keeps batch from slots for a while, and offers them to it afterwards.
+    fn pause_batch(&self) {
+        let shared = &self.shared;
+        if shared.queue.pause_batch().is_zero() || shared.pausing.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let shared = shared.clone();
+        task::spawn(async move {
+            loop {
+                let left = shared.queue.pause_left();
+                if left.is_zero() {
+                    break;
+                }
+                task::sleep(left).await;
+            }
+            shared.pausing.store(false, Ordering::Release);
+            let snapshot = shared.fleet.load_full();
+            snapshot.upstreams().for_each(|upstream| shared.queue.serve(upstream));
+        });
     }
 
     /// Opens a stream at the upstream of `permit`, from the given position of the answer on.
--- a/src/serving/plain_call.rs
+++ b/src/serving/plain_call.rs
@@ -3,7 +3,7 @@
 use async_std::task;
 use futures::AsyncReadExt;
 
-use crate::admission::{Fingerprint, Refusal, RefusalKind, RunOutcome};
+use crate::admission::{Fingerprint, Refusal, RefusalKind, RunOutcome, SlotDemand};
 use crate::routing::{RequestView, Upstream, WorkClass};
 use crate::serving::dispatcher::time_left;
 use crate::serving::{
@@ -20,6 +20,8 @@
 pub struct PlainCall<'a> {
     /// Names the request towards the service.
     pub request_id: &'a str,
+    /// Customer whose share of the slots it uses.
+    pub customer: &'a str,
     /// Service.
     pub service: &'a str,
     /// HTTP method.
@@ -77,7 +79,9 @@
                 prefix_hashes: &[],
                 excluded: &excluded,
             };
-            let acquired = self.acquire_by_standing(&view, &call.fingerprint, call.deadline).await;
+            let demand =
+                SlotDemand { customer: call.customer, expected_tokens: 0, deadline: call.deadline };
+            let acquired = self.acquire_by_standing(&view, &demand, &call.fingerprint).await;
             let (permit, trial) = acquired.map_err(|refusal| refusal.at_least(progress))?;
             let upstream = permit.upstream().clone();
             let mut span = parent.child("upstream_attempt");
