--- a/src/routing/ejector.rs
+++ b/src/routing/ejector.rs
@@ -66,10 +66,11 @@
     }
 
     /// Lets an upstream come back after a probe that it answered, or ejects it for longer.
-    pub fn note_probe(&self, upstream: &Upstream, answered: bool) {
+    pub fn note_probe(&self, upstream: &Arc<Upstream>, answered: bool) {
         let upstream_id = &upstream.record.upstream_id;
         if answered {
             upstream.health.readmit(self.now_ms());
+            upstream.offer_slots();
             log::info!("upstream {upstream_id} is back");
             return;
         }
--- a/src/serving/running_answer.rs
+++ b/src/serving/running_answer.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 
@@ -9,6 +9,10 @@
 use crate::telemetry::Span;
 use crate::upstream::{Chunk, EngineEvent, EngineStream, StreamAssembler};
 
+/// Longest time that a cancelled stream keeps its slot. A cut must free a slot in under 100 ms, and
+/// the connection is closed after this time in any case.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// An answer that an upstream produces. Dropping it cancels the work at the upstream.
 pub struct RunningAnswer {
     dispatcher: Dispatcher,
@@ -31,7 +35,25 @@
     _trial: Option<Trial>,
     span: Span,
     started: Instant,
-    has_token: bool,
+    first_token: Option<Duration>,
+    pieces: u64,
+}
+
+impl Attempt {
+    /// Cancels the stream; the slot is free once the upstream has confirmed it, or after a bound.
+    async fn cancel(self) {
+        let _ = async_std::future::timeout(CANCEL_TIMEOUT, self.stream.cancel()).await;
+        drop(self.permit);
+        self.span.close();
+    }
+}
+
+impl Drop for RunningAnswer {
+    fn drop(&mut self) {
+        if let Some(attempt) = self.attempt.take() {
+            task::spawn(attempt.cancel());
+        }
+    }
 }
 
 impl RunningAnswer {
@@ -41,10 +63,11 @@
         span: &Span,
     ) -> Result<Self, Refusal> {
         dispatcher.note_request();
+        let assembler = StreamAssembler::starting_at(request.first_position);
         let mut answer = Self {
             dispatcher,
             request,
-            assembler: StreamAssembler::default(),
+            assembler,
             attempt: None,
             excluded: Vec::new(),
             attempts: 0,
@@ -104,7 +127,7 @@
         };
         let pace = &attempt.permit.upstream().pace;
         let time_left = time_left(self.request.deadline);
-        let limit = match (self.request.repeatable, attempt.has_token) {
+        let limit = match (self.request.repeatable, attempt.first_token.is_some()) {
             // No other upstream may take over, so nothing is gained by giving up early.
             (false, _) => time_left,
             (true, false) => pace.first_token_limit().saturating_sub(attempt.started.elapsed()),
@@ -125,11 +148,11 @@
                 return Ok(());
             }
         };
-        if attempt.has_token {
-            pace.record_token(asked.elapsed());
-        } else if !chunk.text.is_empty() {
-            pace.record_first_token(attempt.started.elapsed());
-            attempt.has_token = true;
+        attempt.pieces += 1;
+        if attempt.first_token.is_none() && !chunk.text.is_empty() {
+            let first_token = attempt.started.elapsed();
+            attempt.first_token = Some(first_token);
+            pace.record_first_token(first_token);
         }
         Ok(self.assembler.push(chunk)?)
     }
@@ -137,7 +160,13 @@
     fn finish(&mut self) {
         self.done = true;
         let Some(attempt) = self.attempt.take() else { return };
-        attempt.permit.upstream().health.record_success();
+        let upstream = attempt.permit.upstream();
+        if let Some(first_token) = attempt.first_token {
+            // The last piece has no token.
+            let time = attempt.started.elapsed().saturating_sub(first_token);
+            upstream.pace.record_tokens(attempt.pieces.saturating_sub(2), time);
+        }
+        upstream.health.record_success();
         self.dispatcher.crashes().note_finish(&self.request.fingerprint);
         attempt.stream.close();
         attempt.span.close();
@@ -153,9 +182,13 @@
             let view = request.view(&self.excluded);
             let acquired = self
                 .dispatcher
-                .acquire_by_standing(&view, &request.fingerprint, request.deadline)
+                .acquire_by_standing(&view, &request.demand(), &request.fingerprint)
                 .await;
-            let (permit, trial) = acquired.map_err(|refusal| refusal.at_least(self.progress))?;
+            let (mut permit, trial) =
+                acquired.map_err(|refusal| refusal.at_least(self.progress))?;
+            if let Some(stop) = &request.stop {
+                permit.allow_cut(stop);
+            }
             let mut span = parent.child("upstream_attempt");
             span.text("upstream_id", &permit.upstream().record.upstream_id);
             span.number("position", self.assembler.next_position() as i64);
@@ -166,8 +199,15 @@
             let failure = match self.open_stream(&permit).await {
                 Ok(stream) => {
                     self.progress = self.progress.max(RunOutcome::MayHaveRun);
-                    let has_token = false;
-                    return Ok(Attempt { stream, permit, _trial: trial, span, started, has_token });
+                    return Ok(Attempt {
+                        stream,
+                        permit,
+                        _trial: trial,
+                        span,
+                        started,
+                        first_token: None,
+                        pieces: 0,
+                    });
                 }
                 Err(failure) => failure,
             };
--- a/src/serving/trials.rs
+++ b/src/serving/trials.rs
@@ -2,7 +2,7 @@
 
 use async_std::task;
 
-use crate::admission::{CrashStanding, Fingerprint, Refusal, RefusalKind};
+use crate::admission::{CrashStanding, Fingerprint, Refusal, RefusalKind, SlotDemand};
 use crate::routing::{RequestView, SlotPermit, Trial};
 use crate::serving::dispatcher::{convicted, time_left, unknown_target};
 use crate::serving::Dispatcher;
@@ -15,13 +15,13 @@
     pub(super) async fn acquire_by_standing(
         &self,
         view: &RequestView<'_>,
+        demand: &SlotDemand<'_>,
         fingerprint: &Fingerprint,
-        deadline: Instant,
     ) -> Result<(SlotPermit, Option<Trial>), Refusal> {
         match self.crashes().standing(fingerprint) {
-            CrashStanding::Clear => Ok((self.acquire_for(view)?, None)),
+            CrashStanding::Clear => Ok((self.acquire_for(view, demand).await?, None)),
             CrashStanding::Suspect => {
-                let (permit, trial) = self.acquire_alone(view, deadline).await?;
+                let (permit, trial) = self.acquire_alone(view, demand.deadline).await?;
                 Ok((permit, Some(trial)))
             }
             CrashStanding::Convicted { expires_unix_ms } => Err(convicted(expires_unix_ms)),
