--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -11,13 +11,16 @@
 //! out of memory:
 //!
 //! - A snapshot is complete. It holds the tables first, then the segments of the store byte for
-//!   byte, so that a restore on another replica gets all bodies.
+//!   byte, so that a restore on another replica gets all bodies. Each snapshot writes all bodies
+//!   again, so it should come only when the log has grown by about as much as the last one.
+//! - A snapshot is captured by sharing pages of the tables and handles of the segments, and written
+//!   without the state's lock. The segments are synced before the first record is written.
 //! - After a crash the state is restored from the snapshot and the log is applied again, which
-//!   appends the later bodies anew. What the crash left behind is in no named segment and is
-//!   deleted by the restore.
-//! - A replica that still holds a segment that the snapshot names, with its random nonce and
-//!   length, keeps it. When it holds all of them the restore ends before the segments, and the rest
-//!   of the source stays unread.
+//!   appends the later bodies anew to new segments. What the crash left behind is in no named
+//!   segment, or past the named length of one, and is deleted or never read.
+//! - A replica that still holds a segment that the snapshot names, with its random nonce and at
+//!   least its length, keeps it. When it holds all of them the restore ends before the segments,
+//!   and the rest of the source stays unread.
 //! - A body that cannot be written to disk stays in memory and the store reports the fault, because
 //!   the replicas must not differ. A body that cannot be read leaves its item out of a lease
 //!   answer; the lease then runs out.
