Let one host at a time try a crash suspect on an upstream

Two hosts could try their suspects on one upstream at the same time.

A host now claims the trial in the replicated state, under the upstream's id, before it begins; the claim ends with the trial or its lease. Without a quorum the trial goes on unclaimed and is counted.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -15,7 +15,7 @@
 pub use admission_policy::AdmissionPolicy;
 pub use batch_share::{BatchShare, DEFAULT_BATCH_YIELD};
 pub use crash_detector::{CrashDetector, CrashStanding};
-pub use crash_records::CrashRecords;
+pub use crash_records::{CrashRecords, TrialClaim};
 pub use fair_queue::{FairQueue, QueueKey, QueuedRequest};
 pub use fingerprint::Fingerprint;
 pub use refusal::{Refusal, RefusalKind, RunOutcome};
--- a/src/host.rs
+++ b/src/host.rs
@@ -16,7 +16,7 @@
 use crate::routing::{Fleet, WeightedScore};
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{call, reply, Call, CallFailure, FailureKind, HostStatus, Reply};
-use crate::serving::{AnswerLedger, Dispatcher, OnlineService};
+use crate::serving::{AnswerLedger, Dispatcher, OnlineService, SharedCrashRecords};
 use crate::settings::{HostSettings, ReplicaSettings};
 use crate::state::StateClient;
 use crate::telemetry::{Counters, Tracer};
@@ -204,13 +204,14 @@
         follow_members(&self.membership, fleet.clone(), queue.clone());
         let balancer = Box::new(WeightedScore::new(&settings.zone, &settings.region));
         let connector = Box::new(HttpConnector::open());
-        let crashes = Arc::new(self.membership.clone());
+        let members = self.membership.clone();
+        let crashes = SharedCrashRecords::open(members, state.clone(), &host_id, incarnation);
         let dispatcher = Dispatcher::open(
             fleet.clone(),
             balancer,
             connector,
             queue.clone(),
-            crashes,
+            Arc::new(crashes),
             counters.clone(),
         );
         follow_policy(changed, configuration.clone(), fleet, queue, dispatcher.clone());
--- a/src/serving/crash_watch.rs
+++ b/src/serving/crash_watch.rs
@@ -25,6 +25,11 @@
         self.verdict_ms.store(verdict_ms, Ordering::Relaxed);
     }
 
+    /// The shared records.
+    pub fn records(&self) -> &Arc<dyn CrashRecords> {
+        &self.records
+    }
+
     /// How a request may run now.
     pub fn standing(&self, fingerprint: &Fingerprint) -> CrashStanding {
         let record = self.records.find(fingerprint);
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -13,6 +13,7 @@
 mod probe;
 mod request_identity;
 mod running_answer;
+mod shared_crash_records;
 mod trials;
 
 pub use answer::Answer;
@@ -28,3 +29,4 @@
 pub use plain_call::{PlainAnswer, PlainCall};
 pub use request_identity::RequestIdentity;
 pub use running_answer::RunningAnswer;
+pub use shared_crash_records::SharedCrashRecords;
--- a/src/serving/running_answer.rs
+++ b/src/serving/running_answer.rs
@@ -3,8 +3,9 @@
 use async_std::task;
 
 use crate::admission::{Refusal, RefusalKind, RunOutcome};
-use crate::routing::{SlotPermit, Trial};
+use crate::routing::SlotPermit;
 use crate::serving::dispatcher::time_left;
+use crate::serving::trials::HeldTrial;
 use crate::serving::{AttemptFailure, AttemptPolicy, Dispatcher, EngineRequest, NextStep};
 use crate::telemetry::Span;
 use crate::upstream::{Chunk, EngineEvent, EngineStream, StreamAssembler};
@@ -32,7 +33,7 @@
 struct Attempt {
     stream: EngineStream,
     permit: SlotPermit,
-    _trial: Option<Trial>,
+    _trial: Option<HeldTrial>,
     span: Span,
     started: Instant,
     first_token: Option<Duration>,
@@ -233,7 +234,7 @@
     async fn fail(
         &mut self,
         permit: SlotPermit,
-        trial: Option<Trial>,
+        trial: Option<HeldTrial>,
         mut span: Span,
         failure: AttemptFailure,
     ) -> Result<(), Refusal> {
