--- /dev/null
+++ b/tests/attempts.rs
@@ -0,0 +1,413 @@
+//! Attempts against upstreams that fail in any way, checked by an oracle that knows what ran, and
+//! the policies that bound attempts. `PROPTEST_CASES` and `PROPTEST_RNG_SEED` give a longer run.
+
+use std::collections::{HashMap, VecDeque};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{ready, Context, Poll};
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use async_trait::async_trait;
+use damaskhoist::admission::{
+    AdmissionPolicy, CrashDetector, CrashRecords, CrashStanding, Fingerprint, RetryBudget,
+    RunOutcome, SlotQueue, TrialClaim,
+};
+use damaskhoist::membership::{CrashRecord, UpstreamModel, UpstreamRecord};
+use damaskhoist::routing::{EjectionPolicy, Fleet, WeightedScore, WorkClass};
+use damaskhoist::serving::{Dispatcher, EngineRequest};
+use damaskhoist::telemetry::{Counters, Tracer};
+use damaskhoist::upstream::{
+    ResponseReader, UpstreamCall, UpstreamConnector, UpstreamError, UpstreamResponse,
+};
+use futures::{AsyncBufRead, AsyncRead};
+use proptest::prelude::*;
+use rstest::rstest;
+
+#[path = "support/proptest_config.rs"]
+mod proptest_config;
+
+const TOKENS: u64 = 8;
+const UPSTREAMS: u32 = 3;
+/// A stream that stalls ends here, as the bounds on silence are longer.
+const DEADLINE: Duration = Duration::from_millis(250);
+
+/// What an upstream does with one call.
+#[derive(Clone, Debug)]
+enum Step {
+    /// No connection.
+    Refuse,
+    /// The connection breaks before the head; the upstream may have started.
+    Lose { started: bool },
+    /// No head comes.
+    Freeze,
+    /// Another status than 200; below 500 the upstream has read the request and refused it.
+    Status(u16),
+    /// A stream.
+    Stream(Script),
+}
+
+#[derive(Clone, Debug)]
+struct Script {
+    /// Positions as they are sent; those below the asked one are sent by engines that ignore it.
+    order: Vec<u64>,
+    end: End,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum End {
+    Whole,
+    Cut,
+    CleanWithoutDone,
+    WithoutReason,
+    Cancelled,
+    Error,
+    Stall,
+}
+
+/// Upstreams that follow a list of steps, and then answer in full.
+#[derive(Clone, Default)]
+struct FakeConnector {
+    steps: Arc<Mutex<VecDeque<Step>>>,
+    oracle: Arc<Mutex<Oracle>>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Oracle {
+    sent: u32,
+    started: u32,
+}
+
+struct FakeBody {
+    bytes: Vec<u8>,
+    read: usize,
+    end: End,
+}
+
+impl AsyncRead for FakeBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let bytes = ready!(self.as_mut().poll_fill_buf(context))?;
+        let length = bytes.len().min(buffer.len());
+        buffer[..length].copy_from_slice(&bytes[..length]);
+        self.consume(length);
+        Poll::Ready(Ok(length))
+    }
+}
+
+impl AsyncBufRead for FakeBody {
+    fn poll_fill_buf(
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<&[u8]>> {
+        let this = self.get_mut();
+        match (&this.bytes[this.read..], this.end) {
+            ([], End::Cut) => Poll::Ready(Err(std::io::ErrorKind::ConnectionReset.into())),
+            ([], End::Stall) => Poll::Pending,
+            (rest, _) => Poll::Ready(Ok(rest)),
+        }
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amount: usize) {
+        self.read += amount;
+    }
+}
+
+impl ResponseReader for FakeBody {
+    fn cancel(&mut self) {
+        self.read = self.bytes.len();
+        self.end = End::Whole;
+    }
+}
+
+fn stream(script: &Script, first_position: u64) -> FakeBody {
+    let mut text = String::new();
+    // The engine computes from the asked position on, in the order of the script.
+    let sent = script.order.iter().filter(|position| **position < TOKENS);
+    for position in sent {
+        text += &format!(
+            "data: {{\"position\":{position},\"choices\":[{{\"text\":\"t{position} \"}}]}}\n\n"
+        );
+    }
+    if script.end == End::Whole {
+        let missing = (first_position..TOKENS).filter(|position| !script.order.contains(position));
+        for position in missing {
+            text += &format!(
+                "data: {{\"position\":{position},\"choices\":[{{\"text\":\"t{position} \"}}]}}\n\n"
+            );
+        }
+    }
+    let last = |reason: &str| {
+        format!(
+            "data: {{\"choices\":[{{\"text\":\"\",\"finish_reason\":{reason}}}],\
+             \"usage\":{{\"completion_tokens\":{TOKENS}}}}}\n\n"
+        )
+    };
+    match script.end {
+        End::Whole => text += &(last("\"stop\"") + "data: [DONE]\n\n"),
+        End::WithoutReason => text += "data: [DONE]\n\n",
+        End::Cancelled => text += &(last("\"cancelled\"") + "data: [DONE]\n\n"),
+        End::Error => text += "data: {\"error\":{\"message\":\"out of memory\"}}\n\n",
+        End::Cut => text += "data: {\"position\":",
+        End::CleanWithoutDone | End::Stall => {}
+    }
+    FakeBody { bytes: text.into_bytes(), read: 0, end: script.end }
+}
+
+#[async_trait]
+impl UpstreamConnector for FakeConnector {
+    async fn open(&self, call: UpstreamCall<'_>) -> Result<UpstreamResponse, UpstreamError> {
+        let response = |status, body| UpstreamResponse {
+            status,
+            content_type: String::new(),
+            body: Box::new(body),
+        };
+        let whole = Script { order: Vec::new(), end: End::Whole };
+        if call.path == "/v1/load" {
+            return Ok(response(200, stream(&whole, TOKENS)));
+        }
+        let header = call.headers.iter().find(|(name, _)| *name == "x-resume-position");
+        let first_position = header.map_or(0, |(_, value)| value.parse().unwrap());
+        let step = self.steps.lock().unwrap().pop_front();
+        let step = step.unwrap_or_else(|| Step::Stream(whole.clone()));
+        let (sent, started) = match step {
+            Step::Refuse => (false, false),
+            Step::Lose { started } => (true, started),
+            _ => (true, true),
+        };
+        {
+            let mut oracle = self.oracle.lock().unwrap();
+            oracle.sent += u32::from(sent);
+            oracle.started += u32::from(started);
+        }
+        match step {
+            Step::Refuse => Err(UpstreamError::NotSent("refused".to_owned())),
+            Step::Lose { .. } => Err(UpstreamError::Lost("reset".to_owned())),
+            Step::Freeze => {
+                task::sleep(call.timeout).await;
+                Err(UpstreamError::Silent("no answer".to_owned()))
+            }
+            Step::Status(status) => Ok(response(status, stream(&whole, TOKENS))),
+            Step::Stream(script) => Ok(response(200, stream(&script, first_position))),
+        }
+    }
+}
+
+#[derive(Default)]
+struct Records(Mutex<HashMap<Vec<u8>, Arc<CrashRecord>>>);
+
+#[async_trait]
+impl CrashRecords for Records {
+    fn find(&self, fingerprint: &Fingerprint) -> Option<Arc<CrashRecord>> {
+        self.0.lock().unwrap().get(fingerprint.as_bytes()).cloned()
+    }
+
+    fn publish(&self, record: CrashRecord) {
+        self.0.lock().unwrap().insert(record.fingerprint.clone(), Arc::new(record));
+    }
+
+    async fn claim_trial(&self, _upstream: &str, _trial: &str, _lease: Duration) -> TrialClaim {
+        TrialClaim::Held
+    }
+
+    async fn release_trial(&self, _upstream: &str, _trial: &str) {}
+}
+
+struct EqualShares;
+
+impl AdmissionPolicy for EqualShares {
+    fn weight(&self, _customer: &str) -> u32 {
+        1
+    }
+
+    fn batch_yield(&self) -> u32 {
+        50
+    }
+}
+
+fn dispatcher(connector: FakeConnector) -> Dispatcher {
+    let queue = SlotQueue::open(Box::new(EqualShares), true);
+    let fleet = Arc::new(Fleet::open(queue.clone()));
+    let records: Vec<_> = (0..UPSTREAMS)
+        .map(|index| {
+            Arc::new(UpstreamRecord {
+                upstream_id: format!("upstream-{index}"),
+                service: "engraving".to_owned(),
+                models: vec![UpstreamModel { name: "m".to_owned(), ..Default::default() }],
+                slots: 2,
+                ..Default::default()
+            })
+        })
+        .collect();
+    fleet.replace(records.iter().map(|record| (record, 1)));
+    let balancer = Box::new(WeightedScore::new("", ""));
+    let counters = Counters::open("test", None);
+    let records = Arc::new(Records::default());
+    Dispatcher::open(fleet, balancer, Box::new(connector), queue, records, counters)
+}
+
+fn request(repeatable: bool) -> EngineRequest {
+    EngineRequest {
+        request_id: "request".to_owned(),
+        service: String::new(),
+        model: "m".to_owned(),
+        path: "/v1/completions".to_owned(),
+        body: b"{}".to_vec(),
+        fingerprint: Fingerprint::of(&[b"{}"]),
+        class: WorkClass::Online,
+        repeatable,
+        deadline: Instant::now() + DEADLINE,
+        traceparent: String::new(),
+        customer: "c".to_owned(),
+        expected_tokens: 0,
+        first_position: 0,
+        stop: None,
+    }
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let end = prop_oneof![
+        3 => Just(End::Whole),
+        4 => Just(End::Cut),
+        2 => Just(End::CleanWithoutDone),
+        2 => Just(End::WithoutReason),
+        2 => Just(End::Cancelled),
+        2 => Just(End::Error),
+        1 => Just(End::Stall),
+    ];
+    let script = (prop::collection::vec(0..TOKENS, 0..16), end);
+    prop_oneof![
+        2 => Just(Step::Refuse),
+        2 => any::<bool>().prop_map(|started| Step::Lose { started }),
+        1 => Just(Step::Freeze),
+        2 => prop::sample::select(vec![400, 404, 422, 429, 500, 503]).prop_map(Step::Status),
+        8 => script.prop_map(|(order, end)| Step::Stream(Script { order, end })),
+    ]
+}
+
+async fn check(steps: Vec<Step>, repeatable: bool) -> Result<(), TestCaseError> {
+    let connector = FakeConnector::default();
+    connector.steps.lock().unwrap().extend(steps);
+    let dispatcher = dispatcher(connector.clone());
+    let span = Tracer::open("test", None, 0.0).unwrap().start("test", None);
+    let mut text = String::new();
+    let mut reason = None;
+    let end = match dispatcher.start(request(repeatable), &span).await {
+        Err(refusal) => Err(refusal),
+        Ok(mut answer) => loop {
+            match answer.next(&span).await {
+                Ok(Some(chunk)) => {
+                    text += &chunk.text;
+                    reason = chunk.finish_reason.or(reason);
+                }
+                Ok(None) => break Ok(()),
+                Err(refusal) => break Err(refusal),
+            }
+        },
+    };
+    let oracle = *connector.oracle.lock().unwrap();
+    let expected: String = (0..TOKENS).map(|position| format!("t{position} ")).collect();
+    prop_assert!(expected.starts_with(&text), "not a prefix: {text}");
+    if !repeatable {
+        prop_assert!(oracle.sent <= 1, "sent {} times", oracle.sent);
+    }
+    match end {
+        Ok(()) => {
+            prop_assert_eq!(text, expected);
+            prop_assert_eq!(reason.as_deref(), Some("stop"));
+        }
+        Err(refusal) => match refusal.outcome {
+            RunOutcome::NotRun => prop_assert_eq!(oracle.sent, 0, "{}", refusal),
+            RunOutcome::MayHaveRun => prop_assert!(oracle.sent > 0, "{}", refusal),
+            RunOutcome::Ran => prop_assert!(oracle.started > 0, "{}", refusal),
+        },
+    }
+    let fleet = dispatcher.fleet().load_full();
+    let ended = Instant::now();
+    while fleet.upstreams().any(|upstream| upstream.in_use() > 0) {
+        prop_assert!(ended.elapsed() < Duration::from_secs(1), "a slot was not given back");
+        task::sleep(Duration::from_millis(1)).await;
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(proptest_config::config())]
+
+    /// Guards against a second run of what must not repeat, a false `not_run`, a gap, a repeat, a
+    /// short answer that looks whole, and slots that are never given back.
+    #[test]
+    fn outcomes_agree_with_what_ran(
+        steps in prop::collection::vec(step(), 0..5),
+        repeatable in any::<bool>(),
+    ) {
+        task::block_on(check(steps, repeatable))?;
+    }
+
+    /// Guards against retries above their share of the traffic.
+    #[test]
+    fn retries_are_a_share_of_requests(
+        percent in 0..100u32,
+        events in prop::collection::vec(any::<bool>(), 0..2_000),
+    ) {
+        let budget = RetryBudget::default();
+        let (mut requests, mut retries) = (0, 0);
+        for is_request in events {
+            if is_request {
+                requests += 1;
+                budget.note_request(percent);
+            } else {
+                retries += u32::from(budget.take(0));
+            }
+        }
+        prop_assert!(retries <= 10 + requests * percent / 100);
+    }
+}
+
+/// Guards against a quiet host that may never retry, and against one that retries without bound.
+#[test]
+fn time_gives_a_few_retries() {
+    let budget = RetryBudget::default();
+    let take_all = |now_ms| (0..100).filter(|_| budget.take(now_ms)).count();
+    assert_eq!(take_all(0), 10);
+    assert_eq!(take_all(2_000), 2);
+    assert_eq!(take_all(1_000_000), 10);
+}
+
+/// Guards against more ejections than the limit, and against ejections for single failures.
+#[rstest]
+#[case(5, 0, 10, false)]
+#[case(6, 0, 10, true)]
+#[case(6, 2, 10, true)]
+#[case(6, 3, 10, false)]
+#[case(6, 0, 3, false)]
+fn ejection_keeps_its_limit(
+    #[case] weight: u32,
+    #[case] ejected: usize,
+    #[case] total: usize,
+    #[case] ejects: bool,
+) {
+    assert_eq!(EjectionPolicy { limit_percent: 30 }.ejects(weight, ejected, total), ejects);
+}
+
+/// Guards against a verdict on one loss that two hosts saw, and against one that outlives a finish.
+#[test]
+fn two_losses_convict_and_a_finish_clears() {
+    let detector = CrashDetector { verdict_ms: 100 };
+    let fingerprint = Fingerprint::of(&[b"request"]);
+    let lose =
+        |record: Option<&CrashRecord>, loss| detector.after_loss(record, &fingerprint, loss, 1_000);
+    let standing = |record: &CrashRecord| CrashDetector::standing(Some(record), 1_050);
+    let first = lose(None, "a@1");
+    assert_eq!(standing(&first), CrashStanding::Suspect);
+    assert_eq!(standing(&first.union(&lose(None, "a@1"))), CrashStanding::Suspect);
+    let second = first.union(&lose(None, "a@2"));
+    assert_eq!(standing(&second), CrashStanding::Convicted { expires_unix_ms: 1_100 });
+    assert_eq!(CrashDetector::standing(Some(&second), 1_100), CrashStanding::Clear);
+    let cleared = CrashDetector::after_finish(Some(&first)).unwrap();
+    assert_eq!(standing(&cleared.union(&first)), CrashStanding::Clear);
+    assert_eq!(standing(&lose(Some(&cleared), "b@1")), CrashStanding::Suspect);
+}
