Share the slots of an upstream between hosts by leases

Cause: each entry host counted only its own requests, so several hosts together sent an upstream more than its slots.

Change: an entry host chosen by rendezvous hashing lends the slots of an upstream (SlotOwner); each host spends what it was lent with one atomic word per upstream and reports five times in a lease (SlotHolder). A report voids the grants for earlier ones, so the owner counts the larger of what a holder says that it holds and what it grants. A new owner lends nothing beyond that before all hosts have reported or the longest old lease has run out. When online requests wait on one host, the owner asks the others to report at once and they cut batch streams above their leases.

--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use async_std::channel::{bounded, Receiver, Sender};
 use futures::channel::oneshot;
 
 use crate::admission::{
@@ -27,6 +28,8 @@
     /// End of the pause of batch, in milliseconds after `started`.
     batch_paused_until_ms: AtomicU64,
     lines: Mutex<Lines>,
+    /// Holds a notice when this host should ask for slots or give some back.
+    demands: (Sender<()>, Receiver<()>),
 }
 
 #[derive(Default)]
@@ -38,6 +41,7 @@
 }
 
 struct Waiting {
+    class: WorkClass,
     service: String,
     model: String,
     excluded: Vec<String>,
@@ -64,9 +68,57 @@
             waiting_batch: AtomicUsize::new(0),
             batch_paused_until_ms: AtomicU64::new(0),
             lines: Mutex::default(),
+            demands: bounded(1),
         })
     }
 
+    /// Notices that this host should ask for slots or give some back.
+    pub fn slot_demands(&self) -> Receiver<()> {
+        self.demands.1.clone()
+    }
+
+    /// Lets this host ask for slots soon.
+    pub fn ask_for_slots(&self) {
+        // A full queue means that a notice waits already.
+        let _ = self.demands.0.try_send(());
+    }
+
+    /// Waiting online requests for each upstream, each request counted at one that fits: in
+    /// `region` if there is one, and at another one in each `round`.
+    pub fn spread_waiting(
+        &self,
+        upstreams: &[&Arc<Upstream>],
+        region: &str,
+        round: u64,
+    ) -> Vec<u32> {
+        let mut counts = vec![0; upstreams.len()];
+        if self.waiting(WorkClass::Online) == 0 {
+            return counts;
+        }
+        let lines = self.lock();
+        for (ticket, waiting) in &lines.waiting {
+            if waiting.class != WorkClass::Online {
+                continue;
+            }
+            let fitting = |is_near: bool| {
+                let view = waiting.view();
+                let upstreams = upstreams.iter().enumerate();
+                let fitting = upstreams.filter(move |(_, upstream)| {
+                    (!is_near || upstream.record.region == region) && upstream.fits(&view)
+                });
+                fitting.map(|(index, _)| index).collect::<Vec<usize>>()
+            };
+            let mut places = fitting(true);
+            if places.is_empty() {
+                places = fitting(false);
+            }
+            if !places.is_empty() {
+                counts[places[((ticket + round) % places.len() as u64) as usize]] += 1;
+            }
+        }
+        counts
+    }
+
     /// Meaning of the balance that is configured.
     pub fn share(&self) -> BatchShare {
         BatchShare::new(self.policy.batch_yield())
@@ -121,6 +173,7 @@
         lines.next_ticket += 1;
         let ticket = lines.next_ticket;
         let waiting = Waiting {
+            class: view.class,
             service: view.service.to_owned(),
             model: view.model.to_owned(),
             excluded: view.excluded.to_vec(),
@@ -235,16 +288,19 @@
             WorkClass::Online => &self.online,
             WorkClass::Batch => &self.batch,
         };
-        queue.first(|ticket| {
-            let waiting = &self.waiting[&ticket];
-            upstream.fits(&RequestView {
-                service: &waiting.service,
-                model: &waiting.model,
-                class,
-                prefix_hashes: &[],
-                excluded: &waiting.excluded,
-            })
-        })
+        queue.first(|ticket| upstream.fits(&self.waiting[&ticket].view()))
+    }
+}
+
+impl Waiting {
+    fn view(&self) -> RequestView<'_> {
+        RequestView {
+            service: &self.service,
+            model: &self.model,
+            class: self.class,
+            prefix_hashes: &[],
+            excluded: &self.excluded,
+        }
     }
 }
 
@@ -270,6 +326,11 @@
 
 impl SlotWatcher for SlotQueue {
     fn slot_freed(&self, upstream: &Arc<Upstream>) {
+        let counts = upstream.slots();
+        // The slot was above the lease, so it may serve another host once its owner knows.
+        if counts.in_use() >= counts.slots && u32::from(counts.slots) < upstream.record.slots {
+            self.ask_for_slots();
+        }
         self.serve(upstream);
     }
 }
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -67,6 +67,8 @@
             batch_in_use: upstream.in_use_by(WorkClass::Batch),
             online_wanted: 0,
             batch_wanted: 0,
+            held: upstream.slots().slots.into(),
+            online_recent: 0,
         });
         uses.collect()
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,12 +1,11 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 
-use async_std::channel::{bounded, Receiver};
 use async_std::net::TcpListener;
 use async_trait::async_trait;
 use miette::{IntoDiagnostic, Result, WrapErr};
 
-use crate::admission::SlotQueue;
+use crate::admission::{ExchangeParts, SlotExchange, SlotQueue};
 use crate::batch::{BatchOptions, BatchRunner};
 use crate::configuration::ConfigurationWatch;
 use crate::control::{unix_ms, Control, RemoteState};
@@ -45,6 +44,7 @@
     entry: Entry,
     batch: BatchRunner,
     configuration: ConfigurationWatch,
+    exchange: SlotExchange,
 }
 
 /// Hands what peers send to the part that it is for.
@@ -56,6 +56,8 @@
     counters: Counters,
     /// Set once the entry role serves.
     entry: OnceLock<Arc<EntryShared>>,
+    /// Set with the entry role.
+    exchange: OnceLock<SlotExchange>,
 }
 
 #[async_trait]
@@ -67,12 +69,12 @@
                 self.activity.request_drain();
                 reply::Reply::Done(Default::default())
             }
+            (Some(call::Call::SlotReport(report)), _) => match self.exchange.get() {
+                Some(exchange) => reply::Reply::SlotGrant(exchange.receive(&report)),
+                None => unsupported(),
+            },
             (Some(call), Some(control)) => control.handle(call).await,
-            _ => reply::Reply::Failure(CallFailure {
-                kind: FailureKind::Unsupported.into(),
-                message: "this host does not answer such calls".to_owned(),
-                leader_address: String::new(),
-            }),
+            _ => unsupported(),
         };
         Reply { reply: Some(reply) }
     }
@@ -81,6 +83,11 @@
         match (body, &self.control) {
             (Body::Gossip(gossip), _) => self.membership.receive(gossip),
             (Body::Raft(message), Some(control)) => control.receive(message),
+            (Body::SlotNotice(_), _) => {
+                if let Some(exchange) = self.exchange.get() {
+                    exchange.wake();
+                }
+            }
             _ => {}
         }
     }
@@ -157,6 +164,7 @@
             activity: Activity::default(),
             counters: counters.clone(),
             entry: OnceLock::new(),
+            exchange: OnceLock::new(),
         });
         let listener = PeerListener::spawn(peers, &settings.peer_key, handler.clone())
             .into_diagnostic()
@@ -189,20 +197,27 @@
         let remote = RemoteState::open(caller.clone(), &settings.control_addresses, &host_id);
         let state: Arc<dyn StateClient> = Arc::new(remote);
         let members = self.membership.clone();
-        let (changes, changed) = bounded(1);
         let configuration = ConfigurationWatch::spawn(
             state.clone(),
             settings.entry.configuration_lease_ms,
             counters.clone(),
-            move |view| {
-                members.set_configuration_version(view.version());
-                let _ = changes.try_send(());
-            },
+            move |view| members.set_configuration_version(view.version()),
         );
         let queue = SlotQueue::open(Box::new(configuration.clone()), true);
         let fleet = Arc::new(Fleet::open(queue.clone()));
-        follow_members(&self.membership, fleet.clone(), queue.clone());
-        follow_share(changed, fleet.clone(), queue.clone());
+        follow_members(&self.membership, fleet.clone());
+        let exchange = SlotExchange::spawn(ExchangeParts {
+            host_id: host_id.clone(),
+            incarnation,
+            region: settings.region.clone(),
+            lease_ms: settings.entry.slot_lease_ms,
+            membership: self.membership.clone(),
+            fleet: fleet.clone(),
+            queue: queue.clone(),
+            caller: caller.clone(),
+            counters: counters.clone(),
+        });
+        let _ = self.handler.exchange.set(exchange.clone());
         let balancer = Box::new(WeightedScore::new(&settings.zone, &settings.region));
         let connector = Box::new(HttpConnector::open());
         let dispatcher = Dispatcher::open(fleet, balancer, connector, queue, counters.clone());
@@ -235,7 +250,7 @@
         let shared = Arc::new(shared);
         let _ = self.handler.entry.set(shared.clone());
         let entry = Entry::spawn(callers, shared).into_diagnostic().wrap_err("serving callers")?;
-        Ok(EntryParts { entry, batch, configuration })
+        Ok(EntryParts { entry, batch, configuration, exchange })
     }
 
     /// Address for callers, when the process has the entry role.
@@ -266,6 +281,7 @@
         if let Some(parts) = self.entry.take() {
             let (entry, batch) = (parts.entry, parts.batch);
             futures::join!(entry.drain(), batch.close());
+            parts.exchange.close().await;
             parts.configuration.close().await;
         }
         self.close().await;
@@ -276,6 +292,7 @@
         if let Some(parts) = self.entry.take() {
             parts.entry.close().await;
             parts.batch.close().await;
+            parts.exchange.close().await;
             parts.configuration.close().await;
         }
         if let Some(control) = self.handler.control.clone() {
@@ -288,6 +305,14 @@
     }
 }
 
+fn unsupported() -> reply::Reply {
+    reply::Reply::Failure(CallFailure {
+        kind: FailureKind::Unsupported.into(),
+        message: "this host does not answer such calls".to_owned(),
+        leader_address: String::new(),
+    })
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
     listener.into_diagnostic().wrap_err_with(|| format!("listening on {address}"))
@@ -311,22 +336,12 @@
 }
 
 /// Publishes a new fleet after each change of the members.
-fn follow_members(membership: &Membership, fleet: Arc<Fleet>, queue: Arc<SlotQueue>) {
+fn follow_members(membership: &Membership, fleet: Arc<Fleet>) {
     let changes = membership.subscribe();
     async_std::task::spawn(async move {
         while let Ok(view) = changes.recv().await {
             let serving = view.upstreams.iter().filter(|entry| entry.status == Status::Alive);
             fleet.replace(serving.map(|entry| (&entry.record, entry.incarnation)));
-            fleet.apply_share(queue.share());
-        }
-    });
-}
-
-/// Applies the balance between online and batch after each change of the configuration.
-fn follow_share(changed: Receiver<()>, fleet: Arc<Fleet>, queue: Arc<SlotQueue>) {
-    async_std::task::spawn(async move {
-        while changed.recv().await.is_ok() {
-            fleet.apply_share(queue.share());
         }
     });
 }
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -3,7 +3,6 @@
 
 use arc_swap::ArcSwap;
 
-use crate::admission::BatchShare;
 use crate::membership::UpstreamRecord;
 use crate::routing::{RequestView, SlotWatcher, Upstream};
 
@@ -139,12 +138,4 @@
         // Requests may wait for the slots of an upstream that is new.
         new.upstreams().for_each(|upstream| self.watcher.slot_freed(upstream));
     }
-
-    /// Sets the part of each upstream's slots that batch may use.
-    pub fn apply_share(&self, share: BatchShare) {
-        for upstream in self.snapshot.load().upstreams() {
-            let slots = upstream.record.slots;
-            upstream.set_limits(slots, slots - share.kept_free(slots));
-        }
-    }
 }
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -33,17 +33,14 @@
 }
 
 impl Upstream {
-    /// An upstream with nothing in flight, whose slots this host may all use. `watcher` learns of
-    /// each slot that becomes free.
+    /// An upstream with nothing in flight and no slots yet. `watcher` learns of each slot that
+    /// becomes free.
     pub fn new(
         record: Arc<UpstreamRecord>,
         incarnation: u64,
         watcher: Arc<dyn SlotWatcher>,
     ) -> Self {
-        let use_state = UseState::default();
-        let all = u16::try_from(record.slots).unwrap_or(u16::MAX);
-        use_state.slots.set_limits(all, all);
-        Self { record, incarnation, watcher, use_state: Arc::new(use_state) }
+        Self { record, incarnation, watcher, use_state: Arc::default() }
     }
 
     /// The same incarnation with a new record; what is in flight stays counted.
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -173,11 +173,11 @@
             return;
         }
         let fitting = candidates.iter().filter(|upstream| upstream.fits(view));
-        let Some(upstream) = fitting.max_by_key(|upstream| upstream.cuttable().len()) else {
-            return;
-        };
-        if upstream.cuttable().cut_newest() {
-            self.shared.counters.count("batch.cut");
+        let most = fitting.max_by_key(|upstream| upstream.cuttable().len());
+        match most.is_some_and(|upstream| upstream.cuttable().cut_newest()) {
+            true => self.shared.counters.count("batch.cut"),
+            // Other hosts may have idle slots or batch streams.
+            false => queue.ask_for_slots(),
         }
         self.pause_batch();
     }
