--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -2,9 +2,13 @@
 
 mod admission_policy;
 mod batch_share;
+mod crash_detector;
+mod crash_records;
 mod fair_queue;
+mod fingerprint;
 mod refusal;
 mod rendezvous;
+mod retry_budget;
 mod slot_cell;
 mod slot_demand;
 mod slot_exchange;
@@ -15,9 +19,13 @@
 
 pub use admission_policy::AdmissionPolicy;
 pub use batch_share::{BatchShare, DEFAULT_BATCH_YIELD};
+pub use crash_detector::{CrashDetector, CrashStanding};
+pub use crash_records::CrashRecords;
 pub use fair_queue::{FairQueue, QueueKey, QueuedRequest};
+pub use fingerprint::Fingerprint;
 pub use refusal::{Refusal, RefusalKind, RunOutcome};
 pub use rendezvous::slot_owner;
+pub use retry_budget::RetryBudget;
 pub use slot_cell::{SlotCell, SlotCounts};
 pub use slot_demand::SlotDemand;
 pub use slot_exchange::{ExchangeParts, SlotExchange};
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 
+use async_std::channel::{bounded, Receiver};
 use async_std::net::TcpListener;
 use async_trait::async_trait;
 use miette::{IntoDiagnostic, Result, WrapErr};
@@ -197,11 +198,15 @@
         let remote = RemoteState::open(caller.clone(), &settings.control_addresses, &host_id);
         let state: Arc<dyn StateClient> = Arc::new(remote);
         let members = self.membership.clone();
+        let (changes, changed) = bounded(1);
         let configuration = ConfigurationWatch::spawn(
             state.clone(),
             settings.entry.configuration_lease_ms,
             counters.clone(),
-            move |view| members.set_configuration_version(view.version()),
+            move |view| {
+                members.set_configuration_version(view.version());
+                let _ = changes.try_send(());
+            },
         );
         let queue = SlotQueue::open(Box::new(configuration.clone()), true);
         let fleet = Arc::new(Fleet::open(queue.clone()));
@@ -220,7 +225,10 @@
         let _ = self.handler.exchange.set(exchange.clone());
         let balancer = Box::new(WeightedScore::new(&settings.zone, &settings.region));
         let connector = Box::new(HttpConnector::open());
-        let dispatcher = Dispatcher::open(fleet, balancer, connector, queue, counters.clone());
+        let crashes = Arc::new(self.membership.clone());
+        let dispatcher =
+            Dispatcher::open(fleet, balancer, connector, queue, crashes, counters.clone());
+        follow_policy(changed, configuration.clone(), dispatcher.clone());
         let ledger = AnswerLedger::open(state.clone(), counters.clone(), &host_id, incarnation);
         let options = BatchOptions {
             host_id,
@@ -345,3 +353,13 @@
         }
     });
 }
+
+/// Applies the policy after each change of the configuration.
+fn follow_policy(changed: Receiver<()>, configuration: ConfigurationWatch, dispatcher: Dispatcher) {
+    async_std::task::spawn(async move {
+        while changed.recv().await.is_ok() {
+            let policy = configuration.load().configuration().policy.unwrap_or_default();
+            dispatcher.apply_policy(&policy);
+        }
+    });
+}
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -1,12 +1,12 @@
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{fence, AtomicU32, AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use async_std::channel::Sender;
 
 use crate::admission::{SlotCell, SlotCounts};
 use crate::membership::UpstreamRecord;
-use crate::routing::{CuttableStreams, RequestView, SlotWatcher, WorkClass};
+use crate::routing::{CuttableStreams, Health, Pace, RequestView, SlotWatcher, WorkClass};
 
 /// One upstream as this host sees it: its record and what was sent to it.
 #[derive(Debug)]
@@ -15,6 +15,10 @@
     pub record: Arc<UpstreamRecord>,
     /// Grows with each start of the upstream.
     pub incarnation: u64,
+    /// Times that it took lately.
+    pub pace: Arc<Pace>,
+    /// Whether it may get requests.
+    pub health: Arc<Health>,
     watcher: Arc<dyn SlotWatcher>,
     use_state: Arc<UseState>,
 }
@@ -24,9 +28,6 @@
 struct UseState {
     slots: SlotCell,
     cuttable: CuttableStreams,
-    failures: AtomicU32,
-    first_token_us: AtomicU64,
-    token_us: AtomicU64,
     service_us: AtomicU64,
     reported_running: AtomicU32,
     reported_waiting: AtomicU32,
@@ -40,13 +41,20 @@
         incarnation: u64,
         watcher: Arc<dyn SlotWatcher>,
     ) -> Self {
-        Self { record, incarnation, watcher, use_state: Arc::default() }
+        let (pace, health) = Default::default();
+        Self { record, incarnation, pace, health, watcher, use_state: Arc::default() }
     }
 
     /// The same incarnation with a new record; what is in flight stays counted.
     pub fn with_record(&self, record: Arc<UpstreamRecord>) -> Self {
-        let (watcher, use_state) = (self.watcher.clone(), self.use_state.clone());
-        Self { record, incarnation: self.incarnation, watcher, use_state }
+        Self {
+            record,
+            incarnation: self.incarnation,
+            pace: self.pace.clone(),
+            health: self.health.clone(),
+            watcher: self.watcher.clone(),
+            use_state: self.use_state.clone(),
+        }
     }
 
     /// Slots in use by this host and their limits.
@@ -101,58 +109,45 @@
             && !request.excluded.contains(&record.upstream_id)
     }
 
-    /// Attempts in a row that failed here.
-    pub fn failures(&self) -> u32 {
-        self.use_state.failures.load(Ordering::Relaxed)
-    }
-
-    /// Average time to the first token, in microseconds; 0 before the first one.
-    pub fn first_token_us(&self) -> u64 {
-        self.use_state.first_token_us.load(Ordering::Relaxed)
-    }
-
-    /// Average time of a token after the first, in microseconds; 0 before the first answer.
-    pub fn token_us(&self) -> u64 {
-        self.use_state.token_us.load(Ordering::Relaxed)
-    }
-
     /// Average time that an online request uses a slot, in microseconds; 0 before the first one.
     pub fn service_us(&self) -> u64 {
         self.use_state.service_us.load(Ordering::Relaxed)
     }
 
-    /// Takes one slot, or `None` when the class may use no more.
+    /// Takes one slot, or `None` when the class may use no more or the upstream gets no requests
+    /// now.
     pub fn acquire(self: &Arc<Self>, class: WorkClass) -> Option<SlotPermit> {
-        let acquired = self.use_state.slots.acquire(class);
-        acquired.then(|| SlotPermit {
-            upstream: self.clone(),
-            class,
-            taken: Instant::now(),
-            cuttable: None,
-        })
+        if !self.health.takes_requests() || !self.use_state.slots.acquire(class) {
+            return None;
+        }
+        // A trial that begins looks at the slots after it has closed the upstream, so one of the
+        // two sees the other.
+        fence(Ordering::SeqCst);
+        if !self.health.takes_requests() {
+            // Nobody is told of the free slot, as nobody may have it.
+            self.use_state.slots.release(class);
+            return None;
+        }
+        Some(self.permit(class))
     }
 
-    /// Batch streams that can be cut.
-    pub fn cuttable(&self) -> &CuttableStreams {
-        &self.use_state.cuttable
+    /// Takes one slot whether or not the upstream gets ordinary requests.
+    pub(super) fn acquire_on_trial(self: &Arc<Self>, class: WorkClass) -> Option<SlotPermit> {
+        self.use_state.slots.acquire(class).then(|| self.permit(class))
     }
 
-    /// Notes a finished attempt with its time to the first token.
-    pub fn record_success(&self, first_token_us: u64) {
-        self.use_state.failures.store(0, Ordering::Relaxed);
-        average(&self.use_state.first_token_us, first_token_us);
+    /// Offers the free slots to requests that wait.
+    pub fn offer_slots(self: &Arc<Self>) {
+        self.watcher.slot_freed(self);
     }
 
-    /// Notes the time that an answer took for its tokens after the first.
-    pub fn record_tokens(&self, tokens: u64, time: Duration) {
-        if let Some(token_us) = (time.as_micros() as u64).checked_div(tokens) {
-            average(&self.use_state.token_us, token_us);
-        }
+    fn permit(self: &Arc<Self>, class: WorkClass) -> SlotPermit {
+        SlotPermit { upstream: self.clone(), class, taken: Instant::now(), cuttable: None }
     }
 
-    /// Notes an attempt that the upstream failed.
-    pub fn record_failure(&self) {
-        self.use_state.failures.fetch_add(1, Ordering::Relaxed);
+    /// Batch streams that can be cut.
+    pub fn cuttable(&self) -> &CuttableStreams {
+        &self.use_state.cuttable
     }
 
     /// Notes the load of all hosts together, as the upstream reported it some time ago.
--- a/src/serving/answer_format.rs
+++ b/src/serving/answer_format.rs
@@ -88,6 +88,7 @@
             tokens: tokens.and_then(Value::as_u64).unwrap_or(0) as u32,
             finish_reason: choice.get("finish_reason")?.as_str()?.to_owned(),
             usage,
+            ..Answer::default()
         })
     }
 
--- a/src/serving/running_answer.rs
+++ b/src/serving/running_answer.rs
@@ -3,7 +3,7 @@
 use async_std::task;
 
 use crate::admission::{Refusal, RefusalKind, RunOutcome};
-use crate::routing::SlotPermit;
+use crate::routing::{SlotPermit, Trial};
 use crate::serving::dispatcher::time_left;
 use crate::serving::{AttemptFailure, AttemptPolicy, Dispatcher, EngineRequest, NextStep};
 use crate::telemetry::Span;
@@ -21,13 +21,18 @@
     attempt: Option<Attempt>,
     excluded: Vec<String>,
     attempts: u32,
-    sent: bool,
+    progress: RunOutcome,
+    /// The last piece, once all others were handed on.
+    last: Option<Chunk>,
     done: bool,
 }
 
+/// An attempt in flight. Fields are dropped in this order: the connection is closed before the
+/// slot is free, and the slot is free before the trial ends.
 struct Attempt {
-    permit: SlotPermit,
     stream: EngineStream,
+    permit: SlotPermit,
+    _trial: Option<Trial>,
     span: Span,
     started: Instant,
     first_token: Option<Duration>,
@@ -57,6 +62,7 @@
         request: EngineRequest,
         span: &Span,
     ) -> Result<Self, Refusal> {
+        dispatcher.note_request();
         let assembler = StreamAssembler::starting_at(request.first_position);
         let mut answer = Self {
             dispatcher,
@@ -65,7 +71,8 @@
             attempt: None,
             excluded: Vec::new(),
             attempts: 0,
-            sent: false,
+            progress: RunOutcome::NotRun,
+            last: None,
             done: false,
         };
         answer.attempt = Some(answer.open(span).await?);
@@ -83,20 +90,31 @@
         self.assembler.next_position()
     }
 
+    /// What is known of the request now.
+    pub fn progress(&self) -> RunOutcome {
+        self.progress
+    }
+
     /// The next piece in order; `None` once the answer is whole.
     ///
     /// When an upstream fails in the middle, another one continues at the same position.
     pub async fn next(&mut self, span: &Span) -> Result<Option<Chunk>, Refusal> {
         loop {
             if let Some(chunk) = self.assembler.pop() {
+                self.progress = RunOutcome::Ran;
                 return Ok(Some(chunk));
             }
             if self.done {
-                return Ok(None);
+                return Ok(self.last.take());
             }
             let Err(failure) = self.read().await else { continue };
-            self.close_failed_attempt(&failure);
-            self.pause_after(failure).await?;
+            let Some(attempt) = self.attempt.take() else {
+                return Err(self.deadline_refusal());
+            };
+            let Attempt { stream, permit, _trial: trial, span: attempt_span, .. } = attempt;
+            // The upstream must not go on with what another one may continue.
+            drop(stream);
+            self.fail(permit, trial, attempt_span, failure).await?;
             self.assembler.restart();
             self.attempt = Some(self.open(span).await?);
         }
@@ -105,64 +123,72 @@
     /// Reads one event into the assembler.
     async fn read(&mut self) -> Result<(), AttemptFailure> {
         let Some(attempt) = self.attempt.as_mut() else {
-            return Err(failed("no attempt is running".to_owned()));
+            return Err(AttemptFailure::deadline());
         };
-        let event =
-            async_std::future::timeout(time_left(self.request.deadline), attempt.stream.next());
-        let event = match event.await {
-            Err(_) => return Err(failed("the deadline passed".to_owned())),
-            Ok(Err(error)) => return Err(failed(error.to_string())),
-            Ok(Ok(event)) => event,
+        let pace = &attempt.permit.upstream().pace;
+        let time_left = time_left(self.request.deadline);
+        let limit = match (self.request.repeatable, attempt.first_token.is_some()) {
+            // No other upstream may take over, so nothing is gained by giving up early.
+            (false, _) => time_left,
+            (true, false) => pace.first_token_limit().saturating_sub(attempt.started.elapsed()),
+            (true, true) => pace.token_limit(),
+        };
+        let asked = Instant::now();
+        let event = match attempt.stream.next(limit.min(time_left)).await {
+            Err(_) if time_left <= limit && asked.elapsed() >= time_left => {
+                return Err(AttemptFailure::deadline());
+            }
+            event => event?,
         };
         let chunk = match event {
             EngineEvent::Chunk(chunk) => chunk,
-            EngineEvent::Done if self.assembler.has_gap() => {
-                return Err(failed("the stream ended with a gap".to_owned()));
-            }
             EngineEvent::Done => {
-                self.finish().await;
+                self.last = Some(self.assembler.finish()?);
+                self.finish();
                 return Ok(());
             }
         };
         attempt.pieces += 1;
-        if attempt.first_token.is_none() {
+        if attempt.first_token.is_none() && !chunk.text.is_empty() {
             let first_token = attempt.started.elapsed();
             attempt.first_token = Some(first_token);
-            attempt.permit.upstream().record_success(first_token.as_micros() as u64);
+            pace.record_first_token(first_token);
         }
-        if !self.assembler.push(chunk) {
-            return Err(failed("a piece of the stream is missing".to_owned()));
-        }
-        Ok(())
+        Ok(self.assembler.push(chunk)?)
     }
 
-    async fn finish(&mut self) {
+    fn finish(&mut self) {
         self.done = true;
         let Some(attempt) = self.attempt.take() else { return };
+        let upstream = attempt.permit.upstream();
         if let Some(first_token) = attempt.first_token {
             // The last piece has no token.
             let time = attempt.started.elapsed().saturating_sub(first_token);
-            attempt.permit.upstream().record_tokens(attempt.pieces.saturating_sub(2), time);
+            upstream.pace.record_tokens(attempt.pieces.saturating_sub(2), time);
         }
-        attempt.stream.close().await;
+        upstream.health.record_success();
+        self.dispatcher.crashes().note_finish(&self.request.fingerprint);
+        attempt.stream.close();
         attempt.span.close();
     }
 
-    fn close_failed_attempt(&mut self, failure: &AttemptFailure) {
-        let Some(mut attempt) = self.attempt.take() else { return };
-        attempt.span.text("error", &failure.reason);
-        attempt.permit.upstream().record_failure();
-        self.excluded.push(attempt.permit.upstream().record.upstream_id.clone());
-    }
-
     /// Opens an attempt, trying other upstreams while the policy allows it.
     async fn open(&mut self, parent: &Span) -> Result<Attempt, Refusal> {
         loop {
             if time_left(self.request.deadline).is_zero() {
                 return Err(self.deadline_refusal());
             }
-            let acquired = self.dispatcher.acquire(&self.request, &self.excluded).await;
-            let permit = acquired.map_err(|refusal| self.adjust(refusal))?;
+            let request = &self.request;
+            let view = request.view(&self.excluded);
+            let acquired = self
+                .dispatcher
+                .acquire_by_standing(&view, &request.demand(), &request.fingerprint)
+                .await;
+            let (mut permit, trial) =
+                acquired.map_err(|refusal| refusal.at_least(self.progress))?;
+            if let Some(stop) = &request.stop {
+                permit.allow_cut(stop);
+            }
             let mut span = parent.child("upstream_attempt");
             span.text("upstream_id", &permit.upstream().record.upstream_id);
             span.number("position", self.assembler.next_position() as i64);
@@ -170,14 +196,13 @@
             self.attempts += 1;
             self.dispatcher.counters().count("attempt.started");
             let started = Instant::now();
-            let position = self.assembler.next_position();
-            let opened = self.dispatcher.open_stream(&self.request, &permit, position).await;
-            let failure = match opened {
+            let failure = match self.open_stream(&permit).await {
                 Ok(stream) => {
-                    self.sent = true;
+                    self.progress = self.progress.max(RunOutcome::MayHaveRun);
                     return Ok(Attempt {
-                        permit,
                         stream,
+                        permit,
+                        _trial: trial,
                         span,
                         started,
                         first_token: None,
@@ -186,46 +211,63 @@
                 }
                 Err(failure) => failure,
             };
-            span.text("error", &failure.reason);
-            if failure.status == 0 {
-                permit.upstream().record_failure();
+            self.fail(permit, trial, span, failure).await?;
+        }
+    }
+
+    async fn open_stream(&self, permit: &SlotPermit) -> Result<EngineStream, AttemptFailure> {
+        let time_left = time_left(self.request.deadline);
+        let limit = permit.upstream().pace.first_token_limit();
+        let timeout = if self.request.repeatable { limit.min(time_left) } else { time_left };
+        let position = self.assembler.next_position();
+        let opened = self.dispatcher.open_stream(&self.request, permit, position, timeout).await;
+        match opened {
+            Err(failure) if failure.was_sent() && self.request.deadline <= Instant::now() => {
+                Err(AttemptFailure::deadline())
             }
-            self.excluded.push(permit.upstream().record.upstream_id.clone());
-            drop(permit);
-            self.pause_after(failure).await?;
+            opened => opened,
         }
     }
 
-    async fn pause_after(&mut self, failure: AttemptFailure) -> Result<(), Refusal> {
-        self.dispatcher.counters().count("attempt.failed");
+    /// Ends a failed attempt, and waits before the next one if there may be one.
+    async fn fail(
+        &mut self,
+        permit: SlotPermit,
+        trial: Option<Trial>,
+        mut span: Span,
+        failure: AttemptFailure,
+    ) -> Result<(), Refusal> {
+        span.text("error", &failure.reason);
+        let upstream = permit.upstream().clone();
+        drop(permit);
+        self.excluded.push(upstream.record.upstream_id.clone());
         let policy = AttemptPolicy {
             repeatable: self.request.repeatable,
+            can_resume: self.assembler.can_resume(),
             attempts: self.attempts,
-            sent_before: self.sent,
+            progress: self.progress,
             time_left: time_left(self.request.deadline),
         };
-        self.sent |= failure.sent;
+        self.progress = policy.outcome(&failure);
+        let (fingerprint, deadline) = (&self.request.fingerprint, self.request.deadline);
+        self.dispatcher
+            .note_failure(&upstream, fingerprint, deadline, &failure)
+            .await
+            .map_err(|refusal| refusal.at_least(self.progress))?;
+        // Nothing else may run on an upstream before it is known whether this request killed it.
+        drop(trial);
         match policy.next_step(&failure, rand::random()) {
             NextStep::GiveUp(refusal) => Err(refusal),
-            NextStep::Retry { pause } => {
+            NextStep::Retry { pause } if self.dispatcher.take_retry() => {
                 task::sleep(pause).await;
                 Ok(())
             }
+            NextStep::Retry { .. } => Err(policy.refusal(&failure)),
         }
     }
 
-    /// A refusal of a later attempt must tell what earlier ones may have done.
-    fn adjust(&self, refusal: Refusal) -> Refusal {
-        let outcome = if self.sent { RunOutcome::MayHaveRun } else { refusal.outcome };
-        refusal.with_outcome(outcome)
-    }
-
     fn deadline_refusal(&self) -> Refusal {
         let message = "the deadline passed before an upstream answered";
-        self.adjust(Refusal::not_run(RefusalKind::DeadlineExceeded, message))
+        Refusal::not_run(RefusalKind::DeadlineExceeded, message).with_outcome(self.progress)
     }
 }
-
-fn failed(reason: String) -> AttemptFailure {
-    AttemptFailure { sent: true, status: 0, reason }
-}
--- a/src/state/replicated_state.rs
+++ b/src/state/replicated_state.rs
@@ -73,14 +73,13 @@
         render::outcome(&outcome, &tables, &self.bodies).encode_to_vec().into()
     }
 
+    /// Fixes a shared view of the tables before the first write, so that later commands do not wait.
     fn save(&self, target: &mut dyn io::Write) -> io::Result<()> {
         let tables = self.tables.read().expect("lock is not poisoned");
-        let pin = self.bodies.pin();
         let frozen = tables.freeze();
+        let sealed = self.bodies.store().seal();
         drop(tables);
-        let saved = snapshot::save(frozen, self.bodies.store(), target);
-        drop(pin);
-        saved
+        snapshot::save(frozen, &*sealed, target)
     }
 
     fn restore(&self, source: &mut dyn io::Read) -> io::Result<()> {
