--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -298,10 +298,10 @@
         deadline: deadline(item),
         traceparent: String::new(),
         customer: item.customer.clone(),
-        first_position: answer.tokens.into(),
+        first_position: answer.position,
         stop: Some(stop),
     };
-    if answer.tokens > 0 {
+    if answer.position > 0 {
         shared.counters.count("batch.item_resumed");
     }
     let mut running = shared.dispatcher.start(request, &span).await?;
--- a/src/host.rs
+++ b/src/host.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use miette::{IntoDiagnostic, Result, WrapErr};
 
-use crate::admission::SlotQueue;
+use crate::admission::{ExchangeParts, SlotExchange, SlotQueue};
 use crate::batch::{BatchOptions, BatchRunner};
 use crate::configuration::ConfigurationWatch;
 use crate::control::{unix_ms, Control, RemoteState};
@@ -45,6 +45,7 @@
     entry: Entry,
     batch: BatchRunner,
     configuration: ConfigurationWatch,
+    exchange: SlotExchange,
 }
 
 /// Hands what peers send to the part that it is for.
@@ -56,6 +57,8 @@
     counters: Counters,
     /// Set once the entry role serves.
     entry: OnceLock<Arc<EntryShared>>,
+    /// Set with the entry role.
+    exchange: OnceLock<SlotExchange>,
 }
 
 #[async_trait]
@@ -67,12 +70,12 @@
                 self.activity.request_drain();
                 reply::Reply::Done(Default::default())
             }
+            (Some(call::Call::SlotReport(report)), _) => match self.exchange.get() {
+                Some(exchange) => reply::Reply::SlotGrant(exchange.receive(&report)),
+                None => unsupported(),
+            },
             (Some(call), Some(control)) => control.handle(call).await,
-            _ => reply::Reply::Failure(CallFailure {
-                kind: FailureKind::Unsupported.into(),
-                message: "this host does not answer such calls".to_owned(),
-                leader_address: String::new(),
-            }),
+            _ => unsupported(),
         };
         Reply { reply: Some(reply) }
     }
@@ -81,6 +84,11 @@
         match (body, &self.control) {
             (Body::Gossip(gossip), _) => self.membership.receive(gossip),
             (Body::Raft(message), Some(control)) => control.receive(message),
+            (Body::SlotNotice(_), _) => {
+                if let Some(exchange) = self.exchange.get() {
+                    exchange.wake();
+                }
+            }
             _ => {}
         }
     }
@@ -157,6 +165,7 @@
             activity: Activity::default(),
             counters: counters.clone(),
             entry: OnceLock::new(),
+            exchange: OnceLock::new(),
         });
         let listener = PeerListener::spawn(peers, &settings.peer_key, handler.clone())
             .into_diagnostic()
@@ -201,20 +210,32 @@
         );
         let queue = SlotQueue::open(Box::new(configuration.clone()), true);
         let fleet = Arc::new(Fleet::open(queue.clone()));
-        follow_members(&self.membership, fleet.clone(), queue.clone());
+        follow_members(&self.membership, fleet.clone());
+        let exchange = SlotExchange::spawn(ExchangeParts {
+            host_id: host_id.clone(),
+            incarnation,
+            region: settings.region.clone(),
+            lease_ms: settings.entry.slot_lease_ms,
+            membership: self.membership.clone(),
+            fleet: fleet.clone(),
+            queue: queue.clone(),
+            caller: caller.clone(),
+            counters: counters.clone(),
+        });
+        let _ = self.handler.exchange.set(exchange.clone());
         let balancer = Box::new(WeightedScore::new(&settings.zone, &settings.region));
         let connector = Box::new(HttpConnector::open());
         let members = self.membership.clone();
         let crashes = SharedCrashRecords::open(members, state.clone(), &host_id, incarnation);
         let dispatcher = Dispatcher::open(
-            fleet.clone(),
+            fleet,
             balancer,
             connector,
-            queue.clone(),
+            queue,
             Arc::new(crashes),
             counters.clone(),
         );
-        follow_policy(changed, configuration.clone(), fleet, queue, dispatcher.clone());
+        follow_policy(changed, configuration.clone(), dispatcher.clone());
         let ledger = AnswerLedger::open(state.clone(), counters.clone(), &host_id, incarnation);
         let options = BatchOptions {
             host_id,
@@ -244,7 +265,7 @@
         let shared = Arc::new(shared);
         let _ = self.handler.entry.set(shared.clone());
         let entry = Entry::spawn(callers, shared).into_diagnostic().wrap_err("serving callers")?;
-        Ok(EntryParts { entry, batch, configuration })
+        Ok(EntryParts { entry, batch, configuration, exchange })
     }
 
     /// Address for callers, when the process has the entry role.
@@ -275,6 +296,7 @@
         if let Some(parts) = self.entry.take() {
             let (entry, batch) = (parts.entry, parts.batch);
             futures::join!(entry.drain(), batch.close());
+            parts.exchange.close().await;
             parts.configuration.close().await;
         }
         self.close().await;
@@ -285,6 +307,7 @@
         if let Some(parts) = self.entry.take() {
             parts.entry.close().await;
             parts.batch.close().await;
+            parts.exchange.close().await;
             parts.configuration.close().await;
         }
         if let Some(control) = self.handler.control.clone() {
@@ -297,6 +320,14 @@
     }
 }
 
+fn unsupported() -> reply::Reply {
+    reply::Reply::Failure(CallFailure {
+        kind: FailureKind::Unsupported.into(),
+        message: "this host does not answer such calls".to_owned(),
+        leader_address: String::new(),
+    })
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
     listener.into_diagnostic().wrap_err_with(|| format!("listening on {address}"))
@@ -320,28 +351,20 @@
 }
 
 /// Publishes a new fleet after each change of the members.
-fn follow_members(membership: &Membership, fleet: Arc<Fleet>, queue: Arc<SlotQueue>) {
+fn follow_members(membership: &Membership, fleet: Arc<Fleet>) {
     let changes = membership.subscribe();
     async_std::task::spawn(async move {
         while let Ok(view) = changes.recv().await {
             let serving = view.upstreams.iter().filter(|entry| entry.status == Status::Alive);
             fleet.replace(serving.map(|entry| (&entry.record, entry.incarnation)));
-            fleet.apply_share(queue.share());
         }
     });
 }
 
 /// Applies the policy after each change of the configuration.
-fn follow_policy(
-    changed: Receiver<()>,
-    configuration: ConfigurationWatch,
-    fleet: Arc<Fleet>,
-    queue: Arc<SlotQueue>,
-    dispatcher: Dispatcher,
-) {
+fn follow_policy(changed: Receiver<()>, configuration: ConfigurationWatch, dispatcher: Dispatcher) {
     async_std::task::spawn(async move {
         while changed.recv().await.is_ok() {
-            fleet.apply_share(queue.share());
             let policy = configuration.load().configuration().policy.unwrap_or_default();
             dispatcher.apply_policy(&policy);
         }
