--- a/src/serving/trials.rs
+++ b/src/serving/trials.rs
@@ -40,16 +40,24 @@
         demand: &SlotDemand<'_>,
         fingerprint: &Fingerprint,
     ) -> Result<(SlotPermit, Option<HeldTrial>), Refusal> {
+        // Without another upstream, one that failed the request before is better than none.
+        let view =
+            if self.has_another(view) { *view } else { RequestView { excluded: &[], ..*view } };
         match self.crashes().standing(fingerprint) {
-            CrashStanding::Clear => Ok((self.acquire_for(view, demand).await?, None)),
+            CrashStanding::Clear => Ok((self.acquire_for(&view, demand).await?, None)),
             CrashStanding::Suspect => {
-                let (permit, trial) = self.acquire_alone(view, demand.deadline).await?;
+                let (permit, trial) = self.acquire_alone(&view, demand.deadline).await?;
                 Ok((permit, Some(trial)))
             }
             CrashStanding::Convicted { expires_unix_ms } => Err(convicted(expires_unix_ms)),
         }
     }
 
+    fn has_another(&self, view: &RequestView<'_>) -> bool {
+        let snapshot = self.fleet().load();
+        view.excluded.is_empty() || snapshot.candidates(view).iter().any(|other| other.fits(view))
+    }
+
     /// Takes an upstream for a crash suspect alone: no other request of this host and no suspect
     /// of another host is in flight there until the trial is dropped.
     async fn acquire_alone(
@@ -87,6 +95,8 @@
         let limit_percent = self.ejector().policy().limit_percent as usize;
         let limit = (candidates.len() * limit_percent / 100).max(1);
         let mut usable: Vec<_> = candidates.iter().filter(|upstream| upstream.fits(view)).collect();
+        // A host without a lease of an upstream's slots may run nothing there.
+        usable.retain(|upstream| upstream.slots().slots > 0);
         usable.sort_by_key(|upstream| (upstream.in_use(), upstream.reported_load().0));
         for upstream in usable {
             let kept = candidates.iter().filter(|upstream| upstream.health.is_on_trial()).count();
@@ -128,6 +138,7 @@
             let known = self.fleet().load().upstream(&upstream.record.upstream_id).cloned();
             if known.is_none_or(|known| known.incarnation != upstream.incarnation)
                 || upstream.health.is_ejected()
+                || upstream.slots().slots == 0
             {
                 return None;
             }
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -243,6 +243,9 @@
         })
         .collect();
     fleet.replace(records.iter().map(|record| (record, 1)));
+    fleet.load().upstreams().for_each(|upstream| {
+        upstream.set_limits(2, 2);
+    });
     let balancer = Box::new(WeightedScore::new("", ""));
     let counters = Counters::open("test", None);
     let records = Arc::new(Records::default());
@@ -289,6 +292,7 @@
 }
 
 async fn check(steps: Vec<Step>, repeatable: bool) -> Result<(), TestCaseError> {
+    let must_succeed = steps.is_empty();
     let connector = FakeConnector::default();
     connector.steps.lock().unwrap().extend(steps);
     let dispatcher = dispatcher(connector.clone());
@@ -314,6 +318,7 @@
     if !repeatable {
         prop_assert!(oracle.sent <= 1, "sent {} times", oracle.sent);
     }
+    prop_assert!(!must_succeed || end.is_ok(), "nothing failed, and the answer is not whole");
     match end {
         Ok(()) => {
             prop_assert_eq!(text, expected);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -73,6 +73,22 @@
     });
 }
 
+/// Guards against a service with one upstream whose streams end with each broken connection.
+#[test]
+fn the_only_engine_may_continue_after_its_restart() {
+    task::block_on(async {
+        let cluster = Cluster::open(ClusterOptions::new(1, 1)).await;
+        let restart = async {
+            until_running(&cluster).await;
+            task::sleep(Duration::from_millis(150)).await;
+            cluster.engines[0].restart();
+        };
+        let (answer, ()) = futures::join!(post(&cluster, 0, "bell", 100), restart);
+        assert!(is_whole(&answer, "bell", 100), "{}", answer.body);
+        cluster.close().await;
+    });
+}
+
 /// Guards against callers that wait for a frozen engine until their deadline.
 #[test]
 fn a_frozen_engine_is_left_in_mid_stream() {
