Test the wait after a restart where it counts, and say who may vote

Change: the test starts later; the module's page says how a first start, a lost disk and a damaged log are told apart.

Conclusion: without the rule the test fails, with it it passes.

--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -2,6 +2,17 @@
 //!
 //! [`RaftNode`] makes the decisions. [`Group`] drives one replica: it owns the log on disk, the
 //! timers and the messages, and applies committed commands to a [`StateMachine`].
+//!
+//! # Who may vote
+//!
+//! The identity file of a replica says whether it may vote ([`Standing`]). With an empty data folder
+//! it gets a new identity with a random nonce. The initial replicas of a new group tell each other
+//! their nonces; the group is formed once all of them were heard of, and the nonces stay on record.
+//! So the first start needs all initial replicas at once and no other sign. A host that lost its
+//! disk has a nonce that nobody knows: it reports a fault and never votes, and is replaced under a
+//! new replica id, as a learner that becomes a voter once it has caught up. A replica that finds a
+//! damaged record keeps what comes before it, reports the fault, and votes again only when it has
+//! all that it may have acknowledged.
 
 mod action;
 mod callers;
--- a/tests/raft_node.rs
+++ b/tests/raft_node.rs
@@ -19,10 +19,10 @@
 }
 
 fn node(standing: Standing, terms: &[u64]) -> RaftNode {
-    node_with(standing, terms, false)
+    node_with(standing, terms, false, 0)
 }
 
-fn node_with(standing: Standing, terms: &[u64], lease_reads: bool) -> RaftNode {
+fn node_with(standing: Standing, terms: &[u64], lease_reads: bool, started_ms: u64) -> RaftNode {
     let config = NodeConfig {
         id: 1,
         heartbeat_interval_ms: 100,
@@ -35,7 +35,7 @@
     let snapshot = SnapshotMeta { replicas: replicas(3), ..Default::default() };
     let log = Log::new(snapshot.clone(), entries(terms));
     let hard_state = HardState { term: terms.last().copied().unwrap_or(0), vote: None };
-    RaftNode::new(config, Recovered { hard_state, standing, snapshot, log }, 0, 1)
+    RaftNode::new(config, Recovered { hard_state, standing, snapshot, log }, started_ms, 1)
 }
 
 fn message(from: u64, term: u64, body: Body) -> Message {
@@ -144,12 +144,12 @@
 // leader just before not to vote.
 #[test]
 fn a_restarted_replica_waits_before_it_votes() {
-    let mut node = node(Standing::Member, &[1]);
+    let mut node = node_with(Standing::Member, &[1], false, 5_000);
     let request =
         || Body::VoteRequest { pre_vote: false, last_index: 1, last_term: 1, transfer: false };
-    node.step(599, message(2, 2, request()));
+    node.step(5_599, message(2, 2, request()));
     assert_eq!(node.hard_state().vote, None);
-    node.step(600, message(2, 2, request()));
+    node.step(5_600, message(2, 2, request()));
     assert_eq!(node.hard_state().vote, Some(2));
 }
 
@@ -174,7 +174,7 @@
 // lease, even when the message arrives after the transfer was given up.
 #[test]
 fn a_transfer_ends_the_lease_for_good() {
-    let mut node = node_with(Standing::Member, &[1], true);
+    let mut node = node_with(Standing::Member, &[1], true, 0);
     let now_ms = elect(&mut node);
     node.step(now_ms, reply(2, 2, 1));
     let confirms = |node: &mut RaftNode, id| {
