--- a/src/control/control_role.rs
+++ b/src/control/control_role.rs
@@ -13,8 +13,8 @@
 };
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{
-    call, reply, CallFailure, ChangeReplicas, ConfigurationNotice, ControlStatus, FailureKind,
-    RaftMessage, WatchConfiguration,
+    call, raft_message, reply, CallFailure, ChangeReplicas, ConfigurationNotice, ControlStatus,
+    FailureKind, RaftMessage, WatchConfiguration,
 };
 use crate::schema::state::{command, Command, Expire, Outcome, Query};
 use crate::settings::{ControlSettings, HostSettings};
@@ -47,7 +47,11 @@
 
 impl Outbox for PeerOutbox {
     fn send(&self, to_address: &str, message: RaftMessage) {
-        self.caller.send(to_address, TrafficClass::Online, Body::Raft(message));
+        let class = match message.body {
+            Some(raft_message::Body::SnapshotChunk(_)) => TrafficClass::Bulk,
+            _ => TrafficClass::Online,
+        };
+        self.caller.send(to_address, class, Body::Raft(message));
     }
 }
 
