--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -310,3 +310,46 @@
         cluster.close().await;
     });
 }
+
+/// Guards against a batch item that crashes engine after engine, and against a job that it takes
+/// down.
+#[test]
+fn a_poison_item_fails_and_the_others_finish() {
+    task::block_on(async {
+        let options = ClusterOptions::new(1, 4).with_engines(|engine| {
+            engine.crash_on = Some(POISON.to_owned());
+            engine.restart_after_ms = Some(500);
+        });
+        let cluster = Cluster::open(options).await;
+        let contents = ["one", "two", POISON, "three", "four"];
+        let lines: String = contents
+            .iter()
+            .enumerate()
+            .map(|(item, content)| {
+                let body = chat(content, 20, false);
+                let line = serde_json::json!({"custom_id": format!("item-{item}"),
+                    "method": "POST", "url": CHAT, "body": body});
+                format!("{line}\n")
+            })
+            .collect();
+        let caller = cluster.caller(0);
+        let file = caller.call("POST", "/v1/files?purpose=batch", &[], lines.as_bytes()).await;
+        let file = file.expect("the file is taken").json();
+        let batch = serde_json::json!({"input_file_id": file["id"], "endpoint": CHAT});
+        let job = caller.post("/v1/batches", &[], &batch).await.expect("a job").json();
+        let path = format!("/v1/batches/{}", job["id"].as_str().expect("an id"));
+        let started = Instant::now();
+        let mut job = job;
+        while job["status"] != "completed" {
+            assert!(started.elapsed() < Duration::from_secs(30), "the job did not end: {job}");
+            task::sleep(Duration::from_millis(100)).await;
+            job = caller.get(&path).await.expect("the job").json();
+        }
+        let results = caller.get(&format!("{path}/results")).await.expect("results").body;
+        let refused = results.lines().filter(|line| line.contains("crashes_upstreams")).count();
+        assert_eq!((results.lines().count(), refused), (5, 1), "{results}");
+        let starts: u64 = cluster.engines.iter().map(|engine| engine.stats().starts).sum();
+        assert!(starts <= 4 + 2, "{} engines were lost", starts - 4);
+        cluster.close().await;
+    });
+}
