--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -97,6 +97,11 @@
     }
 
     /// State of one host that is running.
+    pub fn address(&self, host: usize) -> std::net::SocketAddr {
+        let host = self.hosts[host].as_ref().expect("the host runs");
+        host.caller_address().expect("each host has the entry role")
+    }
+
     pub fn shared(&self, host: usize) -> &EntryShared {
         let host = self.hosts[host].as_ref().expect("the host is running");
         host.entry().expect("each host has the entry role").shared()
