--- a/src/host.rs
+++ b/src/host.rs
@@ -13,7 +13,7 @@
 use crate::entry::{Activity, Entry, EntryShared};
 use crate::membership::{HostRecord, Membership, MembershipOptions, Status};
 use crate::peer::{PeerCaller, PeerHandler, PeerListener, PeerPool};
-use crate::routing::{Fleet, WeightedScore};
+use crate::routing::{Balancer, Fleet, WeightedScore};
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{call, reply, Call, CallFailure, FailureKind, HostStatus, Reply};
 use crate::serving::{AnswerLedger, Dispatcher, OnlineService};
@@ -22,10 +22,28 @@
 use crate::telemetry::{Counters, Tracer};
 use crate::upstream::HttpConnector;
 
+/// How a host shares upstreams. Measurements compare other ways with the default one.
+pub struct SharingOptions {
+    /// Picks upstreams; `None` for the default one.
+    pub balancer: Option<Box<dyn Balancer>>,
+    /// Batch streams are cut for online requests that wait.
+    pub gives_way: bool,
+    /// Slots are lent by their owner; otherwise each host counts only its own requests.
+    pub leases: bool,
+}
+
+impl Default for SharingOptions {
+    fn default() -> Self {
+        Self { balancer: None, gives_way: true, leases: true }
+    }
+}
+
 /// A host that has its addresses and does not serve yet.
 pub struct BoundHost {
     /// Settings with the addresses that the host got.
     pub settings: HostSettings,
+    /// How it shares upstreams.
+    pub sharing: SharingOptions,
     callers: TcpListener,
     peers: TcpListener,
 }
@@ -45,7 +63,7 @@
     entry: Entry,
     batch: BatchRunner,
     configuration: ConfigurationWatch,
-    exchange: SlotExchange,
+    exchange: Option<SlotExchange>,
 }
 
 /// Hands what peers send to the part that it is for.
@@ -137,12 +155,12 @@
             settings.control_addresses =
                 replicas.map(|replica| replica.peer_address.clone()).collect();
         }
-        Ok(Self { settings, callers, peers })
+        Ok(Self { settings, sharing: SharingOptions::default(), callers, peers })
     }
 
     /// Starts the parts that the settings name.
     pub async fn open(self) -> Result<Host> {
-        let Self { settings, callers, peers } = self;
+        let Self { settings, sharing, callers, peers } = self;
         let incarnation = unix_ms();
         let telemetry = &settings.telemetry;
         let counters = Counters::open(&settings.host_id, telemetry.statsd_address);
@@ -174,7 +192,8 @@
         let mut host =
             Host { peer_address, listener, pool, handler, membership, entry: None, tracer };
         if settings.roles.entry {
-            host.entry = Some(host.open_entry(callers, settings, incarnation, caller, counters)?);
+            host.entry =
+                Some(host.open_entry(callers, settings, sharing, incarnation, caller, counters)?);
         }
         Ok(host)
     }
@@ -190,6 +209,7 @@
         &self,
         callers: TcpListener,
         settings: HostSettings,
+        sharing: SharingOptions,
         incarnation: u64,
         caller: Arc<dyn PeerCaller>,
         counters: Counters,
@@ -208,10 +228,10 @@
                 let _ = changes.try_send(());
             },
         );
-        let queue = SlotQueue::open(Box::new(configuration.clone()), true);
+        let queue = SlotQueue::open(Box::new(configuration.clone()), sharing.gives_way);
         let fleet = Arc::new(Fleet::open(queue.clone()));
-        follow_members(&self.membership, fleet.clone());
-        let exchange = SlotExchange::spawn(ExchangeParts {
+        follow_members(&self.membership, fleet.clone(), sharing.leases);
+        let parts = ExchangeParts {
             host_id: host_id.clone(),
             incarnation,
             region: settings.region.clone(),
@@ -221,9 +241,14 @@
             queue: queue.clone(),
             caller: caller.clone(),
             counters: counters.clone(),
-        });
-        let _ = self.handler.exchange.set(exchange.clone());
-        let balancer = Box::new(WeightedScore::new(&settings.zone, &settings.region));
+        };
+        let exchange = sharing.leases.then(|| SlotExchange::spawn(parts));
+        if let Some(exchange) = &exchange {
+            let _ = self.handler.exchange.set(exchange.clone());
+        }
+        let balancer = sharing
+            .balancer
+            .unwrap_or_else(|| Box::new(WeightedScore::new(&settings.zone, &settings.region)));
         let connector = Box::new(HttpConnector::open());
         let crashes = Arc::new(self.membership.clone());
         let dispatcher =
@@ -289,7 +314,9 @@
         if let Some(parts) = self.entry.take() {
             let (entry, batch) = (parts.entry, parts.batch);
             futures::join!(entry.drain(), batch.close());
-            parts.exchange.close().await;
+            if let Some(exchange) = parts.exchange {
+                exchange.close().await;
+            }
             parts.configuration.close().await;
         }
         self.close().await;
@@ -300,7 +327,9 @@
         if let Some(parts) = self.entry.take() {
             parts.entry.close().await;
             parts.batch.close().await;
-            parts.exchange.close().await;
+            if let Some(exchange) = parts.exchange {
+                exchange.close().await;
+            }
             parts.configuration.close().await;
         }
         if let Some(control) = self.handler.control.clone() {
@@ -344,12 +373,17 @@
 }
 
 /// Publishes a new fleet after each change of the members.
-fn follow_members(membership: &Membership, fleet: Arc<Fleet>) {
+fn follow_members(membership: &Membership, fleet: Arc<Fleet>, leases: bool) {
     let changes = membership.subscribe();
     async_std::task::spawn(async move {
         while let Ok(view) = changes.recv().await {
             let serving = view.upstreams.iter().filter(|entry| entry.status == Status::Alive);
             fleet.replace(serving.map(|entry| (&entry.record, entry.incarnation)));
+            if !leases {
+                for upstream in fleet.load().upstreams() {
+                    upstream.set_limits(upstream.record.slots, upstream.record.slots);
+                }
+            }
         }
     });
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,4 +24,4 @@
 pub mod telemetry;
 pub mod upstream;
 
-pub use host::{BoundHost, Host};
+pub use host::{BoundHost, Host, SharingOptions};
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use async_std::task;
 use damaskhoist::entry::EntryShared;
 use damaskhoist::settings::{HostSettings, ReplicaSettings, Roles};
-use damaskhoist::{BoundHost, Host};
+use damaskhoist::{BoundHost, Host, SharingOptions};
 use serde_json::{json, Value};
 use standin::{Caller, Engine, EngineOptions};
 use tempfile::TempDir;
@@ -31,12 +31,20 @@
     pub engines: Vec<EngineOptions>,
     /// Changes the settings of a host before it starts.
     pub adjust: fn(&mut HostSettings),
+    /// How hosts share upstreams.
+    pub sharing: fn() -> SharingOptions,
 }
 
 impl ClusterOptions {
     /// Hosts with one control host, and engines of [`MODEL`].
     pub fn new(hosts: usize, engines: usize) -> Self {
-        Self { hosts, control_hosts: 1, engines: vec![engine(); engines], adjust: |_| {} }
+        Self {
+            hosts,
+            control_hosts: 1,
+            engines: vec![engine(); engines],
+            adjust: |_| {},
+            sharing: SharingOptions::default,
+        }
     }
 
     /// The same change to each engine's settings.
@@ -173,7 +181,9 @@
         let folder = tempfile::tempdir().expect("a temporary folder");
         settings.control.data_folder = folder.path().to_path_buf();
         (options.adjust)(&mut settings);
-        bound.push(BoundHost::bind(settings).await.expect("a free port"));
+        let mut host = BoundHost::bind(settings).await.expect("a free port");
+        host.sharing = (options.sharing)();
+        bound.push(host);
         folders.push(folder);
     }
     (bound, folders)
