--- a/src/host.rs
+++ b/src/host.rs
@@ -16,7 +16,7 @@
 use crate::routing::{Balancer, Fleet, WeightedScore};
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{call, reply, Call, CallFailure, FailureKind, HostStatus, Reply};
-use crate::serving::{AnswerLedger, Dispatcher, OnlineService};
+use crate::serving::{AnswerLedger, Dispatcher, OnlineService, SharedCrashRecords};
 use crate::settings::{HostSettings, ReplicaSettings};
 use crate::state::StateClient;
 use crate::telemetry::{Counters, Tracer};
@@ -250,9 +250,16 @@
             .balancer
             .unwrap_or_else(|| Box::new(WeightedScore::new(&settings.zone, &settings.region)));
         let connector = Box::new(HttpConnector::open());
-        let crashes = Arc::new(self.membership.clone());
-        let dispatcher =
-            Dispatcher::open(fleet, balancer, connector, queue, crashes, counters.clone());
+        let members = self.membership.clone();
+        let crashes = SharedCrashRecords::open(members, state.clone(), &host_id, incarnation);
+        let dispatcher = Dispatcher::open(
+            fleet,
+            balancer,
+            connector,
+            queue,
+            Arc::new(crashes),
+            counters.clone(),
+        );
         follow_policy(changed, configuration.clone(), dispatcher.clone());
         let ledger = AnswerLedger::open(state.clone(), counters.clone(), &host_id, incarnation);
         let options = BatchOptions {
