--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -99,7 +99,7 @@
             let mut bytes = Vec::new();
             response.read_to_end(&mut bytes).await?;
             let headers = response.iter();
-            let headers = headers.map(|(name, value)| (name.to_string(), value.to_string()));
+            let headers = headers.map(|(name, value)| (name.to_string(), value.as_str().to_owned()));
             Ok(CallerAnswer {
                 status: response.status() as u16,
                 headers: headers.collect(),
