Test that hosts share slots and recall batch for each other

Guards against overshoot by several hosts, and against a host that gets no slot because batch of another host holds all.

--- a/tests/give_way.rs
+++ b/tests/give_way.rs
@@ -1,6 +1,8 @@
 //! Guards against online requests that wait behind batch work, and against batch items that lose
 //! or repeat a part of their answers when they give way. Real stand-in engine over loopback.
 
+mod support;
+
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
@@ -10,10 +12,11 @@
 use futures::AsyncReadExt;
 use serde_json::{json, Value};
 use standin::{Caller, Engine, EngineOptions};
+use support::{Cluster, ClusterOptions};
 
-const MODEL: &str = "slipper-lm";
+const MODEL: &str = support::MODEL;
 const SLOTS: u32 = 4;
-const ITEMS: usize = 10;
+const ITEMS: usize = 16;
 const ITEM_TOKENS: u32 = 60;
 const BURST: usize = 3;
 const STEP_TIMEOUT: Duration = Duration::from_secs(20);
@@ -138,3 +141,31 @@
         task::sleep(Duration::from_millis(10)).await;
     }
 }
+
+/// Guards against hosts that together send an engine more than its slots, and against a host that
+/// gets no slot because batch of another host holds all.
+#[async_std::test]
+async fn hosts_share_slots_and_recall_batch_for_each_other() {
+    let options = ClusterOptions::new(3, 2).with_engines(|engine| {
+        engine.slots = SLOTS;
+        engine.token_time_us = 10_000;
+    });
+    let cluster = Cluster::open(options).await;
+    let slots = u64::from(SLOTS) * 2;
+    create_job(cluster.caller(0)).await;
+    support::wait_until("batch fills the slots", STEP_TIMEOUT, || cluster.running() >= slots - 1)
+        .await;
+    // All slots of the fleet are wanted by one host, which holds about a third of them.
+    let caller = cluster.caller(2);
+    let burst = futures::future::join_all((0..slots).map(|_| first_token(caller))).await;
+    // Two token times on top, as in the test above.
+    let longest = burst.into_iter().max().unwrap();
+    assert!(
+        longest < FREE_WITHIN + Duration::from_millis(20),
+        "a request got its first token after {longest:?}"
+    );
+    for engine in &cluster.engines {
+        assert_eq!(engine.stats().max_overshoot, 0, "{}", engine.upstream_id());
+    }
+    cluster.close().await;
+}
