Choose upstreams by the prefix that they probably hold

Requests with a common prefix went to any upstream of the region, and the choice read every candidate.

Each upstream has a PrefixView that is published whole, built from its cache events; a lossy index of atomic words names likely holders of a block.

--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -251,6 +251,7 @@
         path: item.endpoint.clone(),
         body,
         fingerprint,
+        prefix_hashes: Vec::new(),
         class: WorkClass::Batch,
         repeatable: true,
         deadline: deadline(item),
--- a/src/host.rs
+++ b/src/host.rs
@@ -11,10 +11,10 @@
 use crate::entry::{Activity, Entry, EntryShared};
 use crate::membership::{HostRecord, Membership, MembershipOptions, Status};
 use crate::peer::{PeerCaller, PeerHandler, PeerListener, PeerPool};
-use crate::routing::{Fleet, WeightedScore};
+use crate::routing::{Fleet, HolderIndex, WeightedScore};
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{call, reply, Call, CallFailure, FailureKind, HostStatus, Reply};
-use crate::serving::{AnswerLedger, Dispatcher, OnlineService};
+use crate::serving::{AnswerLedger, BlockHasher, Dispatcher, OnlineService};
 use crate::settings::{HostSettings, ReplicaSettings};
 use crate::state::StateClient;
 use crate::telemetry::{Counters, Tracer};
@@ -188,10 +188,19 @@
         let state: Arc<dyn StateClient> = Arc::new(remote);
         let fleet = Arc::new(Fleet::default());
         follow_members(&self.membership, fleet.clone());
-        let balancer = Box::new(WeightedScore::new(&settings.zone, &settings.region));
+        let holders = Arc::new(HolderIndex::default());
+        let balancer = WeightedScore::new(&settings.zone, &settings.region, holders.clone());
         let connector = Box::new(HttpConnector::open());
         let crashes = Arc::new(self.membership.clone());
-        let dispatcher = Dispatcher::open(fleet, balancer, connector, crashes, counters.clone());
+        let dispatcher = Dispatcher::open(
+            fleet,
+            Box::new(balancer),
+            Box::new(BlockHasher),
+            connector,
+            crashes,
+            counters.clone(),
+        );
+        dispatcher.follow_cache_events(&settings.region, holders);
         let (members, policies) = (self.membership.clone(), dispatcher.clone());
         let configuration = ConfigurationWatch::spawn(
             state.clone(),
--- a/src/routing/balancer.rs
+++ b/src/routing/balancer.rs
@@ -13,4 +13,8 @@
         candidates: &[Arc<Upstream>],
         random: u64,
     ) -> Option<usize>;
+
+    /// Notes that a request was given a slot of an upstream, from which a policy may learn what
+    /// the upstream will have cached. Takes no lock.
+    fn note_sent(&self, _request: &RequestView<'_>, _upstream: &Upstream) {}
 }
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -89,6 +89,16 @@
         }
         self.upstreams.insert(record.upstream_id.clone(), upstream);
     }
+
+    /// Orders each list by number, so that a holder of a prefix is found by bisection.
+    fn sort(&mut self) {
+        let services = self.services.values_mut();
+        let services =
+            services.flat_map(|service| service.models.values_mut().chain([&mut service.all]));
+        for list in services.chain(self.models.values_mut()) {
+            list.sort_unstable_by_key(|upstream| upstream.prefixes.number());
+        }
+    }
 }
 
 /// The published snapshot of the fleet.
@@ -124,6 +134,7 @@
             };
             new.insert(upstream);
         }
+        new.sort();
         self.snapshot.store(Arc::new(new));
     }
 }
--- /dev/null
+++ b/src/routing/prefix_cell.rs
@@ -0,0 +1,39 @@
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+
+use arc_swap::{ArcSwap, Guard};
+
+use crate::routing::PrefixView;
+
+static NEXT_NUMBER: AtomicU32 = AtomicU32::new(1);
+
+/// The published view of one upstream's prefix cache.
+#[derive(Debug)]
+pub struct PrefixCell {
+    number: u32,
+    view: ArcSwap<PrefixView>,
+}
+
+impl PrefixCell {
+    /// Names the incarnation of the upstream in the index of holders; unique in the process.
+    pub fn number(&self) -> u32 {
+        self.number
+    }
+
+    /// The newest view.
+    pub fn load(&self) -> Guard<Arc<PrefixView>> {
+        self.view.load()
+    }
+
+    /// Publishes a view.
+    pub fn store(&self, view: PrefixView) {
+        self.view.store(Arc::new(view));
+    }
+}
+
+impl Default for PrefixCell {
+    fn default() -> Self {
+        let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+        Self { number, view: ArcSwap::default() }
+    }
+}
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use crate::membership::UpstreamRecord;
-use crate::routing::{Health, Pace, WorkClass};
+use crate::routing::{Health, Pace, PrefixCell, WorkClass};
 
 /// One upstream as this host sees it: its record and what was sent to it.
 #[derive(Debug)]
@@ -15,10 +15,14 @@
     pub pace: Pace,
     /// Whether it may get requests.
     pub health: Health,
+    /// What it probably holds in its prefix cache.
+    pub prefixes: PrefixCell,
     online_in_use: AtomicU32,
     batch_in_use: AtomicU32,
     reported_running: AtomicU32,
     reported_waiting: AtomicU32,
+    /// Requests of this host in flight when the load was reported.
+    in_use_at_report: AtomicU32,
 }
 
 impl Upstream {
@@ -29,10 +33,12 @@
             incarnation,
             pace: Pace::default(),
             health: Health::default(),
+            prefixes: PrefixCell::default(),
             online_in_use: AtomicU32::new(0),
             batch_in_use: AtomicU32::new(0),
             reported_running: AtomicU32::new(0),
             reported_waiting: AtomicU32::new(0),
+            in_use_at_report: AtomicU32::new(0),
         }
     }
 
@@ -73,6 +79,15 @@
     pub fn report_load(&self, running: u32, waiting: u32) {
         self.reported_running.store(running, Ordering::Relaxed);
         self.reported_waiting.store(waiting, Ordering::Relaxed);
+        self.in_use_at_report.store(self.in_use(), Ordering::Relaxed);
+    }
+
+    /// Requests of all hosts at the upstream: those of other hosts as last reported, and those of
+    /// this host as they are now.
+    pub fn estimated_load(&self) -> u32 {
+        let (running, waiting) = self.reported_load();
+        let own = self.in_use_at_report.load(Ordering::Relaxed);
+        self.in_use() + (running + waiting).saturating_sub(own)
     }
 
     /// Load that the upstream reported last: requests running and waiting.
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -9,11 +9,12 @@
 };
 use crate::control::unix_ms;
 use crate::routing::{
-    Balancer, Ejector, Fleet, RequestView, SlotPermit, Upstream, DEFAULT_EJECTION_LIMIT_PERCENT,
+    Balancer, Ejector, Fleet, HolderIndex, PromptHasher, RequestView, SlotPermit, Upstream,
+    DEFAULT_EJECTION_LIMIT_PERCENT,
 };
 use crate::schema::config::Policy;
 use crate::serving::{
-    probe, AttemptFailure, CrashWatch, EngineRequest, FailureCause, RunningAnswer,
+    cache_feed, probe, AttemptFailure, CrashWatch, EngineRequest, FailureCause, RunningAnswer,
     DEFAULT_CRASH_VERDICT_MS,
 };
 use crate::telemetry::{Counters, Span};
@@ -33,6 +34,7 @@
 pub(super) struct Shared {
     pub(super) fleet: Arc<Fleet>,
     balancer: Box<dyn Balancer>,
+    hasher: Box<dyn PromptHasher>,
     pub(super) connector: Box<dyn UpstreamConnector>,
     counters: Counters,
     started: Instant,
@@ -47,6 +49,7 @@
     pub fn open(
         fleet: Arc<Fleet>,
         balancer: Box<dyn Balancer>,
+        hasher: Box<dyn PromptHasher>,
         connector: Box<dyn UpstreamConnector>,
         crashes: Arc<dyn CrashRecords>,
         counters: Counters,
@@ -54,6 +57,7 @@
         let shared = Arc::new(Shared {
             fleet,
             balancer,
+            hasher,
             connector,
             counters,
             started: Instant::now(),
@@ -66,6 +70,11 @@
         Self { shared }
     }
 
+    /// Fills `holders` and the views of prefix caches from the cache events of a region.
+    pub fn follow_cache_events(&self, region: &str, holders: Arc<HolderIndex>) {
+        cache_feed::spawn(&self.shared, region, holders);
+    }
+
     /// Applies the policy of a new configuration.
     pub fn apply_policy(&self, policy: &Policy) {
         let shared = &self.shared;
@@ -147,9 +156,10 @@
     /// Starts a request and waits until an upstream begins its answer.
     pub async fn start(
         &self,
-        request: EngineRequest,
+        mut request: EngineRequest,
         span: &Span,
     ) -> Result<RunningAnswer, Refusal> {
+        request.prefix_hashes = self.shared.hasher.prefix_hashes(&request.model, &request.body);
         RunningAnswer::start(self.clone(), request, span).await
     }
 
@@ -173,6 +183,7 @@
             let choice = self.shared.balancer.choose(view, candidates, rand::random());
             let Some(index) = choice else { break };
             if let Some(permit) = candidates[index].acquire(view.class) {
+                self.shared.balancer.note_sent(view, permit.upstream());
                 return Ok(permit);
             }
         }
@@ -214,6 +225,12 @@
     }
 }
 
+impl Shared {
+    pub(super) fn counters(&self) -> &Counters {
+        &self.counters
+    }
+}
+
 /// The refusal of a request that is known to crash upstreams.
 pub(super) fn convicted(expires_unix_ms: u64) -> Refusal {
     let left_ms = expires_unix_ms.saturating_sub(unix_ms());
--- a/src/serving/engine_request.rs
+++ b/src/serving/engine_request.rs
@@ -18,6 +18,8 @@
     pub body: Vec<u8>,
     /// Recognises the content of the body.
     pub fingerprint: Fingerprint,
+    /// Hashes of the prompt's prefixes, the shortest first; set by the dispatcher.
+    pub prefix_hashes: Vec<u64>,
     /// Online or batch.
     pub class: WorkClass,
     /// It may be sent again after an upstream may have started it.
@@ -57,7 +59,7 @@
             service: &self.service,
             model: &self.model,
             class: self.class,
-            prefix_hashes: &[],
+            prefix_hashes: &self.prefix_hashes,
             excluded,
         }
     }
--- a/src/serving/online.rs
+++ b/src/serving/online.rs
@@ -210,6 +210,7 @@
             path: request.format.path().to_owned(),
             body: request.body.clone(),
             fingerprint: request.fingerprint,
+            prefix_hashes: Vec::new(),
             class: WorkClass::Online,
             repeatable: !request.identity.not_repeatable,
             deadline: request.identity.deadline,
