Measure choices and keep their cost flat

The first version of the prefix choice read the view of each upstream it drew and bisected the candidates for each noted holder.

--- a/src/routing/balancer.rs
+++ b/src/routing/balancer.rs
@@ -6,6 +6,7 @@
 pub trait Balancer: Send + Sync {
     /// Index of the chosen candidate, or `None` when none has a free slot.
     ///
+    /// `candidates` are ordered by region and number, as [`crate::routing::FleetSnapshot`] gives them;
     /// `random` is a fresh random number. Takes no lock and allocates nothing.
     fn choose(
         &self,
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -90,13 +90,16 @@
         self.upstreams.insert(record.upstream_id.clone(), upstream);
     }
 
-    /// Orders each list by number, so that a holder of a prefix is found by bisection.
+    /// Orders each list by region and number, so that the upstreams of a region and the holder of
+    /// a prefix are found by bisection.
     fn sort(&mut self) {
         let services = self.services.values_mut();
         let services =
             services.flat_map(|service| service.models.values_mut().chain([&mut service.all]));
         for list in services.chain(self.models.values_mut()) {
-            list.sort_unstable_by_key(|upstream| upstream.prefixes.number());
+            list.sort_unstable_by_key(|upstream| {
+                (upstream.place.region, upstream.prefixes.number())
+            });
         }
     }
 }
--- a/src/routing/holder_index.rs
+++ b/src/routing/holder_index.rs
@@ -27,13 +27,17 @@
 #[derive(Debug)]
 pub struct HolderIndex {
     /// Each entry holds 24 bits of the hash, the upstream's number and the second of its note.
-    buckets: Box<[[AtomicU64; WAYS]]>,
+    buckets: Box<[Bucket]>,
     now_s: AtomicU64,
 }
 
+#[derive(Debug, Default)]
+#[repr(align(64))]
+struct Bucket([AtomicU64; WAYS]);
+
 impl Default for HolderIndex {
     fn default() -> Self {
-        let buckets = (0..BUCKETS).map(|_| Default::default()).collect();
+        let buckets = (0..BUCKETS).map(|_| Bucket::default()).collect();
         Self { buckets, now_s: AtomicU64::new(u64::from(SENT_AGE_S)) }
     }
 }
@@ -86,7 +90,7 @@
     }
 
     fn bucket(&self, hash: u64) -> &[AtomicU64; WAYS] {
-        &self.buckets[hash as usize & (BUCKETS - 1)]
+        &self.buckets[hash as usize & (BUCKETS - 1)].0
     }
 
     fn now(&self) -> u16 {
--- /dev/null
+++ b/src/routing/place.rs
@@ -0,0 +1,25 @@
+use std::hash::Hasher;
+
+use fnv::FnvHasher;
+
+/// Region and availability zone as numbers, which a choice compares without reading text.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    /// Hash of the region's name.
+    pub region: u64,
+    /// Hash of the zone's name.
+    pub zone: u64,
+}
+
+impl Place {
+    /// The place with these names.
+    pub fn new(zone: &str, region: &str) -> Self {
+        Self { region: hash(region), zone: hash(zone) }
+    }
+}
+
+fn hash(name: &str) -> u64 {
+    let mut hasher = FnvHasher::default();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use crate::membership::UpstreamRecord;
-use crate::routing::{Health, Pace, PrefixCell, WorkClass};
+use crate::routing::{Health, Pace, Place, PrefixCell, WorkClass};
 
 /// One upstream as this host sees it: its record and what was sent to it.
 #[derive(Debug)]
@@ -15,6 +15,8 @@
     pub pace: Pace,
     /// Whether it may get requests.
     pub health: Health,
+    /// Where it is.
+    pub place: Place,
     /// What it probably holds in its prefix cache.
     pub prefixes: PrefixCell,
     online_in_use: AtomicU32,
@@ -28,9 +30,11 @@
 impl Upstream {
     /// An upstream with nothing in flight.
     pub fn new(record: Arc<UpstreamRecord>, incarnation: u64) -> Self {
+        let place = Place::new(&record.zone, &record.region);
         Self {
             record,
             incarnation,
+            place,
             pace: Pace::default(),
             health: Health::default(),
             prefixes: PrefixCell::default(),
--- /dev/null
+++ b/tests/routing_support/mod.rs
@@ -0,0 +1,64 @@
+//! Fleets of upstreams that exist only as records.
+
+#![allow(dead_code)]
+
+use std::sync::Arc;
+
+use damaskhoist::membership::{UpstreamModel, UpstreamRecord};
+use damaskhoist::routing::{Fleet, PrefixView, RequestView, Upstream, WorkClass};
+
+pub const MODEL: &str = "engraver-llm";
+pub const REGIONS: [&str; 3] = ["r0", "r1", "r2"];
+pub const SLOTS: u32 = 8;
+
+/// Zones of a region, seven in all.
+pub fn zone(index: usize) -> String {
+    let zones = [3, 2, 2];
+    format!("r{}-z{}", index % 3, index / 3 % zones[index % 3])
+}
+
+/// Upstreams of [`MODEL`] spread over three regions and seven zones.
+pub fn fleet(upstreams: usize) -> Fleet {
+    let fleet = Fleet::default();
+    let records: Vec<_> = (0..upstreams).map(|index| Arc::new(record(index))).collect();
+    fleet.replace(records.iter().map(|record| (record, 1)));
+    fleet
+}
+
+pub fn record(index: usize) -> UpstreamRecord {
+    UpstreamRecord {
+        upstream_id: format!("upstream-{index}"),
+        service: "engraving".to_owned(),
+        address: format!("127.0.0.1:{}", 10_000 + index),
+        zone: zone(index),
+        region: REGIONS[index % 3].to_owned(),
+        models: vec![UpstreamModel { name: MODEL.to_owned(), ..Default::default() }],
+        slots: SLOTS,
+        lease_ms: 2_000,
+        ..UpstreamRecord::default()
+    }
+}
+
+/// The chain of block hashes of a prompt: `shared` blocks of a known prefix, then its own.
+pub fn chain(prefix: u64, shared: usize, own: u64, len: usize) -> Vec<u64> {
+    let block = |index: usize| {
+        let seed = if index < shared { prefix << 8 } else { (own | 1 << 40) << 8 };
+        mix(seed + index as u64)
+    };
+    (0..len).map(block).collect()
+}
+
+pub fn mix(value: u64) -> u64 {
+    let value = value.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    value ^ (value >> 32)
+}
+
+pub fn request<'a>(prefix_hashes: &'a [u64], excluded: &'a [String]) -> RequestView<'a> {
+    RequestView { service: "", model: MODEL, class: WorkClass::Online, prefix_hashes, excluded }
+}
+
+/// Publishes a view with the given blocks.
+pub fn hold(upstream: &Upstream, blocks: &[u64]) {
+    upstream.prefixes.store(PrefixView::new(blocks.iter().copied(), false));
+}
