--- a/examples/bench_routing.rs
+++ b/examples/bench_routing.rs
@@ -11,11 +11,13 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use damaskhoist::admission::{CrashRecords, Fingerprint, RefusalKind};
+use async_trait::async_trait;
+use damaskhoist::admission::{
+    AdmissionPolicy, CrashRecords, Fingerprint, RefusalKind, SlotQueue, TrialClaim,
+};
 use damaskhoist::membership::{CrashRecord, UpstreamRecord};
 use damaskhoist::routing::{
-    Balancer, Fleet, FleetSnapshot, HolderIndex, LeastOutstanding, RoundRobin, WeightedScore,
-    WorkClass,
+    Balancer, FleetSnapshot, HolderIndex, LeastOutstanding, RoundRobin, WeightedScore, WorkClass,
 };
 use damaskhoist::serving::{BlockHasher, Dispatcher, EngineRequest};
 use damaskhoist::telemetry::{Counters, Tracer};
@@ -24,7 +26,7 @@
 use rand::distr::Distribution;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use routing_support::{chain, fleet, hold, record, request, zone, MODEL, REGIONS};
+use routing_support::{chain, fleet, fleet_of, hold, record, request, zone, MODEL, REGIONS};
 use standin::{Engine, EngineOptions};
 
 const CHOICES: usize = 200_000;
@@ -212,6 +214,10 @@
         repeatable: true,
         deadline: Instant::now() + Duration::from_secs(10),
         traceparent: String::new(),
+        customer: "default".to_owned(),
+        expected_tokens: 8,
+        first_position: 0,
+        stop: None,
     };
     let tracer = Tracer::open("bench", None, 0.0).expect("there is no file to open");
     let span = tracer.start("request", None);
@@ -242,20 +248,17 @@
 }
 
 fn dispatcher(policy: &str, engines: &[Engine]) -> Dispatcher {
-    let fleet = Arc::new(Fleet::default());
-    let records: Vec<_> = engines
+    let records = engines
         .iter()
-        .map(|engine| {
-            Arc::new(UpstreamRecord {
-                upstream_id: engine.upstream_id().to_owned(),
-                address: engine.address().to_string(),
-                zone: zone(0),
-                region: REGIONS[0].to_owned(),
-                ..record(0)
-            })
+        .map(|engine| UpstreamRecord {
+            upstream_id: engine.upstream_id().to_owned(),
+            address: engine.address().to_string(),
+            zone: zone(0),
+            region: REGIONS[0].to_owned(),
+            ..record(0)
         })
         .collect();
-    fleet.replace(records.iter().map(|record| (record, 1)));
+    let fleet = Arc::new(fleet_of(records));
     let holders = Arc::new(HolderIndex::default());
     let balancer: Box<dyn Balancer> = match policy {
         "round robin" => Box::<RoundRobin>::default(),
@@ -267,6 +270,7 @@
         balancer,
         Box::new(BlockHasher),
         Box::new(HttpConnector::open()),
+        SlotQueue::open(Box::new(EqualShares), true),
         Arc::new(NoCrashes),
         Counters::open("bench", None),
     );
@@ -277,10 +281,29 @@
 /// Nothing crashes here.
 struct NoCrashes;
 
+#[async_trait]
 impl CrashRecords for NoCrashes {
     fn find(&self, _fingerprint: &Fingerprint) -> Option<Arc<CrashRecord>> {
         None
     }
 
     fn publish(&self, _record: CrashRecord) {}
+
+    async fn claim_trial(&self, _scope: &str, _holder: &str, _lease: Duration) -> TrialClaim {
+        TrialClaim::Held
+    }
+
+    async fn release_trial(&self, _scope: &str, _holder: &str) {}
+}
+
+struct EqualShares;
+
+impl AdmissionPolicy for EqualShares {
+    fn weight(&self, _customer: &str) -> u32 {
+        1
+    }
+
+    fn batch_yield(&self) -> u32 {
+        50
+    }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,10 +1,12 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 
+use async_std::channel::{bounded, Receiver};
 use async_std::net::TcpListener;
 use async_trait::async_trait;
 use miette::{IntoDiagnostic, Result, WrapErr};
 
+use crate::admission::{ExchangeParts, SlotExchange, SlotQueue};
 use crate::batch::{BatchOptions, BatchRunner};
 use crate::configuration::ConfigurationWatch;
 use crate::control::{unix_ms, Control, RemoteState};
@@ -14,7 +16,7 @@
 use crate::routing::{Fleet, HolderIndex, WeightedScore};
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{call, reply, Call, CallFailure, FailureKind, HostStatus, Reply};
-use crate::serving::{AnswerLedger, BlockHasher, Dispatcher, OnlineService};
+use crate::serving::{AnswerLedger, BlockHasher, Dispatcher, OnlineService, SharedCrashRecords};
 use crate::settings::{HostSettings, ReplicaSettings};
 use crate::state::StateClient;
 use crate::telemetry::{Counters, Tracer};
@@ -43,6 +45,7 @@
     entry: Entry,
     batch: BatchRunner,
     configuration: ConfigurationWatch,
+    exchange: SlotExchange,
 }
 
 /// Hands what peers send to the part that it is for.
@@ -54,6 +57,8 @@
     counters: Counters,
     /// Set once the entry role serves.
     entry: OnceLock<Arc<EntryShared>>,
+    /// Set with the entry role.
+    exchange: OnceLock<SlotExchange>,
 }
 
 #[async_trait]
@@ -65,12 +70,12 @@
                 self.activity.request_drain();
                 reply::Reply::Done(Default::default())
             }
+            (Some(call::Call::SlotReport(report)), _) => match self.exchange.get() {
+                Some(exchange) => reply::Reply::SlotGrant(exchange.receive(&report)),
+                None => unsupported(),
+            },
             (Some(call), Some(control)) => control.handle(call).await,
-            _ => reply::Reply::Failure(CallFailure {
-                kind: FailureKind::Unsupported.into(),
-                message: "this host does not answer such calls".to_owned(),
-                leader_address: String::new(),
-            }),
+            _ => unsupported(),
         };
         Reply { reply: Some(reply) }
     }
@@ -79,6 +84,11 @@
         match (body, &self.control) {
             (Body::Gossip(gossip), _) => self.membership.receive(gossip),
             (Body::Raft(message), Some(control)) => control.receive(message),
+            (Body::SlotNotice(_), _) => {
+                if let Some(exchange) = self.exchange.get() {
+                    exchange.wake();
+                }
+            }
             _ => {}
         }
     }
@@ -155,6 +165,7 @@
             activity: Activity::default(),
             counters: counters.clone(),
             entry: OnceLock::new(),
+            exchange: OnceLock::new(),
         });
         let listener = PeerListener::spawn(peers, &settings.peer_key, handler.clone())
             .into_diagnostic()
@@ -186,31 +197,48 @@
         let host_id = settings.host_id.clone();
         let remote = RemoteState::open(caller.clone(), &settings.control_addresses, &host_id);
         let state: Arc<dyn StateClient> = Arc::new(remote);
-        let fleet = Arc::new(Fleet::default());
+        let members = self.membership.clone();
+        let (changes, changed) = bounded(1);
+        let configuration = ConfigurationWatch::spawn(
+            state.clone(),
+            settings.entry.configuration_lease_ms,
+            counters.clone(),
+            move |view| {
+                members.set_configuration_version(view.version());
+                let _ = changes.try_send(());
+            },
+        );
+        let queue = SlotQueue::open(Box::new(configuration.clone()), true);
+        let fleet = Arc::new(Fleet::open(queue.clone()));
         follow_members(&self.membership, fleet.clone());
+        let exchange = SlotExchange::spawn(ExchangeParts {
+            host_id: host_id.clone(),
+            incarnation,
+            region: settings.region.clone(),
+            lease_ms: settings.entry.slot_lease_ms,
+            membership: self.membership.clone(),
+            fleet: fleet.clone(),
+            queue: queue.clone(),
+            caller: caller.clone(),
+            counters: counters.clone(),
+        });
+        let _ = self.handler.exchange.set(exchange.clone());
         let holders = Arc::new(HolderIndex::default());
         let balancer = WeightedScore::new(&settings.zone, &settings.region, holders.clone());
         let connector = Box::new(HttpConnector::open());
-        let crashes = Arc::new(self.membership.clone());
+        let members = self.membership.clone();
+        let crashes = SharedCrashRecords::open(members, state.clone(), &host_id, incarnation);
         let dispatcher = Dispatcher::open(
             fleet,
             Box::new(balancer),
             Box::new(BlockHasher),
             connector,
-            crashes,
+            queue,
+            Arc::new(crashes),
             counters.clone(),
         );
         dispatcher.follow_cache_events(&settings.region, holders);
-        let (members, policies) = (self.membership.clone(), dispatcher.clone());
-        let configuration = ConfigurationWatch::spawn(
-            state.clone(),
-            settings.entry.configuration_lease_ms,
-            counters.clone(),
-            move |view| {
-                members.set_configuration_version(view.version());
-                policies.apply_policy(&view.configuration().policy.unwrap_or_default());
-            },
-        );
+        follow_policy(changed, configuration.clone(), dispatcher.clone());
         let ledger = AnswerLedger::open(state.clone(), counters.clone(), &host_id, incarnation);
         let options = BatchOptions {
             host_id,
@@ -240,7 +268,7 @@
         let shared = Arc::new(shared);
         let _ = self.handler.entry.set(shared.clone());
         let entry = Entry::spawn(callers, shared).into_diagnostic().wrap_err("serving callers")?;
-        Ok(EntryParts { entry, batch, configuration })
+        Ok(EntryParts { entry, batch, configuration, exchange })
     }
 
     /// Address for callers, when the process has the entry role.
@@ -271,6 +299,7 @@
         if let Some(parts) = self.entry.take() {
             let (entry, batch) = (parts.entry, parts.batch);
             futures::join!(entry.drain(), batch.close());
+            parts.exchange.close().await;
             parts.configuration.close().await;
         }
         self.close().await;
@@ -281,6 +310,7 @@
         if let Some(parts) = self.entry.take() {
             parts.entry.close().await;
             parts.batch.close().await;
+            parts.exchange.close().await;
             parts.configuration.close().await;
         }
         if let Some(control) = self.handler.control.clone() {
@@ -293,6 +323,14 @@
     }
 }
 
+fn unsupported() -> reply::Reply {
+    reply::Reply::Failure(CallFailure {
+        kind: FailureKind::Unsupported.into(),
+        message: "this host does not answer such calls".to_owned(),
+        leader_address: String::new(),
+    })
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
     listener.into_diagnostic().wrap_err_with(|| format!("listening on {address}"))
@@ -325,3 +363,13 @@
         }
     });
 }
+
+/// Applies the policy after each change of the configuration.
+fn follow_policy(changed: Receiver<()>, configuration: ConfigurationWatch, dispatcher: Dispatcher) {
+    async_std::task::spawn(async move {
+        while changed.recv().await.is_ok() {
+            let policy = configuration.load().configuration().policy.unwrap_or_default();
+            dispatcher.apply_policy(&policy);
+        }
+    });
+}
--- a/src/routing/pace.rs
+++ b/src/routing/pace.rs
@@ -36,9 +36,17 @@
         average(&self.first_token_us, time);
     }
 
-    /// Notes the time between two tokens of an answer.
-    pub fn record_token(&self, time: Duration) {
-        average(&self.token_us, time);
+    /// Average time of a token after the first, in microseconds; 0 before the first answer.
+    pub fn token_us(&self) -> u64 {
+        self.token_us.load(Ordering::Relaxed)
+    }
+
+    /// Notes the time that an answer took for its tokens after the first.
+    pub fn record_tokens(&self, tokens: u64, time: Duration) {
+        let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+        if let Some(time) = time.checked_div(tokens) {
+            average(&self.token_us, time);
+        }
     }
 
     /// Longest silence before the first token.
@@ -51,7 +59,7 @@
 
     /// Longest silence after the first token.
     pub fn token_limit(&self) -> Duration {
-        let known = self.token_us.load(Ordering::Relaxed);
+        let known = self.token_us();
         let usual = if known == 0 { TOKEN_ASSUMED_US } else { known };
         let limit = usual.saturating_mul(TOKEN_FACTOR);
         Duration::from_micros(limit.clamp(TOKEN_MIN_US, TOKEN_MAX_US))
--- a/src/routing/weighted_score.rs
+++ b/src/routing/weighted_score.rs
@@ -82,7 +82,7 @@
 
     /// Cost of an upstream, in parts of a fully used one.
     fn cost(&self, upstream: &Upstream, prefix_worth: f32) -> f32 {
-        let used = upstream.estimated_load() as f32 / upstream.record.slots.max(1) as f32;
+        let used = used_part(upstream);
         let same_region = upstream.place.region == self.place.region;
         let distance = match (same_region, upstream.place == self.place) {
             (true, true) => 0.0,
@@ -218,11 +218,19 @@
 }
 
 fn can_take(request: &RequestView<'_>, upstream: &Upstream) -> bool {
-    upstream.free_slots() > 0
+    upstream.free_slots(request.class) > 0
         && upstream.health.takes_requests()
         && !request.excluded.contains(&upstream.record.upstream_id)
 }
 
+/// Use by all hosts, or by this host of the slots lent to it, whichever is higher: only one host
+/// gets the load reports of an upstream.
+fn used_part(upstream: &Upstream) -> f32 {
+    let lent = upstream.slots();
+    let own = f32::from(lent.in_use()) / f32::from(lent.slots.max(1));
+    own.max(upstream.estimated_load() as f32 / upstream.record.slots.max(1) as f32)
+}
+
 /// Worth of the prefix that an upstream probably holds; it is noted as a holder at `depth`.
 fn prefix_worth(upstream: &Upstream, known: &[u64], depth: usize, sent_blocks: usize) -> f32 {
     let view = upstream.prefixes.load();
--- a/src/upstream/engine_stream.rs
+++ b/src/upstream/engine_stream.rs
@@ -46,6 +46,12 @@
         chunk.map(EngineEvent::Chunk).map_err(|error| UpstreamError::Invalid(error.to_string()))
     }
 
+    /// Cancels the stream and reads until the engine has ended it.
+    pub async fn cancel(mut self) {
+        self.events.cancel();
+        while let Ok(Some(_)) = self.events.next().await {}
+    }
+
     /// Reads to the end beside the caller, so that the connection can serve the next call.
     pub fn close(mut self) {
         task::spawn(async move { future::timeout(END_TIMEOUT, self.events.is_at_end()).await });
--- a/src/upstream/sse_reader.rs
+++ b/src/upstream/sse_reader.rs
@@ -19,6 +19,11 @@
         Self { body, line: Vec::new() }
     }
 
+    /// Tells the upstream that the rest is not wanted.
+    pub fn cancel(&mut self) {
+        self.body.cancel();
+    }
+
     /// Data of the next event, or `None` at the end of the body. A last line without its end was
     /// cut and is not an event.
     pub async fn next(&mut self) -> io::Result<Option<&[u8]>> {
--- a/tests/routing_choice.rs
+++ b/tests/routing_choice.rs
@@ -179,11 +179,9 @@
 /// Guards against a request for an adapter that goes to an upstream without it.
 #[test]
 fn candidates_fit_the_adapter() {
-    let fleet = damaskhoist::routing::Fleet::default();
     let mut records: Vec<_> = (0..2).map(routing_support::record).collect();
     records[1].models[0].adapters = vec!["parish".to_owned()];
-    let records: Vec<_> = records.into_iter().map(Arc::new).collect();
-    fleet.replace(records.iter().map(|record| (record, 1)));
+    let fleet = routing_support::fleet_of(records);
     let snapshot = fleet.load();
     let adapted = format!("{MODEL}:parish");
     let mut view = request(&[], &[]);
--- a/tests/routing_support/mod.rs
+++ b/tests/routing_support/mod.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use damaskhoist::membership::{UpstreamModel, UpstreamRecord};
-use damaskhoist::routing::{Fleet, PrefixView, RequestView, Upstream, WorkClass};
+use damaskhoist::routing::{Fleet, PrefixView, RequestView, SlotWatcher, Upstream, WorkClass};
 
 pub const MODEL: &str = "engraver-llm";
 pub const REGIONS: [&str; 3] = ["r0", "r1", "r2"];
@@ -19,12 +19,28 @@
 
 /// Upstreams of [`MODEL`] spread over three regions and seven zones.
 pub fn fleet(upstreams: usize) -> Fleet {
-    let fleet = Fleet::default();
-    let records: Vec<_> = (0..upstreams).map(|index| Arc::new(record(index))).collect();
+    fleet_of((0..upstreams).map(record).collect())
+}
+
+/// A fleet whose slots are all lent to this host.
+pub fn fleet_of(records: Vec<UpstreamRecord>) -> Fleet {
+    let fleet = Fleet::open(Arc::new(NoWaiters));
+    let records: Vec<_> = records.into_iter().map(Arc::new).collect();
     fleet.replace(records.iter().map(|record| (record, 1)));
+    for upstream in fleet.load().upstreams() {
+        upstream.set_limits(upstream.record.slots, upstream.record.slots);
+    }
     fleet
 }
 
+/// Nothing waits for slots.
+#[derive(Debug)]
+struct NoWaiters;
+
+impl SlotWatcher for NoWaiters {
+    fn slot_freed(&self, _upstream: &Arc<Upstream>) {}
+}
+
 pub fn record(index: usize) -> UpstreamRecord {
     UpstreamRecord {
         upstream_id: format!("upstream-{index}"),
