Send orders to upstreams from one controller at a time

The configuration could name how many upstreams a model needs, and nothing loaded it.

OrderLease decides when a host may send: it stops one flight time before its lease ends and, at upstreams that ignore fencing numbers, starts a lease plus a flight time after its grant. OrderPlan compares wanted models, versions and adapters with what upstreams announce, within the weight store's rate and four loads at once, models without any upstream first. The controller takes the lease by TakeFence, one scope for each service, and posts the orders.

The plan and the lease contain no clock. A process that stands still between the check and the sending of an order may exceed the flight time; nothing on this side can rule that out.

--- a/src/host.rs
+++ b/src/host.rs
@@ -12,6 +12,7 @@
 use crate::control::{unix_ms, Control, RemoteState};
 use crate::entry::{Activity, Entry, EntryShared};
 use crate::membership::{HostRecord, Membership, MembershipOptions, Status};
+use crate::orders::{OrderController, OrderParts};
 use crate::peer::{PeerCaller, PeerHandler, PeerListener, PeerPool};
 use crate::routing::{Fleet, HolderIndex, WeightedScore};
 use crate::schema::peer::frame::Body;
@@ -46,6 +47,7 @@
     batch: BatchRunner,
     configuration: ConfigurationWatch,
     exchange: SlotExchange,
+    orders: OrderController,
 }
 
 /// Hands what peers send to the part that it is for.
@@ -240,6 +242,15 @@
         dispatcher.follow_cache_events(&settings.region, holders);
         follow_policy(changed, configuration.clone(), dispatcher.clone());
         let ledger = AnswerLedger::open(state.clone(), counters.clone(), &host_id, incarnation);
+        let orders = OrderController::spawn(OrderParts {
+            host_id: host_id.clone(),
+            incarnation,
+            membership: self.membership.clone(),
+            configuration: configuration.clone(),
+            state: state.clone(),
+            dispatcher: dispatcher.clone(),
+            counters: counters.clone(),
+        });
         let options = BatchOptions {
             host_id,
             incarnation,
@@ -268,7 +279,7 @@
         let shared = Arc::new(shared);
         let _ = self.handler.entry.set(shared.clone());
         let entry = Entry::spawn(callers, shared).into_diagnostic().wrap_err("serving callers")?;
-        Ok(EntryParts { entry, batch, configuration, exchange })
+        Ok(EntryParts { entry, batch, configuration, exchange, orders })
     }
 
     /// Address for callers, when the process has the entry role.
@@ -299,6 +310,7 @@
         if let Some(parts) = self.entry.take() {
             let (entry, batch) = (parts.entry, parts.batch);
             futures::join!(entry.drain(), batch.close());
+            parts.orders.close().await;
             parts.exchange.close().await;
             parts.configuration.close().await;
         }
@@ -310,6 +322,7 @@
         if let Some(parts) = self.entry.take() {
             parts.entry.close().await;
             parts.batch.close().await;
+            parts.orders.close().await;
             parts.exchange.close().await;
             parts.configuration.close().await;
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 mod host;
 pub mod membership;
+pub mod orders;
 pub mod peer;
 pub mod query;
 pub mod raft;
--- /dev/null
+++ b/src/orders/mod.rs
@@ -0,0 +1,9 @@
+//! Orders to upstreams: which models they load, from one controller at a time.
+
+mod controller;
+mod order_lease;
+mod order_plan;
+
+pub use controller::{OrderController, OrderParts};
+pub use order_lease::OrderLease;
+pub use order_plan::{Order, OrderKind, OrderPlan, OrderTarget, Wanted};
