--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -293,6 +293,7 @@
         expected_tokens,
         body,
         fingerprint,
+        prefix_hashes: Vec::new(),
         class: WorkClass::Batch,
         repeatable: true,
         deadline: deadline(item),
--- a/src/host.rs
+++ b/src/host.rs
@@ -12,11 +12,12 @@
 use crate::control::{unix_ms, Control, RemoteState};
 use crate::entry::{Activity, Entry, EntryShared};
 use crate::membership::{HostRecord, Membership, MembershipOptions, Status};
+use crate::orders::{OrderController, OrderParts};
 use crate::peer::{PeerCaller, PeerHandler, PeerListener, PeerPool};
-use crate::routing::{Balancer, Fleet, WeightedScore};
+use crate::routing::{Balancer, Fleet, HolderIndex, WeightedScore};
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{call, reply, Call, CallFailure, FailureKind, HostStatus, Reply};
-use crate::serving::{AnswerLedger, Dispatcher, OnlineService, SharedCrashRecords};
+use crate::serving::{AnswerLedger, BlockHasher, Dispatcher, OnlineService, SharedCrashRecords};
 use crate::settings::{HostSettings, ReplicaSettings};
 use crate::state::StateClient;
 use crate::telemetry::{Counters, Tracer};
@@ -64,6 +65,7 @@
     batch: BatchRunner,
     configuration: ConfigurationWatch,
     exchange: Option<SlotExchange>,
+    orders: OrderController,
 }
 
 /// Hands what peers send to the part that it is for.
@@ -246,22 +248,34 @@
         if let Some(exchange) = &exchange {
             let _ = self.handler.exchange.set(exchange.clone());
         }
-        let balancer = sharing
-            .balancer
-            .unwrap_or_else(|| Box::new(WeightedScore::new(&settings.zone, &settings.region)));
+        let holders = Arc::new(HolderIndex::default());
+        let balancer = sharing.balancer.unwrap_or_else(|| {
+            Box::new(WeightedScore::new(&settings.zone, &settings.region, holders.clone()))
+        });
         let connector = Box::new(HttpConnector::open());
         let members = self.membership.clone();
         let crashes = SharedCrashRecords::open(members, state.clone(), &host_id, incarnation);
         let dispatcher = Dispatcher::open(
             fleet,
             balancer,
+            Box::new(BlockHasher),
             connector,
             queue,
             Arc::new(crashes),
             counters.clone(),
         );
+        dispatcher.follow_cache_events(&settings.region, holders);
         follow_policy(changed, configuration.clone(), dispatcher.clone());
         let ledger = AnswerLedger::open(state.clone(), counters.clone(), &host_id, incarnation);
+        let orders = OrderController::spawn(OrderParts {
+            host_id: host_id.clone(),
+            incarnation,
+            membership: self.membership.clone(),
+            configuration: configuration.clone(),
+            state: state.clone(),
+            dispatcher: dispatcher.clone(),
+            counters: counters.clone(),
+        });
         let options = BatchOptions {
             host_id,
             incarnation,
@@ -290,7 +304,7 @@
         let shared = Arc::new(shared);
         let _ = self.handler.entry.set(shared.clone());
         let entry = Entry::spawn(callers, shared).into_diagnostic().wrap_err("serving callers")?;
-        Ok(EntryParts { entry, batch, configuration, exchange })
+        Ok(EntryParts { entry, batch, configuration, exchange, orders })
     }
 
     /// Address for callers, when the process has the entry role.
@@ -321,6 +335,7 @@
         if let Some(parts) = self.entry.take() {
             let (entry, batch) = (parts.entry, parts.batch);
             futures::join!(entry.drain(), batch.close());
+            parts.orders.close().await;
             if let Some(exchange) = parts.exchange {
                 exchange.close().await;
             }
@@ -334,6 +349,7 @@
         if let Some(parts) = self.entry.take() {
             parts.entry.close().await;
             parts.batch.close().await;
+            parts.orders.close().await;
             if let Some(exchange) = parts.exchange {
                 exchange.close().await;
             }
--- a/src/routing/balancer.rs
+++ b/src/routing/balancer.rs
@@ -6,6 +6,7 @@
 pub trait Balancer: Send + Sync {
     /// Index of the chosen candidate, or `None` when none has a free slot.
     ///
+    /// `candidates` are ordered by region and number, as [`crate::routing::FleetSnapshot`] gives them;
     /// `random` is a fresh random number. Takes no lock and allocates nothing.
     fn choose(
         &self,
@@ -13,4 +14,8 @@
         candidates: &[Arc<Upstream>],
         random: u64,
     ) -> Option<usize>;
+
+    /// Notes that a request was given a slot of an upstream, from which a policy may learn what
+    /// the upstream will have cached. Takes no lock.
+    fn note_sent(&self, _request: &RequestView<'_>, _upstream: &Upstream) {}
 }
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -89,6 +89,19 @@
         }
         self.upstreams.insert(record.upstream_id.clone(), upstream);
     }
+
+    /// Orders each list by region and number, so that the upstreams of a region and the holder of
+    /// a prefix are found by bisection.
+    fn sort(&mut self) {
+        let services = self.services.values_mut();
+        let services =
+            services.flat_map(|service| service.models.values_mut().chain([&mut service.all]));
+        for list in services.chain(self.models.values_mut()) {
+            list.sort_unstable_by_key(|upstream| {
+                (upstream.place.region, upstream.prefixes.number())
+            });
+        }
+    }
 }
 
 /// The published snapshot of the fleet.
@@ -138,6 +151,7 @@
             };
             new.insert(upstream);
         }
+        new.sort();
         let new = Arc::new(new);
         self.snapshot.store(new.clone());
         // Requests may wait for the slots of an upstream that is new.
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -6,7 +6,9 @@
 
 use crate::admission::{SlotCell, SlotCounts};
 use crate::membership::UpstreamRecord;
-use crate::routing::{CuttableStreams, Health, Pace, RequestView, SlotWatcher, WorkClass};
+use crate::routing::{
+    CuttableStreams, Health, Pace, Place, PrefixCell, RequestView, SlotWatcher, WorkClass,
+};
 
 /// One upstream as this host sees it: its record and what was sent to it.
 #[derive(Debug)]
@@ -19,6 +21,10 @@
     pub pace: Arc<Pace>,
     /// Whether it may get requests.
     pub health: Arc<Health>,
+    /// Where it is.
+    pub place: Place,
+    /// What it probably holds in its prefix cache.
+    pub prefixes: Arc<PrefixCell>,
     watcher: Arc<dyn SlotWatcher>,
     use_state: Arc<UseState>,
 }
@@ -31,6 +37,8 @@
     service_us: AtomicU64,
     reported_running: AtomicU32,
     reported_waiting: AtomicU32,
+    /// Requests of this host in flight when the load was reported.
+    in_use_at_report: AtomicU32,
 }
 
 impl Upstream {
@@ -41,17 +49,27 @@
         incarnation: u64,
         watcher: Arc<dyn SlotWatcher>,
     ) -> Self {
-        let (pace, health) = Default::default();
-        Self { record, incarnation, pace, health, watcher, use_state: Arc::default() }
+        Self {
+            place: Place::new(&record.zone, &record.region),
+            record,
+            incarnation,
+            pace: Arc::default(),
+            health: Arc::default(),
+            prefixes: Arc::default(),
+            watcher,
+            use_state: Arc::default(),
+        }
     }
 
     /// The same incarnation with a new record; what is in flight stays counted.
     pub fn with_record(&self, record: Arc<UpstreamRecord>) -> Self {
         Self {
+            place: Place::new(&record.zone, &record.region),
             record,
             incarnation: self.incarnation,
             pace: self.pace.clone(),
             health: self.health.clone(),
+            prefixes: self.prefixes.clone(),
             watcher: self.watcher.clone(),
             use_state: self.use_state.clone(),
         }
@@ -154,6 +172,15 @@
     pub fn report_load(&self, running: u32, waiting: u32) {
         self.use_state.reported_running.store(running, Ordering::Relaxed);
         self.use_state.reported_waiting.store(waiting, Ordering::Relaxed);
+        self.use_state.in_use_at_report.store(self.in_use(), Ordering::Relaxed);
+    }
+
+    /// Requests of all hosts at the upstream: those of other hosts as last reported, and those of
+    /// this host as they are now.
+    pub fn estimated_load(&self) -> u32 {
+        let (running, waiting) = self.reported_load();
+        let own = self.use_state.in_use_at_report.load(Ordering::Relaxed);
+        self.in_use() + (running + waiting).saturating_sub(own)
     }
 
     /// Load that the upstream reported last: requests running and waiting.
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -10,12 +10,12 @@
 };
 use crate::control::unix_ms;
 use crate::routing::{
-    Balancer, Ejector, Fleet, RequestView, SlotPermit, Upstream, WorkClass,
-    DEFAULT_EJECTION_LIMIT_PERCENT,
+    Balancer, Ejector, Fleet, HolderIndex, PromptHasher, RequestView, SlotPermit, Upstream,
+    WorkClass, DEFAULT_EJECTION_LIMIT_PERCENT,
 };
 use crate::schema::config::Policy;
 use crate::serving::{
-    probe, AttemptFailure, CrashWatch, EngineRequest, FailureCause, RunningAnswer,
+    cache_feed, probe, AttemptFailure, CrashWatch, EngineRequest, FailureCause, RunningAnswer,
     DEFAULT_CRASH_VERDICT_MS,
 };
 use crate::telemetry::{Counters, Span};
@@ -38,6 +38,7 @@
 pub(super) struct Shared {
     pub(super) fleet: Arc<Fleet>,
     balancer: Box<dyn Balancer>,
+    hasher: Box<dyn PromptHasher>,
     pub(super) connector: Box<dyn UpstreamConnector>,
     queue: Arc<SlotQueue>,
     /// A task waits for the end of the pause of batch.
@@ -56,6 +57,7 @@
     pub fn open(
         fleet: Arc<Fleet>,
         balancer: Box<dyn Balancer>,
+        hasher: Box<dyn PromptHasher>,
         connector: Box<dyn UpstreamConnector>,
         queue: Arc<SlotQueue>,
         crashes: Arc<dyn CrashRecords>,
@@ -64,6 +66,7 @@
         let shared = Arc::new(Shared {
             fleet,
             balancer,
+            hasher,
             connector,
             queue,
             pausing: AtomicBool::new(false),
@@ -78,6 +81,11 @@
         Self { shared }
     }
 
+    /// Fills `holders` and the views of prefix caches from the cache events of a region.
+    pub fn follow_cache_events(&self, region: &str, holders: Arc<HolderIndex>) {
+        cache_feed::spawn(&self.shared, region, holders);
+    }
+
     /// Applies the policy of a new configuration.
     pub fn apply_policy(&self, policy: &Policy) {
         let shared = &self.shared;
@@ -159,9 +167,10 @@
     /// Starts a request and waits until an upstream begins its answer.
     pub async fn start(
         &self,
-        request: EngineRequest,
+        mut request: EngineRequest,
         span: &Span,
     ) -> Result<RunningAnswer, Refusal> {
+        request.prefix_hashes = self.shared.hasher.prefix_hashes(&request.model, &request.body);
         RunningAnswer::start(self.clone(), request, span).await
     }
 
@@ -215,6 +224,7 @@
         for _ in 0..candidates.len() {
             let choice = self.shared.balancer.choose(view, candidates, rand::random());
             if let Some(permit) = candidates[choice?].acquire(view.class) {
+                self.shared.balancer.note_sent(view, permit.upstream());
                 return Some(permit);
             }
         }
@@ -245,6 +255,7 @@
             WorkClass::Batch => demand.deadline.min(entered + BATCH_WAIT),
         };
         if let Some(permit) = place.permit(latest).await {
+            self.shared.balancer.note_sent(view, permit.upstream());
             let wait_us = entered.elapsed().as_micros() as u64;
             if view.class == WorkClass::Online {
                 self.shared.counters.time_us("admission.wait", wait_us);
@@ -334,6 +345,12 @@
     }
 }
 
+impl Shared {
+    pub(super) fn counters(&self) -> &Counters {
+        &self.counters
+    }
+}
+
 /// The refusal of a request that is known to crash upstreams.
 pub(super) fn convicted(expires_unix_ms: u64) -> Refusal {
     let left_ms = expires_unix_ms.saturating_sub(unix_ms());
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -15,7 +15,7 @@
 };
 use damaskhoist::membership::{CrashRecord, UpstreamModel, UpstreamRecord};
 use damaskhoist::routing::{EjectionPolicy, Fleet, WeightedScore, WorkClass};
-use damaskhoist::serving::{Dispatcher, EngineRequest};
+use damaskhoist::serving::{BlockHasher, Dispatcher, EngineRequest};
 use damaskhoist::telemetry::{Counters, Tracer};
 use damaskhoist::upstream::{
     ResponseReader, UpstreamCall, UpstreamConnector, UpstreamError, UpstreamResponse,
@@ -246,10 +246,18 @@
     fleet.load().upstreams().for_each(|upstream| {
         upstream.set_limits(2, 2);
     });
-    let balancer = Box::new(WeightedScore::new("", ""));
+    let balancer = Box::new(WeightedScore::new("", "", Arc::default()));
     let counters = Counters::open("test", None);
     let records = Arc::new(Records::default());
-    Dispatcher::open(fleet, balancer, Box::new(connector), queue, records, counters)
+    Dispatcher::open(
+        fleet,
+        balancer,
+        Box::new(BlockHasher),
+        Box::new(connector),
+        queue,
+        records,
+        counters,
+    )
 }
 
 fn request(repeatable: bool) -> EngineRequest {
@@ -260,6 +268,7 @@
         path: "/v1/completions".to_owned(),
         body: b"{}".to_vec(),
         fingerprint: Fingerprint::of(&[b"{}"]),
+        prefix_hashes: Vec::new(),
         class: WorkClass::Online,
         repeatable,
         deadline: Instant::now() + DEADLINE,
