--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -99,7 +99,8 @@
             let mut bytes = Vec::new();
             response.read_to_end(&mut bytes).await?;
             let headers = response.iter();
-            let headers = headers.map(|(name, value)| (name.to_string(), value.as_str().to_owned()));
+            let headers =
+                headers.map(|(name, value)| (name.to_string(), value.as_str().to_owned()));
             Ok(CallerAnswer {
                 status: response.status() as u16,
                 headers: headers.collect(),
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -8,6 +8,9 @@
 use process_support::{assert_each_item_once, chat, eventually, results, submit_job, Fleet, MODEL};
 use serde_json::json;
 
+/// Time in which an accepted configuration must be in force on every host.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(9);
+
 /// Guards against losing a job whose entry host is lost right after its acknowledgement.
 #[test]
 fn a_job_outlives_the_entry_host_that_took_it() {
@@ -111,6 +114,7 @@
             "edits": [{"put_customer": {"name": "parish"}}]});
         let changed = caller.post("/v1/admin/configuration", &[], &change).await.unwrap();
         assert_eq!(changed.json()["version"], 1, "{}", changed.body);
+        let accepted = Instant::now();
         let leader = fleet.leader(&fleet.entries[0]).await.expect("a leader is known");
         assert_ne!(leader, isolated, "the isolated host still says that it leads");
         assert_each_item_once(&results(&caller, &job_id).await, 40);
@@ -123,8 +127,13 @@
         .await;
         let after = fleet.leader(&fleet.entries[0]).await;
         assert_eq!(after, Some(leader), "the host that came back disturbed the leader");
-        let status = caller.get("/v1/admin/status").await.unwrap();
-        assert_eq!(status.json()["configuration_version"], 1);
+        eventually("the change is in force", async || {
+            let status = caller.get("/v1/admin/status").await.unwrap();
+            status.json()["configuration_version"] == 1
+        })
+        .await;
+        let taken = accepted.elapsed();
+        assert!(taken < IN_FORCE_WITHIN, "in force after {taken:?}");
         engine.close().await;
     });
 }
