--- /dev/null
+++ b/src/host/bound_host.rs
@@ -0,0 +1,121 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+
+use async_std::net::TcpListener;
+use miette::{IntoDiagnostic, Result, WrapErr};
+
+use crate::control::{unix_ms, Control};
+use crate::entry::Activity;
+use crate::host::entry_parts::{EntryParts, EntrySources};
+use crate::host::handler::Handler;
+use crate::host::{Host, SharingOptions};
+use crate::membership::{HostRecord, Membership, MembershipOptions};
+use crate::peer::{PeerCaller, PeerListener, PeerPool};
+use crate::settings::{HostSettings, ReplicaSettings};
+use crate::telemetry::{Counters, Tracer};
+
+/// A host that has its addresses and does not serve yet.
+pub struct BoundHost {
+    /// Settings with the addresses that the host got.
+    pub settings: HostSettings,
+    /// How it shares upstreams.
+    pub sharing: SharingOptions,
+    callers: TcpListener,
+    peers: TcpListener,
+}
+
+impl BoundHost {
+    /// Takes the addresses of the settings; port 0 takes any free port.
+    ///
+    /// A control host whose settings name no replicas forms a group of its own.
+    pub async fn bind(mut settings: HostSettings) -> Result<Self> {
+        let callers = listen(settings.caller_address).await?;
+        let peers = listen(settings.peer_address).await?;
+        settings.caller_address = callers.local_addr().into_diagnostic()?;
+        settings.peer_address = peers.local_addr().into_diagnostic()?;
+        if settings.roles.control && settings.control.replicas.is_empty() {
+            settings.control.replica_id = settings.control.replica_id.max(1);
+            settings.control.replicas.push(ReplicaSettings {
+                replica_id: settings.control.replica_id,
+                peer_address: settings.peer_address.to_string(),
+                zone: settings.zone.clone(),
+            });
+        }
+        if settings.control_addresses.is_empty() {
+            let replicas = settings.control.replicas.iter();
+            settings.control_addresses =
+                replicas.map(|replica| replica.peer_address.clone()).collect();
+        }
+        Ok(Self { settings, sharing: SharingOptions::default(), callers, peers })
+    }
+
+    /// Starts the parts that the settings name.
+    pub async fn open(self) -> Result<Host> {
+        let Self { settings, sharing, callers, peers } = self;
+        let incarnation = unix_ms();
+        let telemetry = &settings.telemetry;
+        let counters = Counters::open(&settings.host_id, telemetry.statsd_address);
+        let span_file = telemetry.span_file.as_deref();
+        let tracer = Tracer::open(&settings.host_id, span_file, telemetry.span_sample_ratio)
+            .into_diagnostic()
+            .wrap_err("opening the span file")?;
+        let pool = PeerPool::open(&settings.host_id, incarnation, &settings.peer_key);
+        let caller: Arc<dyn PeerCaller> = Arc::new(pool.clone());
+        let options = membership_options(&settings, incarnation);
+        let membership = Membership::spawn(options, caller.clone());
+        let control = match settings.roles.control {
+            true => Some(Control::open(&settings, caller.clone())?),
+            false => None,
+        };
+        let handler = Arc::new(Handler {
+            host_id: settings.host_id.clone(),
+            membership: membership.clone(),
+            control,
+            activity: Activity::default(),
+            counters: counters.clone(),
+            entry: OnceLock::new(),
+            exchange: OnceLock::new(),
+        });
+        let listener = PeerListener::spawn(peers, &settings.peer_key, handler.clone())
+            .into_diagnostic()
+            .wrap_err("serving peers")?;
+        let peer_address = listener.address();
+        let has_entry = settings.roles.entry;
+        let sources = EntrySources {
+            settings,
+            sharing,
+            incarnation,
+            caller,
+            counters,
+            tracer: tracer.clone(),
+            handler: handler.clone(),
+        };
+        let entry = match has_entry {
+            true => Some(EntryParts::open(callers, sources)?),
+            false => None,
+        };
+        Ok(Host { peer_address, listener, pool, handler, membership, entry, tracer })
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.into_diagnostic().wrap_err_with(|| format!("listening on {address}"))
+}
+
+fn membership_options(settings: &HostSettings, incarnation: u64) -> MembershipOptions {
+    let host = HostRecord {
+        host_id: settings.host_id.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        caller_address: settings.caller_address.to_string(),
+        peer_address: settings.peer_address.to_string(),
+        entry: settings.roles.entry,
+        control: settings.roles.control,
+        configuration_version: 0,
+    };
+    let mut options = MembershipOptions::new(host, incarnation);
+    options.seed_addresses.clone_from(&settings.seed_addresses);
+    options.gossip_interval_ms = settings.entry.gossip_interval_ms;
+    options
+}
--- /dev/null
+++ b/src/host/handler.rs
@@ -0,0 +1,87 @@
+use std::sync::{Arc, OnceLock};
+
+use async_trait::async_trait;
+
+use crate::admission::SlotExchange;
+use crate::control::Control;
+use crate::entry::{Activity, EntryShared};
+use crate::membership::Membership;
+use crate::peer::PeerHandler;
+use crate::schema::peer::frame::Body;
+use crate::schema::peer::{call, reply, Call, CallFailure, FailureKind, HostStatus, Reply};
+use crate::telemetry::Counters;
+
+/// Hands what peers send to the part that it is for.
+pub(super) struct Handler {
+    pub(super) host_id: String,
+    pub(super) membership: Membership,
+    pub(super) control: Option<Control>,
+    pub(super) activity: Activity,
+    pub(super) counters: Counters,
+    /// Set once the entry role serves.
+    pub(super) entry: OnceLock<Arc<EntryShared>>,
+    /// Set with the entry role.
+    pub(super) exchange: OnceLock<SlotExchange>,
+}
+
+#[async_trait]
+impl PeerHandler for Handler {
+    async fn handle_call(&self, _from_host_id: &str, call: Call) -> Reply {
+        let reply = match (call.call, &self.control) {
+            (Some(call::Call::HostStatus(_)), _) => reply::Reply::HostStatus(self.status()),
+            (Some(call::Call::DrainHost(_)), _) => {
+                self.activity.request_drain();
+                reply::Reply::Done(Default::default())
+            }
+            (Some(call::Call::SlotReport(report)), _) => match self.exchange.get() {
+                Some(exchange) => reply::Reply::SlotGrant(exchange.receive(&report)),
+                None => unsupported(),
+            },
+            (Some(call), Some(control)) => control.handle(call).await,
+            _ => unsupported(),
+        };
+        Reply { reply: Some(reply) }
+    }
+
+    fn handle_message(&self, _from_host_id: &str, body: Body) {
+        match (body, &self.control) {
+            (Body::Gossip(gossip), _) => self.membership.receive(gossip),
+            (Body::Raft(message), Some(control)) => control.receive(message),
+            (Body::SlotNotice(_), _) => {
+                if let Some(exchange) = self.exchange.get() {
+                    exchange.wake();
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Handler {
+    fn status(&self) -> HostStatus {
+        let mut status = HostStatus {
+            host_id: self.host_id.clone(),
+            open_requests: self.activity.open(),
+            draining: self.activity.is_draining(),
+            counters: self.counters.snapshot(),
+            ..HostStatus::default()
+        };
+        if let Some(control) = &self.control {
+            status.groups = control.status().groups;
+        }
+        if let Some(entry) = self.entry.get() {
+            status.configuration_version = entry.configuration.load().version();
+            status.configuration_age_ms = entry.configuration.confirmed_age_ms();
+            status.slots = entry.slot_uses();
+        }
+        status
+    }
+}
+
+fn unsupported() -> reply::Reply {
+    reply::Reply::Failure(CallFailure {
+        kind: FailureKind::Unsupported.into(),
+        message: "this host does not answer such calls".to_owned(),
+        leader_address: String::new(),
+    })
+}
--- /dev/null
+++ b/src/host/mod.rs
@@ -0,0 +1,11 @@
+//! All parts of the system that one process runs, put together from its settings.
+
+mod bound_host;
+mod entry_parts;
+mod handler;
+mod running_host;
+mod sharing_options;
+
+pub use bound_host::BoundHost;
+pub use running_host::Host;
+pub use sharing_options::SharingOptions;
--- a/src/serving/plain_call.rs
+++ b/src/serving/plain_call.rs
@@ -81,7 +81,9 @@
             };
             let demand =
                 SlotDemand { customer: call.customer, expected_tokens: 0, deadline: call.deadline };
+            let decision = parent.child("decision");
             let acquired = self.acquire_by_standing(&view, &demand, &call.fingerprint).await;
+            decision.close();
             let (permit, trial) = acquired.map_err(|refusal| refusal.at_least(progress))?;
             let upstream = permit.upstream().clone();
             let mut span = parent.child("upstream_attempt");
--- a/src/serving/running_answer.rs
+++ b/src/serving/running_answer.rs
@@ -181,10 +181,12 @@
             }
             let request = &self.request;
             let view = request.view(&self.excluded);
+            let decision = parent.child("decision");
             let acquired = self
                 .dispatcher
                 .acquire_by_standing(&view, &request.demand(), &request.fingerprint)
                 .await;
+            decision.close();
             let (mut permit, trial) =
                 acquired.map_err(|refusal| refusal.at_least(self.progress))?;
             if let Some(stop) = &request.stop {
