Submit commands and read the state through one pair of functions

The entry role, the operators' statements and the tables each turned refusals and lost answers of the state into refusals of the request.

--- a/src/admin/admin_service.rs
+++ b/src/admin/admin_service.rs
@@ -14,9 +14,9 @@
 use crate::schema::config::{edit, Customer, Edit, Policy};
 use crate::schema::peer::{call, reply, Call, DrainHost, Reply};
 use crate::schema::state::{
-    command, outcome, CancelJob, ChangeConfiguration, Command, DeleteFile, DeleteJob,
+    command, outcome, CancelJob, ChangeConfiguration, DeleteFile, DeleteJob,
 };
-use crate::serving::{unavailable, AnswerLedger};
+use crate::serving::{submit, unavailable, AnswerLedger};
 use crate::state::{StateClient, StateError};
 
 /// Rows of an answer whose statement has no limit.
@@ -217,18 +217,7 @@
 
     async fn submit(&self, command: command::Command) -> Result<outcome::Outcome, Refusal> {
         let command_id = format!("admin-{}", Uuid::new_v4().simple());
-        let command = Command { command_id, proposed_at_unix_ms: 0, command: Some(command) };
-        match self.state.submit(command).await {
-            Ok(outcome) => match outcome.outcome {
-                Some(outcome::Outcome::Refused(refused)) => Err(refused.into()),
-                Some(outcome) => Ok(outcome),
-                None => Err(unavailable(StateError::Unknown("empty outcome".to_owned()))),
-            },
-            Err(error @ StateError::Unknown(_)) => {
-                Err(unavailable(error).with_outcome(RunOutcome::MayHaveRun))
-            }
-            Err(error) => Err(unavailable(error)),
-        }
+        submit(&**self.state, command_id, command).await
     }
 
     fn customer(&self, name: &str) -> Result<Customer, Refusal> {
--- a/src/admin/state_tables.rs
+++ b/src/admin/state_tables.rs
@@ -1,7 +1,7 @@
 use crate::admission::{Refusal, RefusalKind};
 use crate::query::{Cell, Show, Table};
-use crate::schema::state::{query, query_answer, ListFiles, ListItems, ListJobs, Query};
-use crate::serving::unavailable;
+use crate::schema::state::{query, query_answer, ListFiles, ListItems, ListJobs};
+use crate::serving::read;
 use crate::state::StateClient;
 
 /// Rows of one read.
@@ -25,7 +25,7 @@
         let mut after_job_id = String::new();
         loop {
             let list = ListJobs { customer: customer.clone(), after_job_id, limit: PAGE_ROWS };
-            let answer = self.read(query::Query::ListJobs(list)).await?;
+            let answer = read(self.state, query::Query::ListJobs(list)).await?;
             let query_answer::Answer::Jobs(page) = answer else { return Err(unexpected()) };
             self.select(&mut selected, Table::of_jobs(&page.jobs))?;
             let Some(last) = page.jobs.last().filter(|_| page.more) else { return Ok(selected) };
@@ -50,7 +50,7 @@
                 with_bodies: false,
                 limit_bytes: 0,
             };
-            let answer = self.read(query::Query::ListItems(list)).await?;
+            let answer = read(self.state, query::Query::ListItems(list)).await?;
             let query_answer::Answer::Items(page) = answer else { return Err(unexpected()) };
             self.select(&mut selected, Table::of_items(&page.items))?;
             let Some(last) = page.items.last().filter(|_| page.more) else { return Ok(selected) };
@@ -65,7 +65,7 @@
         let mut after_file_id = String::new();
         loop {
             let list = ListFiles { customer: customer.clone(), after_file_id, limit: PAGE_ROWS };
-            let answer = self.read(query::Query::ListFiles(list)).await?;
+            let answer = read(self.state, query::Query::ListFiles(list)).await?;
             let query_answer::Answer::Files(page) = answer else { return Err(unexpected()) };
             self.select(&mut selected, Table::of_files(&page.files))?;
             let Some(last) = page.files.last().filter(|_| page.more) else { return Ok(selected) };
@@ -77,15 +77,6 @@
         self.show.fixed_text(column)
     }
 
-    async fn read(&self, query: query::Query) -> Result<query_answer::Answer, Refusal> {
-        let query = Query { query: Some(query) };
-        match self.state.query(query).await.map_err(unavailable)?.answer {
-            Some(query_answer::Answer::Refused(refused)) => Err(refused.into()),
-            Some(answer) => Ok(answer),
-            None => Err(unexpected()),
-        }
-    }
-
     /// Keeps the rows of a page that satisfy the statement's condition.
     fn select(&self, selected: &mut Table, page: Table) -> Result<(), Refusal> {
         let filter = Show { order: Vec::new(), limit: None, after: None, ..self.show.clone() };
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -1,16 +1,16 @@
 use std::sync::Arc;
 
-use crate::admission::{Refusal, RefusalKind, RunOutcome};
+use crate::admission::{Refusal, RefusalKind};
 use crate::configuration::ConfigurationWatch;
 use crate::entry::activity::Activity;
 use crate::membership::{select_entries, Membership};
 use crate::peer::PeerCaller;
 use crate::routing::WorkClass;
 use crate::schema::peer::SlotUse;
-use crate::schema::state::{command, outcome, query, query_answer, Command, Query};
-use crate::serving::{unavailable, Dispatcher, OnlineService};
+use crate::schema::state::{command, outcome, query, query_answer};
+use crate::serving::{read, submit, Dispatcher, OnlineService};
 use crate::settings::HostSettings;
-use crate::state::{StateClient, StateError};
+use crate::state::StateClient;
 use crate::telemetry::{Counters, Tracer};
 
 /// Addresses named in an answer of `/v1/entries` or in a refusal.
@@ -79,29 +79,12 @@
         command_id: String,
         command: command::Command,
     ) -> Result<outcome::Outcome, Refusal> {
-        let command = Command { command_id, proposed_at_unix_ms: 0, command: Some(command) };
-        match self.state.submit(command).await {
-            Ok(outcome) => match outcome.outcome {
-                Some(outcome::Outcome::Refused(refused)) => Err(Refusal::from(refused)),
-                Some(outcome) => Ok(outcome),
-                None => Err(unavailable(StateError::Unknown("empty outcome".to_owned()))),
-            },
-            // The command may take effect later, so the caller must not take it as refused.
-            Err(error @ StateError::Unknown(_)) => {
-                Err(unavailable(error).with_outcome(RunOutcome::MayHaveRun))
-            }
-            Err(error) => Err(unavailable(error)),
-        }
+        submit(&*self.state, command_id, command).await
     }
 
     /// Reads the state; a refusal by the state becomes a refusal of the request.
     pub async fn query(&self, query: query::Query) -> Result<query_answer::Answer, Refusal> {
-        let answer = self.state.query(Query { query: Some(query) }).await.map_err(unavailable)?;
-        match answer.answer {
-            Some(query_answer::Answer::Refused(refused)) => Err(Refusal::from(refused)),
-            Some(answer) => Ok(answer),
-            None => Err(unavailable(StateError::Unknown("empty answer".to_owned()))),
-        }
+        read(&*self.state, query).await
     }
 
     /// Entry addresses for callers in `zone`, the best first, this host included.
--- a/src/serving/answer_ledger.rs
+++ b/src/serving/answer_ledger.rs
@@ -9,8 +9,9 @@
     Command, GetAnswer, Query, RecordAnswer, SettleClaim, TakeClaim,
 };
 use crate::serving::dispatcher::time_left;
+use crate::serving::state_calls::unavailable;
 use crate::serving::RequestIdentity;
-use crate::state::{StateClient, StateError};
+use crate::state::StateClient;
 use crate::telemetry::{Counters, Span};
 
 /// Longest time that the end of an answer waits for its record.
@@ -210,9 +211,3 @@
 fn command_of(command_id: String, command: command::Command) -> Command {
     Command { command_id, proposed_at_unix_ms: 0, command: Some(command) }
 }
-
-/// The refusal for a request that stopped at the control hosts, before an upstream got it.
-pub(crate) fn unavailable(error: StateError) -> Refusal {
-    let message = format!("the control hosts gave no answer: {error}");
-    Refusal::not_run(RefusalKind::ControlUnavailable, message)
-}
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -16,11 +16,11 @@
 mod request_identity;
 mod running_answer;
 mod shared_crash_records;
+mod state_calls;
 mod trials;
 
 pub use answer::Answer;
 pub use answer_format::AnswerFormat;
-pub(crate) use answer_ledger::unavailable;
 pub use answer_ledger::{AnswerLedger, FinishedAnswer};
 pub use attempt::{AttemptFailure, AttemptPolicy, FailureCause, NextStep};
 pub use block_hasher::BlockHasher;
@@ -33,3 +33,4 @@
 pub use request_identity::RequestIdentity;
 pub use running_answer::RunningAnswer;
 pub use shared_crash_records::SharedCrashRecords;
+pub(crate) use state_calls::{read, submit, unavailable};
--- /dev/null
+++ b/src/serving/state_calls.rs
@@ -0,0 +1,43 @@
+use crate::admission::{Refusal, RefusalKind, RunOutcome};
+use crate::schema::state::{command, outcome, query, query_answer, Command, Query};
+use crate::state::{StateClient, StateError};
+
+/// Submits a command; a refusal by the state becomes a refusal of the request.
+pub(crate) async fn submit(
+    state: &dyn StateClient,
+    command_id: String,
+    command: command::Command,
+) -> Result<outcome::Outcome, Refusal> {
+    let command = Command { command_id, proposed_at_unix_ms: 0, command: Some(command) };
+    match state.submit(command).await {
+        Ok(outcome) => match outcome.outcome {
+            Some(outcome::Outcome::Refused(refused)) => Err(Refusal::from(refused)),
+            Some(outcome) => Ok(outcome),
+            None => Err(unavailable(StateError::Unknown("empty outcome".to_owned()))),
+        },
+        // The command may take effect later, so the caller must not take it as refused.
+        Err(error @ StateError::Unknown(_)) => {
+            Err(unavailable(error).with_outcome(RunOutcome::MayHaveRun))
+        }
+        Err(error) => Err(unavailable(error)),
+    }
+}
+
+/// Reads the state; a refusal by the state becomes a refusal of the request.
+pub(crate) async fn read(
+    state: &dyn StateClient,
+    query: query::Query,
+) -> Result<query_answer::Answer, Refusal> {
+    let answer = state.query(Query { query: Some(query) }).await.map_err(unavailable)?;
+    match answer.answer {
+        Some(query_answer::Answer::Refused(refused)) => Err(Refusal::from(refused)),
+        Some(answer) => Ok(answer),
+        None => Err(unavailable(StateError::Unknown("empty answer".to_owned()))),
+    }
+}
+
+/// The refusal for a request that stopped at the control hosts, before an upstream got it.
+pub(crate) fn unavailable(error: StateError) -> Refusal {
+    let message = format!("the control hosts gave no answer: {error}");
+    Refusal::not_run(RefusalKind::ControlUnavailable, message)
+}
