--- a/schemagen/src/main.rs
+++ b/schemagen/src/main.rs
@@ -9,11 +9,13 @@
 use miette::{miette, Context, IntoDiagnostic, Result};
 use prost::Message;
 
-const SCHEMAS: [&str; 4] = ["settings.proto", "config.proto", "state.proto", "peer.proto"];
+const SCHEMAS: [&str; 6] =
+    ["settings.proto", "config.proto", "state.proto", "routes.proto", "ledger.proto", "peer.proto"];
 /// Packages that are also written and read as JSON.
 const JSON_PACKAGES: [&str; 2] = [".damaskhoist.settings", ".damaskhoist.config"];
 
 const STANDIN_SCHEMA: &str = "standin.proto";
+const PLATFORM_SCHEMA: &str = "platform.proto";
 
 fn main() -> ExitCode {
     let check = std::env::args().any(|argument| argument == "--check");
@@ -30,7 +32,9 @@
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
     let schema = root.join("schema");
     update(&root.join("src/generated"), check, |output| generate(&schema, output))?;
-    update(&root.join("standin/src/generated"), check, |output| generate_standin(&schema, output))
+    update(&root.join("standin/src/generated"), check, |output| generate_standin(&schema, output))?;
+    let schema = root.join("platform/schema");
+    update(&root.join("platform/src/generated"), check, |output| generate_platform(&schema, output))
 }
 
 fn update(committed: &Path, check: bool, generate: impl FnOnce(&Path) -> Result<()>) -> Result<()> {
@@ -84,6 +88,21 @@
     Ok(())
 }
 
+/// Uses plain serde for the same reason as the stand-in; field names are those of the platform.
+fn generate_platform(schema: &Path, output: &Path) -> Result<()> {
+    let descriptors = protox::compile([schema.join(PLATFORM_SCHEMA)], [schema])?;
+    prost_build::Config::new()
+        .out_dir(output)
+        .btree_map(["."])
+        .type_attribute(".", "#[derive(serde::Serialize, serde::Deserialize)]")
+        .type_attribute(".", "#[serde(rename_all = \"camelCase\")]")
+        .field_attribute("Route.split", "#[serde(default)]")
+        .field_attribute(".damaskhoist.platform.Route.kind", "#[serde(rename = \"type\")]")
+        .compile_fds(descriptors)
+        .into_diagnostic()?;
+    Ok(())
+}
+
 fn generated_files(folder: &Path) -> Result<Vec<PathBuf>> {
     let mut files = Vec::new();
     for entry in fs::read_dir(folder).into_diagnostic()? {
--- /dev/null
+++ b/src/coordinator/coordinator.rs
@@ -0,0 +1,566 @@
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_std::task::{self, JoinHandle};
+use miette::Result;
+use prost::Message;
+
+use crate::control::unix_ms;
+use crate::coordinator::operator::failure;
+use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, Scheduler, SchedulerInput};
+use crate::directory::{
+    Directory, EntryTable, FleetWatch, FleetWatchOptions, Heartbeat, SyncPartner, UpstreamRecord,
+};
+use crate::ledger::{command, route_for, Job, Ledger};
+use crate::peer::PeerCaller;
+use crate::raft::{Priority, ProposeError, ReadError};
+use crate::replication::{ReplicaHost, ReplicaHostOptions, Retirement};
+use crate::schema::ledger::{
+    answer, command::Command as Kind, query, Answer, Command, Expire, FinishItems, FinishedItem,
+    NotFound, Outcome, Query, ReadResults, ResultPage, RetirementState,
+};
+use crate::schema::peer::{
+    call, reply, ControlSync, EntryHost, EntrySync, FailureKind, ReturnItem,
+};
+use crate::settings::FleetHostSettings;
+use crate::signal::Signal;
+
+/// Time for which the leader holds a question of an entry host; the load that entry hosts see is so
+/// old at most.
+const LEADER_HOLD: Duration = Duration::from_millis(60);
+/// Part of the hold that each entry host adds, which bounds the questions a second that the leader
+/// answers.
+const LEADER_HOLD_PER_ENTRY: Duration = Duration::from_millis(4);
+/// Longest hold of a question.
+const HOLD_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time between two looks at what has run out.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two commands that let old jobs expire.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Longest wait for a quorum to confirm a read; operators and callers ask elsewhere after a second.
+const BARRIER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Most time that a read of results waits for the next one.
+const RESULT_WAIT_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// What a [`Coordinator`] is made from.
+pub struct CoordinatorOptions {
+    /// Settings of the host.
+    pub settings: FleetHostSettings,
+    /// Options of the replica.
+    pub replica: ReplicaHostOptions,
+}
+
+/// The control role of one host.
+pub struct Coordinator {
+    settings: FleetHostSettings,
+    ledger: Arc<Ledger>,
+    replica: Arc<ReplicaHost>,
+    directory: Mutex<Directory>,
+    entries: Mutex<EntryTable>,
+    scheduler: Mutex<Scheduler>,
+    watch: OnceLock<Arc<FleetWatch>>,
+    leader: LeaderClient,
+    /// Notified when held questions may have to be answered.
+    changed: Signal,
+    started: Instant,
+    tasks: Mutex<Vec<JoinHandle<()>>>,
+}
+
+/// Finds the leader through the replica of this host.
+struct ReplicaHint {
+    replica: Arc<ReplicaHost>,
+}
+
+impl LeaderHint for ReplicaHint {
+    fn leader_address(&self) -> Option<String> {
+        self.replica.status()?.leader_address.clone()
+    }
+
+    fn control_addresses(&self) -> Vec<String> {
+        self.replica.control_addresses()
+    }
+}
+
+impl Retirement for Ledger {
+    fn is_retired(&self, host_id: &str) -> bool {
+        Self::is_retired(self, host_id)
+    }
+}
+
+/// A control host has nothing to say of itself when it asks the others for their directories.
+struct Observer;
+
+impl SyncPartner for Observer {
+    fn report(&self, _sync: &mut EntrySync, _to_leader: bool) {}
+
+    fn receive(&self, _from_address: &str, _answer: &ControlSync) {}
+}
+
+impl Coordinator {
+    /// Opens the replica and starts the tasks of the role.
+    ///
+    /// # Errors
+    /// If the data folder can't be read.
+    pub fn spawn(options: CoordinatorOptions, caller: Arc<dyn PeerCaller>) -> Result<Arc<Self>> {
+        let CoordinatorOptions { settings, replica } = options;
+        let ledger = Arc::new(Ledger::default());
+        let replica = ReplicaHost::open(replica, ledger.clone(), ledger.clone(), caller.clone())?;
+        let hint = Arc::new(ReplicaHint { replica: replica.clone() });
+        let interval = Duration::from_millis(settings.upstream_heartbeat_ms);
+        let directory = Directory::new(rand::random_range(1..u64::MAX), interval);
+        let watch_options = FleetWatchOptions {
+            seed_addresses: settings.seed_addresses.iter().map(ToString::to_string).collect(),
+            own_address: settings.peer_address.to_string(),
+            silence: directory.silence(),
+        };
+        let coordinator = Arc::new(Self {
+            settings,
+            ledger,
+            replica,
+            directory: Mutex::new(directory),
+            entries: Mutex::default(),
+            scheduler: Mutex::default(),
+            watch: OnceLock::new(),
+            leader: LeaderClient::open(caller.clone(), hint),
+            changed: Signal::default(),
+            started: Instant::now(),
+            tasks: Mutex::default(),
+        });
+        let watch = FleetWatch::spawn(watch_options, caller, Arc::new(Observer));
+        let _ = coordinator.watch.set(watch);
+        let tasks = vec![
+            task::spawn(tick(coordinator.clone())),
+            task::spawn(expire_jobs(coordinator.clone())),
+            task::spawn(follow_ledger(coordinator.clone())),
+        ];
+        *lock(&coordinator.tasks) = tasks;
+        Ok(coordinator)
+    }
+
+    /// The replica of this host.
+    pub fn replica(&self) -> &Arc<ReplicaHost> {
+        &self.replica
+    }
+
+    /// The ledger of this host's replica.
+    pub fn ledger(&self) -> &Arc<Ledger> {
+        &self.ledger
+    }
+
+    /// Voters that the group aims at.
+    pub(super) fn target_voters(&self) -> usize {
+        self.settings.target_voters()
+    }
+
+    pub(super) fn leader(&self) -> &LeaderClient {
+        &self.leader
+    }
+
+    /// Region of an availability zone; empty for an unknown one.
+    pub fn region_of(&self, zone: &str) -> &str {
+        self.settings.region_of(zone)
+    }
+
+    /// Takes a heartbeat of an upstream.
+    pub fn hear_upstream(&self, record: UpstreamRecord) -> Heartbeat {
+        let (id, phase, sequence) = (record.upstream_id.clone(), record.phase, record.sequence);
+        let heard = lock(&self.directory).hear(record, Instant::now());
+        if heard == Heartbeat::Changed {
+            log::info!(event = "upstream_announced", upstream = id.as_str(), sequence = sequence;
+                "{phase:?}");
+            self.publish_directory();
+        }
+        heard
+    }
+
+    /// An upstream says that it leaves.
+    pub fn upstream_leaves(&self, upstream_id: &str, started_at_unix_ms: u64) {
+        lock(&self.directory).leave(upstream_id, started_at_unix_ms, unix_ms(), Instant::now());
+        log::info!(event = "upstream_left", upstream = upstream_id; "it told so");
+        self.publish_directory();
+    }
+
+    /// Answers a call of another host; `None` if it is not for the control role.
+    pub async fn handle(self: &Arc<Self>, call: call::Call) -> Option<reply::Reply> {
+        Some(match call {
+            call::Call::EntrySync(sync) => reply::Reply::ControlSync(self.sync(sync).await),
+            call::Call::LedgerCommand(command) => self.propose(command).await,
+            call::Call::LedgerQuery(query) => self.query(query).await,
+            call::Call::ReturnItem(item) => self.return_item(item).await,
+            call::Call::RetireHost(retire) => match self.leads() {
+                true => self.retire_as_leader(&retire.host_id).await,
+                false => self.not_leader(),
+            },
+            _ => return None,
+        })
+    }
+
+    /// Hands leadership on and stops.
+    pub async fn close(&self) {
+        let tasks = std::mem::take(&mut *lock(&self.tasks));
+        for task in tasks {
+            task.cancel().await;
+        }
+        self.replica.close().await;
+    }
+
+    /// True while this host's replica leads.
+    pub fn leads(&self) -> bool {
+        self.replica.status().is_some_and(|status| status.is_leader)
+    }
+
+    fn not_leader(&self) -> reply::Reply {
+        let leader = self.replica.status().and_then(|status| status.leader_address.clone());
+        failure(FailureKind::NotLeader, "this replica does not lead", leader)
+    }
+
+    /// Replicates a command, as the leader.
+    pub(super) async fn propose(&self, mut command: Command) -> reply::Reply {
+        let Some(group) = self.replica.group() else { return self.not_leader() };
+        command.proposed_at_unix_ms = unix_ms();
+        let finished = match &command.command {
+            Some(Kind::FinishItems(finish)) => finish.items.clone(),
+            _ => Vec::new(),
+        };
+        let priority = priority(&command);
+        let proposed = group.propose(command.encode_to_vec().into(), priority).await;
+        let outcome = match proposed.map(Outcome::decode) {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(error)) => return failure(FailureKind::CommitUnknown, &error.to_string(), None),
+            Err(ProposeError::NotLeader { leader_address }) => {
+                return failure(FailureKind::NotLeader, "not the leader", leader_address);
+            }
+            Err(error @ ProposeError::Unknown) => {
+                return failure(FailureKind::CommitUnknown, &error.to_string(), None);
+            }
+            Err(error @ ProposeError::Overloaded) => {
+                return failure(FailureKind::Overloaded, &error.to_string(), None);
+            }
+            Err(error @ ProposeError::Storage(_)) => {
+                return failure(FailureKind::Storage, &error.to_string(), None);
+            }
+        };
+        let mut scheduler = lock(&self.scheduler);
+        for item in finished {
+            scheduler.finished(&item.job_id, item.item);
+        }
+        reply::Reply::LedgerOutcome(outcome)
+    }
+
+    /// Waits until a quorum confirms that this replica leads and its state is current.
+    async fn confirm(&self) -> Result<(), reply::Reply> {
+        let Some(group) = self.replica.group() else { return Err(self.not_leader()) };
+        match async_std::future::timeout(BARRIER_TIMEOUT, group.read_barrier()).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(ReadError::NotLeader { leader_address })) => {
+                Err(failure(FailureKind::NotLeader, "not the leader", leader_address))
+            }
+            Ok(Err(error)) => Err(failure(FailureKind::NoQuorum, &error.to_string(), None)),
+            Err(_) => Err(failure(FailureKind::NoQuorum, "no quorum confirmed the read", None)),
+        }
+    }
+
+    async fn query(&self, query: Query) -> reply::Reply {
+        if let Err(refusal) = self.confirm().await {
+            return refusal;
+        }
+        let not_found = || answer::Answer::NotFound(NotFound {});
+        let answer = match query.query {
+            Some(query::Query::ReadResults(read)) => {
+                self.results(&read).await.map_or_else(not_found, answer::Answer::Results)
+            }
+            Some(query::Query::ReadItemBody(read)) => {
+                let job = self.ledger.job(&read.job_id);
+                let body = job.and_then(|job| job.item(&read.item_id).map(|it| it.body.clone()));
+                body.map_or_else(not_found, answer::Answer::ItemBody)
+            }
+            Some(query::Query::ReadRoutes(_)) => {
+                self.ledger.document().map_or_else(not_found, answer::Answer::Document)
+            }
+            Some(query::Query::ReadRetirement(read)) => {
+                match self.ledger.is_retired(&read.host_id) {
+                    true => {
+                        let completed = self.replica.is_emptied(&read.host_id);
+                        answer::Answer::Retirement(RetirementState { completed })
+                    }
+                    false => not_found(),
+                }
+            }
+            None => not_found(),
+        };
+        reply::Reply::LedgerAnswer(Answer { answer: Some(answer) })
+    }
+
+    /// Results from a position on; waits for the first one if asked to.
+    async fn results(&self, read: &ReadResults) -> Option<ResultPage> {
+        let wait = Duration::from_millis(read.wait_ms.into()).min(RESULT_WAIT_LIMIT);
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.ledger.changed().listen();
+            let page = self.ledger.results(&read.job_id, read.after)?;
+            let left = until.saturating_duration_since(Instant::now());
+            let is_last = read.after >= page.total;
+            if !page.results.is_empty() || left.is_zero() || is_last {
+                return Some(page);
+            }
+            Signal::wait(changed, left).await;
+        }
+    }
+
+    async fn return_item(&self, item: ReturnItem) -> reply::Reply {
+        if !self.leads() {
+            return self.not_leader();
+        }
+        let routes = self.ledger.routes();
+        let max_attempts = |job: &Job| {
+            let route = route_for(&routes.routes, &job.host, &job.path);
+            route.map_or(1, |route| route.max_attempts.max(1))
+        };
+        let end = lock(&self.scheduler).returned(&item, &max_attempts, Instant::now());
+        log::info!(event = "item_returned", job = item.job_id.as_str(), item = item.item,
+            assignment = item.assignment_id, last_event = item.last_event_id; "{:?}, {end:?}",
+            item.reason());
+        self.changed.notify();
+        if end != ItemEnd::GivenUp {
+            return reply::Reply::Done(Default::default());
+        }
+        let ReturnItem { job_id, item, .. } = item;
+        let failed = FinishedItem { job_id, item, failed: true, text: Default::default() };
+        self.propose(command(Kind::FinishItems(FinishItems { items: vec![failed] }))).await
+    }
+
+    /// Answers an entry host once there is something new, or its question was held long enough.
+    async fn sync(self: &Arc<Self>, sync: EntrySync) -> ControlSync {
+        let leads = self.leads();
+        if let Some(entry) = &sync.entry {
+            self.take_report(entry, &sync, leads);
+        }
+        let until = Instant::now() + self.hold(&sync, leads);
+        loop {
+            let changed = self.changed.listen();
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() || self.has_news(&sync, leads) {
+                break;
+            }
+            Signal::wait(changed, left).await;
+        }
+        // A leader that was replaced without noticing must not hand out items.
+        let may_assign = leads && sync.entry.is_some() && lock(&self.scheduler).has_waiting();
+        let confirmed = may_assign && self.confirm().await.is_ok();
+        self.answer(&sync, confirmed)
+    }
+
+    fn hold(&self, sync: &EntrySync, leads: bool) -> Duration {
+        let asked = Duration::from_millis(sync.wait_ms.into()).min(HOLD_LIMIT);
+        if !leads || sync.entry.is_none() {
+            return asked;
+        }
+        let entries = lock(&self.entries).hosts().count() as u32;
+        asked.min(LEADER_HOLD.max(LEADER_HOLD_PER_ENTRY * entries))
+    }
+
+    fn take_report(&self, entry: &EntryHost, sync: &EntrySync, leads: bool) {
+        let now = Instant::now();
+        if lock(&self.entries).hear(entry, now) {
+            log::info!(event = "entry_host_changed", host = entry.host_id.as_str(),
+                ready = entry.ready; "reported");
+            self.changed.notify();
+        }
+        if !leads {
+            return;
+        }
+        self.follow_term(true);
+        let jobs = match sync.running.is_empty() {
+            true => Vec::new(),
+            false => self.ledger.open_jobs(),
+        };
+        let mut scheduler = lock(&self.scheduler);
+        scheduler.report(entry, sync, now);
+        scheduler.adopt(&entry.host_id, &sync.running, &jobs, now);
+        if scheduler.yield_slots(&self.upstreams()) {
+            drop(scheduler);
+            self.changed.notify();
+        }
+    }
+
+    fn has_news(&self, sync: &EntrySync, leads: bool) -> bool {
+        if lock(&self.directory).revision() != (sync.directory_epoch, sync.directory_revision) {
+            return true;
+        }
+        let routes = self.ledger.routes().version > sync.routes_version;
+        let entries = lock(&self.entries).revision() != sync.entries_revision;
+        let host = sync.entry.as_ref().filter(|_| leads);
+        let stops = host
+            .is_some_and(|entry| lock(&self.scheduler).has_stops(&entry.host_id, Instant::now()));
+        routes || sync.entry.is_some() && entries || stops
+    }
+
+    fn answer(&self, sync: &EntrySync, may_assign: bool) -> ControlSync {
+        let leads = self.leads();
+        let routes = self.ledger.routes();
+        let mut answer = ControlSync {
+            leads,
+            routes: (routes.version > sync.routes_version).then(|| (*routes).clone()),
+            control_addresses: self.replica.control_addresses(),
+            uptime_ms: self.started.elapsed().as_millis() as u64,
+            ..ControlSync::default()
+        };
+        {
+            let directory = lock(&self.directory);
+            (answer.directory_epoch, answer.directory_revision) = directory.revision();
+            answer.upstreams =
+                directory.changes_since(sync.directory_epoch, sync.directory_revision);
+        }
+        {
+            let entries = lock(&self.entries);
+            answer.entries_revision = entries.revision();
+            if answer.entries_revision != sync.entries_revision {
+                answer.entries = entries.hosts().cloned().collect();
+            }
+        }
+        let Some(entry) = sync.entry.as_ref().filter(|_| leads) else { return answer };
+        let now = Instant::now();
+        let mut scheduler = lock(&self.scheduler);
+        answer.stops = scheduler.stops(&entry.host_id, now);
+        answer.stops.extend(scheduler.strays(&entry.host_id, &sync.running));
+        if may_assign {
+            answer.assignments = self.assign(&mut scheduler, &entry.host_id, now);
+        }
+        answer.uses = scheduler.uses_of_others(&entry.host_id);
+        answer
+    }
+
+    fn assign(
+        &self,
+        scheduler: &mut Scheduler,
+        host_id: &str,
+        now: Instant,
+    ) -> Vec<crate::schema::peer::ItemAssignment> {
+        let routes = self.ledger.routes();
+        let upstreams = self.upstreams();
+        let services = |job: &Job| {
+            let route = route_for(&routes.routes, &job.host, &job.path);
+            let shares = route.into_iter().flat_map(|route| &route.shares);
+            shares.filter(|it| it.weight > 0).map(|it| it.service.clone()).collect::<Vec<_>>()
+        };
+        let input = SchedulerInput { upstreams: &upstreams, services: &services, now };
+        let assignments = scheduler.assign(host_id, &input);
+        for it in &assignments {
+            log::info!(event = "item_assigned", job = it.job_id.as_str(), item = it.item,
+                assignment = it.assignment_id, host = host_id, upstream = it.upstream_id.as_str(),
+                after_event = it.last_event_id; "assigned");
+        }
+        assignments
+    }
+
+    fn upstreams(&self) -> Arc<Vec<UpstreamRecord>> {
+        self.watch.get().map(|watch| watch.view().upstreams.clone()).unwrap_or_default()
+    }
+
+    fn publish_directory(&self) {
+        self.share_directory();
+        self.changed.notify();
+    }
+
+    /// Puts the own directory beside those of the other control hosts.
+    fn share_directory(&self) {
+        let Some(watch) = self.watch.get() else { return };
+        let (known, changes) = {
+            let directory = lock(&self.directory);
+            (directory.revision(), directory.changes_since(0, 0))
+        };
+        watch.hear_local(known, changes, self.started.elapsed());
+    }
+
+    fn follow_term(&self, leads: bool) {
+        let first_id = unix_ms() << 12;
+        lock(&self.scheduler).set_leading(leads, first_id, Instant::now());
+    }
+
+    fn tick_once(&self) {
+        let now = Instant::now();
+        let leads = self.leads();
+        self.follow_term(leads);
+        let silent = lock(&self.directory).expire(now);
+        for upstream in &silent {
+            log::warn!(event = "upstream_silent", upstream = upstream.as_str(); "no heartbeat");
+        }
+        let entries_changed = lock(&self.entries).expire(now);
+        if leads {
+            for host in lock(&self.scheduler).expire(now) {
+                log::warn!(event = "entry_host_silent", host = host.as_str(); "items given back");
+            }
+        }
+        match silent.is_empty() {
+            false => self.publish_directory(),
+            true if entries_changed => self.changed.notify(),
+            true => {}
+        }
+    }
+
+    fn refresh_items(&self) {
+        if !self.leads() {
+            return;
+        }
+        let open = self.ledger.open_jobs();
+        lock(&self.scheduler).refresh(&open, Instant::now());
+    }
+}
+
+async fn tick(coordinator: Arc<Coordinator>) {
+    let mut beats: u32 = 0;
+    loop {
+        coordinator.tick_once();
+        // The own directory counts as heard only if it is shared again now and then.
+        beats = beats.wrapping_add(1);
+        if beats % 20 == 1 {
+            coordinator.share_directory();
+            coordinator.refresh_items();
+        }
+        task::sleep(TICK).await;
+    }
+}
+
+/// Wakes held questions after changes of the routes, and tells the scheduler of new jobs.
+async fn follow_ledger(coordinator: Arc<Coordinator>) {
+    let mut version = 0;
+    loop {
+        let changed = coordinator.ledger.changed().listen();
+        coordinator.refresh_items();
+        let newest = coordinator.ledger.routes().version;
+        if newest != version {
+            log::info!(event = "routes_applied", version = newest, before = version; "applied");
+            version = newest;
+            coordinator.changed.notify();
+        }
+        changed.await;
+        // Commands come in batches; one look after them is enough.
+        task::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn expire_jobs(coordinator: Arc<Coordinator>) {
+    loop {
+        task::sleep(EXPIRE_INTERVAL).await;
+        if !coordinator.leads() || !coordinator.ledger.has_expiring() {
+            continue;
+        }
+        let keep_ms = coordinator.settings.job_retention_ms;
+        let reply = coordinator.propose(command(Kind::Expire(Expire { keep_ms }))).await;
+        if let reply::Reply::Failure(failure) = reply {
+            log::warn!(event = "expire_failed"; "{}", failure.message);
+        }
+    }
+}
+
+fn priority(command: &Command) -> Priority {
+    match &command.command {
+        Some(Kind::SubmitJob(_)) => Priority::Bulk,
+        Some(Kind::FinishItems(_) | Kind::Expire(_)) => Priority::Completion,
+        _ => Priority::Online,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/coordinator/scheduler.rs
@@ -0,0 +1,470 @@
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+
+use crate::coordinator::UpstreamShare;
+use crate::directory::{Phase, UpstreamRecord};
+use crate::ledger::Job;
+use crate::schema::peer::{
+    EntryHost, EntrySync, ItemAssignment, ItemReturn, ItemStop, ReturnItem, RunningItem,
+    StopReason, UpstreamUse,
+};
+
+/// Silence after which the items of an entry host are given to others. The host itself stops them
+/// somewhat earlier.
+const ENTRY_SILENCE: Duration = Duration::from_millis(2_500);
+/// Most batch items on one entry host, which bounds its processor time and memory.
+const ITEMS_PER_ENTRY: usize = 24;
+/// Time after the start of a term in which entry hosts report what they run, so that nothing is
+/// started twice.
+const WARM_UP: Duration = Duration::from_millis(700);
+/// Pause of an upstream that did not run an item or broke its stream, doubled with each time in a
+/// row.
+const UPSTREAM_PAUSE: Duration = Duration::from_millis(300);
+/// Longest such pause; an upstream that crashed is back after some seconds.
+const UPSTREAM_PAUSE_LIMIT: Duration = Duration::from_millis(4_000);
+/// Time after which an entry host that still runs an item is told again to stop it.
+const REPEAT_STOP: Duration = Duration::from_millis(200);
+/// Pause of an item after a failed attempt.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// What a decision of the scheduler depends on besides its own state.
+pub struct SchedulerInput<'a> {
+    /// Upstreams that are there.
+    pub upstreams: &'a [UpstreamRecord],
+    /// Services that may run the items of a job; empty if its route is gone.
+    pub services: &'a dyn Fn(&Job) -> Vec<String>,
+    /// Now.
+    pub now: Instant,
+}
+
+/// How an item ended that came back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ItemEnd {
+    /// It waits to be started again.
+    Waits,
+    /// All its attempts failed.
+    GivenUp,
+    /// The assignment is not known.
+    Unknown,
+}
+
+type ItemKey = (Arc<str>, u32);
+
+/// Assigns batch items to entry hosts and upstreams; only the leader's decides.
+///
+/// It keeps nothing durable: a new leader learns from the entry hosts what runs, and from the ledger
+/// what is left to do.
+#[derive(Debug, Default)]
+pub struct Scheduler {
+    led_since: Option<Instant>,
+    next_id: u64,
+    /// Open items by the time of their job.
+    pending: BTreeMap<(u64, Arc<str>, u32), Waiting>,
+    known: HashMap<ItemKey, u64>,
+    running: HashMap<u64, Running>,
+    entries: HashMap<String, Entry>,
+    pauses: HashMap<String, UpstreamPause>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    job: Arc<Job>,
+    progress: Progress,
+    not_before: Instant,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Progress {
+    text: Bytes,
+    last_event_id: u64,
+    failures: u32,
+}
+
+#[derive(Debug)]
+struct Running {
+    job: Arc<Job>,
+    item: u32,
+    host_id: String,
+    upstream_id: String,
+    progress: Progress,
+    started: Instant,
+    stop: Option<StopReason>,
+    /// When the entry host was last told to stop.
+    told: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    host: EntryHost,
+    incarnation: u64,
+    heard: Instant,
+    uses: Vec<UpstreamUse>,
+}
+
+#[derive(Debug)]
+struct UpstreamPause {
+    failures: u32,
+    until: Instant,
+}
+
+impl Running {
+    fn must_tell(&self, now: Instant) -> bool {
+        self.stop.is_some() && self.told.is_none_or(|told| now - told > REPEAT_STOP)
+    }
+}
+
+impl Scheduler {
+    /// Starts or ends a term; `first_id` must be above all assignments of earlier terms.
+    pub fn set_leading(&mut self, leads: bool, first_id: u64, now: Instant) {
+        if leads == self.led_since.is_some() {
+            return;
+        }
+        *self = Self { led_since: leads.then_some(now), next_id: first_id, ..Self::default() };
+    }
+
+    /// Compares with the ledger: new items wait, finished and cancelled ones are stopped.
+    pub fn refresh(&mut self, open_jobs: &[Arc<Job>], now: Instant) {
+        let open: HashSet<&str> = open_jobs.iter().map(|job| job.job_id.as_str()).collect();
+        self.pending.retain(|(_, job_id, _), _| open.contains(&**job_id));
+        for running in self.running.values_mut() {
+            if !open.contains(running.job.job_id.as_str()) {
+                running.stop = Some(StopReason::Cancelled);
+            }
+        }
+        self.known.retain(|(job_id, _), _| open.contains(&**job_id));
+        for job in open_jobs {
+            let job_id: Arc<str> = job.job_id.as_str().into();
+            for item in job.unfinished() {
+                if self.known.contains_key(&(job_id.clone(), item)) {
+                    continue;
+                }
+                let waiting =
+                    Waiting { job: job.clone(), progress: Progress::default(), not_before: now };
+                self.known.insert((job_id.clone(), item), 0);
+                self.pending.insert((job.submitted_at_unix_ms, job_id.clone(), item), waiting);
+            }
+        }
+    }
+
+    /// The ledger has a result of the item.
+    pub fn finished(&mut self, job_id: &str, item: u32) {
+        let ids = self.running.iter().filter(|(_, it)| it.job.job_id == job_id && it.item == item);
+        let ids: Vec<u64> = ids.map(|(id, _)| *id).collect();
+        for id in ids {
+            if let Some(running) = self.running.remove(&id) {
+                self.pauses.remove(&running.upstream_id);
+            }
+        }
+        self.pending.retain(|(_, job, index), _| !(&**job == job_id && *index == item));
+    }
+
+    /// Takes a report of an entry host.
+    pub fn report(&mut self, host: &EntryHost, sync: &EntrySync, now: Instant) {
+        let known = self.entries.entry(host.host_id.clone());
+        let entry = known.or_insert_with(|| Entry {
+            host: host.clone(),
+            incarnation: sync.incarnation,
+            heard: now,
+            uses: Vec::new(),
+        });
+        entry.host.clone_from(host);
+        entry.incarnation = sync.incarnation;
+        entry.heard = now;
+        entry.uses.clone_from(&sync.uses);
+        let reported: HashSet<u64> = sync.running.iter().map(|it| it.assignment_id).collect();
+        let host_id = &host.host_id;
+        // The host asks one question at a time, so an answer that carried an item and did not arrive
+        // before this question never will.
+        let lost =
+            self.running.iter().filter(|(id, it)| it.host_id == *host_id && !reported.contains(id));
+        let lost: Vec<u64> = lost.map(|(id, _)| *id).collect();
+        for id in lost {
+            self.give_back(id, now);
+        }
+    }
+
+    /// Takes over items that an entry host runs for an earlier leader.
+    pub fn adopt(&mut self, host_id: &str, items: &[RunningItem], jobs: &[Arc<Job>], now: Instant) {
+        for item in items {
+            if self.running.contains_key(&item.assignment_id) {
+                continue;
+            }
+            let Some(job) = jobs.iter().find(|job| job.job_id == item.job_id) else { continue };
+            let key = (Arc::<str>::from(item.job_id.as_str()), item.item);
+            let place = (job.submitted_at_unix_ms, key.0.clone(), key.1);
+            if job.is_finished(item.item) || self.pending.remove(&place).is_none() {
+                continue;
+            }
+            self.known.insert(key, item.assignment_id);
+            let running = Running {
+                job: job.clone(),
+                item: item.item,
+                host_id: host_id.to_owned(),
+                upstream_id: item.upstream_id.clone(),
+                progress: Progress::default(),
+                started: now,
+                stop: None,
+                told: None,
+            };
+            self.running.insert(item.assignment_id, running);
+        }
+    }
+
+    /// Drops entry hosts that fell silent and gives their items to others.
+    pub fn expire(&mut self, now: Instant) -> Vec<String> {
+        let silent = self.entries.iter().filter(|(_, it)| now - it.heard > ENTRY_SILENCE);
+        let silent: Vec<String> = silent.map(|(id, _)| id.clone()).collect();
+        for host_id in &silent {
+            self.entries.remove(host_id);
+            let ids = self.running.iter().filter(|(_, it)| it.host_id == *host_id);
+            let ids: Vec<u64> = ids.map(|(id, _)| *id).collect();
+            for id in ids {
+                self.give_back(id, now);
+            }
+        }
+        silent
+    }
+
+    /// An entry host gives an item back.
+    pub fn returned(
+        &mut self,
+        item: &ReturnItem,
+        max_attempts: &dyn Fn(&Job) -> u32,
+        now: Instant,
+    ) -> ItemEnd {
+        let Some(running) = self.running.get_mut(&item.assignment_id) else {
+            return ItemEnd::Unknown;
+        };
+        let upstream_id = running.upstream_id.clone();
+        let yielded = running.stop.is_some();
+        if !item.text.is_empty() || item.last_event_id > 0 {
+            running.progress.text = item.text.clone();
+            running.progress.last_event_id = item.last_event_id;
+        }
+        match item.reason() {
+            ItemReturn::FailedAttempt => {
+                running.progress.failures += 1;
+                if running.progress.failures >= max_attempts(&running.job) {
+                    self.running.remove(&item.assignment_id);
+                    return ItemEnd::GivenUp;
+                }
+            }
+            _ if !yielded => self.pause(&upstream_id, now),
+            _ => {}
+        }
+        self.give_back(item.assignment_id, now);
+        ItemEnd::Waits
+    }
+
+    fn pause(&mut self, upstream_id: &str, now: Instant) {
+        let pause = self.pauses.entry(upstream_id.to_owned());
+        let pause = pause.or_insert(UpstreamPause { failures: 0, until: now });
+        let length = UPSTREAM_PAUSE * 2_u32.saturating_pow(pause.failures.min(8));
+        pause.failures += 1;
+        pause.until = now + length.min(UPSTREAM_PAUSE_LIMIT);
+    }
+
+    fn give_back(&mut self, id: u64, now: Instant) {
+        let Some(running) = self.running.remove(&id) else { return };
+        let Running { job, item, progress, stop, .. } = running;
+        let job_id: Arc<str> = job.job_id.as_str().into();
+        if stop == Some(StopReason::Cancelled) || job.is_finished(item) {
+            return;
+        }
+        let not_before = if progress.failures > 0 { now + RETRY_PAUSE } else { now };
+        self.known.insert((job_id.clone(), item), 0);
+        let place = (job.submitted_at_unix_ms, job_id, item);
+        self.pending.insert(place, Waiting { job, progress, not_before });
+    }
+
+    /// Slots of each upstream, and who uses them.
+    pub fn shares(&self, upstreams: &[UpstreamRecord]) -> HashMap<String, UpstreamShare> {
+        let slots = upstreams.iter().map(|it| (it.upstream_id.clone(), it.slots));
+        let mut shares: HashMap<String, UpstreamShare> =
+            slots.map(|(id, slots)| (id, UpstreamShare { slots, ..Default::default() })).collect();
+        for used in self.entries.values().flat_map(|entry| &entry.uses) {
+            if let Some(share) = shares.get_mut(&used.upstream_id) {
+                share.online += used.online;
+            }
+        }
+        for running in self.running.values() {
+            if let Some(share) = shares.get_mut(&running.upstream_id) {
+                share.batch += 1;
+            }
+        }
+        shares
+    }
+
+    /// Marks batch items that must give their slot back; true if there are new ones.
+    pub fn yield_slots(&mut self, upstreams: &[UpstreamRecord]) -> bool {
+        let mut changed = false;
+        for (upstream_id, mut share) in self.shares(upstreams) {
+            let on_it = self.running.values_mut().filter(|it| it.upstream_id == upstream_id);
+            let mut on_it: Vec<&mut Running> = on_it.collect();
+            let stopping = on_it.iter().filter(|it| it.stop.is_some()).count() as u32;
+            share.batch -= stopping.min(share.batch);
+            let excess = share.batch_excess();
+            // The newest has the least in the KV cache that has to be read again elsewhere.
+            on_it.sort_by_key(|it| std::cmp::Reverse(it.started));
+            let running = on_it.into_iter().filter(|it| it.stop.is_none());
+            for item in running.take(excess as usize) {
+                item.stop = Some(StopReason::Yield);
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// True if there is something to tell the entry host.
+    pub fn has_stops(&self, host_id: &str, now: Instant) -> bool {
+        self.running.values().any(|it| it.host_id == host_id && it.must_tell(now))
+    }
+
+    /// Assignments that the entry host must stop.
+    pub fn stops(&mut self, host_id: &str, now: Instant) -> Vec<ItemStop> {
+        let own = self.running.iter_mut().filter(|(_, it)| it.host_id == host_id);
+        let mut stops = Vec::new();
+        for (id, running) in own {
+            let Some(reason) = running.stop.filter(|_| running.must_tell(now)) else { continue };
+            running.told = Some(now);
+            stops.push(ItemStop { assignment_id: *id, reason: reason.into() });
+        }
+        stops
+    }
+
+    /// Assignments that an entry host reports and that are not its own any more.
+    pub fn strays(&self, host_id: &str, items: &[RunningItem]) -> Vec<ItemStop> {
+        if self.led_since.is_none() {
+            return Vec::new();
+        }
+        let is_own = |id| self.running.get(&id).is_some_and(|it: &Running| it.host_id == host_id);
+        let strays = items.iter().filter(|item| !is_own(item.assignment_id));
+        strays
+            .map(|item| ItemStop {
+                assignment_id: item.assignment_id,
+                reason: StopReason::Cancelled.into(),
+            })
+            .collect()
+    }
+
+    /// Requests of all other entry hosts at each upstream.
+    pub fn uses_of_others(&self, host_id: &str) -> Vec<UpstreamUse> {
+        let mut uses: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
+        for (_, entry) in self.entries.iter().filter(|(id, _)| *id != host_id) {
+            for used in &entry.uses {
+                uses.entry(&used.upstream_id).or_default().0 += used.online;
+            }
+        }
+        for running in self.running.values().filter(|it| it.host_id != host_id) {
+            uses.entry(&running.upstream_id).or_default().1 += 1;
+        }
+        uses.into_iter()
+            .map(|(id, (online, batch))| UpstreamUse { upstream_id: id.to_owned(), online, batch })
+            .collect()
+    }
+
+    /// True if items wait for a slot.
+    pub fn has_waiting(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Items for an entry host to start now: the oldest first, on upstreams with room near it.
+    pub fn assign(&mut self, host_id: &str, input: &SchedulerInput<'_>) -> Vec<ItemAssignment> {
+        let is_warm = self.led_since.is_some_and(|since| input.now - since >= WARM_UP);
+        let Some(entry) = self.entries.get(host_id).filter(|entry| is_warm && entry.host.ready)
+        else {
+            return Vec::new();
+        };
+        let held = self.running.values().filter(|it| it.host_id == host_id).count();
+        let mut room = ITEMS_PER_ENTRY.saturating_sub(held);
+        let mut near = self.near_upstreams(&entry.host, input);
+        let mut assigned = Vec::new();
+        let waiting = self.pending.iter().filter(|(_, it)| it.not_before <= input.now);
+        let places: Vec<_> = waiting.map(|(place, _)| place.clone()).take(room).collect();
+        for place in places {
+            if room == 0 || near.iter().all(|(_, share)| share.batch_room() == 0) {
+                break;
+            }
+            let services = (input.services)(&self.pending[&place].job);
+            let with_room = near.iter_mut().filter(|(record, share)| {
+                share.batch_room() > 0 && services.contains(&record.service)
+            });
+            let Some((record, share)) = with_room.max_by_key(|(_, share)| share.batch_room())
+            else {
+                continue;
+            };
+            share.batch += 1;
+            room -= 1;
+            let upstream_id = record.upstream_id.clone();
+            assigned.push(self.start(place, host_id, upstream_id, input.now));
+        }
+        assigned
+    }
+
+    /// Upstreams that the entry host is one of the nearest to, with their shares.
+    fn near_upstreams<'a>(
+        &self,
+        host: &EntryHost,
+        input: &SchedulerInput<'a>,
+    ) -> Vec<(&'a UpstreamRecord, UpstreamShare)> {
+        let shares = self.shares(input.upstreams);
+        let ready = || self.entries.values().filter(|entry| entry.host.ready);
+        let is_near = |record: &UpstreamRecord| {
+            if record.zone == host.zone {
+                return true;
+            }
+            let has_zone = ready().any(|entry| entry.host.zone == record.zone);
+            let has_region = ready().any(|entry| entry.host.region == record.region);
+            !has_zone && (record.region == host.region || !has_region)
+        };
+        let is_paused = |id: &str| self.pauses.get(id).is_some_and(|it| it.until > input.now);
+        let usable = input.upstreams.iter().filter(|record| {
+            record.phase == Phase::Ready && is_near(record) && !is_paused(&record.upstream_id)
+        });
+        usable.map(|record| (record, shares[&record.upstream_id])).collect()
+    }
+
+    fn start(
+        &mut self,
+        place: (u64, Arc<str>, u32),
+        host_id: &str,
+        upstream_id: String,
+        now: Instant,
+    ) -> ItemAssignment {
+        let Waiting { job, progress, .. } = self.pending.remove(&place).expect("it is pending");
+        let (_, job_id, item) = place;
+        self.next_id += 1;
+        let assignment_id = self.next_id;
+        self.known.insert((job_id.clone(), item), assignment_id);
+        let assignment = ItemAssignment {
+            assignment_id,
+            job_id: job_id.to_string(),
+            item,
+            upstream_id: upstream_id.clone(),
+            host: job.host.clone(),
+            content: job.items.get(item as usize).cloned(),
+            text: progress.text.clone(),
+            last_event_id: progress.last_event_id,
+        };
+        let running = Running {
+            job,
+            item,
+            host_id: host_id.to_owned(),
+            upstream_id,
+            progress,
+            started: now,
+            stop: None,
+            told: None,
+        };
+        self.running.insert(assignment_id, running);
+        assignment
+    }
+
+    /// Items that wait and that run.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.pending.len(), self.running.len())
+    }
+}
--- /dev/null
+++ b/src/host/fleet_host.rs
@@ -0,0 +1,157 @@
+use std::sync::{Arc, OnceLock};
+
+use async_std::net::TcpListener;
+use async_std::task;
+use async_trait::async_trait;
+use miette::{IntoDiagnostic, Result, WrapErr};
+
+use crate::control::unix_ms;
+use crate::coordinator::{Coordinator, CoordinatorOptions};
+use crate::gateway::{Gateway, GatewayOptions, StreamConnector};
+use crate::peer::{PeerCaller, PeerHandler, PeerListener, PeerPool};
+use crate::raft::GroupOptions;
+use crate::replication::ReplicaHostOptions;
+use crate::schema::peer::frame::Body;
+use crate::schema::peer::{reply, Call, CallFailure, FailureKind, Reply};
+use crate::settings::FleetHostSettings;
+use crate::telemetry::Counters;
+
+/// The group that holds the ledger.
+const LEDGER_GROUP: u32 = 1;
+/// Time between two heartbeats of the leader. Elections wait six of them, which bears two round trips
+/// between regions and a lost packet.
+const HEARTBEAT_INTERVAL_MS: u64 = 75;
+/// Silence of the leader after which the others elect a new one.
+const ELECTION_TIMEOUT_MS: u64 = 450;
+/// Size of a file of the log; small, because disks of control hosts may be.
+const SEGMENT_BYTES: u64 = 4 << 20;
+/// Log entries between two snapshots, which hold the whole state.
+const SNAPSHOT_INTERVAL_ENTRIES: u64 = 20_000;
+/// Rate at which a new replica gets a snapshot: a few seconds' worth of state in well under one.
+const TRANSFER_BYTES_PER_S: u64 = 20 << 20;
+
+/// All parts of a routed fleet that one process runs.
+pub struct FleetHost {
+    listener: PeerListener,
+    pool: PeerPool,
+    coordinator: Option<Arc<Coordinator>>,
+    gateway: Option<Arc<Gateway>>,
+    counters: Counters,
+}
+
+struct Handler {
+    coordinator: OnceLock<Arc<Coordinator>>,
+}
+
+#[async_trait]
+impl PeerHandler for Handler {
+    async fn handle_call(&self, _from_host_id: &str, call: Call) -> Reply {
+        let reply = match (call.call, self.coordinator.get()) {
+            (Some(call), Some(coordinator)) => coordinator.handle(call).await,
+            _ => None,
+        };
+        Reply { reply: Some(reply.unwrap_or_else(unsupported)) }
+    }
+
+    fn handle_message(&self, _from_host_id: &str, body: Body) {
+        let Some(coordinator) = self.coordinator.get().cloned() else { return };
+        match body {
+            Body::Raft(message) => coordinator.replica().receive(message),
+            Body::ControlNotice(notice) => coordinator.replica().hear(notice),
+            Body::Admission(admission) => {
+                task::spawn(async move { coordinator.replica().admit(admission).await });
+            }
+            _ => {}
+        }
+    }
+}
+
+impl FleetHost {
+    /// Starts the roles that the settings name.
+    ///
+    /// # Errors
+    /// If an address can't be taken or the data folder can't be read.
+    pub async fn open(
+        settings: FleetHostSettings,
+        connector: Arc<dyn StreamConnector>,
+    ) -> Result<Self> {
+        let counters = Counters::open(&settings.host_id, None);
+        let pool = PeerPool::open(&settings.host_id, unix_ms(), "");
+        let caller: Arc<dyn PeerCaller> = Arc::new(pool.clone());
+        let address = settings.peer_address;
+        let listener = TcpListener::bind(address).await;
+        let listener =
+            listener.into_diagnostic().wrap_err_with(|| format!("listening on {address}"))?;
+        let handler = Arc::new(Handler { coordinator: OnceLock::new() });
+        let coordinator = match settings.roles.control {
+            true => Some(Coordinator::spawn(coordinator_options(&settings), caller.clone())?),
+            false => None,
+        };
+        if let Some(coordinator) = &coordinator {
+            let _ = handler.coordinator.set(coordinator.clone());
+        }
+        let listener = PeerListener::spawn(listener, "", handler).into_diagnostic()?;
+        let gateway = settings.roles.entry.then(|| {
+            let counters = counters.clone();
+            Gateway::spawn(GatewayOptions { settings, connector, counters }, caller)
+        });
+        Ok(Self { listener, pool, coordinator, gateway, counters })
+    }
+
+    /// The control role, when the process has it.
+    pub fn coordinator(&self) -> Option<&Arc<Coordinator>> {
+        self.coordinator.as_ref()
+    }
+
+    /// The entry role, when the process has it.
+    pub fn gateway(&self) -> Option<&Arc<Gateway>> {
+        self.gateway.as_ref()
+    }
+
+    /// Counters of the process.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Hands leadership on and stops.
+    pub async fn close(self) {
+        if let Some(coordinator) = &self.coordinator {
+            coordinator.close().await;
+        }
+        self.listener.close().await;
+        self.pool.close();
+    }
+}
+
+fn coordinator_options(settings: &FleetHostSettings) -> CoordinatorOptions {
+    let folder = settings.data_folder.join(format!("group-{LEDGER_GROUP}"));
+    let disk_bytes = settings.disk_mb << 20;
+    let group = GroupOptions {
+        heartbeat_interval_ms: HEARTBEAT_INTERVAL_MS,
+        election_timeout_ms: ELECTION_TIMEOUT_MS,
+        segment_bytes: SEGMENT_BYTES,
+        snapshot_interval_entries: SNAPSHOT_INTERVAL_ENTRIES,
+        data_limit_bytes: disk_bytes / 10 * 9,
+        reserved_bytes: disk_bytes / 16,
+        transfer_bytes_per_s: TRANSFER_BYTES_PER_S,
+        ..GroupOptions::new(LEDGER_GROUP, 0, folder, Vec::new())
+    };
+    let replica = ReplicaHostOptions {
+        host_id: settings.host_id.clone(),
+        peer_address: settings.peer_address.to_string(),
+        zone: settings.zone.clone(),
+        seed_addresses: settings.seed_addresses.iter().map(ToString::to_string).collect(),
+        is_founder: settings.is_founder(),
+        target_voters: settings.target_voters(),
+        group,
+    };
+    CoordinatorOptions { settings: settings.clone(), replica }
+}
+
+fn unsupported() -> reply::Reply {
+    reply::Reply::Failure(CallFailure {
+        kind: FailureKind::Unsupported.into(),
+        message: "this host does not answer such calls".to_owned(),
+        leader_address: String::new(),
+    })
+}
--- /dev/null
+++ b/src/http/body.rs
@@ -0,0 +1,153 @@
+use bytes::{Buf, Bytes, BytesMut};
+
+use crate::http::{BodyFraming, Connection, HttpError};
+
+/// Longest line of a chunk's size or of a trailer.
+const LINE_LIMIT_BYTES: usize = 4 << 10;
+
+/// Reads a body piece by piece from its connection.
+#[derive(Debug)]
+pub struct BodyReader {
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Length(u64),
+    ChunkSize,
+    Chunk(u64),
+    ChunkEnd,
+    Trailers,
+    UntilClose,
+    Ended,
+}
+
+impl BodyReader {
+    /// A reader at the start of a body.
+    pub fn new(framing: BodyFraming) -> Self {
+        let state = match framing {
+            BodyFraming::Empty | BodyFraming::Length(0) => State::Ended,
+            BodyFraming::Length(length) => State::Length(length),
+            BodyFraming::Chunked => State::ChunkSize,
+            BodyFraming::UntilClose => State::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// True once the end was read.
+    pub fn is_ended(&self) -> bool {
+        self.state == State::Ended
+    }
+
+    /// The next piece; `None` at the end of the body.
+    ///
+    /// # Errors
+    /// [`HttpError::Closed`] if the connection ends before the body.
+    pub async fn next(&mut self, connection: &mut Connection) -> Result<Option<Bytes>, HttpError> {
+        loop {
+            if let Some(piece) = self.take(&mut connection.buffer)? {
+                return Ok(Some(piece));
+            }
+            if self.state == State::Ended {
+                return Ok(None);
+            }
+            if connection.fill().await? > 0 {
+                continue;
+            }
+            if self.state == State::UntilClose {
+                self.state = State::Ended;
+                return Ok(None);
+            }
+            return Err(HttpError::Closed);
+        }
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    /// [`HttpError::TooLarge`] above `limit_bytes`, and as [`BodyReader::next`].
+    pub async fn read_all(
+        &mut self,
+        connection: &mut Connection,
+        limit_bytes: u64,
+    ) -> Result<Bytes, HttpError> {
+        let mut body = BytesMut::new();
+        while let Some(piece) = self.next(connection).await? {
+            if (body.len() + piece.len()) as u64 > limit_bytes {
+                return Err(HttpError::TooLarge);
+            }
+            body.extend_from_slice(&piece);
+        }
+        Ok(body.freeze())
+    }
+
+    /// Takes what the buffer holds of the body; `None` if more bytes are needed or it has ended.
+    fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, HttpError> {
+        loop {
+            match self.state {
+                State::Ended => return Ok(None),
+                State::UntilClose => {
+                    return Ok((!buffer.is_empty()).then(|| buffer.split().freeze()));
+                }
+                State::Length(left) | State::Chunk(left) => {
+                    if buffer.is_empty() {
+                        return Ok(None);
+                    }
+                    let count = left.min(buffer.len() as u64);
+                    let piece = buffer.split_to(count as usize).freeze();
+                    self.state = match (self.state, left - count) {
+                        (State::Length(_), 0) => State::Ended,
+                        (State::Length(_), left) => State::Length(left),
+                        (_, 0) => State::ChunkEnd,
+                        (_, left) => State::Chunk(left),
+                    };
+                    return Ok(Some(piece));
+                }
+                State::ChunkSize => {
+                    let Some(line) = take_line(buffer)? else { return Ok(None) };
+                    self.state = match chunk_size(&line)? {
+                        0 => State::Trailers,
+                        size => State::Chunk(size),
+                    };
+                }
+                State::ChunkEnd => {
+                    let Some(line) = take_line(buffer)? else { return Ok(None) };
+                    if !line.is_empty() {
+                        return Err(HttpError::Malformed("bytes after a chunk"));
+                    }
+                    self.state = State::ChunkSize;
+                }
+                State::Trailers => {
+                    let Some(line) = take_line(buffer)? else { return Ok(None) };
+                    if line.is_empty() {
+                        self.state = State::Ended;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn take_line(buffer: &mut BytesMut) -> Result<Option<BytesMut>, HttpError> {
+    let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
+        return match buffer.len() > LINE_LIMIT_BYTES {
+            true => Err(HttpError::Malformed("a line without an end")),
+            false => Ok(None),
+        };
+    };
+    let mut line = buffer.split_to(end);
+    buffer.advance(1);
+    match line.last() {
+        Some(b'\r') => line.truncate(end - 1),
+        _ => return Err(HttpError::Malformed("a line without a carriage return")),
+    }
+    Ok(Some(line))
+}
+
+fn chunk_size(line: &[u8]) -> Result<u64, HttpError> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let digits = std::str::from_utf8(digits).unwrap_or_default().trim_end();
+    let is_number = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
+    let size = u64::from_str_radix(digits, 16).ok().filter(|_| is_number);
+    size.ok_or(HttpError::Malformed("the size of a chunk"))
+}
--- /dev/null
+++ b/src/http/exchange.rs
@@ -0,0 +1,150 @@
+use async_std::net::TcpStream;
+use bytes::Bytes;
+
+use crate::http::{BodyReader, Connection, Headers, HttpError, RequestHead};
+
+/// What becomes of a connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionFate {
+    /// It may carry another request.
+    Keep,
+    /// It is closed.
+    Close,
+}
+
+/// One request on a connection, and the way to answer it.
+pub struct Exchange<'a> {
+    connection: &'a mut Connection,
+    body: BodyReader,
+    keep_alive: bool,
+    buffer: Vec<u8>,
+}
+
+impl<'a> Exchange<'a> {
+    pub(super) fn new(
+        connection: &'a mut Connection,
+        head: &RequestHead,
+        may_keep_alive: bool,
+    ) -> Self {
+        let keep_alive = head.keep_alive && may_keep_alive;
+        let body = BodyReader::new(head.framing);
+        Self { connection, body, keep_alive, buffer: Vec::new() }
+    }
+
+    /// Reads the whole body of the request.
+    ///
+    /// # Errors
+    /// As [`BodyReader::read_all`].
+    pub async fn read_body(&mut self, limit_bytes: u64) -> Result<Bytes, HttpError> {
+        self.body.read_all(self.connection, limit_bytes).await
+    }
+
+    /// The socket, to notice a caller that leaves.
+    pub fn stream(&self) -> TcpStream {
+        self.connection.stream().clone()
+    }
+
+    /// Answers with a whole body.
+    ///
+    /// # Errors
+    /// If the connection breaks.
+    pub async fn respond(
+        &mut self,
+        status: u16,
+        headers: &Headers,
+        body: &[u8],
+    ) -> Result<ConnectionFate, HttpError> {
+        let mut headers = headers.clone();
+        headers.remove("content-length");
+        headers.push("Content-Length", body.len().to_string());
+        self.write_head(status, "", headers);
+        self.buffer.extend_from_slice(body);
+        self.flush().await?;
+        Ok(self.fate())
+    }
+
+    /// Starts an answer whose body follows in chunks.
+    ///
+    /// # Errors
+    /// If the connection breaks.
+    pub async fn start_chunked(&mut self, status: u16, headers: &Headers) -> Result<(), HttpError> {
+        let mut headers = headers.clone();
+        headers.remove("content-length");
+        headers.push("Transfer-Encoding", "chunked");
+        self.write_head(status, "", headers);
+        // The head goes out together with the first chunk.
+        Ok(())
+    }
+
+    /// Sends a chunk of the body.
+    ///
+    /// # Errors
+    /// If the connection breaks.
+    pub async fn send_chunk(&mut self, piece: &[u8]) -> Result<(), HttpError> {
+        if piece.is_empty() {
+            return Ok(());
+        }
+        self.buffer.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+        self.buffer.extend_from_slice(piece);
+        self.buffer.extend_from_slice(b"\r\n");
+        self.flush().await
+    }
+
+    /// Ends a body that was sent in chunks.
+    ///
+    /// # Errors
+    /// If the connection breaks.
+    pub async fn finish_chunks(&mut self) -> Result<ConnectionFate, HttpError> {
+        self.buffer.extend_from_slice(b"0\r\n\r\n");
+        self.flush().await?;
+        Ok(self.fate())
+    }
+
+    fn fate(&self) -> ConnectionFate {
+        match self.keep_alive && self.body.is_ended() {
+            true => ConnectionFate::Keep,
+            false => ConnectionFate::Close,
+        }
+    }
+
+    fn write_head(&mut self, status: u16, reason: &str, mut headers: Headers) {
+        if self.fate() == ConnectionFate::Close {
+            headers.push("Connection", "close");
+        }
+        let line = format!("HTTP/1.1 {status} {}\r\n", reason_or_default(status, reason));
+        self.buffer.extend_from_slice(line.as_bytes());
+        headers.write_to(&mut self.buffer);
+        self.buffer.extend_from_slice(b"\r\n");
+    }
+
+    async fn flush(&mut self) -> Result<(), HttpError> {
+        let written = self.connection.write(&self.buffer).await;
+        self.buffer.clear();
+        written
+    }
+}
+
+fn reason_or_default(status: u16, reason: &str) -> &str {
+    if !reason.is_empty() {
+        return reason;
+    }
+    match status {
+        200 => "OK",
+        202 => "Accepted",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/src/http/headers.rs
@@ -0,0 +1,84 @@
+/// Header fields in their order, with names in any case.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Headers {
+    fields: Vec<(String, String)>,
+}
+
+/// Fields that concern one connection only.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+impl Headers {
+    /// Adds a field.
+    pub fn push(&mut self, name: impl Into<String>, value: impl Into<String>) {
+        self.fields.push((name.into(), value.into()));
+    }
+
+    /// Value of the first field with this name.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let named = self.fields.iter().find(|field| field.0.eq_ignore_ascii_case(name));
+        named.map(|field| field.1.as_str())
+    }
+
+    /// Values of all fields with this name.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        let named = self.fields.iter().filter(move |field| field.0.eq_ignore_ascii_case(name));
+        named.map(|field| field.1.as_str())
+    }
+
+    /// Replaces all fields with this name by one.
+    pub fn set(&mut self, name: &str, value: impl Into<String>) {
+        self.remove(name);
+        self.push(name, value);
+    }
+
+    /// Removes all fields with this name.
+    pub fn remove(&mut self, name: &str) {
+        self.fields.retain(|field| !field.0.eq_ignore_ascii_case(name));
+    }
+
+    /// Names and values.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.fields.iter().map(|field| (field.0.as_str(), field.1.as_str()))
+    }
+
+    /// The fields without those that concern one connection only.
+    pub fn end_to_end(&self) -> Self {
+        let named: Vec<String> = self
+            .all("connection")
+            .flat_map(|value| value.split(','))
+            .map(|name| name.trim().to_ascii_lowercase())
+            .collect();
+        let is_hop = |name: &str| {
+            HOP_BY_HOP.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+                || named.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+        };
+        let fields = self.fields.iter().filter(|field| !is_hop(&field.0)).cloned();
+        Self { fields: fields.collect() }
+    }
+
+    /// True if the field is a list that has this word.
+    pub fn has_word(&self, name: &str, word: &str) -> bool {
+        let words = self.all(name).flat_map(|value| value.split(','));
+        words.map(str::trim).any(|it| it.eq_ignore_ascii_case(word))
+    }
+
+    /// Appends the fields as they go over the wire.
+    pub fn write_to(&self, target: &mut Vec<u8>) {
+        for (name, value) in &self.fields {
+            target.extend_from_slice(name.as_bytes());
+            target.extend_from_slice(b": ");
+            target.extend_from_slice(value.as_bytes());
+            target.extend_from_slice(b"\r\n");
+        }
+    }
+}
--- /dev/null
+++ b/src/ledger/job.rs
@@ -0,0 +1,120 @@
+use bytes::Bytes;
+
+use crate::schema::ledger::{FinishedItem, JobRecord, NewItem};
+
+/// An accepted batch job.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Job {
+    /// Identity, given by the customer.
+    pub job_id: String,
+    /// Name of the route that accepted it.
+    pub route: String,
+    /// Host of its submission.
+    pub host: String,
+    /// Path of its submission.
+    pub path: String,
+    /// Time of its acceptance.
+    pub submitted_at_unix_ms: u64,
+    /// No item of it is started any more.
+    pub cancelled: bool,
+    /// Its items, in the order of the submission.
+    pub items: Vec<NewItem>,
+    /// Its results, in the order in which the items were finished.
+    pub results: Vec<FinishedItem>,
+    /// Whether each item is finished.
+    finished: Vec<bool>,
+}
+
+impl Job {
+    /// A job without results.
+    pub fn new(
+        job_id: String,
+        route: String,
+        host: String,
+        path: String,
+        items: Vec<NewItem>,
+        now_unix_ms: u64,
+    ) -> Self {
+        let finished = vec![false; items.len()];
+        Self {
+            job_id,
+            route,
+            host,
+            path,
+            submitted_at_unix_ms: now_unix_ms,
+            cancelled: false,
+            items,
+            results: Vec::new(),
+            finished,
+        }
+    }
+
+    /// True if the item has a result.
+    pub fn is_finished(&self, item: u32) -> bool {
+        self.finished.get(item as usize).copied().unwrap_or(true)
+    }
+
+    /// True if no item is left to run.
+    pub fn has_ended(&self) -> bool {
+        self.cancelled || self.results.len() == self.items.len()
+    }
+
+    /// Indexes of the items without a result.
+    pub fn unfinished(&self) -> impl Iterator<Item = u32> + '_ {
+        let open = self.finished.iter().enumerate().filter(|(_, finished)| !**finished);
+        open.map(|(index, _)| index as u32)
+    }
+
+    /// Tokens of the items that count against the route's limit.
+    pub fn waiting_tokens(&self) -> u64 {
+        if self.cancelled {
+            return 0;
+        }
+        self.unfinished().map(|index| self.items[index as usize].tokens).sum()
+    }
+
+    /// Adds a result at the next position, unless the item has one already.
+    pub fn finish(&mut self, result: FinishedItem) -> bool {
+        let Some(finished) = self.finished.get_mut(result.item as usize) else { return false };
+        if *finished {
+            return false;
+        }
+        *finished = true;
+        // The body is not asked for once the item is listed.
+        self.items[result.item as usize].body = Bytes::new();
+        self.results.push(result);
+        true
+    }
+
+    /// The item with this id.
+    pub fn item(&self, item_id: &str) -> Option<&NewItem> {
+        self.items.iter().find(|item| item.item_id == item_id)
+    }
+}
+
+impl From<&Job> for JobRecord {
+    fn from(job: &Job) -> Self {
+        Self {
+            job_id: job.job_id.clone(),
+            route: job.route.clone(),
+            host: job.host.clone(),
+            path: job.path.clone(),
+            submitted_at_unix_ms: job.submitted_at_unix_ms,
+            cancelled: job.cancelled,
+            items: job.items.clone(),
+            results: job.results.clone(),
+        }
+    }
+}
+
+impl From<JobRecord> for Job {
+    fn from(record: JobRecord) -> Self {
+        let JobRecord { job_id, route, host, path, submitted_at_unix_ms, items, .. } = record;
+        let mut job = Self::new(job_id, route, host, path, items, submitted_at_unix_ms);
+        job.cancelled = record.cancelled;
+        for result in record.results {
+            job.finish(result);
+        }
+        job
+    }
+}
--- /dev/null
+++ b/src/ledger/ledger.rs
@@ -0,0 +1,155 @@
+use std::io;
+use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use prost::Message;
+
+use crate::ledger::command::done;
+use crate::ledger::snapshot::{self, Frozen};
+use crate::ledger::tables::Tables;
+use crate::ledger::{Job, OpenItem};
+use crate::raft::StateMachine;
+use crate::schema::ledger::{Command, FinishedItem, ItemResult, ResultPage};
+use crate::schema::routes::RouteTable;
+use crate::signal::Signal;
+
+/// Bytes of text after which a page of results ends.
+const PAGE_BYTES: usize = 512 << 10;
+
+/// The replicated state of a routed fleet.
+#[derive(Default)]
+pub struct Ledger {
+    tables: RwLock<Tables>,
+    /// The routes in force, read without a lock.
+    routes: ArcSwap<RouteTable>,
+    changed: Signal,
+}
+
+impl Ledger {
+    /// The routes in force; version 0 before the first.
+    pub fn routes(&self) -> Arc<RouteTable> {
+        self.routes.load_full()
+    }
+
+    /// The document of the routes in force, as its author wrote it.
+    pub fn document(&self) -> Option<Bytes> {
+        let tables = self.tables();
+        (tables.table.version > 0).then(|| tables.document.clone())
+    }
+
+    /// Notified after each applied command.
+    pub fn changed(&self) -> &Signal {
+        &self.changed
+    }
+
+    /// True if the host was told to leave.
+    pub fn is_retired(&self, host_id: &str) -> bool {
+        self.tables().retired_hosts.contains(host_id)
+    }
+
+    /// Hosts that were told to leave.
+    pub fn retired_hosts(&self) -> Vec<String> {
+        self.tables().retired_hosts.iter().cloned().collect()
+    }
+
+    /// The job with this id.
+    pub fn job(&self, job_id: &str) -> Option<Arc<Job>> {
+        self.tables().jobs.get(job_id).cloned()
+    }
+
+    /// Results of a job from a position on, about half a megabyte of them.
+    pub fn results(&self, job_id: &str, after: u32) -> Option<ResultPage> {
+        let job = self.job(job_id)?;
+        let mut results = Vec::new();
+        let mut bytes = 0;
+        for result in job.results.iter().skip(after as usize) {
+            if bytes > PAGE_BYTES {
+                break;
+            }
+            bytes += result.text.len();
+            results.push(item_result(&job, result));
+        }
+        Some(ResultPage { total: job.items.len() as u32, results })
+    }
+
+    /// Jobs that have items left to run, the oldest first.
+    pub fn open_jobs(&self) -> Vec<Arc<Job>> {
+        let tables = self.tables();
+        let open = tables.jobs.values().filter(|job| !job.has_ended());
+        let mut open: Vec<_> = open.cloned().collect();
+        open.sort_by(|a, b| {
+            (a.submitted_at_unix_ms, &a.job_id).cmp(&(b.submitted_at_unix_ms, &b.job_id))
+        });
+        open
+    }
+
+    /// An item to run; `None` if it is finished or its job was cancelled.
+    pub fn open_item(&self, job_id: &str, item: u32) -> Option<OpenItem> {
+        let job = self.job(job_id)?;
+        if job.cancelled || job.is_finished(item) {
+            return None;
+        }
+        Some(OpenItem {
+            job_id: job.job_id.clone(),
+            item,
+            host: job.host.clone(),
+            path: job.path.clone(),
+            submitted_at_unix_ms: job.submitted_at_unix_ms,
+            content: job.items.get(item as usize)?.clone(),
+        })
+    }
+
+    /// True if there are jobs, which an expiry may change.
+    pub fn has_expiring(&self) -> bool {
+        !self.tables().jobs.is_empty()
+    }
+
+    /// Time of the ledger, which never runs backwards.
+    pub fn now_unix_ms(&self) -> u64 {
+        self.tables().now_unix_ms
+    }
+
+    fn tables(&self) -> RwLockReadGuard<'_, Tables> {
+        self.tables.read().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl StateMachine for Ledger {
+    fn apply(&self, index: u64, command: &[u8]) -> Bytes {
+        let outcome = match Command::decode(command) {
+            Ok(command) => {
+                let mut tables = self.tables.write().unwrap_or_else(PoisonError::into_inner);
+                let outcome = tables.apply(command);
+                if tables.table.version != self.routes.load().version {
+                    self.routes.store(tables.table.clone());
+                }
+                outcome
+            }
+            Err(error) => {
+                log::error!("entry {index} of the log is not a command of the ledger: {error}");
+                done()
+            }
+        };
+        self.changed.notify();
+        outcome.encode_to_vec().into()
+    }
+
+    fn save(&self, target: &mut dyn io::Write) -> io::Result<()> {
+        let frozen = Frozen::new(&self.tables());
+        frozen.write(target)
+    }
+
+    fn restore(&self, source: &mut dyn io::Read) -> io::Result<()> {
+        let tables = snapshot::read(source)?;
+        self.routes.store(tables.table.clone());
+        *self.tables.write().unwrap_or_else(PoisonError::into_inner) = tables;
+        self.changed.notify();
+        Ok(())
+    }
+}
+
+fn item_result(job: &Job, result: &FinishedItem) -> ItemResult {
+    let item = &job.items[result.item as usize];
+    ItemResult { item_id: item.item_id.clone(), failed: result.failed, text: result.text.clone() }
+}
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -16,6 +16,7 @@
 use crate::peer::CallError;
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{Call, Frame, Hello, Reply};
+use crate::sockets::connect_to_peer;
 
 /// Frames that may wait for a slow peer before one-way messages are dropped.
 const QUEUE_FRAMES: usize = 1024;
@@ -30,20 +31,23 @@
     waiting: Arc<Waiting>,
     next_call_id: AtomicU64,
     closed: Arc<AtomicBool>,
+    /// Frames that were read.
+    heard: Arc<AtomicU64>,
 }
 
 impl Connection {
     /// Connects to a peer and starts the tasks that read and write frames.
     pub async fn open(address: &str, hello: Hello, timeout: Duration) -> io::Result<Self> {
-        let connect = async_std::io::timeout(timeout, TcpStream::connect(address));
-        let stream = connect.await?;
-        stream.set_nodelay(true)?;
+        let address = address.parse().map_err(|_| io::ErrorKind::InvalidInput)?;
+        let stream = connect_to_peer(address, timeout).await?;
         let (frames, queue) = bounded(QUEUE_FRAMES);
         let waiting = Arc::new(Waiting::default());
         let closed = Arc::new(AtomicBool::new(false));
         task::spawn(write_frames(stream.clone(), queue));
-        task::spawn(read_replies(stream, waiting.clone(), closed.clone()));
-        let connection = Self { frames, waiting, next_call_id: AtomicU64::new(1), closed };
+        let heard = Arc::new(AtomicU64::new(0));
+        task::spawn(read_replies(stream, waiting.clone(), closed.clone(), heard.clone()));
+        let next_call_id = AtomicU64::new(1);
+        let connection = Self { frames, waiting, next_call_id, closed, heard };
         connection.send(Body::Hello(hello));
         Ok(connection)
     }
@@ -61,6 +65,7 @@
     /// Sends a call and waits for its reply.
     pub async fn call(&self, call: Call, timeout: Duration) -> Result<Reply, CallError> {
         let call_id = self.next_call_id.fetch_add(1, Ordering::Relaxed);
+        let heard = self.heard.load(Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         self.waiting.lock().expect("lock is not poisoned").insert(call_id, sender);
         let _entry = WaitingEntry { waiting: &self.waiting, call_id };
@@ -77,7 +82,14 @@
         match async_std::future::timeout(timeout, receiver).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(_)) => Err(CallError::Lost("connection was closed".into())),
-            Err(_) => Err(CallError::Lost(format!("timeout after {} ms", timeout.as_millis()))),
+            Err(_) => {
+                if self.heard.load(Ordering::Relaxed) == heard {
+                    // A connection may fall silent for good while new ones work.
+                    self.closed.store(true, Ordering::Release);
+                    self.frames.close();
+                }
+                Err(CallError::Lost(format!("timeout after {} ms", timeout.as_millis())))
+            }
         }
     }
 }
@@ -119,9 +131,15 @@
     let _ = stream.shutdown(std::net::Shutdown::Both);
 }
 
-async fn read_replies(stream: TcpStream, waiting: Arc<Waiting>, closed: Arc<AtomicBool>) {
+async fn read_replies(
+    stream: TcpStream,
+    waiting: Arc<Waiting>,
+    closed: Arc<AtomicBool>,
+    heard: Arc<AtomicU64>,
+) {
     let mut frames = FramedRead::new(stream.compat(), FrameCodec::new());
     while let Some(Ok(frame)) = frames.next().await {
+        heard.fetch_add(1, Ordering::Relaxed);
         let Some(Body::Reply(reply)) = frame.body else { continue };
         let sender = waiting.lock().expect("lock is not poisoned").remove(&frame.call_id);
         let Some(sender) = sender else { continue };
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -2,6 +2,7 @@
 use std::sync::{Arc, Mutex as SyncMutex};
 use std::time::Duration;
 
+use arc_swap::ArcSwapOption;
 use async_std::sync::Mutex;
 use async_std::task;
 use async_trait::async_trait;
@@ -30,7 +31,19 @@
     fn send(&self, address: &str, class: TrafficClass, body: Body);
 }
 
-type Slot = Arc<Mutex<Option<Arc<Connection>>>>;
+/// The connection to one peer for one class of traffic.
+#[derive(Default)]
+struct Slot {
+    current: ArcSwapOption<Connection>,
+    /// Held while a connection is opened, so that only one is.
+    opening: Mutex<()>,
+}
+
+impl Slot {
+    fn open_connection(&self) -> Option<Arc<Connection>> {
+        self.current.load_full().filter(|connection| !connection.is_closed())
+    }
+}
 
 /// Connections to peers, opened on first use and kept.
 #[derive(Clone)]
@@ -40,7 +53,7 @@
 
 struct Shared {
     hello: Hello,
-    slots: SyncMutex<HashMap<(String, TrafficClass), Slot>>,
+    slots: SyncMutex<HashMap<(String, TrafficClass), Arc<Slot>>>,
 }
 
 impl PeerPool {
@@ -62,7 +75,7 @@
 }
 
 impl Shared {
-    fn slot(&self, address: &str, class: TrafficClass) -> Slot {
+    fn slot(&self, address: &str, class: TrafficClass) -> Arc<Slot> {
         let mut slots = self.slots.lock().expect("lock is not poisoned");
         slots.entry((address.to_owned(), class)).or_default().clone()
     }
@@ -73,14 +86,17 @@
         class: TrafficClass,
     ) -> Result<Arc<Connection>, CallError> {
         let slot = self.slot(address, class);
-        let mut current = slot.lock().await;
-        if let Some(connection) = current.as_ref().filter(|connection| !connection.is_closed()) {
-            return Ok(connection.clone());
+        if let Some(connection) = slot.open_connection() {
+            return Ok(connection);
+        }
+        let _opening = slot.opening.lock().await;
+        if let Some(connection) = slot.open_connection() {
+            return Ok(connection);
         }
         let opened = Connection::open(address, self.hello.clone(), CONNECT_TIMEOUT).await;
         let connection =
             Arc::new(opened.map_err(|error| CallError::NotSent(format!("{address}: {error}")))?);
-        *current = Some(connection.clone());
+        slot.current.store(Some(connection.clone()));
         Ok(connection)
     }
 }
@@ -99,14 +115,13 @@
 
     fn send(&self, address: &str, class: TrafficClass, body: Body) {
         let slot = self.shared.slot(address, class);
-        if let Some(current) = slot.try_lock() {
-            match current.as_ref().filter(|connection| !connection.is_closed()) {
-                Some(connection) => {
-                    connection.send(body);
-                    return;
-                }
-                None => drop(current),
-            }
+        if let Some(connection) = slot.open_connection() {
+            connection.send(body);
+            return;
+        }
+        if slot.opening.try_lock().is_none() {
+            // Messages to a peer that does not answer must not pile up behind its connection.
+            return;
         }
         let (shared, address) = (self.shared.clone(), address.to_owned());
         task::spawn(async move {
--- a/src/raft/driver_status.rs
+++ b/src/raft/driver_status.rs
@@ -4,7 +4,10 @@
 use crate::raft::{GroupStatus, Standing};
 
 /// Parts of the status whose change makes it worth publishing.
-pub type Published = (u64, Option<u64>, u64, u64, bool, Standing, bool, u64);
+pub type Published = (u64, Option<u64>, u64, u64, bool, Standing, bool, u64, u64);
+
+/// Time between two publications of a leader, whose followers' silence grows without any event.
+const LEADER_INTERVAL_MS: u64 = 200;
 
 impl Driver {
     /// Publishes the status if it has changed.
@@ -20,6 +23,7 @@
             node.standing(),
             self.fault.is_some(),
             data_bytes,
+            if node.is_leader() { self.now_ms() / LEADER_INTERVAL_MS } else { 0 },
         );
         if self.published == Some(current) {
             return;
--- a/src/schema.rs
+++ b/src/schema.rs
@@ -25,3 +25,15 @@
     #![allow(missing_docs, clippy::all)]
     include!("generated/damaskhoist.peer.rs");
 }
+
+/// The routes of callers' requests to services.
+pub mod routes {
+    #![allow(missing_docs, clippy::all)]
+    include!("generated/damaskhoist.routes.rs");
+}
+
+/// Commands, outcomes and queries of the ledger.
+pub mod ledger {
+    #![allow(missing_docs, clippy::all)]
+    include!("generated/damaskhoist.ledger.rs");
+}
--- /dev/null
+++ b/src/settings/fleet_host_settings.rs
@@ -0,0 +1,156 @@
+use std::collections::HashMap;
+use std::fs;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+
+use crate::schema::settings as wire;
+use crate::settings::checks::Checks;
+use crate::settings::host_settings::{parse_json, roles};
+use crate::settings::{NumberRule, Roles, SettingsErrors};
+
+/// Checked settings of one process of a routed fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetHostSettings {
+    /// Name of this host, unique in the fleet.
+    pub host_id: String,
+    /// Availability zone of this host.
+    pub zone: String,
+    /// Region of the availability zone.
+    pub region: String,
+    /// Region of each availability zone.
+    pub zone_regions: HashMap<String, String>,
+    /// Parts of the system that this process runs.
+    pub roles: Roles,
+    /// IP address and port for other hosts.
+    pub peer_address: SocketAddr,
+    /// Peer addresses of control hosts to contact first.
+    pub seed_addresses: Vec<SocketAddr>,
+    /// The whole fleet starts for the first time.
+    pub first_start: bool,
+    /// Hosts with a disk that may be lost at a time.
+    pub tolerated_losses: u32,
+    /// Folder for the durable state of a control host.
+    pub data_folder: PathBuf,
+    /// Address for callers of an entry host.
+    pub caller_address: Option<SocketAddr>,
+    /// Address that answers whether the entry host takes callers.
+    pub readiness_address: Option<SocketAddr>,
+    /// Address that tells callers which entry hosts to use.
+    pub lookup_address: Option<SocketAddr>,
+    /// Address for operators and upstreams of a control host.
+    pub operator_address: Option<SocketAddr>,
+    /// Address for metrics as text.
+    pub metrics_address: Option<SocketAddr>,
+    /// Time between two heartbeats of an upstream.
+    pub upstream_heartbeat_ms: u64,
+    /// Time between the notice of a stop and its end.
+    pub stop_grace_ms: u64,
+    /// Time for which callers may keep the addresses of a lookup.
+    pub lookup_ttl_ms: u64,
+    /// Time for which a batch job stays readable after its submission.
+    pub job_retention_ms: u64,
+    /// Size of the disk of a control host.
+    pub disk_mb: u64,
+    /// Log level: error, warn, info, debug or trace.
+    pub log_level: String,
+}
+
+impl FleetHostSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// All broken rules at once, or the first place where the file is not JSON of the schema.
+    pub fn read(path: &Path) -> Result<Self, SettingsErrors> {
+        let text = fs::read_to_string(path).map_err(|error| {
+            SettingsErrors::one(".", String::new(), format!("{}: {error}", path.display()))
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Parses and checks settings written in JSON.
+    ///
+    /// # Errors
+    /// As for [`FleetHostSettings::read`].
+    pub fn parse(text: &str) -> Result<Self, SettingsErrors> {
+        let wire: wire::FleetHostSettings = parse_json(text)?;
+        Self::try_from(wire)
+    }
+
+    /// Voters that the group of control hosts aims at.
+    pub fn target_voters(&self) -> usize {
+        2 * self.tolerated_losses as usize + 1
+    }
+
+    /// True if this host is one of those that found the group.
+    pub fn is_founder(&self) -> bool {
+        self.first_start && self.seed_addresses.contains(&self.peer_address)
+    }
+
+    /// Region of an availability zone; empty for one that is not in the settings.
+    pub fn region_of(&self, zone: &str) -> &str {
+        self.zone_regions.get(zone).map_or("", String::as_str)
+    }
+}
+
+impl TryFrom<wire::FleetHostSettings> for FleetHostSettings {
+    type Error = SettingsErrors;
+
+    fn try_from(wire: wire::FleetHostSettings) -> Result<Self, SettingsErrors> {
+        let mut checks = Checks::default();
+        let roles = roles(&wire.roles, &mut checks);
+        let peer_address = checks.own_address("peer_address", &wire.peer_address);
+        let seeds = checks.peer_addresses("seed_addresses", wire.seed_addresses);
+        if seeds.is_empty() {
+            checks.fail("seed_addresses", serde_json::json!([]), "must list a control host");
+        }
+        if roles.control && wire.data_folder.is_empty() {
+            checks.fail("data_folder", "", "must be set for the role CONTROL");
+        }
+        let mut optional = |path: &str, value: &str, needed: bool| {
+            if value.is_empty() && !needed {
+                return None;
+            }
+            Some(checks.own_address(path, value))
+        };
+        let caller_address = optional("caller_address", &wire.caller_address, roles.entry);
+        let readiness_address = optional("readiness_address", &wire.readiness_address, roles.entry);
+        let lookup_address = optional("lookup_address", &wire.lookup_address, false);
+        let operator_address = optional("operator_address", &wire.operator_address, roles.control);
+        let metrics_address = optional("metrics_address", &wire.metrics_address, false);
+        let mut number = |rule, value: Option<u32>| checks.number(rule, value.map(u64::from));
+        let settings = Self {
+            upstream_heartbeat_ms: number(
+                &NumberRule::UPSTREAM_HEARTBEAT_MS,
+                wire.upstream_heartbeat_ms,
+            ),
+            stop_grace_ms: number(&NumberRule::STOP_GRACE_MS, wire.stop_grace_ms),
+            lookup_ttl_ms: number(&NumberRule::LOOKUP_TTL_MS, wire.lookup_ttl_ms),
+            job_retention_ms: number(&NumberRule::JOB_RETENTION_MS, wire.job_retention_ms),
+            disk_mb: number(&NumberRule::DISK_MB, wire.disk_mb),
+            host_id: checks.name("host_id", wire.host_id),
+            zone: checks.name("zone", wire.zone),
+            region: checks.name("region", wire.region),
+            zone_regions: wire.zone_regions.into_iter().collect(),
+            roles,
+            peer_address,
+            seed_addresses: peer_addresses(&seeds, peer_address.port()),
+            first_start: wire.first_start,
+            tolerated_losses: wire.tolerated_losses,
+            data_folder: wire.data_folder.into(),
+            caller_address,
+            readiness_address,
+            lookup_address,
+            operator_address,
+            metrics_address,
+            log_level: wire.log_level.unwrap_or_else(|| "info".to_owned()),
+        };
+        checks.finish(settings)
+    }
+}
+
+/// Peer addresses of the seeds: their IP addresses with the port that all hosts share.
+fn peer_addresses(seeds: &[String], port: u16) -> Vec<SocketAddr> {
+    let addresses = seeds.iter().filter_map(|seed| seed.parse::<SocketAddr>().ok());
+    let ips = addresses.map(|address| -> IpAddr { address.ip() });
+    ips.map(|ip| SocketAddr::new(ip, port)).collect()
+}
--- a/src/settings/host_settings.rs
+++ b/src/settings/host_settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use serde::de::DeserializeOwned;
+
 use crate::schema::settings as wire;
 use crate::settings::checks::Checks;
 use crate::settings::{
@@ -61,15 +63,7 @@
     /// # Errors
     /// As for [`HostSettings::read`].
     pub fn parse(text: &str) -> Result<Self, SettingsErrors> {
-        let mut deserializer = serde_json::Deserializer::from_str(text);
-        let wire: wire::HostSettings = serde_path_to_error::deserialize(&mut deserializer)
-            .map_err(|error| {
-                let path = error.path().to_string();
-                SettingsErrors::one(&path, value_at(text, &path), error.inner().to_string())
-            })?;
-        deserializer
-            .end()
-            .map_err(|error| SettingsErrors::one(".", String::new(), error.to_string()))?;
+        let wire: wire::HostSettings = parse_json(text)?;
         Self::try_from(wire)
     }
 
@@ -167,7 +161,20 @@
     }
 }
 
-fn roles(wire: &[i32], checks: &mut Checks) -> Roles {
+/// Parses a settings document; an error names the path and the value.
+pub(super) fn parse_json<T: DeserializeOwned>(text: &str) -> Result<T, SettingsErrors> {
+    let mut deserializer = serde_json::Deserializer::from_str(text);
+    let parsed = serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
+        let path = error.path().to_string();
+        SettingsErrors::one(&path, value_at(text, &path), error.inner().to_string())
+    })?;
+    deserializer
+        .end()
+        .map_err(|error| SettingsErrors::one(".", String::new(), error.to_string()))?;
+    Ok(parsed)
+}
+
+pub(super) fn roles(wire: &[i32], checks: &mut Checks) -> Roles {
     let mut roles = Roles { entry: false, control: false };
     for (index, role) in wire.iter().enumerate() {
         let path = format!("roles[{index}]");
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 mod checks;
 mod control_settings;
 mod entry_settings;
+mod fleet_host_settings;
 mod host_settings;
 mod limit_settings;
 mod number_rule;
@@ -14,6 +15,7 @@
 
 pub use control_settings::ControlSettings;
 pub use entry_settings::EntrySettings;
+pub use fleet_host_settings::FleetHostSettings;
 pub use host_settings::HostSettings;
 pub use limit_settings::LimitSettings;
 pub use number_rule::NumberRule;
--- a/src/settings/number_rule.rs
+++ b/src/settings/number_rule.rs
@@ -79,6 +79,14 @@
     pub(super) const KEEP_ALIVE_TIMEOUT_MS: Self =
         Self::new("limits.keep_alive_timeout_ms", 60_000, 50, 3_600_000);
 
+    pub(super) const UPSTREAM_HEARTBEAT_MS: Self =
+        Self::new("upstream_heartbeat_ms", 1_000, 50, 60_000);
+    pub(super) const STOP_GRACE_MS: Self = Self::new("stop_grace_ms", 8_000, 500, 600_000);
+    pub(super) const LOOKUP_TTL_MS: Self = Self::new("lookup_ttl_ms", 2_000, 100, 60_000);
+    pub(super) const JOB_RETENTION_MS: Self =
+        Self::new("job_retention_ms", 600_000, 1_000, 604_800_000);
+    pub(super) const DISK_MB: Self = Self::new("disk_mb", 1_024, 16, 1 << 24);
+
     const fn new(path: &'static str, default: u64, least: u64, most: u64) -> Self {
         Self { path, default, least, most }
     }
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -5,9 +5,12 @@
 use std::str::FromStr;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Record, SetLoggerError};
 use serde_json::json;
 
+use crate::telemetry::log_writer::LogWriter;
+
 /// Shape of the log lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogFormat {
@@ -35,6 +38,46 @@
         .apply()
 }
 
+/// Starts logging decision records on standard output: one JSON object a line, with the fields that
+/// the call names. Lines are dropped and counted while standard output is slow.
+///
+/// # Errors
+/// Logging was opened before in this process, or the writing thread could not be started.
+pub fn open_records(level: &str) -> io::Result<()> {
+    let writer = LogWriter::spawn()?;
+    fern::Dispatch::new()
+        .level(LevelFilter::from_str(level).unwrap_or(LevelFilter::Info))
+        .chain(fern::Output::call(move |record| writer.write(record_line(record))))
+        .apply()
+        .map_err(io::Error::other)
+}
+
+/// Level, time and message of a record with its fields.
+fn record_line(record: &Record) -> String {
+    let mut fields = Fields(serde_json::Map::new());
+    fields.0.insert("unix_ms".into(), unix_ms().into());
+    fields.0.insert("level".into(), record.level().as_str().into());
+    // The visitor below never fails.
+    let _ = record.key_values().visit(&mut fields);
+    fields.0.insert("message".into(), record.args().to_string().into());
+    serde_json::Value::Object(fields.0).to_string()
+}
+
+/// Collects the fields of a record as JSON.
+struct Fields(serde_json::Map<String, serde_json::Value>);
+
+impl<'a> VisitSource<'a> for Fields {
+    fn visit_pair(&mut self, key: Key<'a>, value: Value<'a>) -> Result<(), log::kv::Error> {
+        let value = match (value.to_u64(), value.to_bool()) {
+            (Some(number), _) => number.into(),
+            (None, Some(flag)) => flag.into(),
+            (None, None) => value.to_string().into(),
+        };
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
+    }
+}
+
 fn text_line(message: &fmt::Arguments, record: &Record) -> String {
     let ms = unix_ms();
     let (seconds, ms) = (ms / 1_000, ms % 1_000);
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -2,6 +2,7 @@
 
 mod counters;
 mod json_lines_exporter;
+mod log_writer;
 pub mod logs;
 mod named_cells;
 mod span;
