--- a/src/coordinator/coordinator.rs
+++ b/src/coordinator/coordinator.rs
@@ -271,7 +271,7 @@
             }
             Some(query::Query::ReadItemBody(read)) => {
                 let job = self.ledger.job(&read.job_id);
-                let body = job.and_then(|job| job.item(&read.item_id).map(|it| it.body.clone()));
+                let body = job.and_then(|job| job.open_body(&read.item_id));
                 body.map_or_else(not_found, answer::Answer::ItemBody)
             }
             Some(query::Query::ReadRoutes(_)) => {
--- a/src/ledger/job.rs
+++ b/src/ledger/job.rs
@@ -86,9 +86,10 @@
         true
     }
 
-    /// The item with this id.
-    pub fn item(&self, item_id: &str) -> Option<&NewItem> {
-        self.items.iter().find(|item| item.item_id == item_id)
+    /// Body of an item without a result; bodies of finished items are not kept.
+    pub fn open_body(&self, item_id: &str) -> Option<Bytes> {
+        let index = self.items.iter().position(|item| item.item_id == item_id)?;
+        (!self.finished[index]).then(|| self.items[index].body.clone())
     }
 }
 
