Judge the leader's own host by its notices, and make removed files stay removed

The files of a replica that the group had expelled came back after a loss of power, because the folder above them was not synced. Now hosts hear their own notices, and the folder above is synced after a removal and a creation.

--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -64,7 +64,7 @@
 pub use group_options::GroupOptions;
 pub use group_status::GroupStatus;
 pub use hard_state::HardState;
-pub use identity::Identity;
+pub use identity::{sync_folder, Identity};
 pub use log::Log;
 pub use log_storage::LogStorage;
 pub use message::{AppendRequest, Body, Message, SnapshotChunk};
--- a/src/raft/recovery.rs
+++ b/src/raft/recovery.rs
@@ -2,6 +2,7 @@
 use std::io;
 
 use crate::raft::disk_log::{Damage, DiskLog, Scan};
+use crate::raft::identity::sync_folder;
 use crate::raft::snapshot_file::SnapshotFiles;
 use crate::raft::{
     Entry, GroupOptions, Identity, Log, LogStorage, OpenError, Recovered, ReplicaSet, SnapshotMeta,
@@ -26,6 +27,10 @@
     let group = options.group;
     let io_error = |error| OpenError::Io { group, error };
     fs::create_dir_all(&options.data_folder).map_err(io_error)?;
+    if let Some(parent) = options.data_folder.parent().filter(|it| !it.as_os_str().is_empty()) {
+        // The name of a new folder must outlast a loss of power like the files in it.
+        sync_folder(parent).map_err(io_error)?;
+    }
     let identity = open_identity(options)?;
     recover_log(options, machine, identity).map_err(io_error)
 }
--- a/src/replication/replica_host.rs
+++ b/src/replication/replica_host.rs
@@ -11,7 +11,8 @@
 
 use crate::peer::{PeerCaller, TrafficClass};
 use crate::raft::{
-    Group, GroupOptions, GroupStatus, Identity, Outbox, Replica, ReplicaChange, StateMachine,
+    sync_folder, Group, GroupOptions, GroupStatus, Identity, Outbox, Replica, ReplicaChange,
+    StateMachine,
 };
 use crate::replication::replica_status::members;
 use crate::replication::{plan_repair, Candidate, NoticeBoard, RepairStep};
@@ -419,6 +420,8 @@
 async fn send_notices(host: Arc<ReplicaHost>) {
     loop {
         let notice = host.notice();
+        // The leader judges its own host by the same notices as the others.
+        host.hear(notice.clone());
         for address in host.peers() {
             let body = Body::ControlNotice(notice.clone());
             host.caller.send(&address, TrafficClass::Online, body);
@@ -437,7 +440,12 @@
 
 fn remove_files(folder: &std::path::Path) -> io::Result<()> {
     match fs::remove_dir_all(folder) {
-        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(()),
-        result => result,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(()),
+        result => result?,
+    }
+    // Without this, a loss of power may bring the files back.
+    match folder.parent() {
+        Some(parent) => sync_folder(parent),
+        None => Ok(()),
     }
 }
--- a/tests/replication_repair.rs
+++ b/tests/replication_repair.rs
@@ -49,8 +49,7 @@
 /// leader alone would wait for ever.
 #[test]
 fn a_voter_stays_while_the_others_have_no_quorum() {
-    let members =
-        [voter(1, Healthy), voter(2, Silent), voter(3, Replaced), learner(4, true)];
+    let members = [voter(1, Healthy), voter(2, Silent), voter(3, Replaced), learner(4, true)];
     assert_eq!(plan_repair(&members, &[], 3), None);
 }
 
@@ -68,8 +67,7 @@
 /// Guards against a leader that removes itself.
 #[test]
 fn a_retiring_leader_hands_leadership_on() {
-    let members =
-        [voter(1, Retiring), voter(2, Healthy), voter(3, Healthy), voter(4, Healthy)];
+    let members = [voter(1, Retiring), voter(2, Healthy), voter(3, Healthy), voter(4, Healthy)];
     assert_eq!(plan_repair(&members, &[], 3), Some(RepairStep::Transfer));
 }
 
@@ -114,9 +112,8 @@
                 Some(RepairStep::Remove(id)) => {
                     members.retain(|it| it.id != id);
                     let voters = members.iter().filter(|it| it.is_voter);
-                    let answering = voters.clone().filter(|it| {
-                        matches!(it.state, Healthy | Retiring)
-                    });
+                    let answering =
+                        voters.clone().filter(|it| matches!(it.state, Healthy | Retiring));
                     assert!(answering.count() > voters.count() / 2, "seed {seed}");
                 }
                 Some(RepairStep::Transfer) => panic!("seed {seed}: the leader is healthy"),
