--- /dev/null
+++ b/tests/scheduler.rs
@@ -0,0 +1,216 @@
+//! Guards against batch items that run twice, are forgotten, or take slots from online requests.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use damaskhoist::coordinator::{ItemEnd, Scheduler, SchedulerInput, UpstreamShare};
+use damaskhoist::directory::{Phase, UpstreamRecord};
+use damaskhoist::ledger::Job;
+use damaskhoist::schema::ledger::{FinishedItem, NewItem};
+use damaskhoist::schema::peer::{
+    EntryHost, EntrySync, ItemAssignment, ItemReturn, ReturnItem, RunningItem, UpstreamUse,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const WARM: Duration = Duration::from_millis(800);
+
+fn job(id: &str, items: usize) -> Arc<Job> {
+    let items = (0..items).map(|n| NewItem { item_id: format!("{id}-{n}"), ..NewItem::default() });
+    let (host, path) = ("engraver.example".to_owned(), "/sheets/".to_owned());
+    Arc::new(Job::new(id.into(), "sheets".into(), host, path, items.collect(), 1))
+}
+
+fn upstream(id: &str) -> UpstreamRecord {
+    UpstreamRecord {
+        upstream_id: id.into(),
+        service: "engraver".into(),
+        address: "10.0.0.1:80".into(),
+        zone: "santander".into(),
+        region: "cantabria".into(),
+        slots: 8,
+        phase: Phase::Ready,
+        started_at_unix_ms: 1,
+        sequence: 1,
+    }
+}
+
+fn entry(id: &str) -> EntryHost {
+    EntryHost {
+        host_id: id.into(),
+        caller_address: "10.0.0.2:80".into(),
+        zone: "santander".into(),
+        region: "cantabria".into(),
+        ready: true,
+    }
+}
+
+fn sync_of(running: &[RunningItem], online: u32) -> EntrySync {
+    let uses = vec![UpstreamUse { upstream_id: "a".into(), online, batch: 0 }];
+    EntrySync { running: running.to_vec(), uses, ..EntrySync::default() }
+}
+
+fn running_of(assignment: &ItemAssignment) -> RunningItem {
+    RunningItem {
+        assignment_id: assignment.assignment_id,
+        job_id: assignment.job_id.clone(),
+        item: assignment.item,
+        upstream_id: assignment.upstream_id.clone(),
+    }
+}
+
+fn assign(
+    scheduler: &mut Scheduler,
+    host: &str,
+    upstreams: &[UpstreamRecord],
+    now: Instant,
+) -> Vec<ItemAssignment> {
+    let services = |_: &Job| vec!["engraver".to_owned()];
+    scheduler.assign(host, &SchedulerInput { upstreams, services: &services, now })
+}
+
+fn leading(start: Instant, jobs: &[Arc<Job>]) -> Scheduler {
+    let mut scheduler = Scheduler::default();
+    scheduler.set_leading(true, 100, start);
+    scheduler.refresh(jobs, start);
+    scheduler.report(&entry("e1"), &sync_of(&[], 0), start + WARM);
+    scheduler
+}
+
+/// Guards against batch items on slots that online requests need in the next moment.
+#[test]
+fn batch_leaves_slots_free() {
+    let share = |online, batch| UpstreamShare { slots: 8, online, batch };
+    assert_eq!(share(0, 0).batch_room(), 6);
+    assert_eq!(share(7, 0).batch_room(), 0);
+    assert_eq!(share(2, 6).batch_excess(), 1);
+    assert_eq!(share(8, 2).batch_excess(), 2);
+    assert_eq!(share(20, 1).batch_excess(), 1);
+}
+
+/// Guards against a new leader that starts what already runs.
+#[test]
+fn a_new_leader_waits_for_reports_and_takes_over_what_runs() {
+    let start = Instant::now();
+    let jobs = [job("j", 1)];
+    let mut scheduler = Scheduler::default();
+    scheduler.set_leading(true, 100, start);
+    scheduler.refresh(&jobs, start);
+    scheduler.report(&entry("e1"), &sync_of(&[], 0), start);
+    assert!(assign(&mut scheduler, "e1", &[upstream("a")], start).is_empty());
+    let known = RunningItem { assignment_id: 7, job_id: "j".into(), item: 0, ..Default::default() };
+    scheduler.report(&entry("e1"), &sync_of(std::slice::from_ref(&known), 0), start);
+    scheduler.adopt("e1", &[known], &jobs, start);
+    assert!(assign(&mut scheduler, "e1", &[upstream("a")], start + WARM).is_empty());
+}
+
+/// Guards against an item that is lost with the answer that carried it.
+#[test]
+fn an_assignment_that_did_not_arrive_is_made_again() {
+    let start = Instant::now();
+    let mut scheduler = leading(start, &[job("j", 1)]);
+    let now = start + WARM;
+    let first = assign(&mut scheduler, "e1", &[upstream("a")], now);
+    assert_eq!(first.len(), 1);
+    scheduler.report(&entry("e1"), &sync_of(&[], 0), now);
+    assert_eq!(assign(&mut scheduler, "e1", &[upstream("a")], now).len(), 1);
+}
+
+/// Guards against a burst that waits behind batch items: the newest items give way, once each.
+#[test]
+fn batch_yields_to_online_requests() {
+    let start = Instant::now();
+    let mut scheduler = leading(start, &[job("j", 6)]);
+    let now = start + WARM;
+    let assigned = assign(&mut scheduler, "e1", &[upstream("a")], now);
+    assert_eq!(assigned.len(), 6);
+    let running: Vec<_> = assigned.iter().map(running_of).collect();
+    scheduler.report(&entry("e1"), &sync_of(&running, 4), now);
+    assert!(scheduler.yield_slots(&[upstream("a")]));
+    assert!(!scheduler.yield_slots(&[upstream("a")]), "counted twice");
+    assert_eq!(scheduler.stops("e1", now).len(), 3);
+}
+
+/// Guards against an item that keeps its progress out of the next run, and against a failure that is
+/// tried for ever.
+#[test]
+fn an_item_goes_on_after_its_last_event_and_is_given_up_after_its_attempts() {
+    let start = Instant::now();
+    let mut scheduler = leading(start, &[job("j", 1)]);
+    let mut now = start + WARM;
+    let first = assign(&mut scheduler, "e1", &[upstream("a")], now).remove(0);
+    let mut back = ReturnItem {
+        assignment_id: first.assignment_id,
+        job_id: "j".into(),
+        item: 0,
+        reason: ItemReturn::Interrupted.into(),
+        text: Bytes::from_static(b"half"),
+        last_event_id: 9,
+    };
+    assert_eq!(scheduler.returned(&back, &|_| 2, now), ItemEnd::Waits);
+    for expected in [ItemEnd::Waits, ItemEnd::GivenUp] {
+        now += Duration::from_secs(5);
+        scheduler.report(&entry("e1"), &sync_of(&[], 0), now);
+        let next = assign(&mut scheduler, "e1", &[upstream("a")], now).remove(0);
+        assert_eq!((&next.text[..], next.last_event_id), (&b"half"[..], 9));
+        back.assignment_id = next.assignment_id;
+        back.reason = ItemReturn::FailedAttempt.into();
+        assert_eq!(scheduler.returned(&back, &|_| 2, now), expected);
+    }
+}
+
+/// Guards against items that run at two hosts or at none: random reports, losses, returns and ends
+/// against the set of open items.
+#[test]
+fn each_item_runs_once_at_a_time_and_all_end() {
+    for seed in 0..40 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut now = Instant::now();
+        let mut job = Job::clone(&job("j", 12));
+        let upstreams = [upstream("a"), upstream("b")];
+        let mut scheduler = leading(now, &[Arc::new(job.clone())]);
+        let mut held: HashMap<&str, Vec<RunningItem>> = HashMap::new();
+        for _ in 0..4_000 {
+            now += Duration::from_millis(random.random_range(20..120));
+            if job.has_ended() {
+                break;
+            }
+            scheduler.refresh(&[Arc::new(job.clone())], now);
+            let host = ["e1", "e2"][random.random_range(0..2)];
+            let own = held.entry(host).or_default();
+            let online = random.random_range(0..10);
+            scheduler.report(&entry(host), &sync_of(own, online), now);
+            scheduler.yield_slots(&upstreams);
+            let assigned = assign(&mut scheduler, host, &upstreams, now);
+            // One answer in five is lost.
+            if random.random_range(0..5) > 0 {
+                own.extend(assigned.iter().map(running_of));
+            }
+            let all: Vec<u32> = held.values().flatten().map(|it| it.item).collect();
+            let distinct: HashSet<u32> = all.iter().copied().collect();
+            assert_eq!(all.len(), distinct.len(), "seed {seed}: an item runs twice");
+            let own = held.entry(host).or_default();
+            if own.is_empty() {
+                continue;
+            }
+            let item = own.remove(random.random_range(0..own.len()));
+            if random.random_range(0..3) > 0 {
+                let result = FinishedItem { job_id: "j".into(), item: item.item, ..Default::default() };
+                job.finish(result);
+                scheduler.finished("j", item.item);
+                continue;
+            }
+            let back = ReturnItem {
+                assignment_id: item.assignment_id,
+                job_id: "j".into(),
+                item: item.item,
+                reason: ItemReturn::NotRun.into(),
+                ..ReturnItem::default()
+            };
+            scheduler.returned(&back, &|_| 3, now);
+        }
+        assert!(job.has_ended(), "seed {seed}: items are left");
+    }
+}
