--- a/src/coordinator/upstream_share.rs
+++ b/src/coordinator/upstream_share.rs
@@ -9,12 +9,10 @@
     pub batch: u32,
 }
 
-/// Slots that batch leaves free on each upstream: online requests that arrive before the next report
-/// then find one. At a fivefold burst an upstream gets about one request in two report intervals.
-const RESERVED_SLOTS: u32 = 2;
-/// Batch gives slots back once fewer than this stay free. Below the reserve, so that batch items are
-/// not cut and started again around the same load.
-const YIELD_BELOW_FREE: u32 = 1;
+/// Slots that batch leaves free on each upstream: an online request that arrives before the next
+/// report then finds one. At a fivefold burst an upstream gets about one request in two report
+/// intervals, and each further slot would cost an eighth of the capacity all day.
+const RESERVED_SLOTS: u32 = 1;
 
 impl UpstreamShare {
     /// Batch items that may be started.
@@ -25,6 +23,6 @@
     /// Batch items that have to give their slot back.
     pub fn batch_excess(&self) -> u32 {
         let used = self.online + self.batch;
-        (used + YIELD_BELOW_FREE).saturating_sub(self.slots).min(self.batch)
+        (used + RESERVED_SLOTS).saturating_sub(self.slots).min(self.batch)
     }
 }
