--- a/src/coordinator/coordinator.rs
+++ b/src/coordinator/coordinator.rs
@@ -377,12 +377,35 @@
         let mut scheduler = lock(&self.scheduler);
         scheduler.report(entry, sync, now);
         scheduler.adopt(&entry.host_id, &sync.running, &jobs, now);
-        if scheduler.yield_slots(&self.upstreams()) {
-            drop(scheduler);
+        let yields = self.with_input(now, |input| scheduler.yield_slots(input));
+        drop(scheduler);
+        if yields {
             self.changed.notify();
         }
     }
 
+    /// What the scheduler decides from, besides its own state.
+    fn with_input<T>(&self, now: Instant, decide: impl FnOnce(&SchedulerInput<'_>) -> T) -> T {
+        let routes = self.ledger.routes();
+        let upstreams = self.upstreams();
+        let route = |job: &Job| route_for(&routes.routes, &job.host, &job.path);
+        let services = |job: &Job| {
+            let shares = route(job).into_iter().flat_map(|route| &route.shares);
+            shares.filter(|it| it.weight > 0).map(|it| it.service.clone()).collect::<Vec<_>>()
+        };
+        let due_unix_ms = |job: &Job| {
+            let target_ms = route(job).map_or(0, |route| u64::from(route.completion_target_ms));
+            job.submitted_at_unix_ms + target_ms
+        };
+        decide(&SchedulerInput {
+            upstreams: &upstreams,
+            services: &services,
+            due_unix_ms: &due_unix_ms,
+            now_unix_ms: unix_ms(),
+            now,
+        })
+    }
+
     fn has_news(&self, sync: &EntrySync, leads: bool) -> bool {
         if lock(&self.directory).revision() != (sync.directory_epoch, sync.directory_revision) {
             return true;
@@ -436,15 +459,7 @@
         host_id: &str,
         now: Instant,
     ) -> Vec<crate::schema::peer::ItemAssignment> {
-        let routes = self.ledger.routes();
-        let upstreams = self.upstreams();
-        let services = |job: &Job| {
-            let route = route_for(&routes.routes, &job.host, &job.path);
-            let shares = route.into_iter().flat_map(|route| &route.shares);
-            shares.filter(|it| it.weight > 0).map(|it| it.service.clone()).collect::<Vec<_>>()
-        };
-        let input = SchedulerInput { upstreams: &upstreams, services: &services, now };
-        let assignments = scheduler.assign(host_id, &input);
+        let assignments = self.with_input(now, |input| scheduler.assign(host_id, input));
         for it in &assignments {
             log::info!(event = "item_assigned", job = it.job_id.as_str(), item = it.item,
                 assignment = it.assignment_id, host = host_id, upstream = it.upstream_id.as_str(),
--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -27,6 +27,9 @@
 const UPSTREAM_PAUSE_LIMIT: Duration = Duration::from_millis(4_000);
 /// Time after which an entry host that still runs an item is told again to stop it.
 const REPEAT_STOP: Duration = Duration::from_millis(200);
+/// Time that an item needs on an upstream: a thousand tokens at four milliseconds each, less what
+/// shorter items and earlier progress save.
+const RUN_ESTIMATE_MS: u64 = 3_000;
 /// Pause of an item after a failed attempt.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -36,10 +39,21 @@
     pub upstreams: &'a [UpstreamRecord],
     /// Services that may run the items of a job; empty if its route is gone.
     pub services: &'a dyn Fn(&Job) -> Vec<String>,
+    /// Time at which the results of a job are due, on the ledger's clock.
+    pub due_unix_ms: &'a dyn Fn(&Job) -> u64,
+    /// Now on the ledger's clock.
+    pub now_unix_ms: u64,
     /// Now.
     pub now: Instant,
 }
 
+impl SchedulerInput<'_> {
+    /// True if an item that is started now is likely to be finished when it is due.
+    fn is_in_time(&self, job: &Job) -> bool {
+        self.now_unix_ms + RUN_ESTIMATE_MS <= (self.due_unix_ms)(job)
+    }
+}
+
 /// How an item ended that came back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ItemEnd {
@@ -299,16 +313,17 @@
     }
 
     /// Marks batch items that must give their slot back; true if there are new ones.
-    pub fn yield_slots(&mut self, upstreams: &[UpstreamRecord]) -> bool {
+    pub fn yield_slots(&mut self, input: &SchedulerInput<'_>) -> bool {
         let mut changed = false;
-        for (upstream_id, mut share) in self.shares(upstreams) {
+        for (upstream_id, mut share) in self.shares(input.upstreams) {
             let on_it = self.running.values_mut().filter(|it| it.upstream_id == upstream_id);
             let mut on_it: Vec<&mut Running> = on_it.collect();
             let stopping = on_it.iter().filter(|it| it.stop.is_some()).count() as u32;
             share.batch -= stopping.min(share.batch);
             let excess = share.batch_excess();
-            // The newest has the least in the KV cache that has to be read again elsewhere.
-            on_it.sort_by_key(|it| std::cmp::Reverse(it.started));
+            // One that is late earns little; the newest has the least in the KV cache that has to be
+            // read again elsewhere.
+            on_it.sort_by_key(|it| (input.is_in_time(&it.job), std::cmp::Reverse(it.started)));
             let running = on_it.into_iter().filter(|it| it.stop.is_none());
             for item in running.take(excess as usize) {
                 item.stop = Some(StopReason::Yield);
@@ -371,7 +386,8 @@
         !self.pending.is_empty()
     }
 
-    /// Items for an entry host to start now: the oldest first, on upstreams with room near it.
+    /// Items for an entry host to start now, on upstreams with room near it: the oldest first that
+    /// can still be in time, then the late ones. Under overload, oldest first would make all late.
     pub fn assign(&mut self, host_id: &str, input: &SchedulerInput<'_>) -> Vec<ItemAssignment> {
         let is_warm = self.led_since.is_some_and(|since| input.now - since >= WARM_UP);
         let Some(entry) = self.entries.get(host_id).filter(|entry| is_warm && entry.host.ready)
@@ -382,8 +398,11 @@
         let mut room = ITEMS_PER_ENTRY.saturating_sub(held);
         let mut near = self.near_upstreams(&entry.host, input);
         let mut assigned = Vec::new();
-        let waiting = self.pending.iter().filter(|(_, it)| it.not_before <= input.now);
-        let places: Vec<_> = waiting.map(|(place, _)| place.clone()).take(room).collect();
+        let waiting = || self.pending.iter().filter(|(_, it)| it.not_before <= input.now);
+        let in_time = waiting().filter(|(_, it)| input.is_in_time(&it.job));
+        let late = waiting().filter(|(_, it)| !input.is_in_time(&it.job));
+        let ordered = in_time.chain(late).map(|(place, _)| place.clone());
+        let places: Vec<_> = ordered.take(room).collect();
         for place in places {
             if room == 0 || near.iter().all(|(_, share)| share.batch_room() == 0) {
                 break;
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -67,8 +67,20 @@
     upstreams: &[UpstreamRecord],
     now: Instant,
 ) -> Vec<ItemAssignment> {
+    with_input(upstreams, 0, now, |input| scheduler.assign(host, input))
+}
+
+/// Jobs are due 18 s after their submission.
+fn with_input<T>(
+    upstreams: &[UpstreamRecord],
+    now_unix_ms: u64,
+    now: Instant,
+    decide: impl FnOnce(&SchedulerInput<'_>) -> T,
+) -> T {
     let services = |_: &Job| vec!["engraver".to_owned()];
-    scheduler.assign(host, &SchedulerInput { upstreams, services: &services, now })
+    let due_unix_ms = |job: &Job| job.submitted_at_unix_ms + 18_000;
+    let (services, due_unix_ms) = (&services, &due_unix_ms);
+    decide(&SchedulerInput { upstreams, services, due_unix_ms, now_unix_ms, now })
 }
 
 fn leading(start: Instant, jobs: &[Arc<Job>]) -> Scheduler {
@@ -130,11 +142,26 @@
     assert_eq!(assigned.len(), 6);
     let running: Vec<_> = assigned.iter().map(running_of).collect();
     scheduler.report(&entry("e1"), &sync_of(&running, 4), now);
-    assert!(scheduler.yield_slots(&[upstream("a")]));
-    assert!(!scheduler.yield_slots(&[upstream("a")]), "counted twice");
+    let upstreams = [upstream("a")];
+    assert!(with_input(&upstreams, 0, now, |input| scheduler.yield_slots(input)));
+    assert!(!with_input(&upstreams, 0, now, |input| scheduler.yield_slots(input)), "counted twice");
     assert_eq!(scheduler.stops("e1", now).len(), 3);
 }
 
+/// Guards against an overload that makes each job late: a job that is late already waits behind one
+/// that can still be in time.
+#[test]
+fn late_items_wait_behind_those_in_time() {
+    let start = Instant::now();
+    let mut fresh = Job::clone(&job("fresh", 1));
+    fresh.submitted_at_unix_ms = 20_000;
+    let mut scheduler = leading(start, &[job("late", 9), Arc::new(fresh)]);
+    let (now, upstreams) = (start + WARM, [upstream("a")]);
+    let assigned = with_input(&upstreams, 25_000, now, |input| scheduler.assign("e1", input));
+    assert_eq!(assigned[0].job_id, "fresh");
+    assert!(assigned[1..].iter().all(|it| it.job_id == "late"));
+}
+
 /// Guards against an item that keeps its progress out of the next run, and against a failure that is
 /// tried for ever.
 #[test]
@@ -184,7 +211,7 @@
             let own = held.entry(host).or_default();
             let online = random.random_range(0..10);
             scheduler.report(&entry(host), &sync_of(own, online), now);
-            scheduler.yield_slots(&upstreams);
+            with_input(&upstreams, 0, now, |input| scheduler.yield_slots(input));
             let assigned = assign(&mut scheduler, host, &upstreams, now);
             // One answer in five is lost.
             if random.random_range(0..5) > 0 {
@@ -199,7 +226,8 @@
             }
             let item = own.remove(random.random_range(0..own.len()));
             if random.random_range(0..3) > 0 {
-                let result = FinishedItem { job_id: "j".into(), item: item.item, ..Default::default() };
+                let result =
+                    FinishedItem { job_id: "j".into(), item: item.item, ..Default::default() };
                 job.finish(result);
                 scheduler.finished("j", item.item);
                 continue;
