--- a/src/control/remote_state.rs
+++ b/src/control/remote_state.rs
@@ -33,7 +33,7 @@
 
 /// What one call to one control host brought.
 enum CallResult {
-    Reply(reply::Reply),
+    Reply(Box<reply::Reply>),
     /// Nothing happened; another host may do.
     Refused(String),
     /// Nothing happened, and no host will do it.
@@ -91,7 +91,7 @@
             reply::Reply::Failure(failure) => self.on_failure(failure),
             reply => {
                 self.leader.store(Some(address));
-                CallResult::Reply(reply)
+                CallResult::Reply(Box::new(reply))
             }
         }
     }
@@ -125,7 +125,7 @@
         let mut lost: Option<String> = None;
         loop {
             let reason = match self.call_once(class, call.clone(), CALL_TIMEOUT).await {
-                CallResult::Reply(reply) => return Ok(reply),
+                CallResult::Reply(reply) => return Ok(*reply),
                 CallResult::Refused(reason) => reason,
                 CallResult::Final(reason) => return Err(StateError::NotSubmitted(reason)),
                 CallResult::Unknown(reason) if repeatable => {
@@ -180,8 +180,10 @@
         let timeout = wait + CALL_TIMEOUT;
         let call = call::Call::WatchConfiguration(watch);
         match self.call_once(TrafficClass::Online, call, timeout).await {
-            CallResult::Reply(reply::Reply::Configuration(notice)) => Ok(notice),
-            CallResult::Reply(_) => Err(StateError::Unknown("unexpected reply".to_owned())),
+            CallResult::Reply(reply) => match *reply {
+                reply::Reply::Configuration(notice) => Ok(notice),
+                _ => Err(StateError::Unknown("unexpected reply".to_owned())),
+            },
             CallResult::Refused(reason) | CallResult::Final(reason) => {
                 Err(StateError::NotSubmitted(reason))
             }
--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -156,7 +156,7 @@
         }
         let turn = self.next.fetch_add(1, Ordering::Relaxed);
         let hint = self.hint.leader_address();
-        if let Some(leader) = hint.filter(|_| turn % 2 == 0) {
+        if let Some(leader) = hint.filter(|_| turn.is_multiple_of(2)) {
             return Some(leader);
         }
         let addresses = self.hint.control_addresses();
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -1,13 +1,13 @@
 //! The control role of a routed fleet: the ledger's replica, the directory of upstreams, and the
 //! scheduler of batch items on the leader.
 
-mod coordinator;
+mod control_part;
 mod leader_client;
 mod operator;
 mod scheduler;
 mod upstream_share;
 
-pub use coordinator::{Coordinator, CoordinatorOptions};
+pub use control_part::{Coordinator, CoordinatorOptions};
 pub use leader_client::{LeaderClient, LeaderError, LeaderHint};
 pub use operator::{InstallOutcome, RetireOutcome};
 pub use scheduler::{ItemEnd, Scheduler, SchedulerInput};
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -5,18 +5,18 @@
 //! [`FleetView`]: of two entries with the same id the one of the later incarnation holds, then the
 //! one with the higher sequence.
 
-mod directory;
 mod entry_table;
 mod fleet_view;
 mod fleet_watch;
 mod source;
 mod sync_partner;
+mod upstream_directory;
 mod upstream_record;
 
-pub use directory::{Directory, Heartbeat};
 pub use entry_table::EntryTable;
 pub use fleet_view::FleetView;
 pub use fleet_watch::{FleetWatch, FleetWatchOptions};
 pub use source::{merge, Source};
 pub use sync_partner::SyncPartner;
+pub use upstream_directory::{Directory, Heartbeat};
 pub use upstream_record::{Phase, UpstreamRecord};
--- a/src/directory/directory.rs
+++ b/src/directory/upstream_directory.rs
@@ -121,16 +121,17 @@
     /// Marks upstreams that fell silent and forgets those that are long gone; gives the silent ones.
     pub fn expire(&mut self, now: Instant) -> Vec<String> {
         self.entries.retain(|_, entry| {
-            entry.record.phase != Phase::Gone || now.duration_since(entry.heard) < GONE_AGE
+            let is_there = matches!(entry.record.phase, Phase::Ready | Phase::Draining);
+            is_there || now.duration_since(entry.heard) < GONE_AGE
         });
         let mut silent = Vec::new();
         for (id, entry) in &mut self.entries {
             let is_silent = now.duration_since(entry.heard) > self.silence;
-            if entry.record.phase == Phase::Gone || !is_silent {
+            if matches!(entry.record.phase, Phase::Gone | Phase::Silent) || !is_silent {
                 continue;
             }
             self.revision += 1;
-            entry.record.phase = Phase::Gone;
+            entry.record.phase = Phase::Silent;
             entry.revision = self.revision;
             silent.push(id.clone());
         }
--- a/src/directory/upstream_record.rs
+++ b/src/directory/upstream_record.rs
@@ -30,7 +30,9 @@
     Ready,
     /// It ends soon and gets no new work.
     Draining,
-    /// It has left, or its heartbeats stopped.
+    /// Its heartbeats stopped at the control host that took them.
+    Silent,
+    /// It has left.
     Gone,
 }
 
@@ -45,6 +47,7 @@
         let phase = match self.phase {
             Phase::Ready => UpstreamPhase::Ready,
             Phase::Draining => UpstreamPhase::Draining,
+            Phase::Silent => UpstreamPhase::Silent,
             Phase::Gone => UpstreamPhase::Gone,
         };
         UpstreamEntry {
@@ -67,6 +70,7 @@
         let phase = match wire.phase() {
             UpstreamPhase::Ready => Phase::Ready,
             UpstreamPhase::Draining => Phase::Draining,
+            UpstreamPhase::Silent => Phase::Silent,
             UpstreamPhase::Gone | UpstreamPhase::Unspecified => Phase::Gone,
         };
         Self {
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -17,6 +17,10 @@
 /// Spread of the random part, so that hosts with the same view do not all choose the same upstream.
 const SPREAD: f32 = 0.06;
 
+/// Upstreams that are compared. Hosts report a few times a second, so in a large fleet all of them
+/// would send to the same least loaded upstreams; a few random ones spread the requests.
+const COMPARED: usize = 6;
+
 /// What a choice depends on besides the upstreams.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceInput<'a> {
@@ -49,11 +53,33 @@
     let usable = upstreams.iter().filter(fits).filter(|it| all_paused || !is_paused(it));
     let with_room = usable.filter(|it| input.takes_full || it.online() < it.slots + WAITING_LIMIT);
     let preferred = input.prefix.map(|prefix| preferred(upstreams, service, prefix));
-    let costs = with_room.map(|it| (cost(it, input, preferred), it));
+    let mut candidates: Vec<&Arc<Upstream>> = with_room.collect();
+    sample(&mut candidates, input);
+    let costs = candidates.into_iter().map(|it| (cost(it, input, preferred), it));
     let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
     best.map(|(_, it)| it.clone())
 }
 
+/// Keeps a few random candidates of the nearest place that has enough of them.
+fn sample(candidates: &mut Vec<&Arc<Upstream>>, input: &ChoiceInput<'_>) {
+    if candidates.len() <= COMPARED * 2 {
+        return;
+    }
+    let free = |it: &Upstream| it.online() < it.slots;
+    let in_zone = |it: &Upstream| it.zone == input.zone && free(it);
+    let in_region = |it: &Upstream| it.region == input.region && free(it);
+    if candidates.iter().filter(|it| in_zone(it)).count() >= COMPARED {
+        candidates.retain(|it| in_zone(it));
+    } else if candidates.iter().filter(|it| in_region(it)).count() >= COMPARED {
+        candidates.retain(|it| in_region(it));
+    }
+    for place in 0..COMPARED.min(candidates.len()) {
+        let other = rand::random_range(place..candidates.len());
+        candidates.swap(place, other);
+    }
+    candidates.truncate(COMPARED);
+}
+
 fn cost(upstream: &Upstream, input: &ChoiceInput<'_>, preferred: Option<u64>) -> f32 {
     let load = upstream.in_use() as f32 / upstream.slots as f32;
     let distance = match (upstream.zone == input.zone, upstream.region == input.region) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,11 +9,11 @@
 mod batch_worker;
 mod choice;
 mod connector;
+mod entry_part;
 mod event;
 mod event_splitter;
 mod fleet;
 mod forwarder;
-mod gateway;
 mod prompt;
 mod refusal;
 mod route_index;
@@ -25,11 +25,11 @@
 pub use connector::{
     CallTarget, SendError, StreamConnector, UpstreamAnswer, UpstreamHead, UpstreamPiece,
 };
+pub use entry_part::{Gateway, GatewayOptions};
 pub use event::Event;
 pub use event_splitter::EventSplitter;
 pub use fleet::GatewayFleet;
 pub use forwarder::{ForwardEnd, Forwarder};
-pub use gateway::{Gateway, GatewayOptions};
 pub use prompt::Prompt;
 pub use refusal::{Refusal, RefusalKind};
 pub use route_index::RouteIndex;
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -6,8 +6,8 @@
 mod command;
 mod fit;
 mod job;
-mod ledger;
 mod open_item;
+mod replicated_ledger;
 mod route_check;
 mod snapshot;
 mod tables;
@@ -15,6 +15,6 @@
 pub use command::command;
 pub use fit::route_for;
 pub use job::Job;
-pub use ledger::Ledger;
 pub use open_item::OpenItem;
+pub use replicated_ledger::Ledger;
 pub use route_check::check_routes;
--- a/src/replication/repair.rs
+++ b/src/replication/repair.rs
@@ -15,9 +15,9 @@
 
 /// Decides the next change that brings a group to `target_voters` healthy voters.
 ///
-/// A lost voter goes only when a learner that has caught up can take its place, and only while the
-/// voters that stay have a healthy quorum, which the change needs to be committed. A voter that is
-/// only to be emptied goes after its successor votes, so that the group bears a loss meanwhile.
+/// A lost voter goes after its successor votes: a successor that has not caught up is refused and
+/// changes nothing, and a voter that is only to be emptied still counts meanwhile. Each change is made
+/// only if the voters that answer are a quorum afterwards, which the change needs to be committed.
 pub fn plan_repair(
     members: &[Member],
     candidates: &[Candidate],
@@ -30,21 +30,18 @@
     let voters: Vec<&Member> = members.iter().filter(|member| member.is_voter).collect();
     let lost: Vec<&&Member> =
         voters.iter().filter(|voter| voter.state != MemberState::Healthy).collect();
+    let healthy = voters.len() - lost.len();
+    let answering = voters.iter().filter(|voter| answers(voter)).count();
     if let Some(ready) = learners().find(|member| member.is_caught_up) {
-        let only_retiring = lost.iter().all(|voter| voter.state == MemberState::Retiring);
-        if voters.len() < target_voters || !lost.is_empty() && only_retiring {
+        if healthy < target_voters && answering + 1 >= quorum(voters.len() + 1) {
             return Some(RepairStep::Promote(ready.id));
         }
-        if let Some(step) = replace(&voters, &lost) {
-            return Some(step);
-        }
     }
     if voters.len() > target_voters {
-        if let Some(step) = replace(&voters, &lost) {
+        if let Some(step) = remove_worst(&voters, &lost) {
             return Some(step);
         }
     }
-    let healthy = voters.len() - lost.len();
     if healthy + learners().count() >= target_voters {
         return None;
     }
@@ -52,18 +49,22 @@
 }
 
 /// Takes out the lost voter, a replaced one before a retiring one.
-fn replace(voters: &[&Member], lost: &[&&Member]) -> Option<RepairStep> {
+fn remove_worst(voters: &[&Member], lost: &[&&Member]) -> Option<RepairStep> {
     let order = [MemberState::Replaced, MemberState::Silent, MemberState::Retiring];
     let worst = order.iter().find_map(|state| lost.iter().find(|voter| voter.state == *state))?;
     if worst.is_leader {
         return Some(RepairStep::Transfer);
     }
-    let rest = voters.iter().filter(|voter| voter.id != worst.id);
-    let answering = rest
-        .filter(|voter| matches!(voter.state, MemberState::Healthy | MemberState::Retiring))
-        .count();
-    let quorum = (voters.len() - 1) / 2 + 1;
-    (answering >= quorum).then_some(RepairStep::Remove(worst.id))
+    let rest = voters.iter().filter(|voter| voter.id != worst.id && answers(voter));
+    (rest.count() >= quorum(voters.len() - 1)).then_some(RepairStep::Remove(worst.id))
+}
+
+fn answers(member: &Member) -> bool {
+    matches!(member.state, MemberState::Healthy | MemberState::Retiring)
+}
+
+fn quorum(voters: usize) -> usize {
+    voters / 2 + 1
 }
 
 /// The candidate of the zone with the fewest healthy replicas.
