--- a/src/coordinator/control_part.rs
+++ b/src/coordinator/control_part.rs
@@ -24,6 +24,7 @@
 };
 use crate::settings::FleetHostSettings;
 use crate::signal::Signal;
+use crate::telemetry::Counters;
 
 /// Time for which the leader holds a question of an entry host; the load that entry hosts see is so
 /// old at most.
@@ -180,6 +181,22 @@
         self.publish_directory();
     }
 
+    /// Publishes what the replica and the scheduler are at.
+    pub fn publish_gauges(&self, counters: &Counters) {
+        let (waiting, running) = lock(&self.scheduler).counts();
+        counters.gauge("items_waiting", waiting as u64);
+        counters.gauge("items_running", running as u64);
+        counters.gauge("routes_version", self.ledger.routes().version);
+        counters.gauge("entry_hosts", lock(&self.entries).hosts().count() as u64);
+        counters.gauge("upstreams", self.upstreams().len() as u64);
+        let Some(status) = self.replica.status() else { return };
+        counters.gauge("raft_is_leader", status.is_leader.into());
+        counters.gauge("raft_term", status.term);
+        counters.gauge("raft_commit_index", status.commit_index);
+        counters.gauge("raft_applied_index", status.applied_index);
+        counters.gauge("raft_data_bytes", status.data_bytes);
+    }
+
     /// Answers a call of another host; `None` if it is not for the control role.
     pub async fn handle(self: &Arc<Self>, call: call::Call) -> Option<reply::Reply> {
         Some(match call {
