--- a/src/control/remote_state.rs
+++ b/src/control/remote_state.rs
@@ -17,8 +17,12 @@
 
 /// Longest time to keep trying to reach a leader.
 const TOTAL_TIMEOUT: Duration = Duration::from_millis(6_000);
-/// Longest time to wait for one reply.
+/// Longest time to wait for the reply to a call that may not be repeated.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Longest time to wait for the reply to a call that may be repeated: two round trips between regions,
+/// a commit and a busy host. After it the next control host is asked, because the one that led may
+/// have been cut off without a sign.
+const REPEATABLE_CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pause before the next control host is tried.
 const RETRY_PAUSE: Duration = Duration::from_millis(30);
 
@@ -124,7 +128,8 @@
         let started = Instant::now();
         let mut lost: Option<String> = None;
         loop {
-            let reason = match self.call_once(class, call.clone(), CALL_TIMEOUT).await {
+            let timeout = if repeatable { REPEATABLE_CALL_TIMEOUT } else { CALL_TIMEOUT };
+            let reason = match self.call_once(class, call.clone(), timeout).await {
                 CallResult::Reply(reply) => return Ok(*reply),
                 CallResult::Refused(reason) => reason,
                 CallResult::Final(reason) => return Err(StateError::NotSubmitted(reason)),
@@ -177,7 +182,7 @@
             wait_ms: wait.as_millis() as u32,
             host_id: self.host_id.clone(),
         };
-        let timeout = wait + CALL_TIMEOUT;
+        let timeout = wait + REPEATABLE_CALL_TIMEOUT;
         let call = call::Call::WatchConfiguration(watch);
         match self.call_once(TrafficClass::Online, call, timeout).await {
             CallResult::Reply(reply) => match *reply {
