Keep the progress of batch items when reports cross and leaders change

A new leader also had no list of items at its first reports, and cancelled what ran. Ended assignments are now remembered, a term starts with the list, and progress that comes back late is kept.

--- a/src/coordinator/control_part.rs
+++ b/src/coordinator/control_part.rs
@@ -505,8 +505,12 @@
     }
 
     fn follow_term(&self, leads: bool) {
-        let first_id = unix_ms() << 12;
-        lock(&self.scheduler).set_leading(leads, first_id, Instant::now());
+        let (first_id, now) = (unix_ms() << 12, Instant::now());
+        let mut scheduler = lock(&self.scheduler);
+        if scheduler.set_leading(leads, first_id, now) {
+            scheduler.refresh(&self.ledger.open_jobs(), now);
+            log::info!(event = "term_started", waiting = scheduler.counts().0; "leads now");
+        }
     }
 
     fn tick_once(&self) {
--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -30,6 +30,8 @@
 /// Time that an item needs on an upstream: a thousand tokens at four milliseconds each, less what
 /// shorter items and earlier progress save.
 const RUN_ESTIMATE_MS: u64 = 3_000;
+/// Ended assignments that are remembered; hosts report an ended one for a round trip or two.
+const ENDED_LIMIT: usize = 10_000;
 /// Pause of an item after a failed attempt.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -81,6 +83,8 @@
     running: HashMap<u64, Running>,
     entries: HashMap<String, Entry>,
     pauses: HashMap<String, UpstreamPause>,
+    /// Assignments that ended; their hosts may report them until they know.
+    ended: HashSet<u64>,
 }
 
 #[derive(Debug)]
@@ -131,12 +135,14 @@
 }
 
 impl Scheduler {
-    /// Starts or ends a term; `first_id` must be above all assignments of earlier terms.
-    pub fn set_leading(&mut self, leads: bool, first_id: u64, now: Instant) {
+    /// Starts or ends a term; `first_id` must be above all assignments of earlier terms. True if a term
+    /// starts, which needs a [`Scheduler::refresh`] before the first report.
+    pub fn set_leading(&mut self, leads: bool, first_id: u64, now: Instant) -> bool {
         if leads == self.led_since.is_some() {
-            return;
+            return false;
         }
         *self = Self { led_since: leads.then_some(now), next_id: first_id, ..Self::default() };
+        leads
     }
 
     /// Compares with the ledger: new items wait, finished and cancelled ones are stopped.
@@ -203,22 +209,24 @@
     /// Takes over items that an entry host runs for an earlier leader.
     pub fn adopt(&mut self, host_id: &str, items: &[RunningItem], jobs: &[Arc<Job>], now: Instant) {
         for item in items {
-            if self.running.contains_key(&item.assignment_id) {
+            let id = item.assignment_id;
+            if self.running.contains_key(&id) || self.ended.contains(&id) {
                 continue;
             }
             let Some(job) = jobs.iter().find(|job| job.job_id == item.job_id) else { continue };
             let key = (Arc::<str>::from(item.job_id.as_str()), item.item);
             let place = (job.submitted_at_unix_ms, key.0.clone(), key.1);
-            if job.is_finished(item.item) || self.pending.remove(&place).is_none() {
+            if job.is_finished(item.item) {
                 continue;
             }
+            let Some(waiting) = self.pending.remove(&place) else { continue };
             self.known.insert(key, item.assignment_id);
             let running = Running {
                 job: job.clone(),
                 item: item.item,
                 host_id: host_id.to_owned(),
                 upstream_id: item.upstream_id.clone(),
-                progress: Progress::default(),
+                progress: waiting.progress,
                 started: now,
                 stop: None,
                 told: None,
@@ -250,6 +258,7 @@
         now: Instant,
     ) -> ItemEnd {
         let Some(running) = self.running.get_mut(&item.assignment_id) else {
+            self.keep_progress(item);
             return ItemEnd::Unknown;
         };
         let upstream_id = running.upstream_id.clone();
@@ -273,6 +282,19 @@
         ItemEnd::Waits
     }
 
+    /// Keeps the events of a run that an earlier leader had assigned.
+    fn keep_progress(&mut self, item: &ReturnItem) {
+        let waiting = self
+            .pending
+            .iter_mut()
+            .find(|((_, job_id, index), _)| **job_id == *item.job_id && *index == item.item);
+        let Some((_, waiting)) = waiting else { return };
+        if item.last_event_id > waiting.progress.last_event_id {
+            waiting.progress.text = item.text.clone();
+            waiting.progress.last_event_id = item.last_event_id;
+        }
+    }
+
     fn pause(&mut self, upstream_id: &str, now: Instant) {
         let pause = self.pauses.entry(upstream_id.to_owned());
         let pause = pause.or_insert(UpstreamPause { failures: 0, until: now });
@@ -281,8 +303,16 @@
         pause.until = now + length.min(UPSTREAM_PAUSE_LIMIT);
     }
 
+    fn note_end(&mut self, id: u64) {
+        if self.ended.len() >= ENDED_LIMIT {
+            self.ended.clear();
+        }
+        self.ended.insert(id);
+    }
+
     fn give_back(&mut self, id: u64, now: Instant) {
         let Some(running) = self.running.remove(&id) else { return };
+        self.note_end(id);
         let Running { job, item, progress, stop, .. } = running;
         let job_id: Arc<str> = job.job_id.as_str().into();
         if stop == Some(StopReason::Cancelled) || job.is_finished(item) {
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -110,7 +110,8 @@
     let start = Instant::now();
     let jobs = [job("j", 1)];
     let mut scheduler = Scheduler::default();
-    scheduler.set_leading(true, 100, start);
+    assert!(scheduler.set_leading(true, 100, start));
+    assert!(!scheduler.set_leading(true, 100, start), "a term starts once");
     scheduler.refresh(&jobs, start);
     scheduler.report(&entry("e1"), &sync_of(&[], 0), start);
     assert!(assign(&mut scheduler, "e1", &[upstream("a")], start).is_empty());
@@ -190,6 +191,51 @@
     }
 }
 
+/// Guards against lost progress: the report of a host that does not know yet that the leader has its
+/// item back was taken for a run of an earlier leader, without the events that were there.
+#[test]
+fn an_item_that_came_back_is_not_taken_over_again() {
+    let start = Instant::now();
+    let jobs = [job("j", 1)];
+    let mut scheduler = leading(start, &jobs);
+    let now = start + WARM;
+    let first = assign(&mut scheduler, "e1", &[upstream("a")], now).remove(0);
+    let back = ReturnItem {
+        assignment_id: first.assignment_id,
+        job_id: "j".into(),
+        item: 0,
+        reason: ItemReturn::Interrupted.into(),
+        text: Bytes::from_static(b"half"),
+        last_event_id: 9,
+    };
+    scheduler.returned(&back, &|_| 2, now);
+    let late_report = [running_of(&first)];
+    let later = now + Duration::from_secs(1);
+    scheduler.report(&entry("e1"), &sync_of(&late_report, 0), later);
+    scheduler.adopt("e1", &late_report, &jobs, later);
+    let next = assign(&mut scheduler, "e1", &[upstream("a")], later).remove(0);
+    assert_eq!((&next.text[..], next.last_event_id), (&b"half"[..], 9));
+}
+
+/// Guards against progress that a change of leaders loses: an item that an earlier leader assigned
+/// comes back to the new one.
+#[test]
+fn progress_outlives_a_change_of_leaders() {
+    let start = Instant::now();
+    let mut scheduler = leading(start, &[job("j", 1)]);
+    let back = ReturnItem {
+        assignment_id: 3,
+        job_id: "j".into(),
+        item: 0,
+        reason: ItemReturn::Interrupted.into(),
+        text: Bytes::from_static(b"half"),
+        last_event_id: 9,
+    };
+    assert_eq!(scheduler.returned(&back, &|_| 2, start), ItemEnd::Unknown);
+    let next = assign(&mut scheduler, "e1", &[upstream("a")], start + WARM).remove(0);
+    assert_eq!((&next.text[..], next.last_event_id), (&b"half"[..], 9));
+}
+
 /// Guards against items that run at two hosts or at none: random reports, losses, returns and ends
 /// against the set of open items.
 #[test]
