--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -53,9 +53,18 @@
     sends: u32,
     last_event_id: Option<u64>,
     started: bool,
+    /// All that went out are whole events with ids, so that another upstream can go on after them.
+    has_places: bool,
     last_error: String,
 }
 
+impl Progress {
+    /// True if another upstream may take over now.
+    fn may_go_on(&self) -> bool {
+        !self.started || self.has_places
+    }
+}
+
 /// What to do after a send.
 enum Next {
     Ended(ForwardEnd),
@@ -102,6 +111,7 @@
             sends: 0,
             last_event_id: request.last_event_id,
             started: false,
+            has_places: true,
             last_error: String::new(),
         };
         loop {
@@ -281,6 +291,10 @@
             upstream.note_success();
         }
         let splits = is_success && head.is_event_stream;
+        if progress.started && !splits {
+            progress.last_error = "the answer goes on with another kind of body".to_owned();
+            return Ok(self.retry_or_cut(progress, false));
+        }
         let mut splitter = EventSplitter::default();
         // The head goes out with the first event, so that an upstream that fails before it can
         // still be replaced.
@@ -308,6 +322,7 @@
                 }
             };
             if !splits {
+                progress.has_places = false;
                 if !progress.started {
                     progress.started = true;
                     sink.start(&head).await?;
@@ -326,6 +341,7 @@
                     progress.last_error = "the stream continues at another event".to_owned();
                     return Ok(self.broken(request, upstream, progress, false));
                 }
+                progress.has_places &= event.id.is_some();
                 progress.last_event_id = event.id.or(progress.last_event_id);
                 events.extend_from_slice(&event.bytes);
             }
@@ -368,7 +384,7 @@
     }
 
     fn retry_or_cut(&self, progress: &Progress, may_go_on: bool) -> Next {
-        match may_go_on {
+        match may_go_on && progress.may_go_on() {
             true => Next::TryAgain,
             false => {
                 Next::GiveUp(Refusal::of_kind(RefusalKind::MayHaveRun, progress.last_error.clone()))
