--- a/src/coordinator/control_part.rs
+++ b/src/coordinator/control_part.rs
@@ -7,7 +7,7 @@
 
 use crate::control::unix_ms;
 use crate::coordinator::operator::failure;
-use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, Scheduler, SchedulerInput};
+use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, Scheduler};
 use crate::directory::{
     Directory, EntryTable, FleetWatch, FleetWatchOptions, Heartbeat, SyncPartner, UpstreamRecord,
 };
@@ -19,21 +19,11 @@
     answer, command::Command as Kind, query, Answer, Command, Expire, FinishItems, FinishedItem,
     NotFound, Outcome, Query, ReadResults, ResultPage, RetirementState,
 };
-use crate::schema::peer::{
-    call, reply, ControlSync, EntryHost, EntrySync, FailureKind, ReturnItem,
-};
+use crate::schema::peer::{call, reply, ControlSync, EntrySync, FailureKind, ReturnItem};
 use crate::settings::FleetHostSettings;
 use crate::signal::Signal;
 use crate::telemetry::Counters;
 
-/// Time for which the leader holds a question of an entry host; the load that entry hosts see is so
-/// old at most.
-const LEADER_HOLD: Duration = Duration::from_millis(60);
-/// Part of the hold that each entry host adds, which bounds the questions a second that the leader
-/// answers.
-const LEADER_HOLD_PER_ENTRY: Duration = Duration::from_millis(4);
-/// Longest hold of a question.
-const HOLD_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time between two looks at what has run out.
 const TICK: Duration = Duration::from_millis(50);
 /// Time between two commands that let old jobs expire.
@@ -54,16 +44,16 @@
 /// The control role of one host.
 pub struct Coordinator {
     settings: FleetHostSettings,
-    ledger: Arc<Ledger>,
-    replica: Arc<ReplicaHost>,
-    directory: Mutex<Directory>,
-    entries: Mutex<EntryTable>,
-    scheduler: Mutex<Scheduler>,
+    pub(super) ledger: Arc<Ledger>,
+    pub(super) replica: Arc<ReplicaHost>,
+    pub(super) directory: Mutex<Directory>,
+    pub(super) entries: Mutex<EntryTable>,
+    pub(super) scheduler: Mutex<Scheduler>,
     watch: OnceLock<Arc<FleetWatch>>,
     leader: LeaderClient,
     /// Notified when held questions may have to be answered.
-    changed: Signal,
-    started: Instant,
+    pub(super) changed: Signal,
+    pub(super) started: Instant,
     tasks: Mutex<Vec<JoinHandle<()>>>,
 }
 
@@ -92,7 +82,7 @@
 struct Observer;
 
 impl SyncPartner for Observer {
-    fn report(&self, _sync: &mut EntrySync, _to_leader: bool) {}
+    fn report(&self, _sync: &mut EntrySync) {}
 
     fn receive(&self, _from_address: &str, _answer: &ControlSync) {}
 }
@@ -265,7 +255,7 @@
     }
 
     /// Waits until a quorum confirms that this replica leads and its state is current.
-    async fn confirm(&self) -> Result<(), reply::Reply> {
+    pub(super) async fn confirm(&self) -> Result<(), reply::Reply> {
         let Some(group) = self.replica.group() else { return Err(self.not_leader()) };
         match async_std::future::timeout(BARRIER_TIMEOUT, group.read_barrier()).await {
             Ok(Ok(_)) => Ok(()),
@@ -346,146 +336,7 @@
         self.propose(command(Kind::FinishItems(FinishItems { items: vec![failed] }))).await
     }
 
-    /// Answers an entry host once there is something new, or its question was held long enough.
-    async fn sync(self: &Arc<Self>, sync: EntrySync) -> ControlSync {
-        let leads = self.leads();
-        if let Some(entry) = &sync.entry {
-            self.take_report(entry, &sync, leads);
-        }
-        let until = Instant::now() + self.hold(&sync, leads);
-        loop {
-            let changed = self.changed.listen();
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() || self.has_news(&sync, leads) {
-                break;
-            }
-            Signal::wait(changed, left).await;
-        }
-        // A leader that was replaced without noticing must not hand out items.
-        let may_assign = leads && sync.entry.is_some() && lock(&self.scheduler).has_waiting();
-        let confirmed = may_assign && self.confirm().await.is_ok();
-        self.answer(&sync, confirmed)
-    }
-
-    fn hold(&self, sync: &EntrySync, leads: bool) -> Duration {
-        let asked = Duration::from_millis(sync.wait_ms.into()).min(HOLD_LIMIT);
-        if !leads || sync.entry.is_none() {
-            return asked;
-        }
-        let entries = lock(&self.entries).hosts().count() as u32;
-        asked.min(LEADER_HOLD.max(LEADER_HOLD_PER_ENTRY * entries))
-    }
-
-    fn take_report(&self, entry: &EntryHost, sync: &EntrySync, leads: bool) {
-        let now = Instant::now();
-        if lock(&self.entries).hear(entry, now) {
-            log::info!(event = "entry_host_changed", host = entry.host_id.as_str(),
-                ready = entry.ready; "reported");
-            self.changed.notify();
-        }
-        if !leads {
-            return;
-        }
-        self.follow_term(true);
-        let jobs = match sync.running.is_empty() {
-            true => Vec::new(),
-            false => self.ledger.open_jobs(),
-        };
-        let mut scheduler = lock(&self.scheduler);
-        scheduler.report(entry, sync, now);
-        scheduler.adopt(&entry.host_id, &sync.running, &jobs, now);
-        let yields = self.with_input(now, |input| scheduler.yield_slots(input));
-        drop(scheduler);
-        if yields {
-            self.changed.notify();
-        }
-    }
-
-    /// What the scheduler decides from, besides its own state.
-    fn with_input<T>(&self, now: Instant, decide: impl FnOnce(&SchedulerInput<'_>) -> T) -> T {
-        let routes = self.ledger.routes();
-        let upstreams = self.upstreams();
-        let route = |job: &Job| route_for(&routes.routes, &job.host, &job.path);
-        let services = |job: &Job| {
-            let shares = route(job).into_iter().flat_map(|route| &route.shares);
-            shares.filter(|it| it.weight > 0).map(|it| it.service.clone()).collect::<Vec<_>>()
-        };
-        let due_unix_ms = |job: &Job| {
-            let target_ms = route(job).map_or(0, |route| u64::from(route.completion_target_ms));
-            job.submitted_at_unix_ms + target_ms
-        };
-        decide(&SchedulerInput {
-            upstreams: &upstreams,
-            services: &services,
-            due_unix_ms: &due_unix_ms,
-            now_unix_ms: unix_ms(),
-            now,
-        })
-    }
-
-    fn has_news(&self, sync: &EntrySync, leads: bool) -> bool {
-        if lock(&self.directory).revision() != (sync.directory_epoch, sync.directory_revision) {
-            return true;
-        }
-        let routes = self.ledger.routes().version > sync.routes_version;
-        let entries = lock(&self.entries).revision() != sync.entries_revision;
-        let host = sync.entry.as_ref().filter(|_| leads);
-        let stops = host
-            .is_some_and(|entry| lock(&self.scheduler).has_stops(&entry.host_id, Instant::now()));
-        routes || sync.entry.is_some() && entries || stops
-    }
-
-    fn answer(&self, sync: &EntrySync, may_assign: bool) -> ControlSync {
-        let leads = self.leads();
-        let routes = self.ledger.routes();
-        let mut answer = ControlSync {
-            leads,
-            routes: (routes.version > sync.routes_version).then(|| (*routes).clone()),
-            control_addresses: self.replica.control_addresses(),
-            uptime_ms: self.started.elapsed().as_millis() as u64,
-            ..ControlSync::default()
-        };
-        {
-            let directory = lock(&self.directory);
-            (answer.directory_epoch, answer.directory_revision) = directory.revision();
-            answer.upstreams =
-                directory.changes_since(sync.directory_epoch, sync.directory_revision);
-        }
-        {
-            let entries = lock(&self.entries);
-            answer.entries_revision = entries.revision();
-            if answer.entries_revision != sync.entries_revision {
-                answer.entries = entries.hosts().cloned().collect();
-            }
-        }
-        let Some(entry) = sync.entry.as_ref().filter(|_| leads) else { return answer };
-        let now = Instant::now();
-        let mut scheduler = lock(&self.scheduler);
-        answer.stops = scheduler.stops(&entry.host_id, now);
-        answer.stops.extend(scheduler.strays(&entry.host_id, &sync.running));
-        if may_assign {
-            answer.assignments = self.assign(&mut scheduler, &entry.host_id, now);
-        }
-        answer.uses = scheduler.uses_of_others(&entry.host_id);
-        answer
-    }
-
-    fn assign(
-        &self,
-        scheduler: &mut Scheduler,
-        host_id: &str,
-        now: Instant,
-    ) -> Vec<crate::schema::peer::ItemAssignment> {
-        let assignments = self.with_input(now, |input| scheduler.assign(host_id, input));
-        for it in &assignments {
-            log::info!(event = "item_assigned", job = it.job_id.as_str(), item = it.item,
-                assignment = it.assignment_id, host = host_id, upstream = it.upstream_id.as_str(),
-                after_event = it.last_event_id; "assigned");
-        }
-        assignments
-    }
-
-    fn upstreams(&self) -> Arc<Vec<UpstreamRecord>> {
+    pub(super) fn upstreams(&self) -> Arc<Vec<UpstreamRecord>> {
         self.watch.get().map(|watch| watch.view().upstreams.clone()).unwrap_or_default()
     }
 
@@ -504,7 +355,7 @@
         watch.hear_local(known, changes, self.started.elapsed());
     }
 
-    fn follow_term(&self, leads: bool) {
+    pub(super) fn follow_term(&self, leads: bool) {
         let (first_id, now) = (unix_ms() << 12, Instant::now());
         let mut scheduler = lock(&self.scheduler);
         if scheduler.set_leading(leads, first_id, now) {
@@ -597,6 +448,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -2,13 +2,18 @@
 //! scheduler of batch items on the leader.
 
 mod control_part;
+mod held_questions;
+mod item_end;
 mod leader_client;
 mod operator;
 mod scheduler;
+mod scheduler_input;
 mod upstream_share;
 
 pub use control_part::{Coordinator, CoordinatorOptions};
+pub use item_end::ItemEnd;
 pub use leader_client::{LeaderClient, LeaderError, LeaderHint};
 pub use operator::{InstallOutcome, RetireOutcome};
-pub use scheduler::{ItemEnd, Scheduler, SchedulerInput};
+pub use scheduler::Scheduler;
+pub use scheduler_input::SchedulerInput;
 pub use upstream_share::UpstreamShare;
--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::coordinator::UpstreamShare;
+use crate::coordinator::{ItemEnd, SchedulerInput, UpstreamShare};
 use crate::directory::{Phase, UpstreamRecord};
 use crate::ledger::Job;
 use crate::schema::peer::{
@@ -27,46 +27,11 @@
 const UPSTREAM_PAUSE_LIMIT: Duration = Duration::from_millis(4_000);
 /// Time after which an entry host that still runs an item is told again to stop it.
 const REPEAT_STOP: Duration = Duration::from_millis(200);
-/// Time that an item needs on an upstream: a thousand tokens at four milliseconds each, less what
-/// shorter items and earlier progress save.
-const RUN_ESTIMATE_MS: u64 = 3_000;
 /// Ended assignments that are remembered; hosts report an ended one for a round trip or two.
 const ENDED_LIMIT: usize = 10_000;
 /// Pause of an item after a failed attempt.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// What a decision of the scheduler depends on besides its own state.
-pub struct SchedulerInput<'a> {
-    /// Upstreams that are there.
-    pub upstreams: &'a [UpstreamRecord],
-    /// Services that may run the items of a job; empty if its route is gone.
-    pub services: &'a dyn Fn(&Job) -> Vec<String>,
-    /// Time at which the results of a job are due, on the ledger's clock.
-    pub due_unix_ms: &'a dyn Fn(&Job) -> u64,
-    /// Now on the ledger's clock.
-    pub now_unix_ms: u64,
-    /// Now.
-    pub now: Instant,
-}
-
-impl SchedulerInput<'_> {
-    /// True if an item that is started now is likely to be finished when it is due.
-    fn is_in_time(&self, job: &Job) -> bool {
-        self.now_unix_ms + RUN_ESTIMATE_MS <= (self.due_unix_ms)(job)
-    }
-}
-
-/// How an item ended that came back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ItemEnd {
-    /// It waits to be started again.
-    Waits,
-    /// All its attempts failed.
-    GivenUp,
-    /// The assignment is not known.
-    Unknown,
-}
-
 type ItemKey = (Arc<str>, u32);
 
 /// Assigns batch items to entry hosts and upstreams; only the leader's decides.
@@ -117,7 +82,6 @@
 #[derive(Debug)]
 struct Entry {
     host: EntryHost,
-    incarnation: u64,
     heard: Instant,
     uses: Vec<UpstreamUse>,
 }
@@ -184,14 +148,9 @@
     /// Takes a report of an entry host.
     pub fn report(&mut self, host: &EntryHost, sync: &EntrySync, now: Instant) {
         let known = self.entries.entry(host.host_id.clone());
-        let entry = known.or_insert_with(|| Entry {
-            host: host.clone(),
-            incarnation: sync.incarnation,
-            heard: now,
-            uses: Vec::new(),
-        });
+        let entry =
+            known.or_insert_with(|| Entry { host: host.clone(), heard: now, uses: Vec::new() });
         entry.host.clone_from(host);
-        entry.incarnation = sync.incarnation;
         entry.heard = now;
         entry.uses.clone_from(&sync.uses);
         let reported: HashSet<u64> = sync.running.iter().map(|it| it.assignment_id).collect();
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -126,15 +126,13 @@
             wait_ms: HOLD_MS,
             ..EntrySync::default()
         };
-        let mut leads = false;
         if let Some(control) = inner.sources.get(address) {
             (sync.directory_epoch, sync.directory_revision) = control.source.known;
             sync.entries_revision = control.entries_revision;
-            leads = control.leads;
-            sync.wait_ms = if leads { LEADER_HOLD_MS } else { HOLD_MS };
+            sync.wait_ms = if control.leads { LEADER_HOLD_MS } else { HOLD_MS };
         }
         drop(inner);
-        self.partner.report(&mut sync, leads);
+        self.partner.report(&mut sync);
         sync
     }
 
--- a/src/gateway/connector.rs
+++ b/src/gateway/connector.rs
@@ -32,8 +32,6 @@
     pub headers: Headers,
     /// The body is a stream of events.
     pub is_event_stream: bool,
-    /// Requests that run and that wait at the upstream, if it told them.
-    pub load: Option<(u32, u32)>,
 }
 
 /// A part of an answer's body.
@@ -59,8 +57,6 @@
     NotRun {
         /// Status that it gave.
         status: u16,
-        /// Requests that run and that wait at it, if it told them.
-        load: Option<(u32, u32)>,
     },
     /// The connection broke, or the answer is not one; the upstream may have run the request.
     Lost(String),
@@ -70,7 +66,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(reason) => write!(formatter, "not sent: {reason}"),
-            Self::NotRun { status, .. } => write!(formatter, "not run, status {status}"),
+            Self::NotRun { status } => write!(formatter, "not run, status {status}"),
             Self::Lost(reason) => write!(formatter, "lost: {reason}"),
         }
     }
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -5,7 +5,6 @@
 use arc_swap::ArcSwap;
 use async_std::task;
 
-use crate::control::unix_ms;
 use crate::coordinator::{LeaderClient, LeaderError, LeaderHint};
 use crate::directory::{FleetView, FleetWatch, FleetWatchOptions, SyncPartner};
 use crate::gateway::batch_worker::BatchWorker;
@@ -49,7 +48,6 @@
 /// What this host tells the control hosts, and takes from them.
 struct Partner {
     settings: FleetHostSettings,
-    incarnation: u64,
     fleet: Arc<GatewayFleet>,
     worker: OnceLock<Arc<BatchWorker>>,
     has_routes: AtomicBool,
@@ -63,7 +61,7 @@
 }
 
 impl SyncPartner for Partner {
-    fn report(&self, sync: &mut EntrySync, _to_leader: bool) {
+    fn report(&self, sync: &mut EntrySync) {
         let caller_address = self.settings.caller_address.map(|address| address.to_string());
         sync.entry = Some(EntryHost {
             host_id: self.settings.host_id.clone(),
@@ -72,7 +70,6 @@
             region: self.settings.region.clone(),
             ready: self.is_ready(),
         });
-        sync.incarnation = self.incarnation;
         for upstream in self.fleet.load().iter() {
             let (online, batch) = upstream.own_use();
             if online + batch > 0 {
@@ -122,7 +119,6 @@
         let fleet = Arc::new(GatewayFleet::default());
         let partner = Arc::new(Partner {
             settings: settings.clone(),
-            incarnation: unix_ms(),
             fleet: fleet.clone(),
             worker: OnceLock::new(),
             has_routes: AtomicBool::new(false),
--- /dev/null
+++ b/src/gateway/forward_progress.rs
@@ -0,0 +1,37 @@
+/// What is known of a request while it is passed on.
+pub(super) struct Progress {
+    /// Upstreams that it was sent to.
+    pub(super) tried: Vec<String>,
+    /// Upstreams that may have run it.
+    pub(super) runs: u32,
+    /// Sends, whether or not it ran.
+    pub(super) sends: u32,
+    /// Last event that the caller has.
+    pub(super) last_event_id: Option<u64>,
+    /// The head of the answer went out.
+    pub(super) started: bool,
+    /// All that went out are whole events with ids, so that another upstream can go on after them.
+    pub(super) has_places: bool,
+    /// Why the last send failed.
+    pub(super) last_error: String,
+}
+
+impl Progress {
+    /// Nothing was sent yet; the caller has the events up to this one.
+    pub(super) fn new(last_event_id: Option<u64>) -> Self {
+        Self {
+            tried: Vec::new(),
+            runs: 0,
+            sends: 0,
+            last_event_id,
+            started: false,
+            has_places: true,
+            last_error: String::new(),
+        }
+    }
+
+    /// True if another upstream may take over now.
+    pub(super) fn may_go_on(&self) -> bool {
+        !self.started || self.has_places
+    }
+}
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -3,6 +3,7 @@
 
 use async_std::future::timeout;
 
+use crate::gateway::forward_progress::Progress;
 use crate::gateway::upstream::steady_ms;
 use crate::gateway::{
     choose, AnswerSink, CallTarget, ChoiceInput, EventSplitter, GatewayFleet, Refusal, RefusalKind,
@@ -45,26 +46,6 @@
     counters: Counters,
 }
 
-/// What is known of a request while it is passed on.
-struct Progress {
-    tried: Vec<String>,
-    /// Upstreams that may have run it.
-    runs: u32,
-    sends: u32,
-    last_event_id: Option<u64>,
-    started: bool,
-    /// All that went out are whole events with ids, so that another upstream can go on after them.
-    has_places: bool,
-    last_error: String,
-}
-
-impl Progress {
-    /// True if another upstream may take over now.
-    fn may_go_on(&self) -> bool {
-        !self.started || self.has_places
-    }
-}
-
 /// What to do after a send.
 enum Next {
     Ended(ForwardEnd),
@@ -105,15 +86,7 @@
         let route_limit = Duration::from_millis(route.timeout_ms.into());
         let patience = request.patience.map_or(route_limit, |it| it.min(route_limit));
         let until = request.arrived + patience;
-        let mut progress = Progress {
-            tried: Vec::new(),
-            runs: 0,
-            sends: 0,
-            last_event_id: request.last_event_id,
-            started: false,
-            has_places: true,
-            last_error: String::new(),
-        };
+        let mut progress = Progress::new(request.last_event_id);
         loop {
             let next = self.send_once(route, request, until, &mut progress, sink).await?;
             match next {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod event;
 mod event_splitter;
 mod fleet;
+mod forward_progress;
 mod forwarder;
 mod prompt;
 mod refusal;
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -6,7 +6,6 @@
 mod command;
 mod fit;
 mod job;
-mod open_item;
 mod replicated_ledger;
 mod route_check;
 mod snapshot;
@@ -15,6 +14,5 @@
 pub use command::command;
 pub use fit::route_for;
 pub use job::Job;
-pub use open_item::OpenItem;
 pub use replicated_ledger::Ledger;
 pub use route_check::check_routes;
--- a/src/ledger/replicated_ledger.rs
+++ b/src/ledger/replicated_ledger.rs
@@ -8,7 +8,7 @@
 use crate::ledger::command::done;
 use crate::ledger::snapshot::{self, Frozen};
 use crate::ledger::tables::Tables;
-use crate::ledger::{Job, OpenItem};
+use crate::ledger::Job;
 use crate::raft::StateMachine;
 use crate::schema::ledger::{Command, FinishedItem, ItemResult, ResultPage};
 use crate::schema::routes::RouteTable;
@@ -48,11 +48,6 @@
         self.tables().retired_hosts.contains(host_id)
     }
 
-    /// Hosts that were told to leave.
-    pub fn retired_hosts(&self) -> Vec<String> {
-        self.tables().retired_hosts.iter().cloned().collect()
-    }
-
     /// The job with this id.
     pub fn job(&self, job_id: &str) -> Option<Arc<Job>> {
         self.tables().jobs.get(job_id).cloned()
@@ -84,32 +79,11 @@
         open
     }
 
-    /// An item to run; `None` if it is finished or its job was cancelled.
-    pub fn open_item(&self, job_id: &str, item: u32) -> Option<OpenItem> {
-        let job = self.job(job_id)?;
-        if job.cancelled || job.is_finished(item) {
-            return None;
-        }
-        Some(OpenItem {
-            job_id: job.job_id.clone(),
-            item,
-            host: job.host.clone(),
-            path: job.path.clone(),
-            submitted_at_unix_ms: job.submitted_at_unix_ms,
-            content: job.items.get(item as usize)?.clone(),
-        })
-    }
-
     /// True if there are jobs, which an expiry may change.
     pub fn has_expiring(&self) -> bool {
         !self.tables().jobs.is_empty()
     }
 
-    /// Time of the ledger, which never runs backwards.
-    pub fn now_unix_ms(&self) -> u64 {
-        self.tables().now_unix_ms
-    }
-
     fn tables(&self) -> RwLockReadGuard<'_, Tables> {
         self.tables.read().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -59,7 +59,7 @@
             Script::Fails(error) => Err(error),
             Script::Answers { status, events, pieces } => {
                 let headers = Headers::default();
-                let head = UpstreamHead { status, headers, is_event_stream: events, load: None };
+                let head = UpstreamHead { status, headers, is_event_stream: events };
                 Ok(Box::new(ScriptedAnswer { head, pieces: pieces.into() }))
             }
         }
@@ -210,7 +210,7 @@
 /// Guards against a request lost to the first upstream that is full or down, although it has not run.
 #[test]
 fn a_request_that_did_not_run_is_sent_elsewhere() {
-    let full = Script::Fails(SendError::NotRun { status: 503, load: None });
+    let full = Script::Fails(SendError::NotRun { status: 503 });
     let down = Script::Fails(SendError::NotSent("refused".into()));
     let whole = answers(true, vec![Ok("id: 1\ndata: a\n\n")]);
     let (end, _, sent) = forward(&route(false), vec![full, down, whole]);
@@ -220,7 +220,7 @@
 /// Guards against refusals without the time to come back.
 #[test]
 fn a_request_that_nobody_runs_is_refused_with_a_time() {
-    let full = || Script::Fails(SendError::NotRun { status: 503, load: None });
+    let full = || Script::Fails(SendError::NotRun { status: 503 });
     let (_, caller, sent) = forward(&route(false), vec![full(), full(), full(), full()]);
     let refusal = caller.refusal.unwrap();
     assert_eq!((refusal.kind, sent.len()), (RefusalKind::NotRun, 4));
