Use one copy of the peer outbox, the silence of upstreams and the unsupported reply

The routed fleet had written them again beside those of the control role, the directory and the host. A reason phrase that no caller passed is gone. No behaviour changes.

--- a/src/control/control_role.rs
+++ b/src/control/control_role.rs
@@ -41,8 +41,8 @@
 }
 
 /// Sends the messages of a group over the peer connections.
-struct PeerOutbox {
-    caller: Arc<dyn PeerCaller>,
+pub(crate) struct PeerOutbox {
+    pub(crate) caller: Arc<dyn PeerCaller>,
 }
 
 impl Outbox for PeerOutbox {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,6 +6,6 @@
 mod status;
 
 pub(crate) use command_class::CommandClass;
-pub(crate) use control_role::unix_ms;
 pub use control_role::Control;
+pub(crate) use control_role::{unix_ms, PeerOutbox};
 pub use remote_state::RemoteState;
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -18,5 +18,5 @@
 pub use fleet_watch::{FleetWatch, FleetWatchOptions};
 pub use source::{merge, Source};
 pub use sync_partner::SyncPartner;
-pub use upstream_directory::{Directory, Heartbeat};
+pub use upstream_directory::{silence_after, Directory, Heartbeat};
 pub use upstream_record::{Phase, UpstreamRecord};
--- a/src/directory/upstream_directory.rs
+++ b/src/directory/upstream_directory.rs
@@ -13,6 +13,11 @@
 /// under the same id takes longer, even by a clock that is half a second off.
 const UNKNOWN_START_MS: u64 = 1_000;
 
+/// Silence after which an upstream that sends heartbeats at this interval counts as gone.
+pub fn silence_after(heartbeat_interval: Duration) -> Duration {
+    heartbeat_interval * MISSED_HEARTBEATS
+}
+
 /// What a heartbeat brought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heartbeat {
@@ -45,7 +50,7 @@
 impl Directory {
     /// An empty directory of upstreams that send heartbeats at this interval.
     pub fn new(epoch: u64, heartbeat_interval: Duration) -> Self {
-        let silence = heartbeat_interval * MISSED_HEARTBEATS;
+        let silence = silence_after(heartbeat_interval);
         Self { epoch, revision: 0, entries: HashMap::new(), silence }
     }
 
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -6,7 +6,7 @@
 use async_std::task;
 
 use crate::coordinator::{LeaderClient, LeaderError, LeaderHint};
-use crate::directory::{FleetView, FleetWatch, FleetWatchOptions, SyncPartner};
+use crate::directory::{silence_after, FleetView, FleetWatch, FleetWatchOptions, SyncPartner};
 use crate::gateway::batch_worker::BatchWorker;
 use crate::gateway::{
     AnswerSink, ForwardEnd, Forwarder, GatewayFleet, RouteIndex, StreamConnector, StreamRequest,
@@ -22,9 +22,6 @@
 use crate::settings::FleetHostSettings;
 use crate::telemetry::Counters;
 
-/// Heartbeats that an upstream may miss before it counts as gone, as on the control hosts.
-const MISSED_HEARTBEATS: u32 = 4;
-
 /// What a [`Gateway`] is made from.
 pub struct GatewayOptions {
     /// Settings of the host.
@@ -127,7 +124,7 @@
         let watch_options = FleetWatchOptions {
             seed_addresses: settings.seed_addresses.iter().map(ToString::to_string).collect(),
             own_address: settings.peer_address.to_string(),
-            silence: Duration::from_millis(settings.upstream_heartbeat_ms) * MISSED_HEARTBEATS,
+            silence: silence_after(Duration::from_millis(settings.upstream_heartbeat_ms)),
         };
         let watch = FleetWatch::spawn(watch_options, caller.clone(), partner.clone());
         let hint = Arc::new(WatchHint { watch: watch.clone() });
--- a/src/host/fleet_host.rs
+++ b/src/host/fleet_host.rs
@@ -8,11 +8,12 @@
 use crate::control::unix_ms;
 use crate::coordinator::{Coordinator, CoordinatorOptions};
 use crate::gateway::{Gateway, GatewayOptions, StreamConnector};
+use crate::host::handler::unsupported;
 use crate::peer::{PeerCaller, PeerHandler, PeerListener, PeerPool};
 use crate::raft::GroupOptions;
 use crate::replication::ReplicaHostOptions;
 use crate::schema::peer::frame::Body;
-use crate::schema::peer::{reply, Call, CallFailure, FailureKind, Reply};
+use crate::schema::peer::{Call, Reply};
 use crate::settings::FleetHostSettings;
 use crate::telemetry::Counters;
 
@@ -147,11 +148,3 @@
     };
     CoordinatorOptions { settings: settings.clone(), replica }
 }
-
-fn unsupported() -> reply::Reply {
-    reply::Reply::Failure(CallFailure {
-        kind: FailureKind::Unsupported.into(),
-        message: "this host does not answer such calls".to_owned(),
-        leader_address: String::new(),
-    })
-}
--- a/src/host/handler.rs
+++ b/src/host/handler.rs
@@ -78,7 +78,7 @@
     }
 }
 
-fn unsupported() -> reply::Reply {
+pub(super) fn unsupported() -> reply::Reply {
     reply::Reply::Failure(CallFailure {
         kind: FailureKind::Unsupported.into(),
         message: "this host does not answer such calls".to_owned(),
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -57,7 +57,7 @@
         let mut headers = headers.clone();
         headers.remove("content-length");
         headers.push("Content-Length", body.len().to_string());
-        self.write_head(status, "", headers);
+        self.write_head(status, headers);
         self.buffer.extend_from_slice(body);
         self.flush().await?;
         Ok(self.fate())
@@ -71,7 +71,7 @@
         let mut headers = headers.clone();
         headers.remove("content-length");
         headers.push("Transfer-Encoding", "chunked");
-        self.write_head(status, "", headers);
+        self.write_head(status, headers);
         // The head goes out together with the first chunk.
         Ok(())
     }
@@ -107,11 +107,11 @@
         }
     }
 
-    fn write_head(&mut self, status: u16, reason: &str, mut headers: Headers) {
+    fn write_head(&mut self, status: u16, mut headers: Headers) {
         if self.fate() == ConnectionFate::Close {
             headers.push("Connection", "close");
         }
-        let line = format!("HTTP/1.1 {status} {}\r\n", reason_or_default(status, reason));
+        let line = format!("HTTP/1.1 {status} {}\r\n", reason(status));
         self.buffer.extend_from_slice(line.as_bytes());
         headers.write_to(&mut self.buffer);
         self.buffer.extend_from_slice(b"\r\n");
@@ -124,10 +124,7 @@
     }
 }
 
-fn reason_or_default(status: u16, reason: &str) -> &str {
-    if !reason.is_empty() {
-        return reason;
-    }
+fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
         202 => "Accepted",
--- a/src/replication/replica_host.rs
+++ b/src/replication/replica_host.rs
@@ -9,15 +9,15 @@
 use async_std::task::{self, JoinHandle};
 use miette::{IntoDiagnostic, Result, WrapErr};
 
+use crate::control::PeerOutbox;
 use crate::peer::{PeerCaller, TrafficClass};
 use crate::raft::{
-    sync_folder, Group, GroupOptions, GroupStatus, Identity, Outbox, Replica, ReplicaChange,
-    StateMachine,
+    sync_folder, Group, GroupOptions, GroupStatus, Identity, Replica, ReplicaChange, StateMachine,
 };
 use crate::replication::replica_status::members;
 use crate::replication::{plan_repair, Candidate, NoticeBoard, RepairStep};
 use crate::schema::peer::frame::Body;
-use crate::schema::peer::{raft_message, Admission, ControlNotice, RaftMessage};
+use crate::schema::peer::{Admission, ControlNotice, RaftMessage};
 
 /// Time between two notices to the other control hosts. A lost host is noticed within a few.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(250);
@@ -72,20 +72,6 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
-struct PeerOutbox {
-    caller: Arc<dyn PeerCaller>,
-}
-
-impl Outbox for PeerOutbox {
-    fn send(&self, to_address: &str, message: RaftMessage) {
-        let class = match message.body {
-            Some(raft_message::Body::SnapshotChunk(_)) => TrafficClass::Bulk,
-            _ => TrafficClass::Online,
-        };
-        self.caller.send(to_address, class, Body::Raft(message));
-    }
-}
-
 impl ReplicaHost {
     /// Opens the replica that the data folder holds, founds the group, or waits to be admitted.
     ///
