Let batch items give way as soon as online requests need their slots

Cause: the leader heard of online requests up to 256 ms late on a fleet of 64 entry hosts, and decided for all upstreams with each report. Online requests of a burst waited behind batch items, and a reserve that was kept free by stopping items cut runs without need.

Change: an entry host that sends an online request to a full upstream with batch items stops its own ones at once and tells the leader in a one-way notice; the leader keeps running items by host and upstream, looks only at upstreams that got more requests, and wakes only the hosts with items to stop. Loads of others are told as changes. The reserve of one slot holds for starts only.

--- a/src/coordinator/control_part.rs
+++ b/src/coordinator/control_part.rs
@@ -1,3 +1,4 @@
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,9 @@
 
 /// Time between two looks at what has run out.
 const TICK: Duration = Duration::from_millis(50);
+/// Least time between two looks at the jobs that are open: each look compares all of them, and a new
+/// item waits for the next question of an entry host anyway.
+const LEDGER_LOOK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two commands that let old jobs expire.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Longest wait for a quorum to confirm a read; operators and callers ask elsewhere after a second.
@@ -53,6 +57,8 @@
     leader: LeaderClient,
     /// Notified when held questions may have to be answered.
     pub(super) changed: Signal,
+    /// The same for the questions of one entry host.
+    pub(super) host_signals: Mutex<HashMap<String, Arc<Signal>>>,
     pub(super) started: Instant,
     tasks: Mutex<Vec<JoinHandle<()>>>,
 }
@@ -114,6 +120,7 @@
             watch: OnceLock::new(),
             leader: LeaderClient::open(caller.clone(), hint),
             changed: Signal::default(),
+            host_signals: Mutex::default(),
             started: Instant::now(),
             tasks: Mutex::default(),
         });
@@ -226,7 +233,9 @@
         let Some(group) = self.replica.group() else { return self.not_leader() };
         command.proposed_at_unix_ms = unix_ms();
         let finished = match &command.command {
-            Some(Kind::FinishItems(finish)) => finish.items.clone(),
+            Some(Kind::FinishItems(finish)) => {
+                finish.items.iter().map(|it| (it.job_id.clone(), it.item)).collect()
+            }
             _ => Vec::new(),
         };
         let priority = priority(&command);
@@ -248,8 +257,8 @@
             }
         };
         let mut scheduler = lock(&self.scheduler);
-        for item in finished {
-            scheduler.finished(&item.job_id, item.item);
+        for (job_id, item) in finished {
+            scheduler.finished(&job_id, item);
         }
         reply::Reply::LedgerOutcome(outcome)
     }
@@ -327,7 +336,6 @@
         log::info!(event = "item_returned", job = item.job_id.as_str(), item = item.item,
             assignment = item.assignment_id, last_event = item.last_event_id; "{:?}, {end:?}",
             item.reason());
-        self.changed.notify();
         if end != ItemEnd::GivenUp {
             return reply::Reply::Done(Default::default());
         }
@@ -422,7 +430,7 @@
         }
         changed.await;
         // Commands come in batches; one look after them is enough.
-        task::sleep(Duration::from_millis(5)).await;
+        task::sleep(LEDGER_LOOK_INTERVAL).await;
     }
 }
 
--- a/src/coordinator/held_questions.rs
+++ b/src/coordinator/held_questions.rs
@@ -1,11 +1,15 @@
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use async_std::future::timeout;
+use futures::future::select;
+
 use crate::control::unix_ms;
 use crate::coordinator::control_part::lock;
 use crate::coordinator::{Coordinator, Scheduler, SchedulerInput};
 use crate::ledger::{route_for, Job};
-use crate::schema::peer::{ControlSync, EntryHost, EntrySync, ItemAssignment};
+use crate::schema::peer::{ControlSync, EntryHost, EntrySync, ItemAssignment, SlotPressure};
 use crate::signal::Signal;
 
 /// Time for which the leader holds a question of an entry host; the load that entry hosts see is so
@@ -26,13 +30,15 @@
             self.take_report(entry, &sync, leads);
         }
         let until = Instant::now() + self.hold(&sync, leads);
+        let signal = self.host_signal(sync.entry.as_ref());
         loop {
-            let changed = self.changed.listen();
+            let (changed, own) = (self.changed.listen(), signal.listen());
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() || self.has_news(&sync, leads) {
                 break;
             }
-            Signal::wait(changed, left).await;
+            // A timeout is as good as a notice: the state is looked at again.
+            let _ = timeout(left, select(changed, own)).await;
         }
         // A leader that was replaced without noticing must not hand out items.
         let may_assign = leads && sync.entry.is_some() && lock(&self.scheduler).has_waiting();
@@ -60,18 +66,44 @@
             return;
         }
         self.follow_term(true);
-        let jobs = match sync.running.is_empty() {
-            true => Vec::new(),
-            false => self.ledger.open_jobs(),
-        };
         let mut scheduler = lock(&self.scheduler);
         scheduler.report(entry, sync, now);
-        scheduler.adopt(&entry.host_id, &sync.running, &jobs, now);
-        let yields = self.with_input(now, |input| scheduler.yield_slots(input));
+        if scheduler.has_unknown(&sync.running) {
+            scheduler.adopt(&entry.host_id, &sync.running, &self.ledger.open_jobs(), now);
+        }
+        let hosts = self.with_input(now, |input| scheduler.yield_slots(input));
         drop(scheduler);
-        if yields {
-            self.changed.notify();
+        self.wake_hosts(&hosts);
+    }
+
+    /// Answers the held questions of these entry hosts.
+    fn wake_hosts(&self, hosts: &HashSet<String>) {
+        if hosts.is_empty() {
+            return;
         }
+        let signals = lock(&self.host_signals);
+        for signal in hosts.iter().filter_map(|host_id| signals.get(host_id)) {
+            signal.notify();
+        }
+    }
+
+    /// Notified when there is something to tell one entry host.
+    fn host_signal(&self, entry: Option<&EntryHost>) -> Arc<Signal> {
+        let Some(entry) = entry else { return Arc::default() };
+        lock(&self.host_signals).entry(entry.host_id.clone()).or_default().clone()
+    }
+
+    /// Makes batch items give way to the online requests of an entry host.
+    pub fn take_pressure(&self, pressure: &SlotPressure) {
+        if !self.leads() {
+            return;
+        }
+        let now = Instant::now();
+        let mut scheduler = lock(&self.scheduler);
+        scheduler.press(pressure, now);
+        let hosts = self.with_input(now, |input| scheduler.yield_slots(input));
+        drop(scheduler);
+        self.wake_hosts(&hosts);
     }
 
     /// What the scheduler decides from, besides its own state.
@@ -139,7 +171,12 @@
         if may_assign {
             answer.assignments = self.assign(&mut scheduler, &entry.host_id, now);
         }
-        answer.uses = scheduler.uses_of_others(&entry.host_id);
+        let others = self.with_input(now, |input| {
+            scheduler.uses_of_others(&entry.host_id, sync.uses_revision, input)
+        });
+        answer.uses = others.uses;
+        answer.uses_complete = others.complete;
+        answer.uses_revision = others.revision;
         answer
     }
 
--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -1,15 +1,16 @@
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-
-use crate::coordinator::{ItemEnd, SchedulerInput, UpstreamShare};
+use crate::coordinator::online_load::OnlineLoad;
+use crate::coordinator::running_items::{Progress, Running, RunningItems};
+use crate::coordinator::{ItemEnd, OthersUse, SchedulerInput, UpstreamShare};
 use crate::directory::{Phase, UpstreamRecord};
 use crate::ledger::Job;
 use crate::schema::peer::{
     EntryHost, EntrySync, ItemAssignment, ItemReturn, ItemStop, ReturnItem, RunningItem,
-    StopReason, UpstreamUse,
+    SlotPressure, StopReason, UpstreamUse,
 };
 
 /// Silence after which the items of an entry host are given to others. The host itself stops them
@@ -25,13 +26,15 @@
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(300);
 /// Longest such pause; an upstream that crashed is back after some seconds.
 const UPSTREAM_PAUSE_LIMIT: Duration = Duration::from_millis(4_000);
-/// Time after which an entry host that still runs an item is told again to stop it.
-const REPEAT_STOP: Duration = Duration::from_millis(200);
 /// Ended assignments that are remembered; hosts report an ended one for a round trip or two.
 const ENDED_LIMIT: usize = 10_000;
 /// Pause of an item after a failed attempt.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Requests by which the load of an upstream in another region must have changed before hosts are told
+/// again: they choose it only when their own region is full.
+const FAR_CHANGE: u32 = 2;
+
 type ItemKey = (Arc<str>, u32);
 
 /// Assigns batch items to entry hosts and upstreams; only the leader's decides.
@@ -45,8 +48,10 @@
     /// Open items by the time of their job.
     pending: BTreeMap<(u64, Arc<str>, u32), Waiting>,
     known: HashMap<ItemKey, u64>,
-    running: HashMap<u64, Running>,
-    entries: HashMap<String, Entry>,
+    running: RunningItems,
+    load: OnlineLoad,
+    /// Upstreams where batch items may have to give way.
+    pressed: HashSet<String>,
     pauses: HashMap<String, UpstreamPause>,
     /// Assignments that ended; their hosts may report them until they know.
     ended: HashSet<u64>,
@@ -59,45 +64,12 @@
     not_before: Instant,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Progress {
-    text: Bytes,
-    last_event_id: u64,
-    failures: u32,
-}
-
-#[derive(Debug)]
-struct Running {
-    job: Arc<Job>,
-    item: u32,
-    host_id: String,
-    upstream_id: String,
-    progress: Progress,
-    started: Instant,
-    stop: Option<StopReason>,
-    /// When the entry host was last told to stop.
-    told: Option<Instant>,
-}
-
-#[derive(Debug)]
-struct Entry {
-    host: EntryHost,
-    heard: Instant,
-    uses: Vec<UpstreamUse>,
-}
-
 #[derive(Debug)]
 struct UpstreamPause {
     failures: u32,
     until: Instant,
 }
 
-impl Running {
-    fn must_tell(&self, now: Instant) -> bool {
-        self.stop.is_some() && self.told.is_none_or(|told| now - told > REPEAT_STOP)
-    }
-}
-
 impl Scheduler {
     /// Starts or ends a term; `first_id` must be above all assignments of earlier terms. True if a term
     /// starts, which needs a [`Scheduler::refresh`] before the first report.
@@ -136,9 +108,9 @@
     /// The ledger has a result of the item.
     pub fn finished(&mut self, job_id: &str, item: u32) {
         let ids = self.running.iter().filter(|(_, it)| it.job.job_id == job_id && it.item == item);
-        let ids: Vec<u64> = ids.map(|(id, _)| *id).collect();
+        let ids: Vec<u64> = ids.map(|(id, _)| id).collect();
         for id in ids {
-            if let Some(running) = self.running.remove(&id) {
+            if let Some(running) = self.running.remove(id) {
                 self.pauses.remove(&running.upstream_id);
             }
         }
@@ -147,29 +119,43 @@
 
     /// Takes a report of an entry host.
     pub fn report(&mut self, host: &EntryHost, sync: &EntrySync, now: Instant) {
-        let known = self.entries.entry(host.host_id.clone());
-        let entry =
-            known.or_insert_with(|| Entry { host: host.clone(), heard: now, uses: Vec::new() });
-        entry.host.clone_from(host);
-        entry.heard = now;
-        entry.uses.clone_from(&sync.uses);
+        self.load.hear(host, now);
+        self.pressed.extend(self.load.replace(&host.host_id, &sync.uses));
         let reported: HashSet<u64> = sync.running.iter().map(|it| it.assignment_id).collect();
-        let host_id = &host.host_id;
         // The host asks one question at a time, so an answer that carried an item and did not arrive
         // before this question never will.
-        let lost =
-            self.running.iter().filter(|(id, it)| it.host_id == *host_id && !reported.contains(id));
-        let lost: Vec<u64> = lost.map(|(id, _)| *id).collect();
+        let lost = self.running.of_host(&host.host_id).filter(|id| !reported.contains(id));
+        let lost: Vec<u64> = lost.collect();
         for id in lost {
             self.give_back(id, now);
         }
     }
 
+    /// Takes what an entry host tells between two reports: its requests at each upstream, and the
+    /// items that already give their slots back.
+    pub fn press(&mut self, pressure: &SlotPressure, now: Instant) {
+        let SlotPressure { host_id, uses, yielded } = pressure;
+        self.pressed.extend(self.load.replace(host_id, uses));
+        for id in yielded {
+            let running = self.running.get_mut(*id).filter(|it| it.host_id == *host_id);
+            let Some(running) = running.filter(|it| it.stop.is_none()) else { continue };
+            running.stop = Some(StopReason::Yield);
+            running.told = Some(now);
+        }
+    }
+
+    /// True if the host runs items that this leader has neither assigned nor seen end.
+    pub fn has_unknown(&self, items: &[RunningItem]) -> bool {
+        items.iter().any(|it| {
+            self.running.get(it.assignment_id).is_none() && !self.ended.contains(&it.assignment_id)
+        })
+    }
+
     /// Takes over items that an entry host runs for an earlier leader.
     pub fn adopt(&mut self, host_id: &str, items: &[RunningItem], jobs: &[Arc<Job>], now: Instant) {
         for item in items {
             let id = item.assignment_id;
-            if self.running.contains_key(&id) || self.ended.contains(&id) {
+            if self.running.get(id).is_some() || self.ended.contains(&id) {
                 continue;
             }
             let Some(job) = jobs.iter().find(|job| job.job_id == item.job_id) else { continue };
@@ -180,6 +166,7 @@
             }
             let Some(waiting) = self.pending.remove(&place) else { continue };
             self.known.insert(key, item.assignment_id);
+            self.pressed.insert(item.upstream_id.clone());
             let running = Running {
                 job: job.clone(),
                 item: item.item,
@@ -196,12 +183,11 @@
 
     /// Drops entry hosts that fell silent and gives their items to others.
     pub fn expire(&mut self, now: Instant) -> Vec<String> {
-        let silent = self.entries.iter().filter(|(_, it)| now - it.heard > ENTRY_SILENCE);
-        let silent: Vec<String> = silent.map(|(id, _)| id.clone()).collect();
+        let silent = self.load.values().filter(|it| now - it.heard > ENTRY_SILENCE);
+        let silent: Vec<String> = silent.map(|it| it.host.host_id.clone()).collect();
         for host_id in &silent {
-            self.entries.remove(host_id);
-            let ids = self.running.iter().filter(|(_, it)| it.host_id == *host_id);
-            let ids: Vec<u64> = ids.map(|(id, _)| *id).collect();
+            self.load.remove(host_id);
+            let ids: Vec<u64> = self.running.of_host(host_id).collect();
             for id in ids {
                 self.give_back(id, now);
             }
@@ -216,7 +202,7 @@
         max_attempts: &dyn Fn(&Job) -> u32,
         now: Instant,
     ) -> ItemEnd {
-        let Some(running) = self.running.get_mut(&item.assignment_id) else {
+        let Some(running) = self.running.get_mut(item.assignment_id) else {
             self.keep_progress(item);
             return ItemEnd::Unknown;
         };
@@ -230,10 +216,11 @@
             ItemReturn::FailedAttempt => {
                 running.progress.failures += 1;
                 if running.progress.failures >= max_attempts(&running.job) {
-                    self.running.remove(&item.assignment_id);
+                    self.running.remove(item.assignment_id);
                     return ItemEnd::GivenUp;
                 }
             }
+            ItemReturn::Yielded => {}
             _ if !yielded => self.pause(&upstream_id, now),
             _ => {}
         }
@@ -270,7 +257,7 @@
     }
 
     fn give_back(&mut self, id: u64, now: Instant) {
-        let Some(running) = self.running.remove(&id) else { return };
+        let Some(running) = self.running.remove(id) else { return };
         self.note_end(id);
         let Running { job, item, progress, stop, .. } = running;
         let job_id: Arc<str> = job.job_id.as_str().into();
@@ -283,58 +270,56 @@
         self.pending.insert(place, Waiting { job, progress, not_before });
     }
 
-    /// Slots of each upstream, and who uses them.
-    pub fn shares(&self, upstreams: &[UpstreamRecord]) -> HashMap<String, UpstreamShare> {
-        let slots = upstreams.iter().map(|it| (it.upstream_id.clone(), it.slots));
-        let mut shares: HashMap<String, UpstreamShare> =
-            slots.map(|(id, slots)| (id, UpstreamShare { slots, ..Default::default() })).collect();
-        for used in self.entries.values().flat_map(|entry| &entry.uses) {
-            if let Some(share) = shares.get_mut(&used.upstream_id) {
-                share.online += used.online;
-            }
-        }
-        for running in self.running.values() {
-            if let Some(share) = shares.get_mut(&running.upstream_id) {
-                share.batch += 1;
-            }
-        }
-        shares
+    /// Slots of an upstream, and who uses them.
+    fn share(&self, upstream: &UpstreamRecord) -> UpstreamShare {
+        let id = &upstream.upstream_id;
+        let batch = self.running.on_upstream(id).count() as u32;
+        UpstreamShare { slots: upstream.slots, online: self.load.total(id), batch }
     }
 
-    /// Marks batch items that must give their slot back; true if there are new ones.
-    pub fn yield_slots(&mut self, input: &SchedulerInput<'_>) -> bool {
-        let mut changed = false;
-        for (upstream_id, mut share) in self.shares(input.upstreams) {
-            let on_it = self.running.values_mut().filter(|it| it.upstream_id == upstream_id);
-            let mut on_it: Vec<&mut Running> = on_it.collect();
-            let stopping = on_it.iter().filter(|it| it.stop.is_some()).count() as u32;
+    /// Marks batch items that must give their slot back on upstreams that got more online requests;
+    /// gives the entry hosts that must be told.
+    pub fn yield_slots(&mut self, input: &SchedulerInput<'_>) -> HashSet<String> {
+        let mut hosts = HashSet::new();
+        for upstream_id in std::mem::take(&mut self.pressed) {
+            let Some(upstream) = input.upstream(&upstream_id) else { continue };
+            let mut share = self.share(upstream);
+            let on_it = self.running.on_upstream(&upstream_id);
+            let of_id = |id| self.running.get(id).map(|it| (id, it));
+            let mut on_it: Vec<(u64, &Running)> = on_it.filter_map(of_id).collect();
+            let stopping = on_it.iter().filter(|(_, it)| it.stop.is_some()).count() as u32;
             share.batch -= stopping.min(share.batch);
-            let excess = share.batch_excess();
             // One that is late earns little; the newest has the least in the KV cache that has to be
             // read again elsewhere.
-            on_it.sort_by_key(|it| (input.is_in_time(&it.job), std::cmp::Reverse(it.started)));
-            let running = on_it.into_iter().filter(|it| it.stop.is_none());
-            for item in running.take(excess as usize) {
+            on_it.sort_by_key(|(_, it)| (input.is_in_time(&it.job), Reverse(it.started)));
+            let running = on_it.into_iter().filter(|(_, it)| it.stop.is_none());
+            let excess = running.take(share.batch_excess() as usize).map(|(id, _)| id);
+            for id in excess.collect::<Vec<_>>() {
+                let Some(item) = self.running.get_mut(id) else { continue };
                 item.stop = Some(StopReason::Yield);
-                changed = true;
+                hosts.insert(item.host_id.clone());
             }
         }
-        changed
+        hosts
     }
 
     /// True if there is something to tell the entry host.
     pub fn has_stops(&self, host_id: &str, now: Instant) -> bool {
-        self.running.values().any(|it| it.host_id == host_id && it.must_tell(now))
+        let mut own = self.running.of_host(host_id).filter_map(|id| self.running.get(id));
+        own.any(|it| it.must_tell(now))
     }
 
     /// Assignments that the entry host must stop.
     pub fn stops(&mut self, host_id: &str, now: Instant) -> Vec<ItemStop> {
-        let own = self.running.iter_mut().filter(|(_, it)| it.host_id == host_id);
+        let own: Vec<u64> = self.running.of_host(host_id).collect();
         let mut stops = Vec::new();
-        for (id, running) in own {
-            let Some(reason) = running.stop.filter(|_| running.must_tell(now)) else { continue };
+        for id in own {
+            let Some(running) = self.running.get_mut(id).filter(|it| it.must_tell(now)) else {
+                continue;
+            };
+            let Some(reason) = running.stop else { continue };
             running.told = Some(now);
-            stops.push(ItemStop { assignment_id: *id, reason: reason.into() });
+            stops.push(ItemStop { assignment_id: id, reason: reason.into() });
         }
         stops
     }
@@ -344,7 +329,7 @@
         if self.led_since.is_none() {
             return Vec::new();
         }
-        let is_own = |id| self.running.get(&id).is_some_and(|it: &Running| it.host_id == host_id);
+        let is_own = |id| self.running.get(id).is_some_and(|it: &Running| it.host_id == host_id);
         let strays = items.iter().filter(|item| !is_own(item.assignment_id));
         strays
             .map(|item| ItemStop {
@@ -354,20 +339,44 @@
             .collect()
     }
 
-    /// Requests of all other entry hosts at each upstream.
-    pub fn uses_of_others(&self, host_id: &str) -> Vec<UpstreamUse> {
-        let mut uses: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
-        for (_, entry) in self.entries.iter().filter(|(id, _)| *id != host_id) {
-            for used in &entry.uses {
-                uses.entry(&used.upstream_id).or_default().0 += used.online;
-            }
+    /// What changed of the requests of all other entry hosts at each upstream since the host was told
+    /// under `known_revision`; all of them if another revision was the last.
+    pub fn uses_of_others(
+        &mut self,
+        host_id: &str,
+        known_revision: u64,
+        input: &SchedulerInput<'_>,
+    ) -> OthersUse {
+        let own_online = self.load.of_host(host_id);
+        let current = input.upstreams.iter().map(|upstream| {
+            let id = upstream.upstream_id.as_str();
+            let own = own_online.get(id).copied().unwrap_or(0);
+            let online = self.load.total(id).saturating_sub(own);
+            let running = self.running.on_upstream(id).filter_map(|id| self.running.get(id));
+            let batch = running.filter(|it| it.host_id != host_id).count() as u32;
+            (upstream, (online, batch))
+        });
+        let current: Vec<(&UpstreamRecord, (u32, u32))> = current.collect();
+        self.next_id += 1;
+        let revision = self.next_id;
+        let Some(entry) = self.load.get_mut(host_id) else { return OthersUse::default() };
+        let complete = entry.told_revision != known_revision || known_revision == 0;
+        if complete {
+            entry.told.clear();
         }
-        for running in self.running.values().filter(|it| it.host_id != host_id) {
-            uses.entry(&running.upstream_id).or_default().1 += 1;
+        entry.told_revision = revision;
+        let mut uses = Vec::new();
+        for (upstream, (online, batch)) in current {
+            let told = entry.told.get(&upstream.upstream_id).copied().unwrap_or((0, 0));
+            let change = told.0.abs_diff(online) + told.1.abs_diff(batch);
+            let is_near = upstream.region == entry.host.region;
+            if change < if is_near { 1 } else { FAR_CHANGE } && !complete || change == 0 {
+                continue;
+            }
+            entry.told.insert(upstream.upstream_id.clone(), (online, batch));
+            uses.push(UpstreamUse { upstream_id: upstream.upstream_id.clone(), online, batch });
         }
-        uses.into_iter()
-            .map(|(id, (online, batch))| UpstreamUse { upstream_id: id.to_owned(), online, batch })
-            .collect()
+        OthersUse { uses, complete, revision }
     }
 
     /// True if items wait for a slot.
@@ -379,11 +388,10 @@
     /// can still be in time, then the late ones. Under overload, oldest first would make all late.
     pub fn assign(&mut self, host_id: &str, input: &SchedulerInput<'_>) -> Vec<ItemAssignment> {
         let is_warm = self.led_since.is_some_and(|since| input.now - since >= WARM_UP);
-        let Some(entry) = self.entries.get(host_id).filter(|entry| is_warm && entry.host.ready)
-        else {
+        let Some(entry) = self.load.get(host_id).filter(|entry| is_warm && entry.host.ready) else {
             return Vec::new();
         };
-        let held = self.running.values().filter(|it| it.host_id == host_id).count();
+        let held = self.running.of_host(host_id).count();
         let mut room = ITEMS_PER_ENTRY.saturating_sub(held);
         let mut near = self.near_upstreams(&entry.host, input);
         let mut assigned = Vec::new();
@@ -418,21 +426,23 @@
         host: &EntryHost,
         input: &SchedulerInput<'a>,
     ) -> Vec<(&'a UpstreamRecord, UpstreamShare)> {
-        let shares = self.shares(input.upstreams);
-        let ready = || self.entries.values().filter(|entry| entry.host.ready);
+        let ready = self.load.values().filter(|entry| entry.host.ready);
+        let zones: HashSet<&str> = ready.map(|entry| entry.host.zone.as_str()).collect();
+        let ready = self.load.values().filter(|entry| entry.host.ready);
+        let regions: HashSet<&str> = ready.map(|entry| entry.host.region.as_str()).collect();
         let is_near = |record: &UpstreamRecord| {
             if record.zone == host.zone {
                 return true;
             }
-            let has_zone = ready().any(|entry| entry.host.zone == record.zone);
-            let has_region = ready().any(|entry| entry.host.region == record.region);
+            let has_zone = zones.contains(record.zone.as_str());
+            let has_region = regions.contains(record.region.as_str());
             !has_zone && (record.region == host.region || !has_region)
         };
         let is_paused = |id: &str| self.pauses.get(id).is_some_and(|it| it.until > input.now);
         let usable = input.upstreams.iter().filter(|record| {
             record.phase == Phase::Ready && is_near(record) && !is_paused(&record.upstream_id)
         });
-        usable.map(|record| (record, shares[&record.upstream_id])).collect()
+        usable.map(|record| (record, self.share(record))).collect()
     }
 
     fn start(
--- a/src/coordinator/scheduler_input.rs
+++ b/src/coordinator/scheduler_input.rs
@@ -9,7 +9,7 @@
 
 /// What a decision of the scheduler depends on besides its own state.
 pub struct SchedulerInput<'a> {
-    /// Upstreams that are there.
+    /// Upstreams that are there, in the order of their ids.
     pub upstreams: &'a [UpstreamRecord],
     /// Services that may run the items of a job; empty if its route is gone.
     pub services: &'a dyn Fn(&Job) -> Vec<String>,
@@ -22,6 +22,12 @@
 }
 
 impl SchedulerInput<'_> {
+    /// The upstream with this id; upstreams are in the order of their ids.
+    pub(super) fn upstream(&self, upstream_id: &str) -> Option<&UpstreamRecord> {
+        let place = self.upstreams.binary_search_by(|it| it.upstream_id.as_str().cmp(upstream_id));
+        place.ok().and_then(|place| self.upstreams.get(place))
+    }
+
     /// True if an item that is started now is likely to be finished when it is due.
     pub(super) fn is_in_time(&self, job: &Job) -> bool {
         self.now_unix_ms + RUN_ESTIMATE_MS <= (self.due_unix_ms)(job)
--- a/src/coordinator/upstream_share.rs
+++ b/src/coordinator/upstream_share.rs
@@ -9,9 +9,9 @@
     pub batch: u32,
 }
 
-/// Slots that batch leaves free on each upstream: an online request that arrives before the next
-/// report then finds one. At a fivefold burst an upstream gets about one request in two report
-/// intervals, and each further slot would cost an eighth of the capacity all day.
+/// Slots that batch leaves free on each upstream when it starts an item, so that the next online request
+/// finds one. Items give way only once online requests need their slots: keeping the reserve free by
+/// stopping items cut twice as many runs.
 const RESERVED_SLOTS: u32 = 1;
 
 impl UpstreamShare {
@@ -23,6 +23,6 @@
     /// Batch items that have to give their slot back.
     pub fn batch_excess(&self) -> u32 {
         let used = self.online + self.batch;
-        (used + RESERVED_SLOTS).saturating_sub(self.slots).min(self.batch)
+        used.saturating_sub(self.slots).min(self.batch)
     }
 }
--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -125,6 +125,32 @@
         }
     }
 
+    /// Gives slots of crowded upstreams back to online requests, the newest items first; gives the
+    /// assignments that stop.
+    pub fn yield_slots(&self) -> Vec<u64> {
+        let mut yielded = Vec::new();
+        let mut inner = self.inner();
+        for upstream in self.fleet.load().iter() {
+            let excess = upstream.batch_excess();
+            if excess == 0 {
+                continue;
+            }
+            let on_it = inner.running.values_mut();
+            let mut on_it: Vec<&mut Running> =
+                on_it.filter(|it| it.item.upstream_id == upstream.upstream_id).collect();
+            let stopping = on_it.iter().filter(|it| it.stop.is_none()).count() as u32;
+            on_it.sort_by_key(|it| std::cmp::Reverse(it.item.assignment_id));
+            let running = on_it.into_iter().filter(|it| it.stop.is_some());
+            for running in running.take(excess.saturating_sub(stopping) as usize) {
+                let Some(sender) = running.stop.take() else { continue };
+                // A run that has just ended needs no stop.
+                let _ = sender.send(StopReason::Yield);
+                yielded.push(running.item.assignment_id);
+            }
+        }
+        yielded
+    }
+
     /// Gives all items back, before the host stops.
     pub fn stop_all(&self) {
         for running in self.inner().running.values_mut() {
@@ -163,7 +189,7 @@
                 RunEnd::Returned(reason, text, progress.last_event_id)
             }
             Err(StopReason::Cancelled) => RunEnd::Dropped,
-            Err(_) => RunEnd::Returned(ItemReturn::Interrupted, text, progress.last_event_id),
+            Err(_) => RunEnd::Returned(ItemReturn::Yielded, text, progress.last_event_id),
         }
     }
 
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -1,4 +1,4 @@
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -13,15 +13,20 @@
 };
 use crate::http::HttpError;
 use crate::ledger::command;
-use crate::peer::PeerCaller;
+use crate::peer::{PeerCaller, TrafficClass};
 use crate::schema::ledger::{
     answer, command::Command as Kind, outcome, query, Answer, CancelJob, Outcome, Query,
     ReadItemBody, ReadResults, ResultPage, SubmitJob,
 };
-use crate::schema::peer::{ControlSync, EntryHost, EntrySync, UpstreamUse};
+use crate::schema::peer::frame::Body;
+use crate::schema::peer::{ControlSync, EntryHost, EntrySync, SlotPressure, UpstreamUse};
 use crate::settings::FleetHostSettings;
 use crate::telemetry::Counters;
 
+/// Least time between two notices that batch items must give way: a burst of requests costs one
+/// message, and the wait is small against the time to a first event.
+const PRESSURE_INTERVAL: Duration = Duration::from_millis(15);
+
 /// What a [`Gateway`] is made from.
 pub struct GatewayOptions {
     /// Settings of the host.
@@ -49,9 +54,24 @@
     worker: OnceLock<Arc<BatchWorker>>,
     has_routes: AtomicBool,
     draining: AtomicBool,
+    /// What this host knows of the requests of the others, as the leader numbers it.
+    uses_revision: AtomicU64,
 }
 
 impl Partner {
+    /// Requests of this host at each upstream.
+    fn uses(&self) -> Vec<UpstreamUse> {
+        let mut uses = Vec::new();
+        for upstream in self.fleet.load().iter() {
+            let (online, batch) = upstream.own_use();
+            if online + batch > 0 {
+                let upstream_id = upstream.upstream_id.clone();
+                uses.push(UpstreamUse { upstream_id, online, batch });
+            }
+        }
+        uses
+    }
+
     fn is_ready(&self) -> bool {
         self.has_routes.load(Ordering::Acquire) && !self.draining.load(Ordering::Acquire)
     }
@@ -67,13 +87,8 @@
             region: self.settings.region.clone(),
             ready: self.is_ready(),
         });
-        for upstream in self.fleet.load().iter() {
-            let (online, batch) = upstream.own_use();
-            if online + batch > 0 {
-                let upstream_id = upstream.upstream_id.clone();
-                sync.uses.push(UpstreamUse { upstream_id, online, batch });
-            }
-        }
+        sync.uses = self.uses();
+        sync.uses_revision = self.uses_revision.load(Ordering::Acquire);
         if let Some(worker) = self.worker.get() {
             sync.running = worker.running();
         }
@@ -82,11 +97,8 @@
     fn receive(&self, _from_address: &str, answer: &ControlSync) {
         let Some(worker) = self.worker.get().filter(|_| answer.leads) else { return };
         worker.note_leader();
-        for upstream in self.fleet.load().iter() {
-            let used = answer.uses.iter().find(|it| it.upstream_id == upstream.upstream_id);
-            let (online, batch) = used.map_or((0, 0), |it| (it.online, it.batch));
-            upstream.set_elsewhere(online, batch);
-        }
+        self.fleet.set_elsewhere(&answer.uses, answer.uses_complete);
+        self.uses_revision.store(answer.uses_revision, Ordering::Release);
         worker.stop(&answer.stops);
         if !self.draining.load(Ordering::Acquire) {
             worker.start(&answer.assignments);
@@ -120,6 +132,7 @@
             worker: OnceLock::new(),
             has_routes: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            uses_revision: AtomicU64::new(0),
         });
         let watch_options = FleetWatchOptions {
             seed_addresses: settings.seed_addresses.iter().map(ToString::to_string).collect(),
@@ -128,7 +141,7 @@
         };
         let watch = FleetWatch::spawn(watch_options, caller.clone(), partner.clone());
         let hint = Arc::new(WatchHint { watch: watch.clone() });
-        let leader = Arc::new(LeaderClient::open(caller, hint));
+        let leader = Arc::new(LeaderClient::open(caller.clone(), hint));
         let worker =
             BatchWorker::spawn(fleet.clone(), connector.clone(), leader.clone(), counters.clone());
         let _ = partner.worker.set(worker);
@@ -141,6 +154,7 @@
         );
         let routes = ArcSwap::from_pointee(RouteIndex::default());
         let gateway = Arc::new(Self { settings, routes, forwarder, watch, leader, partner });
+        task::spawn(give_way(gateway.clone(), fleet.clone(), caller));
         task::spawn(follow_view(gateway.clone(), fleet, connector));
         gateway
     }
@@ -275,6 +289,23 @@
     }
 }
 
+/// Makes batch items give way as soon as online requests need their slots: those of this host at
+/// once, and those of other hosts through the leader.
+async fn give_way(gateway: Arc<Gateway>, fleet: Arc<GatewayFleet>, caller: Arc<dyn PeerCaller>) {
+    loop {
+        fleet.crowded().await;
+        let Some(worker) = gateway.partner.worker.get() else { continue };
+        let yielded = worker.yield_slots();
+        let leader = gateway.watch.view().leader_address.clone();
+        if let Some(leader) = leader {
+            let host_id = gateway.settings.host_id.clone();
+            let pressure = SlotPressure { host_id, uses: gateway.partner.uses(), yielded };
+            caller.send(&leader, TrafficClass::Online, Body::SlotPressure(pressure));
+        }
+        task::sleep(PRESSURE_INTERVAL).await;
+    }
+}
+
 /// Applies each new view: routes, then upstreams.
 async fn follow_view(
     gateway: Arc<Gateway>,
--- a/src/gateway/forward_progress.rs
+++ b/src/gateway/forward_progress.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 /// What is known of a request while it is passed on.
 pub(super) struct Progress {
     /// Upstreams that it was sent to.
@@ -12,6 +14,8 @@
     pub(super) started: bool,
     /// All that went out are whole events with ids, so that another upstream can go on after them.
     pub(super) has_places: bool,
+    /// Time from the arrival of the request to its first event.
+    pub(super) first_event: Option<Duration>,
     /// Why the last send failed.
     pub(super) last_error: String,
 }
@@ -26,6 +30,7 @@
             last_event_id,
             started: false,
             has_places: true,
+            first_event: None,
             last_error: String::new(),
         }
     }
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -94,6 +94,7 @@
                     log::info!(event = "request_ended", request = request.request_id.as_str(),
                         route = route.name.as_str(), routes_version = version,
                         sends = progress.sends, runs = progress.runs,
+                        first_event_ms = progress.first_event.map_or(0, |it| it.as_millis() as u64),
                         ms = request.arrived.elapsed().as_millis() as u64; "{end:?}");
                     self.counters.count(counter(end));
                     let us = request.arrived.elapsed().as_micros() as u64;
@@ -159,6 +160,9 @@
             after_event = progress.last_event_id.unwrap_or(0),
             left_ms = left.as_millis() as u64; "sent");
         let guard = upstream.begin_online();
+        if upstream.is_crowded() {
+            self.fleet.note_crowded();
+        }
         let target = CallTarget {
             upstream_id: &upstream.upstream_id,
             address: upstream.address,
@@ -323,7 +327,9 @@
             }
             if !progress.started {
                 progress.started = true;
-                self.note_first_event(request);
+                let elapsed = request.arrived.elapsed();
+                progress.first_event = Some(elapsed);
+                self.counters.time_us("first_event", elapsed.as_micros() as u64);
                 sink.start(&head).await?;
             }
             sink.send(&events).await?;
@@ -336,10 +342,6 @@
         Ok(Next::Ended(ForwardEnd::Answered))
     }
 
-    fn note_first_event(&self, request: &StreamRequest) {
-        self.counters.time_us("first_event", request.arrived.elapsed().as_micros() as u64);
-    }
-
     fn broken(
         &self,
         request: &StreamRequest,
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -73,6 +73,18 @@
             + self.load.batch_elsewhere.load(Ordering::Relaxed)
     }
 
+    /// True while batch items hold slots and no slot is free, as far as known.
+    pub fn is_crowded(&self) -> bool {
+        let (online, in_use) = (self.online(), self.in_use());
+        in_use > online && in_use >= self.slots
+    }
+
+    /// Requests beyond its slots, while batch items hold some of them.
+    pub fn batch_excess(&self) -> u32 {
+        let (online, in_use) = (self.online(), self.in_use());
+        in_use.saturating_sub(self.slots).min(in_use.saturating_sub(online))
+    }
+
     /// Online requests and batch items of this host.
     pub fn own_use(&self) -> (u32, u32) {
         (self.load.online.load(Ordering::Relaxed), self.load.batch.load(Ordering::Relaxed))
