Compare four random upstreams in fleets of any size

Cause: with nine upstreams all were compared, and twelve hosts with the same 60 ms old view sent to the same one; first events came late at upstreams that were believed to have free slots.

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -17,9 +17,9 @@
 /// Spread of the random part, so that hosts with the same view do not all choose the same upstream.
 const SPREAD: f32 = 0.06;
 
-/// Upstreams that are compared. Hosts report a few times a second, so in a large fleet all of them
-/// would send to the same least loaded upstreams; a few random ones spread the requests.
-const COMPARED: usize = 6;
+/// Upstreams that are compared. Hosts report a few times a second, so with all of them compared the
+/// hosts would send to the same least loaded upstreams; a few random ones spread the requests.
+const COMPARED: usize = 4;
 
 /// What a choice depends on besides the upstreams.
 #[derive(Clone, Copy, Debug)]
@@ -62,7 +62,7 @@
 
 /// Keeps a few random candidates of the nearest place that has enough of them.
 fn sample(candidates: &mut Vec<&Arc<Upstream>>, input: &ChoiceInput<'_>) {
-    if candidates.len() <= COMPARED * 2 {
+    if candidates.len() <= COMPARED {
         return;
     }
     let free = |it: &Upstream| it.online() < it.slots;
