--- a/src/cmd/help.rs
+++ b/src/cmd/help.rs
@@ -18,6 +18,7 @@
   drain           take a host out of service without cutting a request
   status          show the fleet at a glance
   trace           show the hops of a request from span files
+  explain         show the decisions on a request or a batch job from log files
   check-settings  check the settings file of a host
   help COMMAND    show the help of a command
 
@@ -175,6 +176,18 @@
 
 Example:
   damaskhoist trace 0af7651916cd43dd8448eb211c80319c --span-file spans-1.jsonl",
+    ),
+    (
+        "explain",
+        "\
+Usage: damaskhoist explain ID --log-file FILE [--log-file FILE ...] [--item N]
+
+Shows what each host decided on a request or a batch job, in the order of time, from the lines that the
+hosts wrote to standard output. --item keeps the lines of one item of a job; --output json prints the
+lines themselves.
+
+Example:
+  damaskhoist explain 9c41d07be2a35f68 --log-file entry-1.log --log-file entry-2.log",
     ),
     (
         "check-settings",
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -19,10 +19,12 @@
 mod due_time;
 mod entries;
 mod entry_client;
+mod explain;
 mod failure;
 mod help;
 mod job;
 mod job_status;
+mod json_lines;
 mod json_view;
 mod options;
 mod progress;
@@ -80,6 +82,7 @@
         "drain" => drain::run(arguments, console).await,
         "status" => status::run(arguments, console).await,
         "trace" => trace::run(arguments, console),
+        "explain" => explain::run(arguments, console),
         "check-settings" => check_settings::run(arguments, console),
         other => Err(help::unknown(other)),
     }
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -1,10 +1,9 @@
-use std::fs::File;
-use std::io::{BufRead, BufReader};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 use pico_args::Arguments;
 use serde_json::json;
 
+use crate::cmd::json_lines::read_lines;
 use crate::cmd::options::{finish, identifier};
 use crate::cmd::span_line::SpanLine;
 use crate::cmd::span_tree::SpanTree;
@@ -44,20 +43,7 @@
 fn read(files: &[PathBuf], keep: impl Fn(&SpanLine) -> bool) -> Result<Vec<SpanLine>, Failure> {
     let mut spans = Vec::new();
     for path in files {
-        let file = File::open(path).map_err(|error| broken(path, &error.to_string()))?;
-        for line in BufReader::new(file).lines() {
-            let line = line.map_err(|error| broken(path, &error.to_string()))?;
-            // The last line may be half written while the host runs.
-            let Ok(span) = serde_json::from_str::<SpanLine>(&line) else { continue };
-            if keep(&span) {
-                spans.push(span);
-            }
-        }
+        spans.extend(read_lines(path, &keep)?);
     }
     Ok(spans)
 }
-
-fn broken(path: &Path, reason: &str) -> Failure {
-    let message = format!("cannot read {}: {reason}", path.display());
-    Failure::failed(message, "name a span file that this user may read")
-}
--- a/src/host/fleet_host.rs
+++ b/src/host/fleet_host.rs
@@ -80,7 +80,7 @@
         let counters = Counters::open(&settings.host_id, None);
         let pool = PeerPool::open(&settings.host_id, unix_ms(), "");
         let caller: Arc<dyn PeerCaller> = Arc::new(pool.clone());
-        let address = settings.peer_address;
+        let address = settings.peer_listen_address;
         let listener = TcpListener::bind(address).await;
         let listener =
             listener.into_diagnostic().wrap_err_with(|| format!("listening on {address}"))?;
--- a/src/settings/fleet_host_settings.rs
+++ b/src/settings/fleet_host_settings.rs
@@ -23,6 +23,8 @@
     pub roles: Roles,
     /// IP address and port for other hosts.
     pub peer_address: SocketAddr,
+    /// Where the host listens for other hosts; `peer_address` unless they reach it through another.
+    pub peer_listen_address: SocketAddr,
     /// Peer addresses of control hosts to contact first.
     pub seed_addresses: Vec<SocketAddr>,
     /// The whole fleet starts for the first time.
@@ -117,6 +119,7 @@
         let lookup_address = optional("lookup_address", &wire.lookup_address, false);
         let operator_address = optional("operator_address", &wire.operator_address, roles.control);
         let metrics_address = optional("metrics_address", &wire.metrics_address, false);
+        let peer_listen_address = optional("peer_listen_address", &wire.peer_listen_address, false);
         let mut number = |rule, value: Option<u32>| checks.number(rule, value.map(u64::from));
         let settings = Self {
             upstream_heartbeat_ms: number(
@@ -133,6 +136,7 @@
             zone_regions: wire.zone_regions.into_iter().collect(),
             roles,
             peer_address,
+            peer_listen_address: peer_listen_address.unwrap_or(peer_address),
             seed_addresses: peer_addresses(&seeds, peer_address.port()),
             first_start: wire.first_start,
             tolerated_losses: wire.tolerated_losses,
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -113,7 +113,7 @@
     let overview = run(&["help"]).out;
     let commands = overview.lines().skip_while(|line| *line != "Commands:").skip(1);
     let names: Vec<_> = commands.map_while(|line| line.split_whitespace().next()).collect();
-    assert_eq!(names.len(), 12);
+    assert_eq!(names.len(), 13);
     for name in names.iter().filter(|name| **name != "help") {
         let page = run(&[name, "--help"]);
         assert!(page.out.starts_with(&format!("Usage: damaskhoist {name}")), "{name}");
@@ -322,3 +322,39 @@
         assert!(outcome.out.lines().any(|line| line.starts_with(path)), "{}", outcome.out);
     }
 }
+
+/// Guards against an engineer who knows only an id and misses the lines of another host, or gets them
+/// out of order.
+#[test]
+fn decisions_on_an_id_are_shown_in_order_across_hosts() {
+    let folder = tempfile::tempdir().unwrap();
+    let line = |ms: u64, event: &str, rest: &str| {
+        format!(r#"{{"unix_ms":{ms},"level":"INFO","event":"{event}",{rest},"message":"told"}}"#)
+    };
+    let request = r#""request":"r-1","upstream":"u1""#;
+    let entry = [
+        line(1_005, "attempt_sent", request),
+        line(1_900, "request_refused", r#""request":"r-1""#),
+        line(1_001, "attempt_sent", r#""request":"r-2""#),
+    ];
+    let entry = write(&folder, "entry-1.log", &format!("{}\n{{\"unix", entry.join("\n")));
+    let items = [
+        line(2_000, "item_assigned", r#""job":"j-1","item":0"#),
+        line(2_001, "item_assigned", r#""job":"j-1","item":1"#),
+        line(1_990, "job_submitted", r#""job":"j-1""#),
+    ];
+    let control = write(&folder, "control-1.log", &items.join("\n"));
+    let files = ["--log-file", control.as_str(), "--log-file", entry.as_str()];
+
+    let outcome = run(&[&["explain", "r-1"], &files[..]].concat());
+    let lines: Vec<&str> = outcome.out.lines().collect();
+    assert_eq!(lines.len(), 4, "{}", outcome.out);
+    assert!(lines[1].starts_with("0    entry-1  attempt_sent"), "{}", outcome.out);
+    assert!(lines[1].contains("upstream=u1"));
+    assert!(lines[2].starts_with("895  entry-1  request_refused"), "{}", outcome.out);
+
+    let outcome = run(&[&["explain", "j-1", "--item", "1"], &files[..]].concat());
+    assert_eq!(outcome.out.lines().count(), 4, "{}", outcome.out);
+    let outcome = run(&[&["explain", "r-3"], &files[..]].concat());
+    assert_eq!(outcome.code, 1);
+}
--- a/tests/process_support/mod.rs
+++ b/tests/process_support/mod.rs
@@ -2,8 +2,6 @@
 
 #![allow(dead_code)]
 
-mod relay;
-
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -13,11 +11,9 @@
 
 use async_std::task;
 use serde_json::{json, Value};
-use standin::{Caller, Engine, EngineOptions};
+use standin::{Caller, Engine, EngineOptions, Relay};
 use tempfile::TempDir;
 
-use relay::Relay;
-
 pub const MODEL: &str = "engraver-llm";
 pub const SERVICE: &str = "engraving";
 const ZONES: [(&str, &str); 3] =
@@ -122,7 +118,11 @@
         for from in 0..3 {
             for (to, address) in addresses.iter().enumerate().take(3) {
                 if from != to {
-                    relays.push((from, to, Relay::open(*address).await));
+                    relays.push((
+                        from,
+                        to,
+                        Relay::open(*address).await.expect("loopback has free ports"),
+                    ));
                 }
             }
         }
