Answer entry hosts of large fleets twice as often

Cause: with 64 entry hosts the leader held each question for 256 ms, so hosts chose upstreams by loads that old; reports cost it little since only changes are told.

--- a/src/coordinator/held_questions.rs
+++ b/src/coordinator/held_questions.rs
@@ -17,7 +17,7 @@
 const LEADER_HOLD: Duration = Duration::from_millis(60);
 /// Part of the hold that each entry host adds, which bounds the questions a second that the leader
 /// answers.
-const LEADER_HOLD_PER_ENTRY: Duration = Duration::from_millis(4);
+const LEADER_HOLD_PER_ENTRY: Duration = Duration::from_millis(2);
 /// Longest hold of a question.
 const HOLD_LIMIT: Duration = Duration::from_millis(1_000);
 
