--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod upstream;
 
 pub use answer_sink::AnswerSink;
+pub use batch_worker::BatchWorker;
 pub use choice::{choose, ChoiceInput};
 pub use connector::{
     CallTarget, SendError, StreamConnector, UpstreamAnswer, UpstreamHead, UpstreamPiece,
