--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -20,12 +20,12 @@
 /// Silence of an upstream after which a stream that may be resumed goes on elsewhere. Pauses of busy
 /// upstreams stay below a quarter of a second.
 const STALL_LIMIT: Duration = Duration::from_millis(700);
-/// When a refused caller may try again: a slot of the fleet gets free every few milliseconds, but
-/// callers that were refused together should not come back together.
+/// When a refused caller may try again while all upstreams are full. Callers try once more, and bursts last
+/// some seconds: with 150 ms most of them came back into the same burst.
 const RETRY_AFTER: Duration = Duration::from_millis(600);
 /// When a caller may try again at a host that has no routes yet, or knows no upstream: after all hosts
 /// restarted, an election and the first heartbeats take about a second, and callers try only once more.
-const RETRY_WITHOUT_ROUTES: Duration = Duration::from_millis(1_000);
+const RETRY_AFTER_START: Duration = Duration::from_millis(1_000);
 
 /// How a request ended, for the caller's connection and the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,7 +79,7 @@
     ) -> Result<ForwardEnd, HttpError> {
         let Some(route) = route else {
             let refusal = match version {
-                0 => Refusal::not_run("no routes yet", RETRY_WITHOUT_ROUTES),
+                0 => Refusal::not_run("no routes yet", RETRY_AFTER_START),
                 _ => Refusal::of_kind(RefusalKind::NoRoute, "no route"),
             };
             return self.refuse(request, version, refusal, sink).await;
@@ -214,7 +214,7 @@
         let serves = |it: &Upstream| route.shares.iter().any(|share| share.service == it.service);
         match upstreams.iter().any(|it| it.takes_work && serves(it)) {
             true => Refusal::not_run("no upstream has room", RETRY_AFTER),
-            false => Refusal::not_run("no upstream is known", RETRY_WITHOUT_ROUTES),
+            false => Refusal::not_run("no upstream is known", RETRY_AFTER_START),
         }
     }
 
