Never pass a batch job on as an online request

Cause: an entry host that had just started looked at the routes twice, first for the kind of a request and then to pass it on. Routes that came in between made a submission an online request: it ran at an upstream and its caller got status 200.

Change: the forwarder refuses requests of batch routes as not run.

--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -84,6 +84,11 @@
             };
             return self.refuse(request, version, refusal, sink).await;
         };
+        if route.kind() == RouteKind::Batch {
+            // The routes came between the look at the kind of the request and this one.
+            let refusal = Refusal::not_run("the route takes batch jobs", RETRY_AFTER);
+            return self.refuse(request, version, refusal, sink).await;
+        }
         let route_limit = Duration::from_millis(route.timeout_ms.into());
         let patience = request.patience.map_or(route_limit, |it| it.min(route_limit));
         let until = request.arrived + patience;
