--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -252,7 +252,7 @@
         };
         log::warn!(event = "attempt_failed", request = request.request_id.as_str(),
             upstream = upstream.upstream_id.as_str(), may_have_run = may_have_run,
-            pause_ms = pause.as_millis() as u64; "{error}");
+            prompt = request.prompt.to_string().as_str(), pause_ms = pause.as_millis() as u64; "{error}");
         self.counters.count("attempt_failed");
         let in_time = Instant::now() + MIN_SEND_TIME < deadline;
         let may_send = progress.sends < MAX_SENDS && in_time;
@@ -386,7 +386,7 @@
         log::warn!(event = "stream_broken", request = request.request_id.as_str(),
             upstream = upstream.upstream_id.as_str(), may_go_on = may_resume,
             last_event = progress.last_event_id.unwrap_or(0),
-            pause_ms = pause.as_millis() as u64; "{}", progress.last_error);
+            prompt = request.prompt.to_string().as_str(), pause_ms = pause.as_millis() as u64; "{}", progress.last_error);
         self.counters.count("stream_broken");
         self.retry_or_cut(progress, may_resume)
     }
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 /// The parts of a prompt, as upstreams keep them in their prefix caches.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -13,3 +15,14 @@
         self.parts[..shared].last().map(|part| part.0)
     }
 }
+
+/// Identities of the parts in hexadecimal, joined by commas.
+impl fmt::Display for Prompt {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, (id, _)) in self.parts.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(formatter, "{separator}{id:x}")?;
+        }
+        Ok(())
+    }
+}
