--- a/examples/bench_routing.rs
+++ b/examples/bench_routing.rs
@@ -13,9 +13,10 @@
 use async_std::task;
 use async_trait::async_trait;
 use damaskhoist::admission::{
-    AdmissionPolicy, CrashRecords, Fingerprint, RefusalKind, SlotQueue, TrialClaim,
+    AdmissionPolicy, CrashRecord, CrashRecords, Fingerprint, RefusalKind, SlotQueue, TrialClaim,
+    TrialLeases,
 };
-use damaskhoist::membership::{CrashRecord, UpstreamRecord};
+use damaskhoist::membership::UpstreamRecord;
 use damaskhoist::routing::{
     Balancer, FleetSnapshot, HolderIndex, LeastOutstanding, RoundRobin, WeightedScore, WorkClass,
 };
@@ -203,14 +204,14 @@
     let own = (0..OWN_WORDS).map(|word| format!("r{number}w{word}"));
     let prompt: Vec<_> = shared.chain(own).collect();
     let body = serde_json::json!({"model": MODEL, "prompt": prompt.join(" "), "max_tokens": 8});
-    let (body, fingerprint) = EngineRequest::streamed_body(body);
+    let (body, fingerprints) = EngineRequest::streamed_body(body);
     let engine_request = EngineRequest {
         request_id: format!("request-{number}"),
         service: String::new(),
         model: MODEL.to_owned(),
         path: "/v1/completions".to_owned(),
         body,
-        fingerprint,
+        fingerprints,
         prefix_hashes: Vec::new(),
         class: WorkClass::Online,
         repeatable: true,
@@ -283,14 +284,20 @@
 /// Nothing crashes here.
 struct NoCrashes;
 
-#[async_trait]
 impl CrashRecords for NoCrashes {
     fn find(&self, _fingerprint: &Fingerprint) -> Option<Arc<CrashRecord>> {
         None
     }
 
+    fn all(&self) -> Vec<Arc<CrashRecord>> {
+        Vec::new()
+    }
+
     fn publish(&self, _record: CrashRecord) {}
+}
 
+#[async_trait]
+impl TrialLeases for NoCrashes {
     async fn claim_trial(&self, _scope: &str, _holder: &str, _lease: Duration) -> TrialClaim {
         TrialClaim::Granted
     }
--- a/src/membership/crash_record.rs
+++ b/src/admission/crash_record.rs
@@ -1,50 +1,62 @@
 use std::collections::BTreeSet;
-use std::fmt::Write;
 
-use crate::membership::Key;
 use crate::schema::peer as wire;
 
-/// Record of a request that was running on upstreams when they crashed. Merges field by field.
+/// Most losses that a record holds. Losses that the content was cleared of leave first.
+const MAX_LOSSES: usize = 64;
+
+/// Record of a content that was running on upstreams when they crashed: of a whole request, or of
+/// a part that requests share. Merges field by field.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CrashRecord {
-    /// Fingerprint of the request's content.
+    /// Fingerprint of the content.
     pub fingerprint: Vec<u8>,
-    /// Number of upstream losses while the request was running there.
+    /// Number of upstream losses while the content was running there.
     pub losses: u32,
     /// Lost upstreams, each with its incarnation.
     pub upstream_ids: BTreeSet<String>,
-    /// Lost upstreams for which the request is no longer suspected, because it finished later.
+    /// Lost upstreams for which the content is no longer suspected, because it ran later.
     pub cleared_ids: BTreeSet<String>,
-    /// The request is blamed for the losses and rejected.
-    pub convicted: bool,
+    /// The content is a part of requests, not a whole request.
+    pub is_part: bool,
     /// Unix milliseconds at which the record is removed.
     pub expires_unix_ms: u64,
 }
 
 impl CrashRecord {
-    /// Key of the record in the table.
-    pub fn key(&self) -> Key {
-        let mut hex = String::with_capacity(self.fingerprint.len() * 2);
-        for byte in &self.fingerprint {
-            let _ = write!(hex, "{byte:02x}");
-        }
-        Key::Crash(hex.into())
+    /// Lost upstreams for which the content is still suspected.
+    pub fn uncleared_ids(&self) -> impl Iterator<Item = &str> {
+        self.upstream_ids.difference(&self.cleared_ids).map(String::as_str)
     }
 
-    /// Number of lost upstreams for which the request is still suspected.
+    /// Number of lost upstreams for which the content is still suspected.
     pub fn uncleared_losses(&self) -> usize {
-        self.upstream_ids.difference(&self.cleared_ids).count()
+        self.uncleared_ids().count()
     }
 
     /// Merges two records of the same fingerprint.
     pub fn union(&self, other: &Self) -> Self {
-        Self {
+        let mut merged = Self {
             fingerprint: self.fingerprint.clone(),
             losses: self.losses.max(other.losses),
             upstream_ids: self.upstream_ids.union(&other.upstream_ids).cloned().collect(),
             cleared_ids: self.cleared_ids.union(&other.cleared_ids).cloned().collect(),
-            convicted: self.convicted || other.convicted,
+            is_part: self.is_part || other.is_part,
             expires_unix_ms: self.expires_unix_ms.max(other.expires_unix_ms),
+        };
+        merged.limit_losses();
+        merged
+    }
+
+    /// Drops the first cleared losses above [`MAX_LOSSES`]. Every host drops the same ones.
+    fn limit_losses(&mut self) {
+        while self.upstream_ids.len() > MAX_LOSSES {
+            let Some(dropped) = self.cleared_ids.intersection(&self.upstream_ids).next() else {
+                return;
+            };
+            let dropped = dropped.clone();
+            self.upstream_ids.remove(&dropped);
+            self.cleared_ids.remove(&dropped);
         }
     }
 }
@@ -56,7 +68,7 @@
             losses: record.losses,
             upstream_ids: record.upstream_ids.iter().cloned().collect(),
             cleared_ids: record.cleared_ids.iter().cloned().collect(),
-            convicted: record.convicted,
+            is_part: record.is_part,
             expires_unix_ms: record.expires_unix_ms,
         }
     }
@@ -69,7 +81,7 @@
             losses: record.losses,
             upstream_ids: record.upstream_ids.into_iter().collect(),
             cleared_ids: record.cleared_ids.into_iter().collect(),
-            convicted: record.convicted,
+            is_part: record.is_part,
             expires_unix_ms: record.expires_unix_ms,
         }
     }
--- a/src/admission/fingerprint.rs
+++ b/src/admission/fingerprint.rs
@@ -25,3 +25,11 @@
         &self.0
     }
 }
+
+impl TryFrom<&[u8]> for Fingerprint {
+    type Error = std::array::TryFromSliceError;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, Self::Error> {
+        Ok(Self(bytes.try_into()?))
+    }
+}
--- a/src/admission/rendezvous.rs
+++ b/src/admission/rendezvous.rs
@@ -14,7 +14,8 @@
     entries.max_by_key(|host| {
         let proximity = (host.record.region == upstream.region) as u8
             + (host.record.zone == upstream.zone) as u8;
-        (proximity, rendezvous_hash(&host.record.host_id, &upstream.upstream_id))
+        let (host_id, upstream_id) = (&host.record.host_id, &upstream.upstream_id);
+        (proximity, rendezvous_hash(host_id.as_bytes(), upstream_id.as_bytes()))
     })
 }
 
@@ -23,11 +24,12 @@
     matches!(status, Status::Alive | Status::Suspect)
 }
 
-fn rendezvous_hash(host_id: &str, upstream_id: &str) -> [u8; 8] {
+/// Rank of a host for a key. The host with the highest rank is the same in the view of every host.
+pub fn rendezvous_hash(host_id: &[u8], key: &[u8]) -> [u8; 8] {
     let mut digest = Sha256::new();
-    digest.update(host_id.as_bytes());
+    digest.update(host_id);
     digest.update([0]);
-    digest.update(upstream_id.as_bytes());
+    digest.update(key);
     let digest = digest.finalize();
     std::array::from_fn(|index| digest[index])
 }
--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -8,7 +8,7 @@
 use futures::future::{select, Either};
 use futures::{pin_mut, StreamExt};
 
-use crate::admission::{Fingerprint, Refusal, RefusalKind, RunOutcome};
+use crate::admission::{Fingerprint, Refusal, RefusalKind, RequestFingerprints, RunOutcome};
 use crate::batch::ItemInput;
 use crate::configuration::ConfigurationWatch;
 use crate::control::unix_ms;
@@ -288,7 +288,7 @@
     let model = EngineRequest::model_of(&input.body)?.to_owned();
     let request_id = format!("{}-{}-{}", attempt.job_id, attempt.item, attempt.attempt);
     let expected_tokens = EngineRequest::expected_tokens_of(&input.body);
-    let (body, fingerprint) = EngineRequest::streamed_body(input.body);
+    let (body, fingerprints) = EngineRequest::streamed_body(input.body);
     let request = EngineRequest {
         request_id: request_id.clone(),
         service: item.service.clone(),
@@ -296,7 +296,7 @@
         path: item.endpoint.clone(),
         expected_tokens,
         body,
-        fingerprint,
+        fingerprints,
         prefix_hashes: Vec::new(),
         class: WorkClass::Batch,
         repeatable: true,
@@ -326,6 +326,8 @@
     let span = shared.tracer.start("batch_item", None);
     let body = input.body.to_string().into_bytes();
     let request_id = format!("{}-{}-{}", attempt.job_id, attempt.item, attempt.attempt);
+    let content = [item.service.as_bytes(), item.endpoint.as_bytes(), &body];
+    let fingerprints = RequestFingerprints::of_request(Fingerprint::of(&content));
     let call = PlainCall {
         request_id: &request_id,
         customer: &item.customer,
@@ -334,7 +336,7 @@
         path: &item.endpoint,
         content_type: "application/json",
         body: &body,
-        fingerprint: Fingerprint::of(&[item.service.as_bytes(), item.endpoint.as_bytes(), &body]),
+        fingerprints: &fingerprints,
         repeatable: true,
         class: WorkClass::Batch,
         deadline: deadline(item),
--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -6,12 +6,13 @@
 use miette::Result;
 use prost::Message;
 
+use crate::admission::CrashTable;
 use crate::control::unix_ms;
 use crate::coordinator::operator::call_failure;
 use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, Scheduler};
 use crate::directory::{
-    Directory, EntryTable, FleetWatch, FleetWatchOptions, HeartbeatOutcome, SyncHandler,
-    UpstreamRecord,
+    CrashExchange, Directory, EntryTable, FleetWatch, FleetWatchOptions, HeartbeatOutcome,
+    SyncHandler, UpstreamRecord,
 };
 use crate::ledger::{command, find_route, Job, Ledger};
 use crate::peer::PeerCaller;
@@ -54,6 +55,8 @@
     pub(super) directory: Mutex<Directory>,
     pub(super) entries: Mutex<EntryTable>,
     pub(super) scheduler: Mutex<Scheduler>,
+    /// Crash records, which entry hosts send to every control host and receive from any.
+    pub(super) crashes: Arc<CrashTable>,
     watch: OnceLock<Arc<FleetWatch>>,
     leader_client: LeaderClient,
     /// Wakes all pending sync calls, which then check for changes.
@@ -85,14 +88,19 @@
     }
 }
 
-/// Sync handler of a control host, which has nothing to report when it syncs with the other control
-/// hosts.
-struct Observer;
+/// Sync handler of a control host, which exchanges only crash records with the other control hosts.
+struct Observer {
+    crash_exchange: CrashExchange,
+}
 
 impl SyncHandler for Observer {
-    fn fill_request(&self, _sync: &mut EntrySync) {}
+    fn fill_request(&self, to_address: &str, sync: &mut EntrySync) {
+        self.crash_exchange.fill_request(to_address, sync);
+    }
 
-    fn handle_reply(&self, _from_address: &str, _answer: &ControlSync) {}
+    fn handle_reply(&self, from_address: &str, answer: &ControlSync) {
+        self.crash_exchange.handle_reply(from_address, answer);
+    }
 }
 
 impl Coordinator {
@@ -113,6 +121,7 @@
             own_address: settings.peer_address.to_string(),
             directory_timeout: directory.heartbeat_timeout(),
         };
+        let crashes = Arc::new(CrashTable::open());
         let coordinator = Arc::new(Self {
             settings,
             ledger,
@@ -120,6 +129,7 @@
             directory: Mutex::new(directory),
             entries: Mutex::default(),
             scheduler: Mutex::default(),
+            crashes: crashes.clone(),
             watch: OnceLock::new(),
             leader_client: LeaderClient::open(caller.clone(), hint),
             changed: Signal::default(),
@@ -127,7 +137,8 @@
             started: Instant::now(),
             tasks: Mutex::default(),
         });
-        let watch = FleetWatch::spawn(watch_options, caller, Arc::new(Observer));
+        let observer = Observer { crash_exchange: CrashExchange::open(crashes) };
+        let watch = FleetWatch::spawn(watch_options, caller, Arc::new(observer));
         let _ = coordinator.watch.set(watch);
         let tasks = vec![
             task::spawn(tick(coordinator.clone())),
--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -28,10 +28,12 @@
         if let Some(entry) = &sync.entry {
             self.apply_report(entry, &sync, leads);
         }
+        self.crashes.merge(&sync.crashes);
         let until = Instant::now() + self.wait_limit(&sync, leads);
         let signal = self.entry_host_signal(sync.entry.as_ref());
         loop {
-            let (changed, own) = (self.changed.listen(), signal.listen());
+            let changed = select(self.changed.listen(), self.crashes.changed().listen());
+            let own = signal.listen();
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() || self.has_changes(&sync, leads) {
                 break;
@@ -137,6 +139,9 @@
         if lock(&self.directory).version() != (sync.directory_epoch, sync.directory_revision) {
             return true;
         }
+        if self.crashes.has_changes_since(sync.crashes_epoch, sync.crashes_revision) {
+            return true;
+        }
         let has_new_routes = self.ledger.routes().version > sync.routes_version;
         let has_new_entries = lock(&self.entries).revision() != sync.entries_revision;
         let host = sync.entry.as_ref().filter(|_| leads);
@@ -149,13 +154,17 @@
     fn build_answer(&self, sync: &EntrySync, may_assign: bool) -> ControlSync {
         let leads = self.leads();
         let routes = self.ledger.routes();
+        // Read before the records: a record that changes in between is then sent once more.
+        let crashes_version = self.crashes.version();
         let mut answer = ControlSync {
             leads,
             routes: (routes.version > sync.routes_version).then(|| (*routes).clone()),
             control_addresses: self.replica.control_addresses(),
+            crashes: self.crashes.changes_since(sync.crashes_epoch, sync.crashes_revision),
             uptime_ms: self.started.elapsed().as_millis() as u64,
             ..ControlSync::default()
         };
+        (answer.crashes_epoch, answer.crashes_revision) = crashes_version;
         {
             let directory = lock(&self.directory);
             (answer.directory_epoch, answer.directory_revision) = directory.version();
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -144,7 +144,7 @@
             sync.wait_ms = if control_host.is_leader { LEADER_POLL_WAIT_MS } else { POLL_WAIT_MS };
         }
         drop(inner);
-        self.sync_handler.fill_request(&mut sync);
+        self.sync_handler.fill_request(address, &mut sync);
         sync
     }
 
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -5,6 +5,7 @@
 //! one [`FleetView`]. Of two records with the same id, the one of the later incarnation wins, then
 //! the one with the higher sequence number.
 
+mod crash_exchange;
 mod directory_source;
 mod entry_table;
 mod fleet_view;
@@ -13,6 +14,7 @@
 mod upstream_directory;
 mod upstream_record;
 
+pub use crash_exchange::CrashExchange;
 pub use directory_source::{merge_directories, DirectorySource};
 pub use entry_table::EntryTable;
 pub use fleet_view::FleetView;
--- a/src/entry/routes/completions.rs
+++ b/src/entry/routes/completions.rs
@@ -96,13 +96,13 @@
         // under the same key gets the recorded answer.
         let recorded = identity.needs_claim() || configuration.records_answers(&service);
         let expected_tokens = EngineRequest::expected_tokens_of(&body);
-        let (body, fingerprint) = EngineRequest::streamed_body(body);
+        let (body, fingerprints) = EngineRequest::streamed_body(body);
         let request = OnlineRequest {
             identity,
             model,
             format: self.format,
             body,
-            fingerprint,
+            fingerprints,
             expected_tokens,
             recorded,
         };
--- a/src/entry/routes/service.rs
+++ b/src/entry/routes/service.rs
@@ -1,7 +1,7 @@
 use async_trait::async_trait;
 use tide::Response;
 
-use crate::admission::{Fingerprint, Refusal, RunOutcome};
+use crate::admission::{Fingerprint, Refusal, RequestFingerprints, RunOutcome};
 use crate::entry::caller_request::CallerRequest;
 use crate::entry::route::RouteHandler;
 use crate::entry::routes::completions::recorded_response;
@@ -58,6 +58,8 @@
             }
         }
         let content_type = request.header("content-type").unwrap_or("application/octet-stream");
+        let fingerprint = Fingerprint::of(&[&identity.fingerprint]);
+        let fingerprints = RequestFingerprints::of_request(fingerprint);
         let call = PlainCall {
             request_id: &identity.request_id,
             customer: &identity.customer,
@@ -66,7 +68,7 @@
             path: &path,
             content_type,
             body: &body,
-            fingerprint: Fingerprint::of(&[&identity.fingerprint]),
+            fingerprints: &fingerprints,
             repeatable: !not_repeatable && is_repeatable(method, &identity.key),
             class: WorkClass::Online,
             deadline,
--- a/src/gateway/connector.rs
+++ b/src/gateway/connector.rs
@@ -92,6 +92,9 @@
         request: &StreamRequest,
     ) -> Result<Box<dyn UpstreamAnswer>, SendError>;
 
+    /// True if a connection to the upstream can be opened. Nothing is sent.
+    async fn is_reachable(&self, address: SocketAddr) -> bool;
+
     /// Drops the connections that are kept for upstreams for which `is_known` is false.
     fn retain_upstreams(&self, is_known: &dyn Fn(&str) -> bool);
 }
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -6,10 +6,13 @@
 use async_std::task;
 
 use crate::coordinator::{LeaderClient, LeaderError, LeaderHint};
-use crate::directory::{heartbeat_timeout, FleetView, FleetWatch, FleetWatchOptions, SyncHandler};
+use crate::directory::{
+    heartbeat_timeout, CrashExchange, FleetView, FleetWatch, FleetWatchOptions, SyncHandler,
+};
 use crate::gateway::batch_worker::BatchWorker;
 use crate::gateway::{
-    AnswerSink, ForwardOutcome, Forwarder, GatewayFleet, RouteIndex, StreamConnector, StreamRequest,
+    AnswerSink, CrashGuard, ForwardOutcome, Forwarder, GatewayFleet, RouteIndex, StreamConnector,
+    StreamRequest,
 };
 use crate::http::HttpError;
 use crate::ledger::command;
@@ -51,6 +54,8 @@
 struct EntrySyncState {
     settings: FleetHostSettings,
     fleet: Arc<GatewayFleet>,
+    crashes: Arc<CrashGuard>,
+    crash_exchange: CrashExchange,
     worker: OnceLock<Arc<BatchWorker>>,
     /// The first table of routes was received.
     has_routes: AtomicBool,
@@ -79,7 +84,8 @@
 }
 
 impl SyncHandler for EntrySyncState {
-    fn fill_request(&self, sync: &mut EntrySync) {
+    fn fill_request(&self, to_address: &str, sync: &mut EntrySync) {
+        self.crash_exchange.fill_request(to_address, sync);
         let caller_address = self.settings.caller_address.map(|address| address.to_string());
         sync.entry = Some(EntryHost {
             host_id: self.settings.host_id.clone(),
@@ -95,7 +101,8 @@
         }
     }
 
-    fn handle_reply(&self, _from_address: &str, answer: &ControlSync) {
+    fn handle_reply(&self, from_address: &str, answer: &ControlSync) {
+        self.crashes.handle_changes(&self.crash_exchange.handle_reply(from_address, answer));
         let Some(worker) = self.worker.get().filter(|_| answer.leads) else { return };
         worker.record_leader_contact();
         self.fleet.set_remote_use(&answer.uses, answer.uses_complete);
@@ -127,9 +134,12 @@
     pub fn spawn(options: GatewayOptions, caller: Arc<dyn PeerCaller>) -> Arc<Self> {
         let GatewayOptions { settings, connector, counters } = options;
         let fleet = Arc::new(GatewayFleet::default());
+        let crashes = Arc::new(CrashGuard::open(&settings.host_id));
         let sync_state = Arc::new(EntrySyncState {
             settings: settings.clone(),
             fleet: fleet.clone(),
+            crashes: crashes.clone(),
+            crash_exchange: CrashExchange::open(crashes.table().clone()),
             worker: OnceLock::new(),
             has_routes: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -153,11 +163,13 @@
             &settings.region,
             fleet.clone(),
             connector.clone(),
+            crashes,
             counters,
         );
         let routes = ArcSwap::from_pointee(RouteIndex::default());
         let gateway = Arc::new(Self { settings, routes, forwarder, watch, leader, sync_state });
         task::spawn(yield_batch_slots(gateway.clone(), fleet.clone(), caller));
+        task::spawn(send_crash_records(gateway.clone()));
         task::spawn(apply_views(gateway.clone(), fleet, connector));
         gateway
     }
@@ -316,6 +328,15 @@
     }
 }
 
+/// Sends each crash record that this host publishes to the control hosts at once.
+async fn send_crash_records(gateway: Arc<Gateway>) {
+    let table = gateway.sync_state.crashes.table().clone();
+    loop {
+        table.published().listen().await;
+        gateway.watch.sync_now();
+    }
+}
+
 /// Applies each new view of the fleet: first its routes, then its upstreams.
 async fn apply_views(
     gateway: Arc<Gateway>,
@@ -333,6 +354,9 @@
                 gateway.watch.sync_now();
             }
         }
+        let ready = view.entries.iter().filter(|entry| entry.ready);
+        let ready = ready.map(|entry| entry.host_id.clone()).collect();
+        gateway.sync_state.crashes.set_entry_hosts(ready);
         if !Arc::ptr_eq(&upstreams, &view.upstreams) {
             upstreams = view.upstreams.clone();
             fleet.replace(&upstreams);
--- a/src/gateway/forward_progress.rs
+++ b/src/gateway/forward_progress.rs
@@ -1,5 +1,16 @@
 use std::time::Duration;
 
+/// How far the answer to a send came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AnswerStage {
+    /// No head was received.
+    NotBegun,
+    /// The head was received, but nothing of the body.
+    Begun,
+    /// A part of the body was received.
+    HasBody,
+}
+
 /// Progress of a request that is being forwarded, over all its sends.
 pub(super) struct Progress {
     /// Ids of the upstreams that it was sent to.
@@ -17,6 +28,10 @@
     pub(super) has_event_ids: bool,
     /// Time from the arrival of the request to its first event.
     pub(super) first_event: Option<Duration>,
+    /// How far the answer of the last send came.
+    pub(super) stage: AnswerStage,
+    /// The last send broke off.
+    pub(super) broke_off: bool,
     /// Why the last send failed.
     pub(super) last_error: String,
 }
@@ -32,10 +47,24 @@
             head_sent: false,
             has_event_ids: true,
             first_event: None,
+            stage: AnswerStage::NotBegun,
+            broke_off: false,
             last_error: String::new(),
         }
     }
 
+    /// True if what the last send broke off on may be what crashed its upstream: the upstream was
+    /// about to write the answer. Streams send their head just before it, so those without a head
+    /// still waited.
+    pub(super) fn may_have_crashed(&self, is_stream: bool) -> bool {
+        let at_begin = match self.stage {
+            AnswerStage::NotBegun => !is_stream,
+            AnswerStage::Begun => true,
+            AnswerStage::HasBody => false,
+        };
+        self.broke_off && at_begin && self.last_event_id.is_none()
+    }
+
     /// True if another upstream can continue the answer from here.
     pub(super) fn can_resume(&self) -> bool {
         !self.head_sent || self.has_event_ids
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -3,11 +3,11 @@
 
 use async_std::future::timeout;
 
-use crate::gateway::forward_progress::Progress;
+use crate::gateway::forward_progress::{AnswerStage, Progress};
 use crate::gateway::upstream::monotonic_ms;
 use crate::gateway::{
-    choose_upstream, AnswerSink, CallTarget, ChoiceInput, EventSplitter, GatewayFleet, Refusal,
-    RefusalKind, SendError, StreamConnector, StreamRequest, Upstream, UpstreamAnswer,
+    choose_upstream, AnswerSink, CallTarget, ChoiceInput, CrashGuard, EventSplitter, GatewayFleet,
+    Refusal, RefusalKind, SendError, StreamConnector, StreamRequest, Upstream, UpstreamAnswer,
 };
 use crate::http::HttpError;
 use crate::schema::routes::{Route, RouteKind};
@@ -45,6 +45,7 @@
     region: String,
     fleet: Arc<GatewayFleet>,
     connector: Arc<dyn StreamConnector>,
+    crashes: Arc<CrashGuard>,
     counters: Counters,
 }
 
@@ -62,9 +63,11 @@
         region: &str,
         fleet: Arc<GatewayFleet>,
         connector: Arc<dyn StreamConnector>,
+        crashes: Arc<CrashGuard>,
         counters: Counters,
     ) -> Self {
-        Self { zone: zone.to_owned(), region: region.to_owned(), fleet, connector, counters }
+        let (zone, region) = (zone.to_owned(), region.to_owned());
+        Self { zone, region, fleet, connector, crashes, counters }
     }
 
     /// Forwards a request by its route and writes the answer to `sink`. `route` is `None` if no route
@@ -156,10 +159,15 @@
         if remaining < MIN_SEND_TIME {
             return Ok(NextStep::GiveUp(timeout_refusal(progress)));
         }
+        if let Some(refusal) = self.crashes.check(request) {
+            self.counters.count("request_convicted");
+            return Ok(NextStep::GiveUp(refusal.unless_run(progress.runs)));
+        }
         let Some(upstream) = self.choose_upstream(route, request, progress) else {
             return Ok(NextStep::GiveUp(self.no_upstream_refusal(route, progress)));
         };
         progress.sends += 1;
+        (progress.stage, progress.broke_off) = (AnswerStage::NotBegun, false);
         progress.tried.push(upstream.upstream_id.clone());
         let may_repeat = is_repeatable(route);
         let (online, in_use) = (upstream.online_requests(), upstream.in_use());
@@ -188,6 +196,7 @@
         let next = match result {
             Ok(answer) => {
                 progress.runs += 1;
+                progress.stage = AnswerStage::Begun;
                 self.relay_answer(route, request, deadline, answer, &upstream, progress, sink)
                     .await?
             }
@@ -196,9 +205,36 @@
             }
         };
         drop(guard);
+        self.record_crash(route, request, &upstream, progress).await;
         Ok(next)
     }
 
+    /// Records a crash if the upstream is gone and may have ended when it began the answer. Called
+    /// before the request is sent again, so that a request does not end one upstream after the other.
+    async fn record_crash(
+        &self,
+        route: &Route,
+        request: &StreamRequest,
+        upstream: &Upstream,
+        progress: &Progress,
+    ) {
+        if !progress.may_have_crashed(route.kind() == RouteKind::Stream) {
+            return;
+        }
+        if !self.connector.is_reachable(upstream.address).await {
+            self.crashes.record_loss(request, upstream);
+        }
+    }
+
+    /// Records that the answer of the current send has brought a part of its body.
+    fn record_body(&self, request: &StreamRequest, progress: &mut Progress) {
+        if progress.stage == AnswerStage::HasBody {
+            return;
+        }
+        progress.stage = AnswerStage::HasBody;
+        self.crashes.record_run(request);
+    }
+
     fn choose_upstream(
         &self,
         route: &Route,
@@ -245,6 +281,7 @@
     ) -> NextStep {
         let may_have_run = matches!(error, SendError::Lost(_));
         progress.runs += u32::from(may_have_run);
+        progress.broke_off = may_have_run;
         progress.last_error = error.to_string();
         let pause = match error {
             SendError::NotRun { .. } => Duration::ZERO,
@@ -330,6 +367,7 @@
                 }
             };
             if !is_event_stream {
+                self.record_body(request, progress);
                 progress.has_event_ids = false;
                 if !progress.head_sent {
                     progress.head_sent = true;
@@ -357,6 +395,7 @@
             if events.is_empty() {
                 continue;
             }
+            self.record_body(request, progress);
             if !progress.head_sent {
                 progress.head_sent = true;
                 let elapsed = request.arrived.elapsed();
@@ -379,9 +418,10 @@
         &self,
         request: &StreamRequest,
         upstream: &Upstream,
-        progress: &Progress,
+        progress: &mut Progress,
         may_resume: bool,
     ) -> NextStep {
+        progress.broke_off = true;
         let pause = upstream.record_failure(monotonic_ms());
         log::warn!(event = "stream_broken", request = request.request_id.as_str(),
             upstream = upstream.upstream_id.as_str(), may_go_on = may_resume,
@@ -404,6 +444,14 @@
 }
 
 impl Refusal {
+    /// The same refusal, or one that does not state "not run" if there were runs.
+    fn unless_run(self, runs: u32) -> Self {
+        match runs {
+            0 => self,
+            _ => Self::of_kind(RefusalKind::MayHaveRun, self.reason),
+        }
+    }
+
     /// A refusal that states "not run" only if nothing ran.
     fn not_run_if(nothing_ran: bool, reason: &str) -> Self {
         match nothing_ran {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod batch_worker;
 mod choice;
 mod connector;
+mod crash_guard;
 mod entry_part;
 mod event;
 mod event_splitter;
@@ -27,6 +28,7 @@
 pub use connector::{
     BodyChunk, CallTarget, SendError, StreamConnector, UpstreamAnswer, UpstreamHead,
 };
+pub use crash_guard::CrashGuard;
 pub use entry_part::{Gateway, GatewayOptions};
 pub use event::Event;
 pub use event_splitter::EventSplitter;
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -8,11 +8,16 @@
 }
 
 impl Prompt {
+    /// Identities of the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> + '_ {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|part| part.0)
+    }
+
     /// Identity of the last part of the longest prefix that other requests may share; `None` if there
     /// is no such prefix.
     pub fn shared_key(&self) -> Option<u64> {
-        let shared = self.parts.len().checked_sub(1)?;
-        self.parts[..shared].last().map(|part| part.0)
+        self.shared_parts().last()
     }
 }
 
--- a/src/membership/gossip_table.rs
+++ b/src/membership/gossip_table.rs
@@ -2,13 +2,14 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use crate::admission::CrashRecord;
 use crate::membership::directory::Directory;
 use crate::membership::failure_detector::{AnsweredProbe, FailureDetector};
 use crate::membership::neighbors::Neighbors;
 use crate::membership::repair::Repair;
 use crate::membership::{
-    AnnounceOutcome, Announcement, CrashRecord, GossipMessage, Key, MembershipOptions,
-    MembershipView, Record, RecordStore, Status,
+    AnnounceOutcome, Announcement, GossipMessage, Key, MembershipOptions, MembershipView, Record,
+    RecordStore, Status,
 };
 
 /// Maximum number of changed records in one message, about 2 KB.
--- a/src/membership/handle.rs
+++ b/src/membership/handle.rs
@@ -6,9 +6,10 @@
 use async_std::channel::{bounded, Receiver, Sender};
 use async_std::task::{self, JoinHandle};
 
+use crate::admission::CrashRecord;
 use crate::membership::{
-    AnnounceOutcome, Announcement, CrashRecord, GossipMessage, GossipTable, MembershipOptions,
-    MembershipView, Outgoing, Status,
+    AnnounceOutcome, Announcement, GossipMessage, GossipTable, MembershipOptions, MembershipView,
+    Outgoing, Status,
 };
 use crate::peer::{PeerCaller, TrafficClass};
 use crate::schema::peer::frame::Body;
--- a/src/membership/key.rs
+++ b/src/membership/key.rs
@@ -1,7 +1,9 @@
-use std::fmt;
+use std::fmt::{self, Write};
 use std::str::FromStr;
 use std::sync::Arc;
 
+use crate::admission::CrashRecord;
+
 /// Key of a record in the table, written as `h/ID`, `u/ID` or `c/ID`.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Key {
@@ -13,6 +15,16 @@
     Crash(Arc<str>),
 }
 
+impl From<&CrashRecord> for Key {
+    fn from(record: &CrashRecord) -> Self {
+        let mut hex = String::with_capacity(record.fingerprint.len() * 2);
+        for byte in &record.fingerprint {
+            let _ = write!(hex, "{byte:02x}");
+        }
+        Self::Crash(hex.into())
+    }
+}
+
 impl fmt::Display for Key {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -4,7 +4,6 @@
 //! socket. [`Membership`] runs a table over a [`PeerCaller`](crate::peer::PeerCaller).
 
 mod announcement;
-mod crash_record;
 mod directory;
 mod failure_detector;
 mod gossip_message;
@@ -26,7 +25,6 @@
 mod view;
 
 pub use announcement::{AnnounceOutcome, Announcement};
-pub use crash_record::CrashRecord;
 pub use gossip_message::{GossipMessage, RecordDigest};
 pub use gossip_table::{GossipTable, Outgoing};
 pub use handle::{Membership, MembershipCounters};
--- a/src/membership/record.rs
+++ b/src/membership/record.rs
@@ -1,7 +1,8 @@
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
-use crate::membership::{CrashRecord, HostRecord, Key, Status, UpstreamRecord, Version};
+use crate::admission::CrashRecord;
+use crate::membership::{HostRecord, Key, Status, UpstreamRecord, Version};
 use crate::schema::peer as wire;
 
 /// Content of a record.
@@ -41,7 +42,7 @@
         match &self.body {
             Body::Host(host) => Key::Host(host.host_id.as_str().into()),
             Body::Upstream(upstream) => Key::Upstream(upstream.upstream_id.as_str().into()),
-            Body::Crash(crash) => crash.key(),
+            Body::Crash(crash) => Key::from(&**crash),
         }
     }
 
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
-use crate::membership::{CrashRecord, HostRecord, Status, UpstreamRecord};
+use crate::admission::CrashRecord;
+use crate::membership::{HostRecord, Status, UpstreamRecord};
 
 /// A host in the view of this host.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -5,8 +5,8 @@
 use async_std::task;
 
 use crate::admission::{
-    CrashRecords, CrashVerdict, Fingerprint, Refusal, RefusalKind, RetryBudget, SlotDemand,
-    SlotQueue,
+    CrashVerdict, CrashWatch, Refusal, RefusalKind, RequestFingerprints, RetryBudget, SlotDemand,
+    SlotQueue, TrialLeases, DEFAULT_CRASH_VERDICT_MS,
 };
 use crate::control::unix_ms;
 use crate::routing::{
@@ -15,8 +15,7 @@
 };
 use crate::schema::config::Policy;
 use crate::serving::{
-    cache_feed, probe, AttemptFailure, CrashWatch, EngineRequest, FailureCause, RunningAnswer,
-    DEFAULT_CRASH_VERDICT_MS,
+    cache_feed, probe, AttemptFailure, EngineRequest, FailureCause, RunningAnswer,
 };
 use crate::telemetry::{Counters, Span};
 use crate::upstream::{EngineStream, UpstreamCall, UpstreamConnector};
@@ -26,6 +25,10 @@
 /// Retries allowed, as a percentage of requests, unless the configuration sets another share.
 const DEFAULT_RETRY_BUDGET_PERCENT: u32 = 20;
 
+/// Losses after which a request is convicted. After the first one it runs alone on an upstream, so the
+/// second loss is its own.
+const REQUEST_CONVICTION_LOSSES: usize = 2;
+
 /// Longest time for which a batch item queues on this host before another host may run it.
 const BATCH_WAIT_LIMIT: Duration = Duration::from_secs(2);
 
@@ -47,6 +50,7 @@
     started: Instant,
     pub(super) ejector: Ejector,
     crashes: CrashWatch,
+    trials: Arc<dyn TrialLeases>,
     retries: RetryBudget,
     retry_percent: AtomicU32,
 }
@@ -60,7 +64,7 @@
         hasher: Box<dyn PromptHasher>,
         connector: Box<dyn UpstreamConnector>,
         queue: Arc<SlotQueue>,
-        crashes: Arc<dyn CrashRecords>,
+        crashes: Arc<dyn TrialLeases>,
         counters: Counters,
     ) -> Self {
         let shared = Arc::new(Shared {
@@ -73,7 +77,8 @@
             counters,
             started: Instant::now(),
             ejector: Ejector::open(),
-            crashes: CrashWatch::open(crashes),
+            crashes: CrashWatch::open(crashes.clone(), REQUEST_CONVICTION_LOSSES),
+            trials: crashes,
             retries: RetryBudget::default(),
             retry_percent: AtomicU32::new(DEFAULT_RETRY_BUDGET_PERCENT),
         });
@@ -112,6 +117,11 @@
         &self.shared.crashes
     }
 
+    /// Leases on the trials of crash suspects.
+    pub(super) fn trials(&self) -> &Arc<dyn TrialLeases> {
+        &self.shared.trials
+    }
+
     /// Ejects failing upstreams for a while.
     pub fn ejector(&self) -> &Ejector {
         &self.shared.ejector
@@ -138,7 +148,7 @@
     pub(super) async fn record_failure(
         &self,
         upstream: &Arc<Upstream>,
-        fingerprint: &Fingerprint,
+        fingerprints: &RequestFingerprints,
         deadline: Instant,
         failure: &AttemptFailure,
     ) -> Result<(), Refusal> {
@@ -154,8 +164,12 @@
             return Ok(());
         }
         shared.counters.count("upstream.lost_under_request");
-        let verdict = shared.crashes.record_loss(fingerprint, upstream);
-        let CrashVerdict::Convicted { expires_unix_ms } = verdict else { return Ok(()) };
+        let verdict = shared.crashes.record_loss(
+            fingerprints,
+            &upstream.record.upstream_id,
+            upstream.incarnation,
+        );
+        let CrashVerdict::Convicted { expires_unix_ms, .. } = verdict else { return Ok(()) };
         shared.counters.count("crash.convicted");
         // If the caller sends the request again, every host must already know the verdict.
         task::sleep(VERDICT_GOSSIP_TIME.min(time_left(deadline))).await;
--- a/src/serving/engine_request.rs
+++ b/src/serving/engine_request.rs
@@ -2,7 +2,7 @@
 
 use async_std::channel::Sender;
 
-use crate::admission::{Fingerprint, Refusal, RefusalKind, SlotDemand};
+use crate::admission::{Fingerprint, Refusal, RefusalKind, RequestFingerprints, SlotDemand};
 use crate::routing::{RequestView, WorkClass};
 
 /// A request to a model engine, ready to be sent to any upstream.
@@ -18,8 +18,8 @@
     pub path: String,
     /// Request body, with streaming enabled.
     pub body: Vec<u8>,
-    /// Fingerprint of the body's content, for crash detection.
-    pub fingerprint: Fingerprint,
+    /// Fingerprints of the body's content, for crash detection.
+    pub fingerprints: RequestFingerprints,
     /// Hashes of the prompt's prefixes, shortest first. Set by the dispatcher.
     pub prefix_hashes: Vec<u64>,
     /// Work class: online or batch.
@@ -68,16 +68,23 @@
     }
 
     /// Returns the body with `stream` set, as answers are always streamed from engines, and the
-    /// fingerprint of the body without `stream`. The body must be a JSON object.
-    pub fn streamed_body(mut body: serde_json::Value) -> (Vec<u8>, Fingerprint) {
+    /// fingerprints of the body without `stream` and of its messages but the last one, which belongs
+    /// to this request alone. The body must be a JSON object.
+    pub fn streamed_body(mut body: serde_json::Value) -> (Vec<u8>, RequestFingerprints) {
         if let Some(object) = body.as_object_mut() {
             object.remove("stream");
         }
         let mut bytes = body.to_string().into_bytes();
-        let fingerprint = Fingerprint::of(&[&bytes]);
+        let messages = body.get("messages").and_then(serde_json::Value::as_array);
+        let shared = messages.and_then(|messages| messages.split_last()).map(|(_, shared)| shared);
+        let parts = shared.unwrap_or_default().iter();
+        let fingerprints = RequestFingerprints {
+            parts: parts.map(|part| Fingerprint::of(&[part.to_string().as_bytes()])).collect(),
+            request: Fingerprint::of(&[&bytes]),
+        };
         bytes.pop();
         bytes.extend_from_slice(br#","stream":true}"#);
-        (bytes, fingerprint)
+        (bytes, fingerprints)
     }
 
     /// Returns the fields of the request that routing uses.
--- a/src/serving/online.rs
+++ b/src/serving/online.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::admission::{Fingerprint, Refusal, RefusalKind, RunOutcome};
+use crate::admission::{Refusal, RefusalKind, RequestFingerprints, RunOutcome};
 use crate::routing::WorkClass;
 use crate::schema::state::{Answer as RecordedAnswer, ClaimStatus};
 use crate::serving::{
@@ -26,8 +26,8 @@
     pub format: AnswerFormat,
     /// Request body for the engine.
     pub body: Vec<u8>,
-    /// Fingerprint of the body's content, for crash detection.
-    pub fingerprint: Fingerprint,
+    /// Fingerprints of the body's content, for crash detection.
+    pub fingerprints: RequestFingerprints,
     /// Maximum number of tokens in the answer; 0 if the caller sets none.
     pub expected_tokens: u32,
     /// True when the answer must be recorded before its end is sent.
@@ -216,7 +216,7 @@
             model: request.model.clone(),
             path: request.format.path().to_owned(),
             body: request.body.clone(),
-            fingerprint: request.fingerprint,
+            fingerprints: request.fingerprints.clone(),
             prefix_hashes: Vec::new(),
             class: WorkClass::Online,
             repeatable: !request.identity.not_repeatable,
--- a/src/serving/plain_call.rs
+++ b/src/serving/plain_call.rs
@@ -3,7 +3,7 @@
 use async_std::task;
 use futures::AsyncReadExt;
 
-use crate::admission::{Fingerprint, Refusal, RefusalKind, RunOutcome, SlotDemand};
+use crate::admission::{Refusal, RefusalKind, RequestFingerprints, RunOutcome, SlotDemand};
 use crate::routing::{RequestView, Upstream, WorkClass};
 use crate::serving::dispatcher::time_left;
 use crate::serving::{
@@ -32,8 +32,8 @@
     pub content_type: &'a str,
     /// Complete body.
     pub body: &'a [u8],
-    /// Fingerprint of the call's content, for crash detection.
-    pub fingerprint: Fingerprint,
+    /// Fingerprints of the call's content, for crash detection.
+    pub fingerprints: &'a RequestFingerprints,
     /// True when the request may be sent again although an upstream may have started it.
     pub repeatable: bool,
     /// Work class: online or batch.
@@ -82,7 +82,7 @@
             let demand =
                 SlotDemand { customer: call.customer, expected_tokens: 0, deadline: call.deadline };
             let decision = parent.child("decision");
-            let acquired = self.acquire_by_verdict(&view, &demand, &call.fingerprint).await;
+            let acquired = self.acquire_by_verdict(&view, &demand, call.fingerprints).await;
             decision.close();
             let (permit, trial) =
                 acquired.map_err(|refusal| refusal.with_outcome_at_least(progress))?;
@@ -93,7 +93,7 @@
             let failure = match self.attempt_plain(call, &upstream, &span).await {
                 Ok(answer) => {
                     upstream.health.record_success();
-                    self.crashes().record_completion(&call.fingerprint);
+                    self.crashes().record_run(call.fingerprints);
                     return Ok(answer);
                 }
                 Err(failure) => failure,
@@ -109,7 +109,7 @@
                 time_left: time_left(call.deadline),
             };
             progress = policy.outcome(&failure);
-            self.record_failure(&upstream, &call.fingerprint, call.deadline, &failure)
+            self.record_failure(&upstream, call.fingerprints, call.deadline, &failure)
                 .await
                 .map_err(|refusal| refusal.with_outcome_at_least(progress))?;
             // Keep the trial until the crash check above is done, so that no other request starts
--- a/src/serving/running_answer.rs
+++ b/src/serving/running_answer.rs
@@ -2,7 +2,7 @@
 
 use async_std::task;
 
-use crate::admission::{Refusal, RefusalKind, RunOutcome};
+use crate::admission::{Refusal, RefusalKind, RequestFingerprints, RunOutcome};
 use crate::routing::SlotPermit;
 use crate::serving::dispatcher::time_left;
 use crate::serving::trials::TrialGuard;
@@ -113,10 +113,11 @@
             let Some(attempt) = self.attempt.take() else {
                 return Err(self.deadline_refusal());
             };
+            let has_token = attempt.first_token.is_some();
             let Attempt { stream, permit, _trial: trial, span: attempt_span, .. } = attempt;
             // Cancel the work at this upstream before another one resumes the answer.
             drop(stream);
-            self.handle_failure(permit, trial, attempt_span, failure).await?;
+            self.handle_failure(permit, trial, attempt_span, failure, has_token).await?;
             self.assembler.restart();
             self.attempt = Some(self.open_attempt(span).await?);
         }
@@ -154,6 +155,7 @@
         };
         attempt.chunks += 1;
         if attempt.first_token.is_none() && !chunk.text.is_empty() {
+            self.dispatcher.crashes().record_parts_run(&self.request.fingerprints);
             let first_token = attempt.started.elapsed();
             attempt.first_token = Some(first_token);
             token_latency.record_first_token(first_token);
@@ -172,7 +174,7 @@
             upstream.token_latency.record_tokens(attempt.chunks.saturating_sub(2), time);
         }
         upstream.health.record_success();
-        self.dispatcher.crashes().record_completion(&self.request.fingerprint);
+        self.dispatcher.crashes().record_run(&self.request.fingerprints);
         attempt.stream.close();
         attempt.span.close();
     }
@@ -188,7 +190,7 @@
             let decision = parent.child("decision");
             let acquired = self
                 .dispatcher
-                .acquire_by_verdict(&view, &request.demand(), &request.fingerprint)
+                .acquire_by_verdict(&view, &request.demand(), &request.fingerprints)
                 .await;
             decision.close();
             let (mut permit, trial) =
@@ -218,7 +220,7 @@
                 }
                 Err(failure) => failure,
             };
-            self.handle_failure(permit, trial, span, failure).await?;
+            self.handle_failure(permit, trial, span, failure, false).await?;
         }
     }
 
@@ -244,6 +246,7 @@
         trial: Option<TrialGuard>,
         mut span: Span,
         failure: AttemptFailure,
+        has_token: bool,
     ) -> Result<(), Refusal> {
         span.set_text("error", &failure.reason);
         let upstream = permit.upstream().clone();
@@ -257,9 +260,13 @@
             time_left: time_left(self.request.deadline),
         };
         self.progress = policy.outcome(&failure);
-        let (fingerprint, deadline) = (&self.request.fingerprint, self.request.deadline);
+        // An upstream that has begun the answer has read all parts without a crash.
+        let fingerprints = match has_token {
+            true => RequestFingerprints::of_request(self.request.fingerprints.request),
+            false => self.request.fingerprints.clone(),
+        };
         self.dispatcher
-            .record_failure(&upstream, fingerprint, deadline, &failure)
+            .record_failure(&upstream, &fingerprints, self.request.deadline, &failure)
             .await
             .map_err(|refusal| refusal.with_outcome_at_least(self.progress))?;
         // Keep the trial until the crash check above is done, so that no other request starts on an
--- a/src/serving/shared_crash_records.rs
+++ b/src/serving/shared_crash_records.rs
@@ -3,8 +3,8 @@
 
 use async_trait::async_trait;
 
-use crate::admission::{CrashRecords, Fingerprint, TrialClaim};
-use crate::membership::{CrashEntry, CrashRecord, Membership};
+use crate::admission::{CrashRecord, CrashRecords, Fingerprint, TrialClaim, TrialLeases};
+use crate::membership::{CrashEntry, Membership};
 use crate::schema::state::{command, outcome, ClaimStatus, Command, SettleClaim, TakeClaim};
 use crate::state::StateClient;
 
@@ -40,7 +40,6 @@
     }
 }
 
-#[async_trait]
 impl CrashRecords for SharedCrashRecords {
     fn find(&self, fingerprint: &Fingerprint) -> Option<Arc<CrashRecord>> {
         let view = self.membership.view();
@@ -50,10 +49,17 @@
         Some(view.crashes[index].record.clone())
     }
 
+    fn all(&self) -> Vec<Arc<CrashRecord>> {
+        self.membership.view().crashes.iter().map(|entry| entry.record.clone()).collect()
+    }
+
     fn publish(&self, record: CrashRecord) {
         self.membership.publish_crash_record(record);
     }
+}
 
+#[async_trait]
+impl TrialLeases for SharedCrashRecords {
     async fn claim_trial(&self, upstream_id: &str, trial_id: &str, lease: Duration) -> TrialClaim {
         let claim = TakeClaim {
             customer: TRIAL_CUSTOMER.to_owned(),
--- a/src/serving/trials.rs
+++ b/src/serving/trials.rs
@@ -4,7 +4,7 @@
 use async_std::task;
 
 use crate::admission::{
-    CrashRecords, CrashVerdict, Fingerprint, Refusal, RefusalKind, SlotDemand, TrialClaim,
+    CrashVerdict, Refusal, RefusalKind, RequestFingerprints, SlotDemand, TrialClaim, TrialLeases,
 };
 use crate::routing::{RequestView, SlotPermit, Trial};
 use crate::serving::dispatcher::{convicted, time_left, unknown_target};
@@ -22,15 +22,15 @@
 /// the crash suspects of other hosts. Dropping it releases both reservations.
 pub(super) struct TrialGuard {
     trial: Trial,
-    records: Arc<dyn CrashRecords>,
+    leases: Arc<dyn TrialLeases>,
     trial_id: String,
 }
 
 impl Drop for TrialGuard {
     fn drop(&mut self) {
-        let (records, trial_id) = (self.records.clone(), std::mem::take(&mut self.trial_id));
+        let (leases, trial_id) = (self.leases.clone(), std::mem::take(&mut self.trial_id));
         let upstream_id = self.trial.upstream().record.upstream_id.clone();
-        task::spawn(async move { records.release_trial(&upstream_id, &trial_id).await });
+        task::spawn(async move { leases.release_trial(&upstream_id, &trial_id).await });
     }
 }
 
@@ -42,18 +42,18 @@
         &self,
         view: &RequestView<'_>,
         demand: &SlotDemand<'_>,
-        fingerprint: &Fingerprint,
+        fingerprints: &RequestFingerprints,
     ) -> Result<(SlotPermit, Option<TrialGuard>), Refusal> {
         // If no other upstream is left, allow those that already failed the request.
         let view =
             if self.has_alternative(view) { *view } else { RequestView { excluded: &[], ..*view } };
-        match self.crashes().verdict(fingerprint) {
+        match self.crashes().verdict(fingerprints) {
             CrashVerdict::Clear => Ok((self.acquire_permit(&view, demand).await?, None)),
             CrashVerdict::Suspect => {
                 let (permit, trial) = self.acquire_for_trial(&view, demand.deadline).await?;
                 Ok((permit, Some(trial)))
             }
-            CrashVerdict::Convicted { expires_unix_ms } => Err(convicted(expires_unix_ms)),
+            CrashVerdict::Convicted { expires_unix_ms, .. } => Err(convicted(expires_unix_ms)),
         }
     }
 
@@ -116,13 +116,13 @@
             }
             let Some(trial) = Trial::begin(upstream) else { continue };
             let trial_id = format!("trial-{:x}", rand::random::<u128>());
-            let records = self.crashes().records().clone();
+            let leases = self.trials().clone();
             // Create the guard before claiming, so that the claim is released even if its reply is
             // lost.
-            let guard = TrialGuard { trial, records, trial_id };
+            let guard = TrialGuard { trial, leases, trial_id };
             let lease = time_left(deadline).min(TRIAL_LEASE);
             let id = &upstream.record.upstream_id;
-            match guard.records.claim_trial(id, &guard.trial_id, lease).await {
+            match guard.leases.claim_trial(id, &guard.trial_id, lease).await {
                 TrialClaim::Granted => return Ok(Some(guard)),
                 TrialClaim::Unknown => {
                     self.counters().count("crash.trial_unclaimed");
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -11,10 +11,10 @@
 use async_std::task;
 use async_trait::async_trait;
 use damaskhoist::admission::{
-    AdmissionPolicy, CrashDetector, CrashRecords, CrashVerdict, Fingerprint, RetryBudget,
-    RunOutcome, SlotQueue, TrialClaim,
+    AdmissionPolicy, CrashDetector, CrashRecord, CrashRecords, CrashVerdict, Fingerprint,
+    RequestFingerprints, RetryBudget, RunOutcome, SlotQueue, TrialClaim, TrialLeases,
 };
-use damaskhoist::membership::{CrashRecord, UpstreamModel, UpstreamRecord};
+use damaskhoist::membership::{UpstreamModel, UpstreamRecord};
 use damaskhoist::routing::{EjectionPolicy, Fleet, WeightedScore, WorkClass};
 use damaskhoist::serving::{BlockHasher, Dispatcher, EngineRequest};
 use damaskhoist::telemetry::{Counters, Tracer};
@@ -203,7 +203,6 @@
 #[derive(Default)]
 struct FakeCrashRecords(Mutex<HashMap<Vec<u8>, Arc<CrashRecord>>>);
 
-#[async_trait]
 impl CrashRecords for FakeCrashRecords {
     fn find(&self, fingerprint: &Fingerprint) -> Option<Arc<CrashRecord>> {
         self.0.lock().unwrap().get(fingerprint.as_bytes()).cloned()
@@ -213,6 +212,13 @@
         self.0.lock().unwrap().insert(record.fingerprint.clone(), Arc::new(record));
     }
 
+    fn all(&self) -> Vec<Arc<CrashRecord>> {
+        self.0.lock().unwrap().values().cloned().collect()
+    }
+}
+
+#[async_trait]
+impl TrialLeases for FakeCrashRecords {
     async fn claim_trial(&self, _upstream: &str, _trial: &str, _lease: Duration) -> TrialClaim {
         TrialClaim::Granted
     }
@@ -271,7 +277,7 @@
         model: "m".to_owned(),
         path: "/v1/completions".to_owned(),
         body: b"{}".to_vec(),
-        fingerprint: Fingerprint::of(&[b"{}"]),
+        fingerprints: RequestFingerprints::of_request(Fingerprint::of(&[b"{}"])),
         prefix_hashes: Vec::new(),
         class: WorkClass::Online,
         repeatable,
@@ -417,18 +423,26 @@
 /// that remains after the request completed.
 #[test]
 fn two_crashes_convict_a_request_and_a_completion_clears_it() {
-    let detector = CrashDetector { verdict_ms: 100 };
+    let detector = CrashDetector { verdict_ms: 100, request_conviction_losses: 2 };
     let fingerprint = Fingerprint::of(&[b"request"]);
-    let record_loss =
-        |record: Option<&CrashRecord>, loss| detector.after_loss(record, &fingerprint, loss, 1_000);
-    let verdict = |record: &CrashRecord| CrashDetector::verdict(Some(record), 1_050);
+    let request = RequestFingerprints::of_request(fingerprint);
+    let record_loss = |record: Option<&CrashRecord>, loss| {
+        detector.after_loss(record, &fingerprint, false, loss, 1_000)
+    };
+    let verdict_at = |record: &CrashRecord, now_ms| {
+        let records = FakeCrashRecords::default();
+        records.publish(record.clone());
+        detector.verdict(&request, &records, now_ms)
+    };
+    let verdict = |record: &CrashRecord| verdict_at(record, 1_050);
     let first = record_loss(None, "a@1");
     assert_eq!(verdict(&first), CrashVerdict::Suspect);
     assert_eq!(verdict(&first.union(&record_loss(None, "a@1"))), CrashVerdict::Suspect);
     let second = first.union(&record_loss(None, "a@2"));
-    assert_eq!(verdict(&second), CrashVerdict::Convicted { expires_unix_ms: 1_100 });
-    assert_eq!(CrashDetector::verdict(Some(&second), 1_100), CrashVerdict::Clear);
-    let cleared = CrashDetector::after_finish(Some(&first)).unwrap();
+    let convicted = CrashVerdict::Convicted { expires_unix_ms: 1_100, losses: 2, fingerprint };
+    assert_eq!(verdict(&second), convicted);
+    assert_eq!(verdict_at(&second, 1_100), CrashVerdict::Clear);
+    let cleared = CrashDetector::after_run(Some(&first)).unwrap();
     assert_eq!(verdict(&cleared.union(&first)), CrashVerdict::Clear);
     assert_eq!(verdict(&record_loss(Some(&cleared), "b@1")), CrashVerdict::Suspect);
 }
--- a/tests/batch_worker.rs
+++ b/tests/batch_worker.rs
@@ -2,6 +2,7 @@
 //! their streams are read more slowly than they are produced or because they do not yield to online
 //! requests.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -71,6 +72,10 @@
         }))
     }
 
+    async fn is_reachable(&self, _address: SocketAddr) -> bool {
+        true
+    }
+
     fn retain_upstreams(&self, _is_known: &dyn Fn(&str) -> bool) {}
 }
 
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -3,6 +3,7 @@
 //! a network.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -11,8 +12,8 @@
 use bytes::Bytes;
 use damaskhoist::directory::{Phase, UpstreamRecord};
 use damaskhoist::gateway::{
-    AnswerSink, BodyChunk, CallTarget, ForwardOutcome, Forwarder, GatewayFleet, Prompt, Refusal,
-    RefusalKind, SendError, StreamConnector, StreamRequest, UpstreamAnswer, UpstreamHead,
+    AnswerSink, BodyChunk, CallTarget, CrashGuard, ForwardOutcome, Forwarder, GatewayFleet, Prompt,
+    Refusal, RefusalKind, SendError, StreamConnector, StreamRequest, UpstreamAnswer, UpstreamHead,
 };
 use damaskhoist::http::{Headers, HttpError};
 use damaskhoist::schema::routes::{Route, RouteKind, ServiceShare};
@@ -67,6 +68,10 @@
         }
     }
 
+    async fn is_reachable(&self, _address: SocketAddr) -> bool {
+        true
+    }
+
     fn retain_upstreams(&self, _is_known: &dyn Fn(&str) -> bool) {}
 }
 
@@ -147,7 +152,9 @@
     let connector =
         Arc::new(ScriptedConnector { scripts: Mutex::new(scripts.into()), ..Default::default() });
     let counters = Counters::open("test", None);
-    let forwarder = Forwarder::open("santander", "cantabria", fleet, connector.clone(), counters);
+    let crashes = Arc::new(CrashGuard::open("entry-1"));
+    let forwarder =
+        Forwarder::open("santander", "cantabria", fleet, connector.clone(), crashes, counters);
     let request = StreamRequest {
         request_id: "r1".into(),
         host: "shop.example".into(),
--- a/tests/membership_merge.rs
+++ b/tests/membership_merge.rs
@@ -6,9 +6,10 @@
 
 use std::sync::Arc;
 
+use damaskhoist::admission::CrashRecord;
 use damaskhoist::membership::{
-    Body, CrashRecord, GossipMessage, GossipTable, HostRecord, MembershipOptions, Outgoing, Record,
-    RecordStore, Status, UpstreamRecord, Version,
+    Body, GossipMessage, GossipTable, HostRecord, MembershipOptions, Outgoing, Record, RecordStore,
+    Status, UpstreamRecord, Version,
 };
 use damaskhoist::schema::peer::Gossip;
 use proptest::collection::vec;
@@ -24,7 +25,7 @@
 fn crash() -> impl Strategy<Value = Record> {
     let ids = || prop::collection::btree_set("[ab]", 0..3);
     (0..2u8, 0..4u32, ids(), ids(), any::<bool>(), 1..4u64).prop_map(
-        |(fingerprint, losses, upstream_ids, cleared_ids, convicted, expires_ms)| {
+        |(fingerprint, losses, upstream_ids, cleared_ids, is_part, expires_ms)| {
             let fingerprint = vec![fingerprint];
             let expires_unix_ms = NOW_MS + expires_ms * 1_000;
             Record::crash(CrashRecord {
@@ -32,7 +33,7 @@
                 losses,
                 upstream_ids,
                 cleared_ids,
-                convicted,
+                is_part,
                 expires_unix_ms,
             })
         },
