Keep to the requests per second that an upstream names, over all hosts

Callers saw little, the upstream's word was ignored.

Cause: a limit of a shared resource that no one owned. The header was forwarded and not read. The log shows online requests from seven hosts and batch items from four, none of them a resend: no host alone was above the limit.

Each host counts its online sends, retries and resumed streams before it sends them; the leader adds up the reports of all hosts and the batch items that it assigns, and tells each host of the others with the sync calls. The newest word of an upstream holds everywhere. A host without word of the leader for 0.6 s keeps to an even share. Upstreams without a limit come first for online requests, and batch leaves them half of a burst. A request that no limit has room for is refused at once.

UpstreamHead has a new field, which the scripted connectors of two tests now fill.

--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -192,6 +192,7 @@
         answer.uses = update.uses;
         answer.uses_complete = update.complete;
         answer.uses_revision = update.revision;
+        (answer.rates, answer.rates_epoch) = scheduler.rates_of_others(&entry.host_id, now);
         answer
     }
 
--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -5,12 +5,12 @@
 
 use crate::coordinator::online_load::OnlineLoad;
 use crate::coordinator::running_items::{AssignedItem, Progress, RunningItems};
-use crate::coordinator::{ItemEnd, SchedulerInput, UpstreamShare, UpstreamUseUpdate};
+use crate::coordinator::{ItemEnd, RateShares, SchedulerInput, UpstreamShare, UpstreamUseUpdate};
 use crate::directory::{Phase, UpstreamRecord};
 use crate::ledger::Job;
 use crate::schema::peer::{
     EntryHost, EntrySync, ItemAssignment, ItemReturn, ItemStop, ReturnItem, RunningItem,
-    SlotPressure, StopReason, UpstreamUse,
+    SlotPressure, StopReason, UpstreamRate, UpstreamUse,
 };
 
 /// Time without a report after which an entry host expires and its items are requeued. The host
@@ -55,6 +55,8 @@
     tracked_items: HashMap<ItemKey, u64>,
     running: RunningItems,
     load: OnlineLoad,
+    /// Limits that upstreams name; `None` on a follower.
+    rates: Option<RateShares>,
     /// Upstreams whose online load has grown, or where adopted items run, since the last
     /// [`Scheduler::yield_slots`].
     contended_upstreams: HashSet<String>,
@@ -84,8 +86,12 @@
         if leads == self.leader_since.is_some() {
             return false;
         }
-        *self =
-            Self { leader_since: leads.then_some(now), last_issued_id: base_id, ..Self::default() };
+        *self = Self {
+            leader_since: leads.then_some(now),
+            last_issued_id: base_id,
+            rates: leads.then(|| RateShares::open(now)),
+            ..Self::default()
+        };
         leads
     }
 
@@ -137,6 +143,9 @@
     pub fn apply_report(&mut self, host: &EntryHost, sync: &EntrySync, now: Instant) {
         self.load.record_report(host, now);
         self.contended_upstreams.extend(self.load.replace_uses(&host.host_id, &sync.uses));
+        if let Some(rates) = &mut self.rates {
+            rates.apply_report(&host.host_id, &sync.rates, now);
+        }
         let reported: HashSet<u64> = sync.running.iter().map(|item| item.assignment_id).collect();
         // An entry host has one sync call in flight at a time, so an answer whose assignment is
         // missing from this report will never arrive.
@@ -425,6 +434,18 @@
         UpstreamUseUpdate { uses, complete, revision }
     }
 
+    /// Limits that upstreams name and the requests of all others there, as told to an entry host, and
+    /// the epoch of the counts.
+    pub fn rates_of_others(&mut self, host_id: &str, now: Instant) -> (Vec<UpstreamRate>, u64) {
+        let Some(rates) = &mut self.rates else { return Default::default() };
+        (rates.for_host(host_id, now), rates.epoch())
+    }
+
+    /// True if the limit that an upstream names leaves room for a batch item.
+    fn has_rate_room(&self, upstream_id: &str, now: Instant) -> bool {
+        self.rates.as_ref().is_some_and(|rates| rates.has_batch_room(upstream_id, now))
+    }
+
     /// True if there are pending items.
     pub fn has_pending_items(&self) -> bool {
         !self.pending.is_empty()
@@ -455,7 +476,9 @@
             }
             let services = (input.services)(&self.pending[&position].job);
             let candidates = nearby.iter_mut().filter(|(record, share)| {
-                share.free_batch_slots() > 0 && services.contains(&record.service)
+                share.free_batch_slots() > 0
+                    && services.contains(&record.service)
+                    && self.has_rate_room(&record.upstream_id, input.now)
             });
             let Some((record, share)) =
                 candidates.max_by_key(|(_, share)| share.free_batch_slots())
@@ -510,6 +533,9 @@
         let PendingItem { job, progress, .. } =
             self.pending.remove(&position).expect("only pending items are started");
         let (_, job_id, item) = position;
+        if let Some(rates) = &mut self.rates {
+            rates.record_batch_item(&upstream_id, now);
+        }
         self.last_issued_id += 1;
         let assignment_id = self.last_issued_id;
         self.tracked_items.insert((job_id.clone(), item), assignment_id);
--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -238,6 +238,7 @@
                 return Err(RunError::Returned(ItemReturn::Interrupted));
             }
         };
+        upstream.record_rate_limit(answer.head().rate_limit);
         match answer.head().status {
             200..=299 => {}
             UNPROCESSABLE_STATUS => return Err(RunError::Unprocessable),
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -14,6 +14,9 @@
 const REGION_COST: f32 = 0.18;
 /// Cost reduction for the upstream that probably has the shared prefix in its cache: less than one slot.
 const PREFIX_BONUS: f32 = 0.08;
+/// Cost of an upstream that names a limit of requests per second: what it still takes is kept for bursts
+/// and for batch items while others have free slots.
+const RATE_LIMIT_COST: f32 = 0.9;
 /// Upper bound of the random cost, so that hosts with the same view do not all choose the same upstream.
 const JITTER: f32 = 0.06;
 
@@ -42,7 +45,7 @@
 }
 
 /// Chooses the upstream with the lowest cost; `None` if every upstream of the service is full, was
-/// already tried or accepts no new requests.
+/// already tried, has used up its named limit or accepts no new requests.
 ///
 /// Paused upstreams are considered only if all other candidates are paused as well.
 pub fn choose_upstream(
@@ -54,6 +57,7 @@
         upstream.accepts_work
             && upstream.service == service
             && !input.tried.contains(&upstream.upstream_id)
+            && upstream.has_rate_room()
     };
     let is_paused = |upstream: &&Arc<Upstream>| upstream.is_paused(input.now_ms);
     let all_paused =
@@ -104,7 +108,8 @@
         input.prefix.is_some_and(|prefix| rendezvous_hash(prefix, &upstream.upstream_id) == hash)
     });
     let bonus = if is_preferred { PREFIX_BONUS } else { 0.0 };
-    load + distance - bonus + rand::random::<f32>() * JITTER
+    let limit = if upstream.has_rate_limit() { RATE_LIMIT_COST } else { 0.0 };
+    load + distance + limit - bonus + rand::random::<f32>() * JITTER
 }
 
 /// Picks a service of the route at random, by weight; `None` if no service has a weight.
--- a/src/gateway/connector.rs
+++ b/src/gateway/connector.rs
@@ -26,7 +26,7 @@
 }
 
 /// Status and header fields of an upstream's answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamHead {
     /// Status code.
     pub status: u16,
@@ -34,6 +34,8 @@
     pub headers: Headers,
     /// Whether the body is a stream of events.
     pub is_event_stream: bool,
+    /// Requests per second that the upstream takes from all hosts together, if it names a limit.
+    pub rate_limit: Option<f64>,
 }
 
 /// A chunk of an answer's body; `None` at its end.
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -95,6 +95,7 @@
             ready: self.is_ready(),
         });
         sync.uses = self.local_uses();
+        sync.rates = self.fleet.rate_reports();
         sync.uses_revision = self.uses_revision.load(Ordering::Acquire);
         if let Some(worker) = self.worker.get() {
             sync.running = worker.running();
@@ -107,6 +108,7 @@
         worker.record_leader_contact();
         self.fleet.set_remote_use(&answer.uses, answer.uses_complete);
         self.uses_revision.store(answer.uses_revision, Ordering::Release);
+        self.fleet.apply_rates(&answer.rates, answer.rates_epoch);
         worker.stop(&answer.stops);
         if !self.draining.load(Ordering::Acquire) {
             worker.start(&answer.assignments);
@@ -355,7 +357,8 @@
             }
         }
         let ready = view.entries.iter().filter(|entry| entry.ready);
-        let ready = ready.map(|entry| entry.host_id.clone()).collect();
+        let ready: Vec<String> = ready.map(|entry| entry.host_id.clone()).collect();
+        fleet.set_entry_hosts(ready.len());
         gateway.sync_state.crashes.set_entry_hosts(ready);
         if !Arc::ptr_eq(&upstreams, &view.upstreams) {
             upstreams = view.upstreams.clone();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,13 +1,18 @@
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
 
 use crate::directory::UpstreamRecord;
+use crate::gateway::upstream::monotonic_ms;
 use crate::gateway::Upstream;
-use crate::schema::peer::UpstreamUse;
+use crate::schema::peer::{UpstreamRate, UpstreamUse};
 use crate::signal::Signal;
 
+/// Time without word of the leader after which a host keeps to its own share of each named limit:
+/// above the interval of the leader's answers in the largest fleet.
+const LEADER_SILENCE_MS: u64 = 600;
+
 /// The known upstreams, replaced as a whole with each change.
 #[derive(Debug, Default)]
 pub struct GatewayFleet {
@@ -15,6 +20,10 @@
     /// An online request was sent to a full upstream that runs batch items.
     contended: AtomicBool,
     contention_signal: Signal,
+    /// When the leader last told the requests of the others; 0 if it never did.
+    leader_heard_ms: AtomicU64,
+    /// Number of ready entry hosts, this one included.
+    entry_hosts: AtomicU32,
 }
 
 impl GatewayFleet {
@@ -68,6 +77,36 @@
         }
     }
 
+    /// Sets the number of ready entry hosts.
+    pub fn set_entry_hosts(&self, count: usize) {
+        self.entry_hosts.store(count as u32, Ordering::Relaxed);
+    }
+
+    /// Among how many hosts a named limit is shared evenly: 1 while the leader tells this host of the
+    /// requests of the others, so that each takes what is left.
+    pub fn rate_share(&self) -> u32 {
+        let heard_ms = self.leader_heard_ms.load(Ordering::Relaxed);
+        if heard_ms > 0 && monotonic_ms().saturating_sub(heard_ms) < LEADER_SILENCE_MS {
+            return 1;
+        }
+        self.entry_hosts.load(Ordering::Relaxed).max(1)
+    }
+
+    /// Limits and requests of this host at the upstreams that named a limit lately.
+    pub fn rate_reports(&self) -> Vec<UpstreamRate> {
+        self.upstreams.load().iter().filter_map(|upstream| upstream.rate_report()).collect()
+    }
+
+    /// Applies what the leader tells of named limits and of the requests of all others.
+    pub fn apply_rates(&self, rates: &[UpstreamRate], epoch: u64) {
+        for rate in rates {
+            if let Some(upstream) = self.get(&rate.upstream_id) {
+                upstream.apply_rate(rate, epoch);
+            }
+        }
+        self.leader_heard_ms.store(monotonic_ms().max(1), Ordering::Relaxed);
+    }
+
     /// Replaces the upstreams; those that stay in the same incarnation keep their request counts.
     pub fn replace(&self, records: &[UpstreamRecord]) {
         let before = self.upstreams.load();
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -163,7 +163,7 @@
             self.counters.count("request_convicted");
             return Ok(NextStep::GiveUp(refusal.unless_run(progress.runs)));
         }
-        let Some(upstream) = self.choose_upstream(route, request, progress) else {
+        let Some(upstream) = self.claim_upstream(route, request, progress) else {
             return Ok(NextStep::GiveUp(self.no_upstream_refusal(route, progress)));
         };
         progress.sends += 1;
@@ -197,6 +197,7 @@
             Ok(answer) => {
                 progress.runs += 1;
                 progress.stage = AnswerStage::Begun;
+                upstream.record_rate_limit(answer.head().rate_limit);
                 self.relay_answer(route, request, deadline, answer, &upstream, progress, sink)
                     .await?
             }
@@ -235,6 +236,24 @@
         self.crashes.record_run(request);
     }
 
+    /// Chooses an upstream and counts the request against its named limit. Other requests may use up
+    /// the limit between the two; another upstream is chosen then.
+    fn claim_upstream(
+        &self,
+        route: &Route,
+        request: &StreamRequest,
+        progress: &Progress,
+    ) -> Option<Arc<Upstream>> {
+        let rate_share = self.fleet.rate_share();
+        for _ in 0..MAX_SENDS {
+            let upstream = self.choose_upstream(route, request, progress)?;
+            if upstream.try_send(rate_share) {
+                return Some(upstream);
+            }
+        }
+        None
+    }
+
     fn choose_upstream(
         &self,
         route: &Route,
@@ -263,10 +282,18 @@
         let serves = |upstream: &Upstream| {
             route.shares.iter().any(|share| share.service == upstream.service)
         };
-        match upstreams.iter().any(|upstream| upstream.accepts_work && serves(upstream)) {
-            true => Refusal::not_run("no upstream can accept the request now", RETRY_AFTER),
-            false => Refusal::not_run("no upstream of the route is known", RETRY_AFTER_STARTUP),
+        let mut usable = upstreams
+            .iter()
+            .filter(|upstream| upstream.accepts_work && serves(upstream))
+            .peekable();
+        if usable.peek().is_none() {
+            return Refusal::not_run("no upstream of the route is known", RETRY_AFTER_STARTUP);
+        }
+        let room = usable.map(|upstream| upstream.time_to_rate_room()).min().unwrap_or_default();
+        if room.is_zero() {
+            return Refusal::not_run("no upstream can accept the request now", RETRY_AFTER);
         }
+        Refusal::not_run("the limits that the upstreams name are used up", RETRY_AFTER.max(room))
     }
 
     /// Decides whether to retry after a send that brought no answer.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod route_index;
 mod stream_request;
 mod upstream;
+mod upstream_rate;
 
 pub use answer_sink::AnswerSink;
 pub use batch_worker::BatchWorker;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -4,6 +4,8 @@
 use std::time::{Duration, Instant};
 
 use crate::directory::{Phase, UpstreamRecord};
+use crate::gateway::upstream_rate::UpstreamRate;
+use crate::schema::peer::UpstreamRate as WireRate;
 
 /// Pause after the first failure of an upstream; doubled with each further failure in a row.
 const INITIAL_PAUSE: Duration = Duration::from_millis(250);
@@ -43,6 +45,7 @@
     failures: AtomicU32,
     /// End of the pause, on the clock of [`monotonic_ms`].
     paused_until_ms: AtomicU64,
+    rate: UpstreamRate,
 }
 
 impl Upstream {
@@ -112,6 +115,45 @@
         InFlightGuard { load: self.load.clone(), is_batch: true }
     }
 
+    /// Applies the limit of requests per second in an answer, or the lack of one.
+    pub fn record_rate_limit(&self, per_second: Option<f64>) {
+        if self.load.rate.set_named(per_second, monotonic_ms()) {
+            log::info!(event = "rate_limit_named", upstream = self.upstream_id.as_str(),
+                per_second = per_second.unwrap_or(0.0); "the upstream changed its limit");
+        }
+    }
+
+    /// Counts a request if the upstream's limit has room for it. A host that does not hear of the
+    /// requests of others takes its share of the limit, one in `rate_share`.
+    pub fn try_send(&self, rate_share: u32) -> bool {
+        self.load.rate.try_send(rate_share)
+    }
+
+    /// True while the upstream names a limit.
+    pub fn has_rate_limit(&self) -> bool {
+        self.load.rate.is_limited()
+    }
+
+    /// True if the upstream's limit has room for a request.
+    pub fn has_rate_room(&self) -> bool {
+        self.load.rate.has_room()
+    }
+
+    /// Time until the upstream's limit has room.
+    pub fn time_to_rate_room(&self) -> Duration {
+        self.load.rate.time_to_room()
+    }
+
+    /// The limit and the requests of this host, for the leader; `None` without a limit.
+    pub fn rate_report(&self) -> Option<WireRate> {
+        self.load.rate.report(&self.upstream_id)
+    }
+
+    /// Applies what the leader tells of the limit and of the requests of all others.
+    pub fn apply_rate(&self, others: &WireRate, epoch: u64) {
+        self.load.rate.apply(others, epoch);
+    }
+
     /// True while the upstream is paused after a failure and should get no requests.
     pub fn is_paused(&self, now_ms: u64) -> bool {
         self.load.paused_until_ms.load(Ordering::Relaxed) > now_ms
@@ -150,7 +192,12 @@
 
 /// Milliseconds since the first call in this process, on the monotonic clock that pauses use.
 pub fn monotonic_ms() -> u64 {
+    monotonic_us() / 1_000
+}
+
+/// The same clock in microseconds.
+pub(super) fn monotonic_us() -> u64 {
     use std::sync::OnceLock;
     static ORIGIN: OnceLock<Instant> = OnceLock::new();
-    ORIGIN.get_or_init(Instant::now).elapsed().as_millis() as u64
+    ORIGIN.get_or_init(Instant::now).elapsed().as_micros() as u64
 }
--- a/tests/batch_worker.rs
+++ b/tests/batch_worker.rs
@@ -63,7 +63,12 @@
         _target: CallTarget<'_>,
         _request: &StreamRequest,
     ) -> Result<Box<dyn UpstreamAnswer>, SendError> {
-        let head = UpstreamHead { status: 200, headers: Headers::default(), is_event_stream: true };
+        let head = UpstreamHead {
+            status: 200,
+            headers: Headers::default(),
+            is_event_stream: true,
+            rate_limit: None,
+        };
         Ok(Box::new(ScriptedAnswer {
             head,
             sent: 0,
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -62,7 +62,8 @@
             Script::Fails(error) => Err(error),
             Script::Answers { status, events, chunks } => {
                 let headers = Headers::default();
-                let head = UpstreamHead { status, headers, is_event_stream: events };
+                let head =
+                    UpstreamHead { status, headers, is_event_stream: events, rate_limit: None };
                 Ok(Box::new(ScriptedAnswer { head, chunks: chunks.into() }))
             }
         }
