Keep batch items owed when upstreams crash under them

A job's owner got an item as failed with crashes_upstreams after two engines had died under it by chance, though room was free later. The daemon judged items like callers' requests, and counted lost upstreams as attempts of the item.

Cause: crash records did not tell who owns a request. A verdict protects others from a caller who sends again; an item comes back from our own queue and is owed.

Fix: items are never convicted. The routed fleet never counted crashes; a test shows it.

--- a/src/admission/crash_watch.rs
+++ b/src/admission/crash_watch.rs
@@ -1,6 +1,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::admission::{
     CrashDetector, CrashRecord, CrashRecords, CrashVerdict, Fingerprint, RecentRuns,
@@ -14,6 +14,10 @@
 /// the loss, so that parts that many requests share are cleared at once.
 const RECENT_RUN_MS: u32 = 1_000;
 
+/// Pause of a batch item after the first loss under it, and the longest one.
+const ITEM_RETRY_DELAY: Duration = Duration::from_secs(1);
+const MAX_ITEM_RETRY_DELAY: Duration = Duration::from_secs(30);
+
 /// Applies the [`CrashDetector`] to the requests of this host, using crash records that all hosts
 /// share.
 pub struct CrashWatch {
@@ -55,6 +59,20 @@
         self.detector().verdict(request, &*self.records, unix_ms())
     }
 
+    /// Time until a batch item may run again after the losses recorded under it. Doubles with each
+    /// loss; zero without one.
+    pub fn retry_delay(&self, request: &RequestFingerprints) -> Duration {
+        let Some(record) = self.records.find(&request.request) else { return Duration::ZERO };
+        let Some(doublings) = record.uncleared_losses().checked_sub(1) else {
+            return Duration::ZERO;
+        };
+        let delay =
+            (ITEM_RETRY_DELAY * 2_u32.saturating_pow(doublings as u32)).min(MAX_ITEM_RETRY_DELAY);
+        let verdict_ms = self.verdict_ms.load(Ordering::Relaxed);
+        let lost_at_ms = record.expires_unix_ms.saturating_sub(verdict_ms);
+        delay.saturating_sub(Duration::from_millis(unix_ms().saturating_sub(lost_at_ms)))
+    }
+
     /// Records that a request was in flight at an upstream that crashed, and returns the new
     /// verdict.
     pub fn record_loss(
--- a/src/admission/refusal.rs
+++ b/src/admission/refusal.rs
@@ -65,6 +65,8 @@
     VersionConflict,
     /// The upstream failed the request.
     UpstreamFailed,
+    /// The upstream ended or fell silent while it ran the request.
+    UpstreamLost,
     /// The request crashes the upstreams that run it.
     CrashesUpstreams,
     /// The host is draining before it stops.
@@ -95,7 +97,7 @@
             Self::ControlUnavailable => "control_unavailable",
             Self::StorageFull => "storage_full",
             Self::VersionConflict => "version_conflict",
-            Self::UpstreamFailed => "upstream_failed",
+            Self::UpstreamFailed | Self::UpstreamLost => "upstream_failed",
             Self::CrashesUpstreams => "crashes_upstreams",
             Self::Draining => "draining",
             Self::AlreadyFinished => "already_finished",
@@ -113,6 +115,7 @@
                 | Self::ControlUnavailable
                 | Self::StorageFull
                 | Self::UpstreamFailed
+                | Self::UpstreamLost
                 | Self::Draining
         )
     }
--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -31,6 +31,9 @@
 /// items of 300 ms end at about the rate at which a commit of 10 ms in the other region replaces
 /// them.
 const PREFETCH_DIVISOR: u32 = 8;
+/// Pause before an item whose upstream was lost is returned to its job, so that it is not leased again
+/// in a fast loop.
+const LOST_UPSTREAM_PAUSE: Duration = Duration::from_millis(300);
 /// Maximum number of items in one command.
 const MAX_COMMAND_ITEMS: usize = 128;
 
@@ -254,6 +257,9 @@
     match result {
         Some(Ok((status, body))) => shared.report(item, ItemEnd::Succeeded, status.into(), body),
         Some(Err(refusal)) if item_end(&refusal) == ItemEnd::Yielded => {
+            if refusal.kind == RefusalKind::UpstreamLost {
+                task::sleep(LOST_UPSTREAM_PAUSE).await;
+            }
             shared.yield_item(item, &answer)
         }
         Some(Err(refusal)) => {
@@ -267,8 +273,9 @@
 /// was run.
 fn item_end(refusal: &Refusal) -> ItemEnd {
     match (refusal.kind, refusal.outcome) {
-        (RefusalKind::InvalidRequest | RefusalKind::CrashesUpstreams, _) => ItemEnd::Failed,
-        (_, RunOutcome::NotRun) => ItemEnd::Yielded,
+        (RefusalKind::InvalidRequest, _) => ItemEnd::Failed,
+        // No answer of an upstream speaks against the item, whatever ended there.
+        (RefusalKind::UpstreamLost, _) | (_, RunOutcome::NotRun) => ItemEnd::Yielded,
         _ => ItemEnd::AttemptFailed,
     }
 }
--- a/src/entry/refusal_response.rs
+++ b/src/entry/refusal_response.rs
@@ -63,7 +63,7 @@
         RefusalKind::BodyTooLarge => 413,
         RefusalKind::CrashesUpstreams => 422,
         RefusalKind::LimitReached => 429,
-        RefusalKind::UpstreamFailed => 502,
+        RefusalKind::UpstreamFailed | RefusalKind::UpstreamLost => 502,
         RefusalKind::Overloaded
         | RefusalKind::ConfigurationStale
         | RefusalKind::ControlUnavailable
--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -160,6 +160,9 @@
             _ if !self.repeatable && outcome != RunOutcome::NotRun => {
                 (RefusalKind::OutcomeUnknown, format!("the request may have run: {reason}"))
             }
+            FailureCause::Lost | FailureCause::Silent => {
+                (RefusalKind::UpstreamLost, reason.clone())
+            }
             _ => (RefusalKind::UpstreamFailed, reason.clone()),
         };
         Refusal::not_run(kind, message).with_outcome(outcome)
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -144,11 +144,12 @@
 
     /// Records a failed attempt. Ejects the upstream if it fails often, and makes the request a
     /// crash suspect if the upstream crashed with the request in flight. Returns a refusal when the
-    /// request is thereby convicted of crashing upstreams.
+    /// request is thereby convicted of crashing upstreams; batch items never are.
     pub(super) async fn record_failure(
         &self,
         upstream: &Arc<Upstream>,
         fingerprints: &RequestFingerprints,
+        class: WorkClass,
         deadline: Instant,
         failure: &AttemptFailure,
     ) -> Result<(), Refusal> {
@@ -170,6 +171,9 @@
             upstream.incarnation,
         );
         let CrashVerdict::Convicted { expires_unix_ms, .. } = verdict else { return Ok(()) };
+        if class == WorkClass::Batch {
+            return Ok(());
+        }
         shared.counters.count("crash.convicted");
         // If the caller sends the request again, every host must already know the verdict.
         task::sleep(VERDICT_GOSSIP_TIME.min(time_left(deadline))).await;
--- a/src/serving/plain_call.rs
+++ b/src/serving/plain_call.rs
@@ -109,7 +109,7 @@
                 time_left: time_left(call.deadline),
             };
             progress = policy.outcome(&failure);
-            self.record_failure(&upstream, call.fingerprints, call.deadline, &failure)
+            self.record_failure(&upstream, call.fingerprints, call.class, call.deadline, &failure)
                 .await
                 .map_err(|refusal| refusal.with_outcome_at_least(progress))?;
             // Keep the trial until the crash check above is done, so that no other request starts
--- a/src/serving/running_answer.rs
+++ b/src/serving/running_answer.rs
@@ -3,7 +3,7 @@
 use async_std::task;
 
 use crate::admission::{Refusal, RefusalKind, RequestFingerprints, RunOutcome};
-use crate::routing::SlotPermit;
+use crate::routing::{SlotPermit, WorkClass};
 use crate::serving::dispatcher::time_left;
 use crate::serving::trials::TrialGuard;
 use crate::serving::{AttemptFailure, AttemptPolicy, Dispatcher, EngineRequest, NextStep};
@@ -260,13 +260,21 @@
             time_left: time_left(self.request.deadline),
         };
         self.progress = policy.outcome(&failure);
-        // An upstream that has begun the answer has read all parts without a crash.
-        let fingerprints = match has_token {
+        // An upstream that has begun the answer has read all parts without a crash, and items never
+        // crash upstreams by themselves.
+        let is_batch = self.request.class == WorkClass::Batch;
+        let fingerprints = match has_token || is_batch {
             true => RequestFingerprints::of_request(self.request.fingerprints.request),
             false => self.request.fingerprints.clone(),
         };
         self.dispatcher
-            .record_failure(&upstream, &fingerprints, self.request.deadline, &failure)
+            .record_failure(
+                &upstream,
+                &fingerprints,
+                self.request.class,
+                self.request.deadline,
+                &failure,
+            )
             .await
             .map_err(|refusal| refusal.with_outcome_at_least(self.progress))?;
         // Keep the trial until the crash check above is done, so that no other request starts on an
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -352,3 +352,26 @@
         assert!(job.has_ended(), "seed {seed}: unfinished items remain");
     }
 }
+
+/// Guards against an item that is never placed again after upstreams crashed under it.
+#[test]
+fn an_item_is_placed_again_after_any_number_of_crashes() {
+    let start = Instant::now();
+    let mut scheduler = leading_scheduler(start, &[job("j", 1)]);
+    let upstreams = [upstream("a"), upstream("b")];
+    let mut now = start + AFTER_START_DELAY;
+    for crash in 0..30 {
+        let assigned = assign(&mut scheduler, "e1", &upstreams, now);
+        assert_eq!(assigned.len(), 1, "not placed after {crash} crashes");
+        let returned = ReturnItem {
+            assignment_id: assigned[0].assignment_id,
+            job_id: "j".into(),
+            item: 0,
+            reason: ItemReturn::Interrupted.into(),
+            ..ReturnItem::default()
+        };
+        assert_eq!(scheduler.handle_return(&returned, &|_| 3, now), ItemEnd::Waits);
+        now += Duration::from_secs(5);
+        scheduler.apply_report(&entry_host("e1"), &sync_with(&[], 0), now);
+    }
+}
