Bound what an upstream sends without end in place of an answer

Cause: limits on time that can't fire. A timeout around a read never expires while the next bytes are always there, and three readers looped on such reads: interim heads, trailers, and the events of a stream. Events and the texts of items had no limit of size.

In the daemon, lines without an event are bounded and a cancelled stream lets its timeout run.

--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -28,7 +28,7 @@
 /// Interval at which the time since the last answer of the leader is checked.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time that an upstream may work on one item. Items have no deadline of their own; an upstream that
-/// works on one for so long is stuck.
+/// works on one for so long is stuck, also if it sends bytes without end.
 const ITEM_DEADLINE: Duration = Duration::from_secs(60);
 /// Time without data from an upstream after which an item is returned to the leader, to continue at
 /// another upstream. Longer than for online requests, since a preempted run has to be processed again
@@ -42,6 +42,9 @@
 /// Attempts to report the end of an item; if all fail, the leader assigns the item again.
 const REPORT_ATTEMPTS: u32 = 8;
 
+/// Largest text of an item; pages of results hold no more.
+const TEXT_LIMIT_BYTES: usize = 1 << 20;
+
 /// Status code of an item that no upstream can process.
 const UNPROCESSABLE_STATUS: u16 = 422;
 
@@ -176,10 +179,7 @@
         assignment: &ItemAssignment,
         stopped: oneshot::Receiver<StopReason>,
     ) -> RunEnd {
-        let mut progress = ItemProgress {
-            text: BytesMut::from(&assignment.text[..]),
-            last_event_id: assignment.last_event_id,
-        };
+        let mut progress = ItemProgress::of(assignment);
         let end = {
             let run = Box::pin(self.run_on_upstream(assignment, &mut progress));
             match select(run, stopped).await {
@@ -288,6 +288,11 @@
         }
         Err(RunError::Returned(ItemReturn::Interrupted))
     }
+            if splitter.is_over_limit() || progress.text.len() > TEXT_LIMIT_BYTES {
+                log_failed_attempt(assignment, "the answer is larger than the limit");
+                *progress = ItemProgress::of(assignment);
+                return Err(RunError::Returned(ItemReturn::Interrupted));
+            }
 
     /// Reports to the leader how an item ended; retries until the leader answers or the attempts are used
     /// up.
@@ -343,9 +348,15 @@
 }
 
 impl ItemProgress {
-    /// Appends the data of an event; returns false if its id does not follow the last one.
+    /// Progress at the start of a run.
+    fn of(assignment: &ItemAssignment) -> Self {
+        Self { text: BytesMut::from(&assignment.text[..]), last_event_id: assignment.last_event_id }
+    }
+
+    /// Appends the data of an event; returns false if it has no id or one that does not follow the
+    /// last one.
     fn append(&mut self, event: &crate::gateway::Event) -> bool {
-        let id = event.id.unwrap_or(self.last_event_id + 1);
+        let Some(id) = event.id else { return false };
         if self.last_event_id > 0 && id != self.last_event_id + 1 {
             return false;
         }
--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -3,6 +3,9 @@
 use crate::gateway::event::field;
 use crate::gateway::Event;
 
+/// Largest event. An upstream in trouble may send bytes without end that never complete one.
+const EVENT_LIMIT_BYTES: usize = 1 << 20;
+
 /// Splits the bytes of a stream into complete events. An upstream may fail in the middle of an event; the
 /// incomplete event must not reach the caller.
 #[derive(Debug, Default)]
@@ -26,6 +29,11 @@
         Some(Event { id: event_id(&bytes), bytes })
     }
 
+    /// True if the incomplete event in the buffer is above the limit.
+    pub fn is_over_limit(&self) -> bool {
+        self.buffer.len() > EVENT_LIMIT_BYTES
+    }
+
     /// True if the buffer holds no part of an event.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -371,6 +371,11 @@
         // possible if this one fails before its first event.
         loop {
             let remaining = deadline.saturating_duration_since(Instant::now());
+            if remaining.is_zero() {
+                // A stream whose next bytes are always there never lets the timeout below expire.
+                progress.last_error = "the time limit of the request has passed".to_owned();
+                return Ok(NextStep::GiveUp(timeout_refusal(progress)));
+            }
             let wait = if may_resume { remaining.min(STALL_LIMIT) } else { remaining };
             let chunk = match timeout(wait, answer.next_chunk()).await {
                 Ok(Ok(Some(chunk))) => chunk,
@@ -427,6 +432,10 @@
                 progress.head_sent = true;
                 let elapsed = request.arrived.elapsed();
                 progress.first_event = Some(elapsed);
+            if splitter.is_over_limit() {
+                progress.last_error = "an event of the stream is larger than the limit".to_owned();
+                return Ok(self.handle_broken_stream(request, upstream, progress, may_resume));
+            }
                 self.counters.time_us("first_event", elapsed.as_micros() as u64);
                 sink.start(&head).await?;
             }
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -5,10 +5,14 @@
 /// Maximum length of a chunk-size line or a trailer field.
 const LINE_LIMIT_BYTES: usize = 4 << 10;
 
+/// Maximum length of all trailer fields together.
+const TRAILERS_LIMIT_BYTES: usize = 64 << 10;
+
 /// Incrementally reads and decodes a message body from its connection.
 #[derive(Debug)]
 pub struct BodyReader {
     state: State,
+    trailer_bytes: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,7 +35,7 @@
             BodyFraming::Chunked => State::ChunkSize,
             BodyFraming::UntilClose => State::UntilClose,
         };
-        Self { state }
+        Self { state, trailer_bytes: 0 }
     }
 
     /// Whether the end of the body has been read.
@@ -43,8 +47,8 @@
     ///
     /// # Errors
     /// [`HttpError::Closed`] if the connection closes before the end of the body,
-    /// [`HttpError::Malformed`] if the chunked encoding is invalid, and [`HttpError::Io`] if
-    /// reading fails.
+    /// [`HttpError::Malformed`] if the chunked encoding is invalid, [`HttpError::TooLarge`] if the
+    /// trailers are above their limit, and [`HttpError::Io`] if reading fails.
     pub async fn next(&mut self, connection: &mut Connection) -> Result<Option<Bytes>, HttpError> {
         loop {
             if let Some(piece) = self.decode_buffered(&mut connection.buffer)? {
@@ -122,8 +126,11 @@
                 }
                 State::Trailers => {
                     let Some(line) = take_line(buffer)? else { return Ok(None) };
+                    self.trailer_bytes += line.len();
                     if line.is_empty() {
                         self.state = State::Ended;
+                    } else if self.trailer_bytes > TRAILERS_LIMIT_BYTES {
+                        return Err(HttpError::TooLarge);
                     }
                 }
             }
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -79,15 +79,20 @@
     /// Reads the head of the final response; skips interim (1xx) responses.
     ///
     /// # Errors
-    /// [`HttpError::TooLarge`] above `limit_bytes`, and [`HttpError::Closed`] if the connection
+    /// [`HttpError::TooLarge`] if all heads together are above `limit_bytes`, and [`HttpError::Closed`] if the connection
     /// closes before the end of the head.
     pub async fn read_response(&mut self, limit_bytes: usize) -> Result<ResponseHead, HttpError> {
+        let mut interim_bytes = 0;
         loop {
             if let Some((head, length)) = ResponseHead::parse(&self.buffer)? {
                 let _ = self.buffer.split_to(length);
                 if head.status >= 200 {
                     return Ok(head);
                 }
+                interim_bytes += length;
+                if interim_bytes > limit_bytes {
+                    return Err(HttpError::TooLarge);
+                }
                 continue;
             }
             if self.buffer.len() > limit_bytes {
--- a/src/upstream/engine_stream.rs
+++ b/src/upstream/engine_stream.rs
@@ -50,7 +50,10 @@
     /// Cancels the stream and waits until the engine has ended it.
     pub async fn cancel(mut self) {
         self.events.cancel();
-        while let Ok(Some(_)) = self.events.next().await {}
+        while let Ok(Some(_)) = self.events.next().await {
+            // An engine that sends on without a pause must not keep the caller's timeout from expiring.
+            task::yield_now().await;
+        }
     }
 
     /// Reads the rest of the body in a background task, so that the connection can be reused.
--- a/src/upstream/sse_reader.rs
+++ b/src/upstream/sse_reader.rs
@@ -26,7 +26,11 @@
 
     /// Returns the data of the next event, or `None` at the end of the body. Ignores a last line
     /// without a line break, because it may be truncated.
+    ///
+    /// # Errors
+    /// If reading fails, or an event and the lines before it are above the limit.
     pub async fn next(&mut self) -> io::Result<Option<&[u8]>> {
+        let mut skipped_bytes = 0;
         loop {
             self.line.clear();
             let mut bounded = (&mut self.body).take(EVENT_LIMIT_BYTES);
@@ -40,6 +44,10 @@
             if self.line.starts_with(b"data:") {
                 break;
             }
+            skipped_bytes += self.line.len() as u64;
+            if skipped_bytes > EVENT_LIMIT_BYTES {
+                return Err(io::Error::other("over 1 MiB without an event"));
+            }
         }
         Ok(Some(self.line["data:".len()..].trim_ascii()))
     }
