Take an unframed stream without an event for broken off

An answer without a length or chunks ends with its connection. A crash before the first event then looks like a whole empty answer: callers got 200 with nothing, an item would have finished with what it had, and the crash was blamed on nothing.

Cause: the end of a body and the end of a connection were not told apart above the HTTP reader. UpstreamHead now says whether the body has framing; an unframed stream with no event in this run has been broken off, also for batch items.

Test: an_unframed_stream_is_complete_only_with_an_event. It was not run on the code before: the field that it sets is new. The scripted connectors fill the field.

--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -251,7 +251,9 @@
             }
         }
         let mut splitter = EventSplitter::default();
-        loop {
+        let (has_framing, mut has_event) = (answer.head().has_framing, false);
+        let deadline = Instant::now() + ITEM_DEADLINE;
+        while Instant::now() < deadline {
             let next = match answer.next_chunk().now_or_never() {
                 Some(next) => Ok(next),
                 None => {
@@ -261,7 +263,7 @@
             };
             let chunk = match next {
                 Ok(Ok(Some(chunk))) => chunk,
-                Ok(Ok(None)) if splitter.is_empty() => return Ok(()),
+                Ok(Ok(None)) if splitter.is_empty() && (has_framing || has_event) => return Ok(()),
                 Ok(Ok(None)) => break,
                 Ok(Err(error)) => {
                     log_failed_attempt(assignment, &error.to_string());
@@ -277,6 +279,7 @@
             };
             splitter.push(&chunk);
             while let Some(event) = splitter.next_event() {
+                has_event = true;
                 if !progress.append(&event) {
                     log_failed_attempt(
                         assignment,
@@ -285,14 +288,14 @@
                     return Err(RunError::Returned(ItemReturn::Interrupted));
                 }
             }
-        }
-        Err(RunError::Returned(ItemReturn::Interrupted))
-    }
             if splitter.is_over_limit() || progress.text.len() > TEXT_LIMIT_BYTES {
                 log_failed_attempt(assignment, "the answer is larger than the limit");
                 *progress = ItemProgress::of(assignment);
                 return Err(RunError::Returned(ItemReturn::Interrupted));
             }
+        }
+        Err(RunError::Returned(ItemReturn::Interrupted))
+    }
 
     /// Reports to the leader how an item ended; retries until the leader answers or the attempts are used
     /// up.
--- a/src/gateway/connector.rs
+++ b/src/gateway/connector.rs
@@ -34,6 +34,9 @@
     pub headers: Headers,
     /// Whether the body is a stream of events.
     pub is_event_stream: bool,
+    /// Whether the body has a length or chunks. If not, it ends with the connection, as an upstream
+    /// that crashes before its first event also does.
+    pub has_framing: bool,
     /// Requests per second that the upstream takes from all hosts together, if it names a limit.
     pub rate_limit: Option<f64>,
 }
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -379,6 +379,14 @@
             let wait = if may_resume { remaining.min(STALL_LIMIT) } else { remaining };
             let chunk = match timeout(wait, answer.next_chunk()).await {
                 Ok(Ok(Some(chunk))) => chunk,
+                Ok(Ok(None))
+                    if is_event_stream
+                        && !head.has_framing
+                        && progress.stage != AnswerStage::HasBody =>
+                {
+                    progress.last_error = "the stream ended without an event".to_owned();
+                    return Ok(self.handle_broken_stream(request, upstream, progress, may_resume));
+                }
                 Ok(Ok(None)) if splitter.is_empty() => break,
                 Ok(Ok(None)) => {
                     progress.last_error = "the stream ended in the middle of an event".to_owned();
@@ -424,6 +432,10 @@
                 progress.last_event_id = event.id.or(progress.last_event_id);
                 events.extend_from_slice(&event.bytes);
             }
+            if splitter.is_over_limit() {
+                progress.last_error = "an event of the stream is larger than the limit".to_owned();
+                return Ok(self.handle_broken_stream(request, upstream, progress, may_resume));
+            }
             if events.is_empty() {
                 continue;
             }
@@ -432,10 +444,6 @@
                 progress.head_sent = true;
                 let elapsed = request.arrived.elapsed();
                 progress.first_event = Some(elapsed);
-            if splitter.is_over_limit() {
-                progress.last_error = "an event of the stream is larger than the limit".to_owned();
-                return Ok(self.handle_broken_stream(request, upstream, progress, may_resume));
-            }
                 self.counters.time_us("first_event", elapsed.as_micros() as u64);
                 sink.start(&head).await?;
             }
--- a/tests/batch_worker.rs
+++ b/tests/batch_worker.rs
@@ -67,6 +67,7 @@
             status: 200,
             headers: Headers::default(),
             is_event_stream: true,
+            has_framing: true,
             rate_limit: None,
         };
         Ok(Box::new(ScriptedAnswer {
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -22,7 +22,15 @@
 
 /// The scripted result of one send.
 enum Script {
-    Answers { status: u16, events: bool, chunks: Vec<Result<&'static str, SendError>> },
+    Answers {
+        status: u16,
+        events: bool,
+        chunks: Vec<Result<&'static str, SendError>>,
+    },
+    /// A stream without a length or chunks.
+    Unframed {
+        chunks: Vec<Result<&'static str, SendError>>,
+    },
     Fails(SendError),
 }
 
@@ -61,9 +69,10 @@
         match self.scripts.lock().unwrap().pop_front().expect("there is no script for this send") {
             Script::Fails(error) => Err(error),
             Script::Answers { status, events, chunks } => {
-                let headers = Headers::default();
-                let head =
-                    UpstreamHead { status, headers, is_event_stream: events, rate_limit: None };
+                Ok(Box::new(ScriptedAnswer { head: head(status, events), chunks: chunks.into() }))
+            }
+            Script::Unframed { chunks } => {
+                let head = UpstreamHead { has_framing: false, ..head(200, true) };
                 Ok(Box::new(ScriptedAnswer { head, chunks: chunks.into() }))
             }
         }
@@ -76,6 +85,11 @@
     fn retain_upstreams(&self, _is_known: &dyn Fn(&str) -> bool) {}
 }
 
+fn head(status: u16, is_event_stream: bool) -> UpstreamHead {
+    let headers = Headers::default();
+    UpstreamHead { status, headers, is_event_stream, has_framing: true, rate_limit: None }
+}
+
 /// A sink that records what the caller receives.
 #[derive(Default)]
 struct RecordingSink {
@@ -216,6 +230,21 @@
     assert_eq!(caller.body, "id: 1\ndata: a\n\n");
 }
 
+/// Guards against an upstream that crashes before its first event and whose answer, without a length or
+/// chunks, looks complete; and against a whole answer of that kind that is taken for broken.
+#[test]
+fn an_unframed_stream_is_complete_only_with_an_event() {
+    let crashed = || Script::Unframed { chunks: vec![] };
+    let (end, caller, _) = forward(&route(false), vec![crashed()]);
+    assert_eq!((end, caller.status), (ForwardOutcome::Refused, 0));
+    assert_eq!(caller.refusal.map(|refusal| refusal.kind), Some(RefusalKind::MayHaveRun));
+    let whole = || Script::Unframed { chunks: vec![Ok("id: 1\ndata: a\n\n")] };
+    let (end, caller, _) = forward(&route(true), vec![crashed(), whole()]);
+    assert_eq!((end, caller.body.as_str()), (ForwardOutcome::Answered, "id: 1\ndata: a\n\n"));
+    let (end, caller, _) = forward(&route(false), vec![whole()]);
+    assert_eq!((end, caller.finished), (ForwardOutcome::Answered, true));
+}
+
 /// Guards against a stream that ends in the middle of an event and is reported as complete.
 #[test]
 fn a_stream_that_ends_in_the_middle_of_an_event_is_cut() {
