--- a/src/coordinator/rate_shares.rs
+++ b/src/coordinator/rate_shares.rs
@@ -36,8 +36,15 @@
 struct HostCount {
     reported: Option<u64>,
     counted: u64,
-    /// Count and time of the limit that this host was last told, and when.
-    told: Option<(u64, Instant, Instant)>,
+    told: Option<Told>,
+}
+
+/// What a host was last told of an upstream.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    others_sent: u64,
+    named_at: Instant,
+    told_at: Instant,
 }
 
 impl RateShares {
@@ -89,19 +96,20 @@
         let mut rates = Vec::new();
         for (upstream_id, shared) in &mut self.upstreams {
             let host = shared.by_host.entry(host_id.to_owned()).or_default();
-            let others = shared.total - host.counted;
-            let is_told = host.told.is_some_and(|(count, named_at, at)| {
-                (count, named_at) == (others, shared.named_at) && now - at < REPEAT_INTERVAL
+            let (others_sent, named_at) = (shared.total - host.counted, shared.named_at);
+            let is_told = host.told.is_some_and(|told| {
+                (told.others_sent, told.named_at) == (others_sent, named_at)
+                    && now - told.told_at < REPEAT_INTERVAL
             });
             if is_told {
                 continue;
             }
-            host.told = Some((others, shared.named_at, now));
+            host.told = Some(Told { others_sent, named_at, told_at: now });
             rates.push(UpstreamRate {
                 upstream_id: upstream_id.clone(),
                 limit_millis: shared.limit_millis,
-                age_ms: (now - shared.named_at).as_millis() as u64,
-                sent: others,
+                age_ms: (now - named_at).as_millis() as u64,
+                sent: others_sent,
             });
         }
         rates
