--- a/src/admission/rate_limit.rs
+++ b/src/admission/rate_limit.rs
@@ -1,8 +1,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-/// Time for which an unused rate adds up, so that a pause is followed by a burst of this length.
-const BURST_TIME_US: u64 = 1_500_000;
+/// Time for which an unused rate adds up, so that a pause is followed by a burst of this length. Short,
+/// because many hosts may begin a burst before they hear of each other.
+const BURST_TIME_US: u64 = 500_000;
 /// Longest time for which requests beyond the limit delay later ones.
 const MAX_DEBT_US: u64 = 4_000_000;
 
