Read on after an early answer before the connection is closed

Cause: a host that answers before it has read the whole body closed the connection with unread input.

--- a/src/entry/http_server.rs
+++ b/src/entry/http_server.rs
@@ -15,6 +15,7 @@
 use crate::entry::caller_stream::{CallerStream, HeadLimits, StreamState};
 use crate::entry::refusal_response::refusal_bytes;
 use crate::settings::LimitSettings;
+use crate::sockets::close_after_response;
 use crate::telemetry::Counters;
 
 /// Size limit of a request head in the HTTP library.
@@ -129,6 +130,10 @@
         match select(request, disconnected).await {
             Either::Left((Ok(ConnectionStatus::KeepAlive), _))
                 if !state.discards_remaining_input() => {}
+            Either::Left((Ok(_), _)) if state.discards_remaining_input() => {
+                close_after_response(stream.clone()).await;
+                return;
+            }
             Either::Left((Ok(_), _)) => return,
             // The response was truncated: aborts the connection, so that the caller does not take
             // it for a complete response.
@@ -181,11 +186,5 @@
     );
     let _ = stream.write_all(head.as_bytes()).await;
     let _ = stream.write_all(&body).await;
-    let _ = stream.shutdown(std::net::Shutdown::Write);
-    // If the socket closed with unread input, the kernel would reset the connection before the
-    // caller reads the response.
-    let mut sink = futures::io::sink();
-    let unread = futures::AsyncReadExt::take(stream.clone(), 2 * 1024 * 1024);
-    let drain = futures::io::copy(unread, &mut sink);
-    let _ = async_std::future::timeout(Duration::from_millis(500), drain).await;
+    close_after_response(stream).await;
 }
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -77,6 +77,9 @@
         connection: &mut Connection,
         limit_bytes: u64,
     ) -> Result<Bytes, HttpError> {
+        if matches!(self.state, State::Length(length) if length > limit_bytes) {
+            return Err(HttpError::TooLarge);
+        }
         let mut body = BytesMut::new();
         while let Some(piece) = self.next(connection).await? {
             if (body.len() + piece.len()) as u64 > limit_bytes {
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -5,6 +5,7 @@
 use futures::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
 use crate::http::{HttpError, RequestHead, ResponseHead};
+use crate::sockets::close_after_response;
 
 /// Size of one read; enough for a typical request or a few events.
 const READ_BYTES: usize = 8 << 10;
@@ -134,6 +135,11 @@
         }
     }
 
+    /// Ends the connection after a response to a request that was not read to its end.
+    pub async fn close_unread(self) {
+        close_after_response(self.stream).await;
+    }
+
     /// Whether the connection is open and has no unread input after the last response, so that it
     /// may be reused.
     pub fn is_reusable(&self) -> bool {
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -44,6 +44,11 @@
         self.connection.stream().clone()
     }
 
+    /// Whether the caller may still be sending the body of the request.
+    pub fn has_unread_body(&self) -> bool {
+        !self.body.is_ended()
+    }
+
     /// Sends a response with a complete body.
     ///
     /// # Errors
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -123,15 +123,21 @@
             Ok(Some(head)) => head,
             Ok(None) => return,
             Err(error) => {
-                respond_with_error(&mut connection, &error, &shared).await;
+                respond_with_error(connection, &error, &shared).await;
                 return;
             }
         };
         let _open = OpenRequestGuard::new(&shared.open);
         let may_keep_alive = !shared.draining.load(Ordering::Acquire);
         let mut exchange = Exchange::new(&mut connection, &head, may_keep_alive);
-        match shared.handler.handle(head, &mut exchange).await {
+        let handled = shared.handler.handle(head, &mut exchange).await;
+        let has_unread_body = exchange.has_unread_body();
+        match handled {
             Ok(ConnectionStatus::KeepAlive) => {}
+            Ok(ConnectionStatus::Close) if has_unread_body => {
+                connection.close_unread().await;
+                return;
+            }
             Ok(ConnectionStatus::Close) => return,
             Err(error) => {
                 log::debug!(event = "connection_closed", server = shared.name; "{error}");
@@ -143,7 +149,7 @@
 
 /// Sends an error response for a request head that can't be read, unless the connection is closed
 /// or failed.
-async fn respond_with_error(connection: &mut Connection, error: &HttpError, shared: &Shared) {
+async fn respond_with_error(mut connection: Connection, error: &HttpError, shared: &Shared) {
     let status = match error {
         HttpError::TooLarge => 431,
         HttpError::Malformed(_) => 400,
@@ -158,9 +164,10 @@
         framing: crate::http::BodyFraming::Empty,
         keep_alive: false,
     };
-    let mut exchange = Exchange::new(connection, &head, false);
+    let mut exchange = Exchange::new(&mut connection, &head, false);
     // The connection is closed next, so a failed write needs no handling.
     let _ = exchange.respond(status, &Headers::default(), b"").await;
+    connection.close_unread().await;
 }
 
 struct OpenRequestGuard<'a> {
--- a/src/sockets.rs
+++ b/src/sockets.rs
@@ -1,11 +1,13 @@
 //! Outgoing TCP connections and their common socket options.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
 use async_io::Async;
+use async_std::future::timeout;
 use async_std::net::TcpStream;
+use futures::AsyncReadExt;
 use socket2::{SockRef, TcpKeepalive};
 
 /// Time for which sent bytes may stay unacknowledged before the connection fails. It covers several
@@ -16,6 +18,22 @@
 /// Time between two keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Longest time for which unread input is discarded after a response.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Most unread input that is discarded after a response.
+const DISCARD_LIMIT_BYTES: u64 = 4 << 20;
+
+/// Ends a connection whose peer may still be sending: closes the sending side, then discards input
+/// until the peer closes its side or a limit is reached. If a socket closes with unread input, the
+/// kernel resets the connection, and the peer may lose the response.
+pub async fn close_after_response(stream: TcpStream) {
+    // Both fail only if the peer has closed the connection, and then nothing is left to do.
+    let _ = stream.shutdown(Shutdown::Write);
+    let mut sink = futures::io::sink();
+    let discard = futures::io::copy(stream.take(DISCARD_LIMIT_BYTES), &mut sink);
+    let _ = timeout(DISCARD_TIMEOUT, discard).await;
+}
+
 /// Connects with Nagle's algorithm disabled, so that small writes are not delayed.
 ///
 /// # Errors
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -62,6 +62,31 @@
     });
 }
 
+/// Guards against a host that answers before it has read the whole body and then closes the
+/// connection with unread input: the kernel resets it, and a caller that still sends loses the
+/// answer.
+#[test]
+fn a_caller_that_still_sends_gets_the_answer_to_an_oversized_body() {
+    task::block_on(async {
+        let cluster = Cluster::open(options()).await;
+        let mut stream = TcpStream::connect(cluster.address(0)).await.unwrap();
+        let head =
+            b"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 204800\r\n\r\n";
+        stream.write_all(head).await.unwrap();
+        for _ in 0..20 {
+            task::sleep(Duration::from_millis(10)).await;
+            stream.write_all(&[b' '; 10 * 1024]).await.expect("the host still reads");
+        }
+        let mut answer = Vec::new();
+        let read = stream.read_to_end(&mut answer);
+        let read = async_std::future::timeout(RESPONSE_TIMEOUT, read).await;
+        read.expect("the connection is closed").expect("the connection is not reset");
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+        cluster.close().await;
+    });
+}
+
 #[test]
 fn oversized_head_error_names_the_limit() {
     task::block_on(async {
