Serve callers only once a starting host knows the fleet

Change: a host with seeds announces itself as an entry, lists entries and takes requests once its table equals that of another host or was repaired from one, or after 3 s without an answer; before, it refuses with 503 joining, not run.

--- a/src/admission/refusal.rs
+++ b/src/admission/refusal.rs
@@ -55,6 +55,8 @@
     InProgress,
     /// The request must not be repeated and its outcome is unknown.
     OutcomeUnknown,
+    /// The host has not heard of the fleet from another host yet.
+    Joining,
     /// The host could not confirm its configuration within the configuration lease.
     ConfigurationStale,
     /// The control hosts can't be reached.
@@ -93,6 +95,7 @@
             Self::KeyConflict => "key_conflict",
             Self::InProgress => "in_progress",
             Self::OutcomeUnknown => "outcome_unknown",
+            Self::Joining => "joining",
             Self::ConfigurationStale => "configuration_stale",
             Self::ControlUnavailable => "control_unavailable",
             Self::StorageFull => "storage_full",
@@ -111,6 +114,7 @@
             Self::Overloaded
                 | Self::LimitReached
                 | Self::InProgress
+                | Self::Joining
                 | Self::ConfigurationStale
                 | Self::ControlUnavailable
                 | Self::StorageFull
--- a/src/entry/refusal_response.rs
+++ b/src/entry/refusal_response.rs
@@ -65,6 +65,7 @@
         RefusalKind::LimitReached => 429,
         RefusalKind::UpstreamFailed | RefusalKind::UpstreamLost => 502,
         RefusalKind::Overloaded
+        | RefusalKind::Joining
         | RefusalKind::ConfigurationStale
         | RefusalKind::ControlUnavailable
         | RefusalKind::Draining => 503,
--- a/src/entry/routes/batches.rs
+++ b/src/entry/routes/batches.rs
@@ -88,7 +88,7 @@
         let batch: NewBatch = serde_json::from_slice(&bytes)
             .map_err(|error| invalid_request(format!("the batch is not valid: {error}")))?;
         let shared = request.shared();
-        shared.check_configuration_confirmed(&batch.service, false)?;
+        shared.check_serving(&batch.service, false)?;
         if batch.service.is_empty() && AnswerFormat::of_path(&batch.endpoint).is_none() {
             let message = "field `endpoint` must be /v1/chat/completions or /v1/completions, \
                            or `service` must name a plain service";
--- a/src/entry/routes/completions.rs
+++ b/src/entry/routes/completions.rs
@@ -82,7 +82,7 @@
             return Err(invalid_request(format!("field `{input}` is missing")));
         }
         let service = service_of(shared, &model);
-        shared.check_configuration_confirmed(&service, !not_repeatable)?;
+        shared.check_serving(&service, !not_repeatable)?;
         let configuration = shared.configuration.load();
         let identity = RequestIdentity {
             request_id: request.request_id.clone(),
--- a/src/entry/routes/entries.rs
+++ b/src/entry/routes/entries.rs
@@ -20,6 +20,7 @@
     async fn handle(&self, request: CallerRequest, _span: Span) -> Result<Response, Refusal> {
         let zone = request.query_parameter("zone").unwrap_or_default();
         let shared = request.shared();
+        shared.check_joined()?;
         Ok(json_response(&json!({
             "entries": shared.entry_addresses(&zone),
             "hold_ms": shared.settings.entry.entries_hold_ms,
--- a/src/entry/routes/files.rs
+++ b/src/entry/routes/files.rs
@@ -46,7 +46,7 @@
     async fn handle(&self, mut request: CallerRequest, span: Span) -> Result<Response, Refusal> {
         let customer = request.authenticate_customer()?;
         let shared = request.shared().clone();
-        shared.check_configuration_confirmed("", false)?;
+        shared.check_serving("", false)?;
         let name = request.query_parameter("name").unwrap_or_else(|| "batch.jsonl".to_owned());
         let purpose = request.query_parameter("purpose").unwrap_or_else(|| "batch".to_owned());
         let content = request.body_with_limit(shared.settings.limits.file_bytes).await?;
--- a/src/entry/routes/service.rs
+++ b/src/entry/routes/service.rs
@@ -33,7 +33,7 @@
         span.set_text("service", &service);
         let not_repeatable =
             marked_not_repeatable || shared.configuration.load().is_not_repeatable(&service);
-        shared.check_configuration_confirmed(&service, !not_repeatable)?;
+        shared.check_serving(&service, !not_repeatable)?;
         let method = request.method();
         let path = match request.url_query() {
             "" => format!("/{}", request.path_parameter("path")),
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -41,18 +41,29 @@
 }
 
 impl EntryShared {
-    /// Checks that the active configuration is confirmed as current by the control hosts.
+    /// Checks that this host knows the hosts and upstreams of the fleet.
+    ///
+    /// # Errors
+    /// [`RefusalKind::Joining`] if it has not heard of them from another host since its start.
+    pub fn check_joined(&self) -> Result<(), Refusal> {
+        if self.membership.view().joined {
+            return Ok(());
+        }
+        let message = "this host has just started and does not know the fleet yet";
+        Err(Refusal::not_run(RefusalKind::Joining, message))
+    }
+
+    /// Checks that this host may run requests of a service: it knows the fleet, and the active
+    /// configuration is confirmed as current by the control hosts.
     ///
     /// A stale configuration is still accepted for repeatable requests to services that are
     /// configured to be served while the host is isolated, if it has been confirmed before.
     ///
     /// # Errors
-    /// [`RefusalKind::ConfigurationStale`] if a newer configuration may exist.
-    pub fn check_configuration_confirmed(
-        &self,
-        service: &str,
-        repeatable: bool,
-    ) -> Result<(), Refusal> {
+    /// [`RefusalKind::ConfigurationStale`] if a newer configuration may exist, and the errors of
+    /// [`EntryShared::check_joined`].
+    pub fn check_serving(&self, service: &str, repeatable: bool) -> Result<(), Refusal> {
+        self.check_joined()?;
         if self.configuration.is_confirmed() {
             return Ok(());
         }
--- a/src/membership/gossip_table.rs
+++ b/src/membership/gossip_table.rs
@@ -27,6 +27,8 @@
 /// Maximum delay of a configuration version per host beyond that number, which allows 1.6 changes
 /// a second in the fleet.
 const VERSION_DELAY_MS_PER_HOST: u64 = 1_200;
+/// Time after which a host whose seeds do not answer serves without having joined them.
+const JOIN_LIMIT_MS: u64 = 3_000;
 
 /// A message to send.
 #[derive(Clone, Debug)]
@@ -52,6 +54,8 @@
     pending_version: Option<(u64, u64)>,
     repair: Repair,
     last_sweep_ms: u64,
+    started_ms: u64,
+    joined: bool,
 }
 
 impl GossipTable {
@@ -59,8 +63,12 @@
     pub fn new(mut options: MembershipOptions, seed: u64, now_ms: u64) -> Self {
         // Fewer than five unanswered probes in a row can be chance.
         options.isolation_ms = options.isolation_ms.max(5 * options.gossip_interval_ms);
+        let own_address = &options.host.peer_address;
+        let joined = options.seed_addresses.iter().all(|address| address == own_address);
+        let mut unjoined = options.clone();
+        unjoined.host.entry &= joined;
         Self {
-            directory: Directory::new(&options, now_ms),
+            directory: Directory::new(&unjoined, now_ms),
             detector: FailureDetector::new(&options, now_ms),
             random: StdRng::seed_from_u64(seed),
             neighbors: Neighbors::default(),
@@ -70,6 +78,8 @@
             pending_version: None,
             repair: Repair::new(now_ms),
             last_sweep_ms: 0,
+            started_ms: now_ms,
+            joined,
             options,
         }
     }
@@ -88,6 +98,9 @@
         }
         self.run_failure_detector(now_ms, &mut outgoing);
         self.directory.expire_leases(now_ms);
+        if now_ms >= self.started_ms + JOIN_LIMIT_MS {
+            self.join(now_ms);
+        }
         self.publish_due_version(now_ms);
         if now_ms >= self.last_sweep_ms + SWEEP_INTERVAL_MS {
             self.last_sweep_ms = now_ms;
@@ -119,6 +132,10 @@
             self.directory.merge_record(now_ms, record, false);
         }
         self.apply_host_changes(now_ms);
+        let has_same_table = message.table_hash == self.store().table_hash();
+        if has_same_table || !message.repairs.is_empty() {
+            self.join(now_ms);
+        }
         self.handle_probe_answer(now_ms, message.answers_probe, &mut outgoing);
         self.handle_probe_request(now_ms, message, &from, &mut outgoing);
         self.repair(now_ms, message, is_new, &mut outgoing);
@@ -136,7 +153,10 @@
         let previous = (self.isolated, self.presumes_others_dead);
         (self.isolated, self.presumes_others_dead) = (isolated, presumes_others_dead);
         let changed = self.directory.take_changed() || previous != (isolated, presumes_others_dead);
-        changed.then(|| self.directory.view(isolated, presumes_others_dead))
+        changed.then(|| MembershipView {
+            joined: self.joined,
+            ..self.directory.view(isolated, presumes_others_dead)
+        })
     }
 
     /// Processes an announcement that an upstream sent to this host.
@@ -176,6 +196,16 @@
         outgoing
     }
 
+    /// Notes that this host knows the fleet, and announces it as an entry host if it is one. Before,
+    /// its table may lack upstreams, so that it can't answer for them.
+    fn join(&mut self, now_ms: u64) {
+        if std::mem::replace(&mut self.joined, true) {
+            return;
+        }
+        let entry = self.options.host.entry;
+        self.directory.update_own_record(now_ms, |_, host| host.entry = entry);
+    }
+
     fn run_failure_detector(&mut self, now_ms: u64, outgoing: &mut Vec<Outgoing>) {
         let due = self.detector.take_due(now_ms);
         for (probe, key) in due.indirect {
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -43,4 +43,6 @@
     pub crashes: Vec<CrashEntry>,
     /// No other host has answered this host's probes for the isolation time.
     pub isolated: bool,
+    /// This host has the records of another host, or has no other host to get them from.
+    pub joined: bool,
 }
