Wait for the published status in the test of a caught-up replica

Change: the test waits for the status. It is stricter before that: no running replica may have the missing entries, so that no leader can bring replica 3 up to date from its log.

--- a/tests/raft_group.rs
+++ b/tests/raft_group.rs
@@ -120,15 +120,17 @@
     propose_many(&cluster, 0, 5).await;
     cluster.close(3).await;
     let mut count = 5;
-    // The log is kept for a while for a follower that has just gone silent.
-    while cluster.groups[&cluster.leader().await].status().first_index < 20 {
+    // The log is kept for a while for a follower that has just gone silent. Once no running replica
+    // has the entries that replica 3 lacks, only a snapshot can bring it up to date, whichever leads.
+    while cluster.groups.values().any(|group| group.status().first_index < 20) {
         propose_many(&cluster, count, count + 1).await;
         count += 1;
     }
     cluster.open(3).unwrap();
     propose_many(&cluster, count, count + 100).await;
     cluster.converge(count + 100).await;
-    assert!(cluster.groups[&3].status().snapshot_index > 5);
+    // A replica publishes its status a moment after the state machine has the snapshot's commands.
+    wait_for("the snapshot", || cluster.groups[&3].status().snapshot_index > 5).await;
     cluster.close_all().await;
 }
 
