--- a/tests/give_way.rs
+++ b/tests/give_way.rs
@@ -44,7 +44,7 @@
     })
     .await;
 
-    let job_id = create_job(&caller).await;
+    let job_id = create_job(&caller, ITEMS).await;
     wait_until("batch fills the slots", || async { engine.stats().running == u64::from(SLOTS) })
         .await;
     // Let the items generate some tokens, so that they have progress to resume from.
@@ -113,8 +113,8 @@
     time
 }
 
-async fn create_job(caller: &Caller) -> String {
-    let lines: String = (0..ITEMS)
+async fn create_job(caller: &Caller, items: usize) -> String {
+    let lines: String = (0..items)
         .map(|item| {
             let line = json!({"custom_id": format!("lot-{item}"), "method": "POST",
                 "url": "/v1/chat/completions", "body": item_body(&item.to_string())});
@@ -160,7 +160,8 @@
     });
     let cluster = Cluster::open(options).await;
     let slots = u64::from(SLOTS) * 2;
-    create_job(cluster.caller(0)).await;
+    // Slot leases spread over the hosts while the job runs, so it must outlast that.
+    create_job(cluster.caller(0), 6 * ITEMS).await;
     support::wait_until("batch fills the slots", STEP_TIMEOUT, || cluster.running() >= slots - 1)
         .await;
     // One host, which holds about a third of the fleet's slots, requests all of them.
