Measure a stalled stream by its events

Cause: the stall limit began anew with each byte, so that a stalled upstream that sends a byte now and then held a stream until its deadline (a report of other operators). Change: where an answer has events, the limit counts from the last whole event, for requests and batch items. Result: the new test was cut at the deadline before and is resumed now. Added, passing at once: an error answer never continues a broken stream.

--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -30,7 +30,7 @@
 /// Time that an upstream may work on one item. Items have no deadline of their own; an upstream that
 /// works on one for so long is stuck, also if it sends bytes without end.
 const ITEM_DEADLINE: Duration = Duration::from_secs(60);
-/// Time without data from an upstream after which an item is returned to the leader, to continue at
+/// Time without a whole event from an upstream after which an item is returned to the leader, to continue at
 /// another upstream. Longer than for online requests, since a preempted run has to be processed again
 /// from its start.
 const STALL_LIMIT: Duration = Duration::from_millis(2_000);
@@ -253,12 +253,14 @@
         let mut splitter = EventSplitter::default();
         let (has_framing, mut has_event) = (answer.head().has_framing, false);
         let deadline = Instant::now() + ITEM_DEADLINE;
+        let mut last_event_at = Instant::now();
         while Instant::now() < deadline {
             let next = match answer.next_chunk().now_or_never() {
                 Some(next) => Ok(next),
                 None => {
                     task::sleep(READ_INTERVAL).await;
-                    timeout(STALL_LIMIT, answer.next_chunk()).await
+                    let until_stall = STALL_LIMIT.saturating_sub(last_event_at.elapsed());
+                    timeout(until_stall, answer.next_chunk()).await
                 }
             };
             let chunk = match next {
@@ -272,7 +274,7 @@
                 Err(_) => {
                     log_failed_attempt(
                         assignment,
-                        "the upstream sent no data within the stall limit",
+                        "the upstream sent no event within the stall limit",
                     );
                     break;
                 }
@@ -280,6 +282,7 @@
             splitter.push(&chunk);
             while let Some(event) = splitter.next_event() {
                 has_event = true;
+                last_event_at = Instant::now();
                 if !progress.append(&event) {
                     log_failed_attempt(
                         assignment,
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -18,8 +18,8 @@
 /// A request is sent only while at least this much of its time remains; less is not enough for a first
 /// event.
 const MIN_SEND_TIME: Duration = Duration::from_millis(30);
-/// Time without data from an upstream after which a request that may be repeated or resumed is sent to
-/// another upstream. Gaps in the streams of busy upstreams stay below a quarter of a second.
+/// Time without a whole event from an upstream, or without data where the answer has no events, after
+/// which a request that may be repeated or resumed is sent to another upstream. Gaps in the streams of busy upstreams stay below a quarter of a second.
 const STALL_LIMIT: Duration = Duration::from_millis(700);
 /// Retry delay of a refused request, for example while all upstreams are full. Callers retry once, and
 /// bursts last some seconds: with 150 ms most retries fell into the same burst.
@@ -367,6 +367,7 @@
             return Ok(self.retry_or_cut(progress, false));
         }
         let mut splitter = EventSplitter::default();
+        let mut last_progress_at = Instant::now();
         // The head is sent together with the first event, so that a retry at another upstream is still
         // possible if this one fails before its first event.
         loop {
@@ -376,7 +377,8 @@
                 progress.last_error = "the time limit of the request has passed".to_owned();
                 return Ok(NextStep::GiveUp(timeout_refusal(progress)));
             }
-            let wait = if may_resume { remaining.min(STALL_LIMIT) } else { remaining };
+            let until_stall = STALL_LIMIT.saturating_sub(last_progress_at.elapsed());
+            let wait = if may_resume { remaining.min(until_stall) } else { remaining };
             let chunk = match timeout(wait, answer.next_chunk()).await {
                 Ok(Ok(Some(chunk))) => chunk,
                 Ok(Ok(None))
@@ -402,11 +404,12 @@
                 }
                 Err(_) => {
                     progress.last_error =
-                        "the upstream sent no data within the stall limit".to_owned();
+                        "the upstream sent no event within the stall limit".to_owned();
                     return Ok(self.handle_broken_stream(request, upstream, progress, may_resume));
                 }
             };
             if !is_event_stream {
+                last_progress_at = Instant::now();
                 self.record_body(request, progress);
                 progress.has_event_ids = false;
                 if !progress.head_sent {
@@ -439,6 +442,7 @@
             if events.is_empty() {
                 continue;
             }
+            last_progress_at = Instant::now();
             self.record_body(request, progress);
             if !progress.head_sent {
                 progress.head_sent = true;
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -31,9 +31,16 @@
     Unframed {
         chunks: Vec<Result<&'static str, SendError>>,
     },
+    /// A stream that sends `first`, and then one `unit` per [`TRICKLE_INTERVAL`] without end.
+    Trickles {
+        first: &'static str,
+        unit: &'static str,
+    },
     Fails(SendError),
 }
 
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
+
 /// A connector that returns the scripted results in order, and records the event id of each send.
 #[derive(Default)]
 struct ScriptedConnector {
@@ -58,6 +65,27 @@
     }
 }
 
+struct TricklingAnswer {
+    head: UpstreamHead,
+    first: Option<&'static str>,
+    unit: &'static str,
+}
+
+#[async_trait]
+impl UpstreamAnswer for TricklingAnswer {
+    fn head(&self) -> &UpstreamHead {
+        &self.head
+    }
+
+    async fn next_chunk(&mut self) -> Result<BodyChunk, SendError> {
+        if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
+            return Ok(Some(Bytes::from_static(first.as_bytes())));
+        }
+        task::sleep(TRICKLE_INTERVAL).await;
+        Ok(Some(Bytes::from_static(self.unit.as_bytes())))
+    }
+}
+
 #[async_trait]
 impl StreamConnector for ScriptedConnector {
     async fn send(
@@ -71,6 +99,9 @@
             Script::Answers { status, events, chunks } => {
                 Ok(Box::new(ScriptedAnswer { head: head(status, events), chunks: chunks.into() }))
             }
+            Script::Trickles { first, unit } => {
+                Ok(Box::new(TricklingAnswer { head: head(200, true), first: Some(first), unit }))
+            }
             Script::Unframed { chunks } => {
                 let head = UpstreamHead { has_framing: false, ..head(200, true) };
                 Ok(Box::new(ScriptedAnswer { head, chunks: chunks.into() }))
@@ -230,6 +261,48 @@
     assert_eq!(caller.body, "id: 1\ndata: a\n\n");
 }
 
+/// Guards against the text or the head of an error in the middle of a stream, and against a stream that
+/// ends as complete, where the upstream that should go on with a broken stream answers with an error.
+#[rstest]
+#[case(404)]
+#[case(500)]
+#[case(503)]
+fn an_error_never_continues_a_stream(#[case] status: u16) {
+    let broken =
+        || ok_answer(true, vec![Ok("id: 1\ndata: a\n\nid: 2\nda"), Err(connection_lost())]);
+    let error = || Script::Answers { status, events: false, chunks: vec![Ok("error text")] };
+    let (end, caller, sent) = forward(&route(true), vec![broken(), error()]);
+    assert_eq!((end, caller.finished), (ForwardOutcome::Cut, false));
+    assert_eq!(caller.body, "id: 1\ndata: a\n\n");
+    assert_eq!(sent.len(), 2);
+    let three_attempts = Route { max_attempts: 3, ..route(true) };
+    let rest = ok_answer(true, vec![Ok("id: 2\ndata: b\n\n")]);
+    let (end, caller, sent) = forward(&three_attempts, vec![broken(), error(), rest]);
+    assert_eq!((end, caller.finished), (ForwardOutcome::Answered, true));
+    assert_eq!(caller.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assert_eq!(sent, [None, Some(1), Some(1)]);
+}
+
+/// Guards against a stalled stream that is taken for a sound one because it sends a byte now and then,
+/// and against a slow stream that is taken for a stalled one.
+#[test]
+fn a_stream_that_trickles_bytes_without_an_event_is_resumed() {
+    let trickling = Script::Trickles { first: "id: 1\ndata: a\n\n", unit: "x" };
+    let rest = ok_answer(true, vec![Ok("id: 2\ndata: b\n\n")]);
+    let started = Instant::now();
+    let (end, caller, sent) = forward(&route(true), vec![trickling, rest]);
+    assert_eq!(end, ForwardOutcome::Answered);
+    assert_eq!(caller.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assert_eq!(sent, [None, Some(1)]);
+    assert!(started.elapsed() < Duration::from_secs(2), "resumed after {:?}", started.elapsed());
+
+    let slow = Script::Trickles { first: "", unit: "data: a\n\n" };
+    let timeout = Route { timeout_ms: 1_500, ..route(true) };
+    let (end, caller, sent) = forward(&timeout, vec![slow]);
+    assert_eq!((end, sent.len()), (ForwardOutcome::Cut, 1), "only the deadline ends a slow stream");
+    assert!(caller.body.len() > "data: a\n\n".len());
+}
+
 /// Guards against an upstream that crashes before its first event and whose answer, without a length or
 /// chunks, looks complete; and against a whole answer of that kind that is taken for broken.
 #[test]
