--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -3,11 +3,13 @@
 use std::time::{Duration, Instant};
 
 use async_std::task::{self, JoinHandle};
+use futures::future::select;
 use miette::Result;
 use prost::Message;
 
 use crate::admission::CrashTable;
 use crate::control::unix_ms;
+use crate::coordinator::fleet_relay::FleetRelay;
 use crate::coordinator::operator::call_failure;
 use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, Scheduler};
 use crate::directory::{
@@ -22,7 +24,10 @@
     answer, command::Command as Kind, query, Answer, Command, Expire, FinishItems, FinishedItem,
     NotFound, Outcome, Query, ReadResults, ResultPage, RetirementState,
 };
-use crate::schema::peer::{call, reply, ControlSync, EntrySync, FailureKind, ReturnItem};
+use crate::schema::peer::{
+    call, reply, ControlHostEntry, ControlSync, EntrySync, FailureKind, ReturnItem,
+};
+use crate::schema::routes::RouteTable;
 use crate::settings::FleetHostSettings;
 use crate::signal::Signal;
 use crate::telemetry::Counters;
@@ -36,6 +41,10 @@
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time limit of a read barrier. Operators and callers retry on another host after a second.
 const READ_BARRIER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest interval at which what is passed on to entry hosts is brought up to date.
+const RELAY_INTERVAL: Duration = Duration::from_millis(200);
+/// Shortest interval of the same, so that a wave of changes is passed on together.
+const MIN_RELAY_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum time that a read of results waits for the next result.
 const MAX_RESULT_WAIT: Duration = Duration::from_millis(1_000);
 
@@ -57,28 +66,33 @@
     pub(super) scheduler: Mutex<Scheduler>,
     /// Crash records, which entry hosts send to every control host and receive from any.
     pub(super) crashes: Arc<CrashTable>,
-    watch: OnceLock<Arc<FleetWatch>>,
+    pub(super) relay: FleetRelay,
+    watch: Arc<OnceLock<Arc<FleetWatch>>>,
     leader_client: LeaderClient,
     /// Wakes all pending sync calls, which then check for changes.
     pub(super) changed: Signal,
+    /// Notified when an entry host that polls this host is new, has changed or is silent.
+    pub(super) entries_changed: Signal,
     /// Wakes the pending sync call of one entry host, by host id.
     pub(super) entry_host_signals: Mutex<HashMap<String, Arc<Signal>>>,
     pub(super) started: Instant,
     tasks: Mutex<Vec<JoinHandle<()>>>,
 }
 
-/// Locates the leader through the replica of this host.
-struct ReplicaLeaderHint {
+/// Locates the leader through the replica of this host or, without one, through the other control hosts.
+struct ControlLeaderHint {
     replica: Arc<ReplicaManager>,
+    watch: Arc<OnceLock<Arc<FleetWatch>>>,
 }
 
-impl LeaderHint for ReplicaLeaderHint {
+impl LeaderHint for ControlLeaderHint {
     fn leader_address(&self) -> Option<String> {
-        self.replica.status()?.leader_address.clone()
+        let known = self.replica.status().and_then(|status| status.leader_address.clone());
+        known.or_else(|| self.watch.get()?.view().leader_address.clone())
     }
 
     fn control_addresses(&self) -> Vec<String> {
-        self.replica.control_addresses()
+        self.replica.control_hosts().into_iter().map(|(address, _)| address).collect()
     }
 }
 
@@ -113,10 +127,15 @@
         let ledger = Arc::new(Ledger::default());
         let replica =
             ReplicaManager::open(replica, ledger.clone(), ledger.clone(), caller.clone())?;
-        let hint = Arc::new(ReplicaLeaderHint { replica: replica.clone() });
+        let watch = Arc::new(OnceLock::new());
+        let hint = Arc::new(ControlLeaderHint { replica: replica.clone(), watch: watch.clone() });
         let interval = Duration::from_millis(settings.upstream_heartbeat_ms);
         let directory = Directory::new(rand::random_range(1..u64::MAX), interval);
         let watch_options = FleetWatchOptions {
+            host_id: settings.host_id.clone(),
+            zone: settings.zone.clone(),
+            zone_regions: settings.zone_regions.clone(),
+            polls_all: true,
             seed_addresses: settings.seed_addresses.iter().map(ToString::to_string).collect(),
             own_address: settings.peer_address.to_string(),
             directory_timeout: directory.heartbeat_timeout(),
@@ -130,9 +149,11 @@
             entries: Mutex::default(),
             scheduler: Mutex::default(),
             crashes: crashes.clone(),
-            watch: OnceLock::new(),
+            relay: FleetRelay::new(),
+            watch,
             leader_client: LeaderClient::open(caller.clone(), hint),
             changed: Signal::default(),
+            entries_changed: Signal::default(),
             entry_host_signals: Mutex::default(),
             started: Instant::now(),
             tasks: Mutex::default(),
@@ -144,6 +165,7 @@
             task::spawn(tick(coordinator.clone())),
             task::spawn(expire_jobs(coordinator.clone())),
             task::spawn(watch_ledger(coordinator.clone())),
+            task::spawn(relay_changes(coordinator.clone())),
         ];
         *lock(&coordinator.tasks) = tasks;
         Ok(coordinator)
@@ -203,8 +225,8 @@
         let (waiting, running) = lock(&self.scheduler).item_counts();
         counters.gauge("items_waiting", waiting as u64);
         counters.gauge("items_running", running as u64);
-        counters.gauge("routes_version", self.ledger.routes().version);
-        counters.gauge("entry_hosts", lock(&self.entries).hosts().count() as u64);
+        counters.gauge("routes_version", self.routes().version);
+        counters.gauge("entry_hosts", self.relay.entry_host_count() as u64);
         counters.gauge("upstreams", self.upstreams().len() as u64);
         let Some(status) = self.replica.status() else { return };
         counters.gauge("raft_is_leader", status.is_leader.into());
@@ -244,10 +266,54 @@
     }
 
     fn not_leader_failure(&self) -> reply::Reply {
-        let leader = self.replica.status().and_then(|status| status.leader_address.clone());
+        let leader = Some(self.leader_address()).filter(|address| !address.is_empty());
         call_failure(FailureKind::NotLeader, "this replica does not lead", leader)
     }
 
+    /// Peer address of the leader as far as this host knows; empty if it does not.
+    pub(super) fn leader_address(&self) -> String {
+        let status = self.replica.status();
+        if status.as_ref().is_some_and(|status| status.is_leader) {
+            return self.settings.peer_address.to_string();
+        }
+        let known = status.and_then(|status| status.leader_address.clone());
+        let known = known.or_else(|| self.watch.get()?.view().leader_address.clone());
+        known.unwrap_or_default()
+    }
+
+    /// The routes in force, as the ledger of this host or another control host has them.
+    pub(super) fn routes(&self) -> Arc<RouteTable> {
+        let own = self.ledger.routes();
+        let heard = self.watch.get().map(|watch| watch.view().routes.clone());
+        heard.filter(|heard| heard.version > own.version).unwrap_or(own)
+    }
+
+    /// Brings what is passed on to entry hosts up to date, and wakes pending sync calls if it changed.
+    fn update_relay(&self, known_entries_revision: &mut u64, known_leader: &mut String) {
+        let Some(watch) = self.watch.get() else { return };
+        let entries = {
+            let entries = lock(&self.entries);
+            let revision = entries.list().revision();
+            let is_new = std::mem::replace(known_entries_revision, revision) != revision;
+            is_new.then(|| entries.list().hosts().cloned().collect())
+        };
+        let mut changed = entries.is_some();
+        if let Some(entries) = entries {
+            watch.update_local_entries(entries);
+        }
+        let own_address = self.settings.peer_address.to_string();
+        let control_hosts = self.replica.control_hosts().into_iter().map(|(peer_address, zone)| {
+            let is_reached = peer_address == own_address || watch.reaches(&peer_address);
+            ControlHostEntry { peer_address, zone, is_reached }
+        });
+        changed |= self.relay.update(&watch.view(), control_hosts.collect(), Instant::now());
+        let leader = self.leader_address();
+        changed |= std::mem::replace(known_leader, leader.clone()) != leader;
+        if changed {
+            self.changed.notify();
+        }
+    }
+
     /// Proposes a command to the group and waits for its outcome. Only the leader can do so.
     pub(super) async fn propose(&self, mut command: Command) -> reply::Reply {
         let Some(group) = self.replica.group() else { return self.not_leader_failure() };
@@ -408,17 +474,17 @@
             log::warn!(event = "upstream_silent", upstream = upstream.as_str();
                 "heartbeats stopped");
         }
-        let entries_changed = lock(&self.entries).expire(now);
+        if lock(&self.entries).expire(now) {
+            self.entries_changed.notify();
+        }
         if leads {
             for host in lock(&self.scheduler).expire_entry_hosts(now) {
                 log::warn!(event = "entry_host_silent", host = host.as_str();
                     "reports stopped; its items are requeued");
             }
         }
-        match expired.is_empty() {
-            false => self.publish_directory(),
-            true if entries_changed => self.changed.notify(),
-            true => {}
+        if !expired.is_empty() {
+            self.publish_directory();
         }
     }
 
@@ -466,6 +532,17 @@
     }
 }
 
+/// Passes changes of the fleet on to the entry hosts whose sync calls are pending.
+async fn relay_changes(coordinator: Arc<Coordinator>) {
+    let (mut entries_revision, mut leader) = (0, String::new());
+    while let Some(watch) = coordinator.watch.get() {
+        let changed = select(watch.changed().listen(), coordinator.entries_changed.listen());
+        coordinator.update_relay(&mut entries_revision, &mut leader);
+        Signal::wait(changed, RELAY_INTERVAL).await;
+        task::sleep(MIN_RELAY_INTERVAL).await;
+    }
+}
+
 async fn expire_jobs(coordinator: Arc<Coordinator>) {
     loop {
         task::sleep(EXPIRE_INTERVAL).await;
--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -5,6 +5,7 @@
 
 use crate::control::unix_ms;
 use crate::coordinator::control_role::lock;
+use crate::coordinator::fleet_relay::set_entries;
 use crate::coordinator::{Coordinator, Scheduler, SchedulerInput};
 use crate::ledger::{find_route, Job};
 use crate::schema::peer::{ControlSync, EntryHost, EntrySync, ItemAssignment, SlotPressure};
@@ -28,6 +29,7 @@
         if let Some(entry) = &sync.entry {
             self.apply_report(entry, &sync, leads);
         }
+        let leader_address = self.leader_address();
         self.crashes.merge(&sync.crashes);
         let until = Instant::now() + self.wait_limit(&sync, leads);
         let signal = self.entry_host_signal(sync.entry.as_ref());
@@ -35,13 +37,14 @@
             let changed = select(self.changed.listen(), self.crashes.changed().listen());
             let own = signal.listen();
             let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() || self.has_changes(&sync, leads) {
+            let has_new_leader = self.leader_address() != leader_address;
+            if left.is_zero() || has_new_leader || self.has_changes(&sync, leads) {
                 break;
             }
             Signal::wait(select(changed, own), left).await;
         }
         // A leader that does not know yet that it was replaced must not assign items.
-        let may_assign = leads && sync.entry.is_some() && lock(&self.scheduler).has_pending_items();
+        let may_assign = leads && sync.has_report && lock(&self.scheduler).has_pending_items();
         let confirmed = may_assign && self.confirm_leadership().await.is_ok();
         self.build_answer(&sync, confirmed)
     }
@@ -52,7 +55,7 @@
         if !leads || sync.entry.is_none() {
             return requested;
         }
-        let entries = lock(&self.entries).hosts().count() as u32;
+        let entries = lock(&self.entries).list().len() as u32;
         requested.min(LEADER_BASE_WAIT.max(LEADER_WAIT_PER_ENTRY_HOST * entries))
     }
 
@@ -61,9 +64,9 @@
         if lock(&self.entries).upsert(entry, now) {
             log::info!(event = "entry_host_changed", host = entry.host_id.as_str(),
                 ready = entry.ready; "entry host reported a change");
-            self.changed.notify();
+            self.entries_changed.notify();
         }
-        if !leads {
+        if !leads || !sync.has_report {
             return;
         }
         self.update_leadership(true);
@@ -136,49 +139,52 @@
     }
 
     fn has_changes(&self, sync: &EntrySync, leads: bool) -> bool {
-        if lock(&self.directory).version() != (sync.directory_epoch, sync.directory_revision) {
+        let is_directory_new = match sync.entry.is_some() {
+            true => self.relay.has_changes(sync),
+            false => {
+                let known = (sync.directory_epoch, sync.directory_revision);
+                lock(&self.directory).version() != known
+                    || lock(&self.entries).list().revision() != sync.entries_revision
+            }
+        };
+        if is_directory_new || self.relay.control_hosts().hash != sync.control_hosts_hash {
             return true;
         }
         if self.crashes.has_changes_since(sync.crashes_epoch, sync.crashes_revision) {
             return true;
         }
-        let has_new_routes = self.ledger.routes().version > sync.routes_version;
-        let has_new_entries = lock(&self.entries).revision() != sync.entries_revision;
+        let has_new_routes = self.routes().version > sync.routes_version;
         let host = sync.entry.as_ref().filter(|_| leads);
         let has_due_stops = host.is_some_and(|entry| {
             lock(&self.scheduler).has_due_stops(&entry.host_id, Instant::now())
         });
-        has_new_routes || sync.entry.is_some() && has_new_entries || has_due_stops
+        has_new_routes || has_due_stops
     }
 
     fn build_answer(&self, sync: &EntrySync, may_assign: bool) -> ControlSync {
         let leads = self.leads();
-        let routes = self.ledger.routes();
+        let routes = self.routes();
+        let control_hosts = self.relay.control_hosts();
+        let is_list_known = control_hosts.hash == sync.control_hosts_hash;
         // Read before the records: a record that changes in between is then sent once more.
         let crashes_version = self.crashes.version();
         let mut answer = ControlSync {
             leads,
             routes: (routes.version > sync.routes_version).then(|| (*routes).clone()),
-            control_addresses: self.replica.control_addresses(),
+            control_hosts_hash: control_hosts.hash,
+            control_hosts: if is_list_known { Vec::new() } else { control_hosts.hosts.clone() },
+            leader_address: self.leader_address(),
             crashes: self.crashes.changes_since(sync.crashes_epoch, sync.crashes_revision),
             uptime_ms: self.started.elapsed().as_millis() as u64,
             ..ControlSync::default()
         };
         (answer.crashes_epoch, answer.crashes_revision) = crashes_version;
-        {
-            let directory = lock(&self.directory);
-            (answer.directory_epoch, answer.directory_revision) = directory.version();
-            answer.upstreams =
-                directory.changes_since(sync.directory_epoch, sync.directory_revision);
+        match sync.entry.is_some() {
+            true => self.relay.fill_answer(sync, &mut answer),
+            false => self.fill_own_directory(sync, &mut answer),
         }
-        {
-            let entries = lock(&self.entries);
-            answer.entries_revision = entries.revision();
-            if answer.entries_revision != sync.entries_revision {
-                answer.entries = entries.hosts().cloned().collect();
-            }
-        }
-        let Some(entry) = sync.entry.as_ref().filter(|_| leads) else { return answer };
+        let reports = leads && sync.has_report;
+        let Some(entry) = sync.entry.as_ref().filter(|_| reports) else { return answer };
         let now = Instant::now();
         let mut scheduler = lock(&self.scheduler);
         answer.stops = scheduler.take_due_stops(&entry.host_id, now);
@@ -196,6 +202,17 @@
         answer
     }
 
+    /// Fills in what this host learned itself, for another control host.
+    fn fill_own_directory(&self, sync: &EntrySync, answer: &mut ControlSync) {
+        let directory = lock(&self.directory);
+        (answer.directory_epoch, answer.directory_revision) = directory.version();
+        answer.upstreams = directory.changes_since(sync.directory_epoch, sync.directory_revision);
+        drop(directory);
+        let is_known = answer.directory_epoch == sync.directory_epoch;
+        let known_revision = if is_known { sync.entries_revision } else { 0 };
+        set_entries(answer, lock(&self.entries).list(), known_revision);
+    }
+
     fn assign(
         &self,
         scheduler: &mut Scheduler,
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -3,6 +3,7 @@
 
 mod control_role;
 mod entry_sync;
+mod fleet_relay;
 mod item_end;
 mod leader_client;
 mod online_load;
--- /dev/null
+++ b/src/directory/control_host.rs
@@ -0,0 +1,112 @@
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::directory::entry_list::recency;
+use crate::directory::DirectorySource;
+use crate::schema::peer::{ControlHostEntry, ControlSync, EntryHost, EntrySync};
+
+/// Time without a reply after which the entry hosts that a control host listed no longer count. Entry
+/// hosts that lose a control host turn to another one within that time.
+const ENTRIES_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// What this host knows from the replies of one control host, or, for the control host itself, from its
+/// own tables.
+#[derive(Debug, Default)]
+pub(super) struct ControlHost {
+    pub(super) source: DirectorySource,
+    pub(super) is_leader: bool,
+    /// Peer address of the leader that it names; empty if it knows none.
+    pub(super) leader_address: String,
+    /// The control hosts that it listed last.
+    pub(super) listed: Vec<ControlHostEntry>,
+    /// Peer addresses of those that it reaches.
+    pub(super) reached: HashSet<String>,
+    pub(super) failing_since: Option<Instant>,
+    listed_hash: u64,
+    entries: HashMap<String, Arc<EntryHost>>,
+    entries_revision: u64,
+    /// The entry hosts are those of this host itself.
+    is_local: bool,
+}
+
+impl ControlHost {
+    /// True once it has replied.
+    pub(super) fn has_replied(&self) -> bool {
+        self.source.version != (0, 0)
+    }
+
+    /// True if it replies.
+    pub(super) fn is_reached(&self) -> bool {
+        self.has_replied() && self.failing_since.is_none()
+    }
+
+    /// Fills in what this host already has from the control host.
+    pub(super) fn fill_request(&self, sync: &mut EntrySync) {
+        (sync.directory_epoch, sync.directory_revision) = self.source.version;
+        sync.entries_revision = self.entries_revision;
+        sync.control_hosts_hash = self.listed_hash;
+    }
+
+    /// Applies the entry hosts of a reply; true if they have changed.
+    pub(super) fn apply_entries(&mut self, reply: &mut ControlSync) -> bool {
+        let changed = std::mem::take(&mut reply.changed_entries);
+        let removed = std::mem::take(&mut reply.removed_entries);
+        let has_changes = reply.entries_complete || !changed.is_empty() || !removed.is_empty();
+        if reply.entries_complete {
+            self.entries.clear();
+        }
+        for host in changed {
+            self.entries.insert(host.host_id.clone(), Arc::new(host));
+        }
+        for host_id in removed {
+            self.entries.remove(&host_id);
+        }
+        self.entries_revision = reply.entries_revision;
+        has_changes
+    }
+
+    /// Replaces the entry hosts by those that this host itself knows.
+    pub(super) fn replace_entries(&mut self, hosts: Vec<Arc<EntryHost>>) {
+        self.is_local = true;
+        self.entries = hosts.into_iter().map(|host| (host.host_id.clone(), host)).collect();
+    }
+
+    /// Applies what a reply says of the leader; true if that has changed.
+    pub(super) fn apply_leader(&mut self, reply: &mut ControlSync) -> bool {
+        let leader_address = std::mem::take(&mut reply.leader_address);
+        let changed = self.is_leader != reply.leads || self.leader_address != leader_address;
+        (self.is_leader, self.leader_address) = (reply.leads, leader_address);
+        changed
+    }
+
+    /// Applies the control hosts of a reply; true if they have changed.
+    pub(super) fn apply_control_hosts(&mut self, reply: &mut ControlSync) -> bool {
+        if reply.control_hosts_hash == self.listed_hash || reply.control_hosts.is_empty() {
+            return false;
+        }
+        self.listed_hash = reply.control_hosts_hash;
+        self.listed = std::mem::take(&mut reply.control_hosts);
+        let reached = self.listed.iter().filter(|host| host.is_reached);
+        self.reached = reached.map(|host| host.peer_address.clone()).collect();
+        true
+    }
+
+    /// Merges the entry hosts of several control hosts, sorted by name; of two records of a host, the
+    /// newer one holds.
+    pub(super) fn merge_entries(sources: &[&Self], now: Instant) -> Vec<Arc<EntryHost>> {
+        let mut merged: BTreeMap<&str, &Arc<EntryHost>> = BTreeMap::new();
+        for source in sources {
+            if !source.is_local && !source.source.replied_within(ENTRIES_TIMEOUT, now) {
+                continue;
+            }
+            for host in source.entries.values() {
+                let known = merged.entry(&host.host_id).or_insert(host);
+                if recency(host) > recency(known) {
+                    *known = host;
+                }
+            }
+        }
+        merged.into_values().cloned().collect()
+    }
+}
--- a/src/directory/directory_source.rs
+++ b/src/directory/directory_source.rs
@@ -71,13 +71,13 @@
     }
 }
 
-/// Merges the directories of all control hosts into the list of live upstreams, sorted by id.
+/// The newest record of each upstream in the directories of all control hosts.
 ///
 /// The directory of a control host that stopped replying is ignored after a grace period, provided
 /// that another control host has a complete directory: by then, live upstreams have sent heartbeats
 /// to that one. During the grace period, upstreams whose heartbeats to other control hosts stopped
-/// are included as well, since they may send them to the unreachable control host.
-pub fn merge_directories<'a>(
+/// count as ready, since they may send them to the unreachable control host.
+pub fn newest_records<'a>(
     sources: impl Iterator<Item = &'a DirectorySource> + Clone,
     timeout: Duration,
     now: Instant,
@@ -95,13 +95,18 @@
             }
         }
     }
+    let mut records: Vec<UpstreamRecord> = newest.into_values().cloned().collect();
+    for record in records.iter_mut().filter(|record| has_lost && record.phase == Phase::Silent) {
+        record.phase = Phase::Ready;
+    }
+    records
+}
+
+/// The live upstreams among the newest records, sorted by id.
+pub fn list_live(newest: &[UpstreamRecord]) -> Vec<UpstreamRecord> {
     let mut by_address: HashMap<&str, &UpstreamRecord> = HashMap::new();
-    let is_listed = |record: &&&UpstreamRecord| match record.phase {
-        Phase::Ready | Phase::Draining => true,
-        Phase::Silent => has_lost,
-        Phase::Gone => false,
-    };
-    for record in newest.values().filter(is_listed) {
+    let is_live = |record: &&UpstreamRecord| matches!(record.phase, Phase::Ready | Phase::Draining);
+    for record in newest.iter().filter(is_live) {
         let known = by_address.entry(&record.address).or_insert(record);
         // The address may have been reassigned, so only the upstream that started last is
         // reachable.
@@ -109,12 +114,19 @@
             *known = record;
         }
     }
-    let mut merged: Vec<UpstreamRecord> = by_address.into_values().cloned().collect();
-    for record in merged.iter_mut().filter(|record| record.phase == Phase::Silent) {
-        record.phase = Phase::Ready;
-    }
-    merged.sort_by(|a, b| a.upstream_id.cmp(&b.upstream_id));
-    merged
+    let mut live: Vec<UpstreamRecord> = by_address.into_values().cloned().collect();
+    live.sort_by(|a, b| a.upstream_id.cmp(&b.upstream_id));
+    live
+}
+
+/// Merges the directories of all control hosts into the list of live upstreams, sorted by id; see
+/// [`newest_records`].
+pub fn merge_directories<'a>(
+    sources: impl Iterator<Item = &'a DirectorySource> + Clone,
+    timeout: Duration,
+    now: Instant,
+) -> Vec<UpstreamRecord> {
+    list_live(&newest_records(sources, timeout, now))
 }
 
 /// Of two records of the same heartbeat, the one that is silent or gone replaces a live one.
--- a/src/directory/fleet_view.rs
+++ b/src/directory/fleet_view.rs
@@ -11,8 +11,11 @@
     pub routes: Arc<RouteTable>,
     /// Ready and draining upstreams, sorted by id.
     pub upstreams: Arc<Vec<UpstreamRecord>>,
-    /// Entry hosts that are in contact with the control hosts.
-    pub entries: Arc<Vec<EntryHost>>,
+    /// On a control host, the newest record of each upstream, gone ones included, to be passed on to
+    /// entry hosts; empty on an entry host.
+    pub known_upstreams: Arc<Vec<UpstreamRecord>>,
+    /// Entry hosts that are in contact with the control hosts, sorted by name.
+    pub entries: Arc<Vec<Arc<EntryHost>>>,
     /// Peer addresses of the control hosts.
     pub control_addresses: Arc<Vec<String>>,
     /// Peer address of the leader; `None` while it is unknown.
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -6,9 +6,15 @@
 use async_std::task;
 use futures::future::{select, Either};
 
-use crate::directory::{merge_directories, DirectorySource, FleetView, SyncHandler};
+use crate::directory::control_host::ControlHost;
+use crate::directory::{
+    choose_polled, list_live, newest_records, Distance, FleetView, PollCandidate, SyncHandler,
+    UpstreamRecord,
+};
 use crate::peer::{PeerCaller, TrafficClass};
-use crate::schema::peer::{call, reply, Call, ControlSync, EntrySync, Reply, UpstreamEntry};
+use crate::schema::peer::{
+    call, reply, Call, ControlSync, EntryHost, EntrySync, Reply, UpstreamEntry,
+};
 use crate::signal::Signal;
 
 /// Longest time that a control host may delay its reply until something changes (long polling).
@@ -25,12 +31,20 @@
 /// Time after which a failing control host is no longer polled, if it is not a seed and no
 /// answering control host lists it.
 const FORGET_TIMEOUT: Duration = Duration::from_secs(20);
-/// Interval at which the watch starts to poll newly listed control hosts and drops expired
-/// upstreams.
+/// Longest interval at which the watch chooses the control hosts to poll and drops expired
+/// upstreams. Each new view also has it choose again.
 const SUPERVISION_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest interval of the same, so that a wave of new views costs little.
+const MIN_SUPERVISION_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Options of a [`FleetWatch`].
 pub struct FleetWatchOptions {
+    /// Name of this host.
+    pub host_id: String,
+    /// Availability zone of this host.
+    pub zone: String,
+    /// Region of each availability zone.
+    pub zone_regions: HashMap<String, String>,
     /// Peer addresses of the control hosts that are polled first.
     pub seed_addresses: Vec<String>,
     /// Peer address of this host, which is not polled.
@@ -38,9 +52,11 @@
     /// Time without a reply after which the directory of a control host counts as stale; equal to
     /// the time without a heartbeat after which a control host marks an upstream as silent.
     pub directory_timeout: Duration,
+    /// Poll every control host, as a control host does, which passes on what it hears.
+    pub polls_all: bool,
 }
 
-/// Polls every control host for changes of its directory and publishes the merged view.
+/// Polls control hosts for changes of their directories and publishes the merged view.
 pub struct FleetWatch {
     options: FleetWatchOptions,
     caller: Arc<dyn PeerCaller>,
@@ -57,18 +73,23 @@
 struct Inner {
     /// Control hosts by their peer addresses.
     control_hosts: BTreeMap<String, ControlHost>,
-    /// Addresses for which a polling task runs.
-    polled: HashSet<String>,
+    /// Number of the task that polls an address. A task whose number is not listed any more ends.
+    polling_tasks: HashMap<String, u64>,
+    last_task: u64,
 }
 
-#[derive(Default)]
-struct ControlHost {
-    source: DirectorySource,
-    is_leader: bool,
-    /// Peer addresses of the control hosts that it listed in its last reply.
-    listed_addresses: Vec<String>,
-    entries_revision: u64,
-    failing_since: Option<Instant>,
+/// Parts of the view that a change may affect.
+#[derive(Clone, Copy, Debug, Default)]
+struct Affected {
+    upstreams: bool,
+    entries: bool,
+    other: bool,
+}
+
+impl Affected {
+    fn any(self) -> bool {
+        self.upstreams || self.entries || self.other
+    }
 }
 
 impl FleetWatch {
@@ -101,8 +122,8 @@
         &self.changed
     }
 
-    /// Sends a new sync request to every control host at once, because the report of this host has
-    /// changed.
+    /// Sends a new sync request to every polled control host at once, because the report of this host
+    /// has changed.
     pub fn sync_now(&self) {
         self.sync_requested.notify();
     }
@@ -117,15 +138,29 @@
         let mut inner = self.lock();
         let control_host = inner.control_hosts.entry(self.options.own_address.clone()).or_default();
         if control_host.source.update(version, changes, uptime, Instant::now()) {
-            self.publish(&inner, None);
+            self.publish(&inner, Affected { upstreams: true, ..Affected::default() }, None);
         }
     }
 
+    /// Replaces the entry hosts that poll this control host itself.
+    pub fn update_local_entries(&self, hosts: Vec<Arc<EntryHost>>) {
+        let mut inner = self.lock();
+        let control_host = inner.control_hosts.entry(self.options.own_address.clone()).or_default();
+        control_host.replace_entries(hosts);
+        self.publish(&inner, Affected { entries: true, ..Affected::default() }, None);
+    }
+
     /// Peer addresses of all known control hosts except this one.
     pub fn control_addresses(&self) -> Vec<String> {
         self.view.load().control_addresses.to_vec()
     }
 
+    /// True if the control host at this address answers this host's sync calls.
+    pub fn reaches(&self, address: &str) -> bool {
+        let inner = self.lock();
+        inner.control_hosts.get(address).is_some_and(ControlHost::is_reached)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -136,11 +171,12 @@
         let mut sync = EntrySync {
             routes_version: view.routes.version,
             wait_ms: POLL_WAIT_MS,
+            has_report: view.leader_address.as_ref().is_none_or(|leader| leader == address),
             ..EntrySync::default()
         };
         if let Some(control_host) = inner.control_hosts.get(address) {
-            (sync.directory_epoch, sync.directory_revision) = control_host.source.version;
-            sync.entries_revision = control_host.entries_revision;
+            control_host.fill_request(&mut sync);
+            sync.has_report |= control_host.is_leader;
             sync.wait_ms = if control_host.is_leader { LEADER_POLL_WAIT_MS } else { POLL_WAIT_MS };
         }
         drop(inner);
@@ -169,66 +205,80 @@
         if control_host.failing_since.is_none() {
             control_host.failing_since = Some(Instant::now());
             log::warn!(event = "control_host_lost", address = address; "{reason}");
+            self.publish(&inner, Affected { other: true, ..Affected::default() }, None);
         }
     }
 
-    fn apply_reply(&self, address: &str, mut reply: ControlSync) {
+    fn apply_reply(&self, address: &str, task: u64, mut reply: ControlSync) {
+        if self.lock().polling_tasks.get(address) != Some(&task) {
+            return;
+        }
         self.sync_handler.handle_reply(address, &reply);
         let now = Instant::now();
         let mut inner = self.lock();
         let control_host = inner.control_hosts.entry(address.to_owned()).or_default();
+        let mut affected = Affected::default();
         if control_host.failing_since.take().is_some() {
             log::info!(event = "control_host_regained", address = address;
                 "control host replies again");
+            affected.other = true;
         }
-        control_host.entries_revision = reply.entries_revision;
         let version = (reply.directory_epoch, reply.directory_revision);
         let uptime = Duration::from_millis(reply.uptime_ms);
+        affected.entries = control_host.apply_entries(&mut reply);
         let changes = std::mem::take(&mut reply.upstreams);
-        let mut changed = control_host.source.update(version, changes, uptime, now);
-        changed |= control_host.is_leader != reply.leads;
-        control_host.is_leader = reply.leads;
-        changed |= control_host.listed_addresses != reply.control_addresses;
-        control_host.listed_addresses = std::mem::take(&mut reply.control_addresses);
-        changed |= reply.routes.is_some() || !reply.entries.is_empty();
-        if changed {
-            self.publish(&inner, Some((address, reply)));
+        affected.upstreams = control_host.source.update(version, changes, uptime, now);
+        affected.other |= control_host.apply_leader(&mut reply);
+        affected.other |= control_host.apply_control_hosts(&mut reply);
+        affected.other |= reply.routes.is_some();
+        if affected.any() {
+            self.publish(&inner, affected, Some(reply));
         }
     }
 
-    fn publish(&self, inner: &Inner, reply: Option<(&str, ControlSync)>) {
+    fn publish(&self, inner: &Inner, affected: Affected, reply: Option<ControlSync>) {
         let now = Instant::now();
         let current = self.view.load();
         let mut next = FleetView::clone(&current);
-        let sources = inner.control_hosts.values().map(|control_host| &control_host.source);
-        let upstreams = merge_directories(sources, self.options.directory_timeout, now);
-        if *next.upstreams != upstreams {
-            log_changes(&next.upstreams, &upstreams);
-            next.upstreams = Arc::new(upstreams);
+        if affected.upstreams {
+            self.merge_upstreams(inner, &mut next, now);
         }
-        let leader = inner.control_hosts.iter().find(|(_, control_host)| control_host.is_leader);
-        let leader_address = leader.map(|(address, _)| address.clone());
+        if affected.entries {
+            let sources: Vec<&ControlHost> = inner.control_hosts.values().collect();
+            next.entries = Arc::new(ControlHost::merge_entries(&sources, now));
+        }
+        let leader_address = leader_address(inner);
         if leader_address != next.leader_address {
             log::info!(event = "leader_known", address = leader_address.as_deref().unwrap_or(""),
                 before = next.leader_address.as_deref().unwrap_or(""); "leader changed");
             next.leader_address = leader_address;
         }
         next.control_addresses = Arc::new(self.addresses(inner));
-        if let Some((_, reply)) = reply {
-            if let Some(routes) = reply.routes.filter(|table| table.version > next.routes.version) {
-                log::info!(event = "routes_in_force", version = routes.version,
-                    before = next.routes.version; "new routes applied");
-                next.routes = Arc::new(routes);
-            }
-            if !reply.entries.is_empty() {
-                next.entries = Arc::new(reply.entries);
-            }
+        let routes = reply.and_then(|reply| reply.routes);
+        if let Some(routes) = routes.filter(|table| table.version > next.routes.version) {
+            log::info!(event = "routes_in_force", version = routes.version,
+                before = next.routes.version; "new routes applied");
+            next.routes = Arc::new(routes);
         }
         drop(current);
         self.view.store(Arc::new(next));
         self.changed.notify();
     }
 
+    /// Merges the directories of the control hosts into the view.
+    fn merge_upstreams(&self, inner: &Inner, next: &mut FleetView, now: Instant) {
+        let sources = inner.control_hosts.values().map(|control_host| &control_host.source);
+        let known = newest_records(sources, self.options.directory_timeout, now);
+        let upstreams = list_live(&known);
+        if *next.upstreams != upstreams {
+            log_changes(&next.upstreams, &upstreams);
+            next.upstreams = Arc::new(upstreams);
+        }
+        if self.options.polls_all {
+            next.known_upstreams = Arc::new(known);
+        }
+    }
+
     /// Peer addresses of the seeds, of the control hosts that reply, and of those that they list.
     fn addresses(&self, inner: &Inner) -> Vec<String> {
         let answering = inner
@@ -236,7 +286,8 @@
             .iter()
             .filter(|(_, control_host)| control_host.failing_since.is_none());
         let listed = answering.flat_map(|(address, control_host)| {
-            control_host.listed_addresses.iter().chain([address])
+            let listed = control_host.listed.iter().map(|entry| &entry.peer_address);
+            listed.chain([address])
         });
         let mut addresses: Vec<String> = listed.cloned().collect();
         addresses.extend(self.options.seed_addresses.iter().cloned());
@@ -246,59 +297,141 @@
         addresses
     }
 
-    /// True if polling a control host should end: it is neither a seed nor listed, and has failed
-    /// for [`FORGET_TIMEOUT`].
-    fn should_forget(&self, address: &str) -> bool {
-        let inner = self.lock();
-        if self.addresses(&inner).iter().any(|known| known == address) {
-            return false;
+    /// Addresses of the control hosts that have to be polled now.
+    fn polled_addresses(&self, inner: &Inner) -> Vec<String> {
+        let mut addresses = self.addresses(inner);
+        if self.options.polls_all {
+            let failing = inner.control_hosts.iter().filter(|(_, control_host)| {
+                let since = control_host.failing_since;
+                since.is_some_and(|since| since.elapsed() < FORGET_TIMEOUT)
+            });
+            addresses.extend(failing.map(|(address, _)| address.clone()));
+            addresses.sort();
+            addresses.dedup();
+            return addresses;
         }
-        let failing =
-            inner.control_hosts.get(address).and_then(|control_host| control_host.failing_since);
-        failing.is_some_and(|since| since.elapsed() > FORGET_TIMEOUT)
+        let mut zones: HashMap<&str, &str> = HashMap::new();
+        for entry in inner.control_hosts.values().flat_map(|control_host| &control_host.listed) {
+            zones.insert(&entry.peer_address, &entry.zone);
+        }
+        let candidates = addresses.iter().map(|address| {
+            let polled = inner.control_hosts.get(address);
+            let zone = zones.get(address.as_str()).copied().unwrap_or_default();
+            PollCandidate {
+                address,
+                zone,
+                distance: self.distance(zone),
+                is_failing: polled.is_some_and(|polled| polled.failing_since.is_some()),
+                reached: polled.filter(|polled| polled.has_replied()).map(|polled| &polled.reached),
+            }
+        });
+        let candidates: Vec<PollCandidate<'_>> = candidates.collect();
+        let leader = leader_address(inner).or_else(|| named_leader(inner));
+        let chosen = choose_polled(&candidates, leader.as_deref(), &self.options.host_id);
+        chosen.into_iter().map(str::to_owned).collect()
     }
-}
 
-/// Starts a polling task for each control host, and publishes changes of the view that are due to
-/// timeouts instead of replies.
-async fn supervise(watch: Arc<FleetWatch>) {
-    loop {
-        let new_addresses: Vec<String> = {
-            let mut inner = watch.lock();
-            let addresses = watch.addresses(&inner);
-            addresses.into_iter().filter(|address| inner.polled.insert(address.clone())).collect()
-        };
-        for address in new_addresses {
-            task::spawn(poll_control_host(watch.clone(), address));
+    fn distance(&self, zone: &str) -> Distance {
+        let region = |zone: &str| self.options.zone_regions.get(zone);
+        if zone == self.options.zone {
+            return Distance::Zone;
+        }
+        match region(zone).is_some() && region(zone) == region(&self.options.zone) {
+            true => Distance::Region,
+            false => Distance::Remote,
         }
-        task::sleep(SUPERVISION_INTERVAL).await;
-        let inner = watch.lock();
-        watch.publish_if_expired(&inner);
     }
-}
 
-impl FleetWatch {
-    /// Publishes a new view if a failing control host changes the upstreams in use or the leader.
-    fn publish_if_expired(&self, inner: &Inner) {
+    /// Chooses the control hosts to poll. Returns the addresses and numbers of new tasks.
+    fn update_polling_tasks(&self) -> Vec<(String, u64)> {
+        let mut inner = self.lock();
+        let polled = self.polled_addresses(&inner);
+        let is_polled: HashSet<&str> = polled.iter().map(String::as_str).collect();
+        let Inner { control_hosts, polling_tasks, last_task } = &mut *inner;
+        // A control host is dropped only once those that replace it have replied, so that the view never
+        // lacks what it knows.
+        let is_waiting = polled.iter().any(|address| {
+            let chosen = control_hosts.get(address);
+            chosen.is_none_or(|it| !it.has_replied() && it.failing_since.is_none())
+        });
+        let before = polling_tasks.len();
+        polling_tasks.retain(|address, _| is_waiting || is_polled.contains(address.as_str()));
+        let has_dropped = polling_tasks.len() != before;
+        let own_address = &self.options.own_address;
+        control_hosts
+            .retain(|address, _| polling_tasks.contains_key(address) || address == own_address);
+        let mut new_tasks = Vec::new();
+        for address in polled {
+            if polling_tasks.contains_key(&address) {
+                continue;
+            }
+            *last_task += 1;
+            polling_tasks.insert(address.clone(), *last_task);
+            new_tasks.push((address, *last_task));
+        }
+        if has_dropped {
+            let affected = Affected { upstreams: true, entries: true, other: true };
+            self.publish(&inner, affected, None);
+        }
+        new_tasks
+    }
+
+    /// Publishes a new view if time alone has changed the upstreams in use or the entry hosts: control
+    /// hosts that fail no longer count after a while.
+    fn publish_if_expired(&self) {
+        let inner = self.lock();
         let failing =
             inner.control_hosts.values().any(|control_host| control_host.failing_since.is_some());
         if !failing {
             return;
         }
-        let sources = inner.control_hosts.values().map(|control_host| &control_host.source);
-        let upstreams = merge_directories(sources, self.options.directory_timeout, Instant::now());
-        let leader = inner.control_hosts.iter().find(|(_, control_host)| control_host.is_leader);
-        let view = self.view.load();
-        let same_leader = leader.map(|(address, _)| address) == view.leader_address.as_ref();
-        if upstreams != *view.upstreams || !same_leader {
-            self.publish(inner, None);
+        let mut next = FleetView::clone(&self.view.load());
+        let before = next.upstreams.clone();
+        self.merge_upstreams(&inner, &mut next, Instant::now());
+        let sources: Vec<&ControlHost> = inner.control_hosts.values().collect();
+        let entries = ControlHost::merge_entries(&sources, Instant::now());
+        let affected = Affected {
+            upstreams: *before != *next.upstreams,
+            entries: *next.entries != entries,
+            other: leader_address(&inner) != next.leader_address,
+        };
+        if affected.any() {
+            self.publish(&inner, affected, None);
         }
     }
 }
 
-/// Polls one control host, with one pending request at a time, until it should be forgotten.
-async fn poll_control_host(watch: Arc<FleetWatch>, address: String) {
+/// Peer address of the control host that says that it leads.
+fn leader_address(inner: &Inner) -> Option<String> {
+    let leader = inner.control_hosts.iter().find(|(_, control_host)| control_host.is_leader);
+    leader.map(|(address, _)| address.clone())
+}
+
+/// Leader that a control host names, which may not be polled yet.
+fn named_leader(inner: &Inner) -> Option<String> {
+    let answering =
+        inner.control_hosts.values().filter(|control_host| control_host.failing_since.is_none());
+    let mut named = answering.map(|control_host| &control_host.leader_address);
+    named.find(|address| !address.is_empty()).cloned()
+}
+
+/// Starts and ends polling tasks, and publishes changes of the view that are due to timeouts instead of
+/// replies.
+async fn supervise(watch: Arc<FleetWatch>) {
     loop {
+        let changed = watch.changed.listen();
+        for (address, task) in watch.update_polling_tasks() {
+            task::spawn(poll_control_host(watch.clone(), address, task));
+        }
+        watch.publish_if_expired();
+        Signal::wait(changed, SUPERVISION_INTERVAL).await;
+        task::sleep(MIN_SUPERVISION_INTERVAL).await;
+    }
+}
+
+/// Polls one control host, with one pending request at a time, for as long as its task is listed.
+async fn poll_control_host(watch: Arc<FleetWatch>, address: String, task: u64) {
+    while watch.lock().polling_tasks.get(&address) == Some(&task) {
         let sync_requested = watch.sync_requested.listen();
         let reply = {
             let reply = Box::pin(watch.poll(&address));
@@ -309,20 +442,13 @@
             }
         };
         match reply {
-            Some(reply) => watch.apply_reply(&address, reply),
-            None if watch.should_forget(&address) => break,
+            Some(reply) => watch.apply_reply(&address, task, reply),
             None => task::sleep(RETRY_DELAY).await,
         }
     }
-    let mut inner = watch.lock();
-    inner.polled.remove(&address);
-    inner.control_hosts.remove(&address);
 }
 
-fn log_changes(
-    before: &[crate::directory::UpstreamRecord],
-    after: &[crate::directory::UpstreamRecord],
-) {
+fn log_changes(before: &[UpstreamRecord], after: &[UpstreamRecord]) {
     let previous: HashMap<&str, _> =
         before.iter().map(|record| (record.upstream_id.as_str(), record)).collect();
     for record in after {
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -1,24 +1,34 @@
 //! Discovery of upstreams and entry hosts.
 //!
-//! An upstream sends heartbeats to any control host, which records them in its [`Directory`]. Every
-//! entry host polls every control host for changes ([`FleetWatch`]) and merges the directories into
-//! one [`FleetView`]. Of two records with the same id, the one of the later incarnation wins, then
+//! An upstream sends heartbeats to any control host, which records them in its [`Directory`]. Control
+//! hosts poll each other for changes ([`FleetWatch`]) and merge the directories into one [`FleetView`].
+//! Entry hosts poll a few control hosts ([`choose_polled`]), which pass on what they hear
+//! ([`RelayDirectory`]). Of two records with the same id, the one of the later incarnation wins, then
 //! the one with the higher sequence number.
 
+mod control_host;
+mod control_host_list;
 mod crash_exchange;
 mod directory_source;
+mod entry_list;
 mod entry_table;
 mod fleet_view;
 mod fleet_watch;
+mod poll_set;
+mod relay_directory;
 mod sync_handler;
 mod upstream_directory;
 mod upstream_record;
 
+pub use control_host_list::ControlHostList;
 pub use crash_exchange::CrashExchange;
-pub use directory_source::{merge_directories, DirectorySource};
+pub use directory_source::{list_live, merge_directories, newest_records, DirectorySource};
+pub use entry_list::{EntryChanges, EntryList};
 pub use entry_table::EntryTable;
 pub use fleet_view::FleetView;
 pub use fleet_watch::{FleetWatch, FleetWatchOptions};
+pub use poll_set::{choose_polled, Distance, PollCandidate};
+pub use relay_directory::RelayDirectory;
 pub use sync_handler::SyncHandler;
 pub use upstream_directory::{heartbeat_timeout, Directory, HeartbeatOutcome};
 pub use upstream_record::{Phase, UpstreamRecord};
--- /dev/null
+++ b/src/directory/poll_set.rs
@@ -0,0 +1,139 @@
+use std::collections::HashSet;
+use std::hash::{Hash, Hasher};
+
+/// Number of control hosts up to which an entry host polls all of them.
+const POLL_ALL_LIMIT: usize = 4;
+/// Control hosts of its own region that an entry host polls in a larger fleet.
+const HOMES_IN_REGION: usize = 2;
+/// Control hosts that it polls altogether; the others are in another region, so that a host whose region
+/// is cut off still hears of the fleet, and the other way round.
+const HOMES: usize = 3;
+/// Control hosts added at once because no polled one reaches them. Each usually reaches the rest.
+const MAX_ADDED: usize = 2;
+
+/// Distance between an entry host and a control host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// The same availability zone.
+    Zone,
+    /// Another availability zone of the same region.
+    Region,
+    /// Another region, or unknown.
+    Remote,
+}
+
+/// A control host that an entry host may poll.
+#[derive(Clone, Copy, Debug)]
+pub struct PollCandidate<'a> {
+    /// Peer address.
+    pub address: &'a str,
+    /// Availability zone; empty if unknown.
+    pub zone: &'a str,
+    /// Distance from the entry host.
+    pub distance: Distance,
+    /// It is polled, and its last call failed.
+    pub is_failing: bool,
+    /// Control hosts whose state it passes on; `None` while it is not polled.
+    pub reached: Option<&'a HashSet<String>>,
+}
+
+/// Chooses the control hosts that an entry host polls.
+///
+/// Control hosts exchange what they know, so a few of them suffice: two of the own region, one of
+/// another and the leader. Calls then grow with the number of entry hosts, not with its product with the
+/// number of control hosts. A control host that none of the chosen ones reaches, as when the control
+/// hosts are cut apart, is polled as well, since heartbeats of upstreams may arrive only there.
+pub fn choose_polled<'a>(
+    candidates: &[PollCandidate<'a>],
+    leader: Option<&str>,
+    own_host_id: &str,
+) -> Vec<&'a str> {
+    if candidates.len() <= POLL_ALL_LIMIT {
+        return candidates.iter().map(|candidate| candidate.address).collect();
+    }
+    let mut ordered: Vec<&PollCandidate<'a>> = candidates.iter().collect();
+    ordered.sort_by_cached_key(|candidate| {
+        (candidate.is_failing, candidate.distance, spread(own_host_id, candidate.address))
+    });
+    let mut chosen = choose_homes(&ordered);
+    let leader = leader.and_then(|address| ordered.iter().find(|it| it.address == address));
+    if let Some(leader) = leader.filter(|leader| !is_chosen(&chosen, leader)) {
+        chosen.push(leader);
+    }
+    add_unreached(&ordered, &mut chosen);
+    chosen.into_iter().map(|candidate| candidate.address).collect()
+}
+
+/// Two control hosts of the region, in two zones if possible, and one of another region; if there are
+/// too few that answer, others in order.
+fn choose_homes<'b, 'a>(ordered: &[&'b PollCandidate<'a>]) -> Vec<&'b PollCandidate<'a>> {
+    let mut homes: Vec<&PollCandidate<'a>> = Vec::new();
+    let sound = || ordered.iter().copied().filter(|candidate| !candidate.is_failing);
+    let nearby = || sound().filter(|candidate| candidate.distance < Distance::Remote);
+    for candidate in nearby() {
+        if homes.len() < HOMES_IN_REGION && homes.iter().all(|home| home.zone != candidate.zone) {
+            homes.push(candidate);
+        }
+    }
+    for candidate in nearby() {
+        if homes.len() < HOMES_IN_REGION && !is_chosen(&homes, candidate) {
+            homes.push(candidate);
+        }
+    }
+    homes.extend(sound().find(|candidate| candidate.distance == Distance::Remote));
+    for candidate in ordered {
+        if homes.len() < HOMES && !is_chosen(&homes, candidate) {
+            homes.push(candidate);
+        }
+    }
+    homes
+}
+
+/// Adds control hosts that none of the chosen ones reaches.
+fn add_unreached<'b, 'a>(
+    ordered: &[&'b PollCandidate<'a>],
+    chosen: &mut Vec<&'b PollCandidate<'a>>,
+) {
+    let mut covered: HashSet<&str> = HashSet::new();
+    for candidate in chosen.iter() {
+        cover(&mut covered, candidate);
+    }
+    // Nothing is known yet of what the chosen ones reach.
+    if chosen.iter().all(|candidate| candidate.reached.is_none()) {
+        return;
+    }
+    let mut added = 0;
+    for candidate in ordered {
+        if covered.contains(candidate.address) || is_chosen(chosen, candidate) {
+            continue;
+        }
+        if candidate.reached.is_none() {
+            if added == MAX_ADDED {
+                continue;
+            }
+            added += 1;
+        }
+        chosen.push(candidate);
+        cover(&mut covered, candidate);
+    }
+}
+
+/// Marks a control host that answers, and those that it reaches, as covered.
+fn cover<'a>(covered: &mut HashSet<&'a str>, candidate: &PollCandidate<'a>) {
+    let Some(reached) = candidate.reached.filter(|_| !candidate.is_failing) else { return };
+    covered.insert(candidate.address);
+    covered.extend(reached.iter().map(String::as_str));
+}
+
+fn is_chosen(chosen: &[&PollCandidate<'_>], candidate: &PollCandidate<'_>) -> bool {
+    chosen.iter().any(|it| it.address == candidate.address)
+}
+
+/// Order of control hosts at the same distance, different on each entry host, so that the load spreads.
+fn spread(own_host_id: &str, address: &str) -> u64 {
+    let mut hasher = fnv::FnvHasher::default();
+    own_host_id.hash(&mut hasher);
+    address.hash(&mut hasher);
+    // FNV spreads the last bytes of its input poorly, so the result is mixed once more.
+    hasher.finish().wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(31)
+}
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -5,6 +5,7 @@
 use arc_swap::ArcSwap;
 use async_std::task;
 
+use crate::control::unix_ms;
 use crate::coordinator::{LeaderClient, LeaderError, LeaderHint};
 use crate::directory::{
     heartbeat_timeout, CrashExchange, FleetView, FleetWatch, FleetWatchOptions, SyncHandler,
@@ -53,6 +54,7 @@
 /// State of this host that is reported to the control hosts and updated from their answers.
 struct EntrySyncState {
     settings: FleetHostSettings,
+    started_at_unix_ms: u64,
     fleet: Arc<GatewayFleet>,
     crashes: Arc<CrashGuard>,
     crash_exchange: CrashExchange,
@@ -81,19 +83,31 @@
     fn is_ready(&self) -> bool {
         self.has_routes.load(Ordering::Acquire) && !self.draining.load(Ordering::Acquire)
     }
-}
 
-impl SyncHandler for EntrySyncState {
-    fn fill_request(&self, to_address: &str, sync: &mut EntrySync) {
-        self.crash_exchange.fill_request(to_address, sync);
+    /// This host as it announces itself. Each flag changes once, so the sequence grows with each change.
+    fn entry_host(&self) -> EntryHost {
         let caller_address = self.settings.caller_address.map(|address| address.to_string());
-        sync.entry = Some(EntryHost {
+        let has_routes = u64::from(self.has_routes.load(Ordering::Acquire));
+        let draining = u64::from(self.draining.load(Ordering::Acquire));
+        EntryHost {
             host_id: self.settings.host_id.clone(),
             caller_address: caller_address.unwrap_or_default(),
             zone: self.settings.zone.clone(),
             region: self.settings.region.clone(),
-            ready: self.is_ready(),
-        });
+            ready: has_routes == 1 && draining == 0,
+            started_at_unix_ms: self.started_at_unix_ms,
+            sequence: has_routes + draining,
+        }
+    }
+}
+
+impl SyncHandler for EntrySyncState {
+    fn fill_request(&self, to_address: &str, sync: &mut EntrySync) {
+        self.crash_exchange.fill_request(to_address, sync);
+        sync.entry = Some(self.entry_host());
+        if !sync.has_report {
+            return;
+        }
         sync.uses = self.local_uses();
         sync.rates = self.fleet.rate_reports();
         sync.uses_revision = self.uses_revision.load(Ordering::Acquire);
@@ -136,9 +150,11 @@
     pub fn spawn(options: GatewayOptions, caller: Arc<dyn PeerCaller>) -> Arc<Self> {
         let GatewayOptions { settings, connector, counters } = options;
         let fleet = Arc::new(GatewayFleet::default());
+        let started_at_unix_ms = unix_ms();
         let crashes = Arc::new(CrashGuard::open(&settings.host_id));
         let sync_state = Arc::new(EntrySyncState {
             settings: settings.clone(),
+            started_at_unix_ms,
             fleet: fleet.clone(),
             crashes: crashes.clone(),
             crash_exchange: CrashExchange::open(crashes.table().clone()),
@@ -148,6 +164,10 @@
             uses_revision: AtomicU64::new(0),
         });
         let watch_options = FleetWatchOptions {
+            host_id: settings.host_id.clone(),
+            zone: settings.zone.clone(),
+            zone_regions: settings.zone_regions.clone(),
+            polls_all: false,
             seed_addresses: settings.seed_addresses.iter().map(ToString::to_string).collect(),
             own_address: settings.peer_address.to_string(),
             directory_timeout: heartbeat_timeout(Duration::from_millis(
@@ -200,7 +220,7 @@
     /// zone if there are at least two, else those in its region if there are at least two, else all.
     pub fn entry_addresses(&self, zone: &str, region: &str, limit: usize) -> Vec<String> {
         let view = self.watch.view();
-        let ready: Vec<&EntryHost> = view.entries.iter().filter(|entry| entry.ready).collect();
+        let ready: Vec<&Arc<EntryHost>> = view.entries.iter().filter(|entry| entry.ready).collect();
         let in_zone: Vec<_> = ready.iter().filter(|entry| entry.zone == zone).collect();
         let in_region: Vec<_> = ready.iter().filter(|entry| entry.region == region).collect();
         let chosen = match (in_zone.len(), in_region.len()) {
--- a/src/replication/replica_manager.rs
+++ b/src/replication/replica_manager.rs
@@ -172,16 +172,19 @@
         }
     }
 
-    /// Peer addresses of the control hosts with fresh notices and of this one, sorted.
-    pub fn control_addresses(&self) -> Vec<String> {
-        let inner = self.lock();
-        let fresh = inner.notices.fresh_addresses(Instant::now());
-        let mut addresses: Vec<String> = fresh.map(str::to_owned).collect();
-        if !addresses.contains(&self.options.peer_address) {
-            addresses.push(self.options.peer_address.clone());
+    /// Peer addresses and availability zones of the control hosts with fresh notices and of this one,
+    /// sorted.
+    pub fn control_hosts(&self) -> Vec<(String, String)> {
+        let (inner, now) = (self.lock(), Instant::now());
+        let fresh = inner.notices.iter().filter(|notice| notice.is_fresh(now));
+        let mut hosts: Vec<(String, String)> =
+            fresh.map(|notice| (notice.peer_address.clone(), notice.zone.clone())).collect();
+        let own = (self.options.peer_address.clone(), self.options.zone.clone());
+        if !hosts.contains(&own) {
+            hosts.push(own);
         }
-        addresses.sort();
-        addresses
+        hosts.sort();
+        hosts
     }
 
     /// True if the control host with this name is this one or has sent a notice that is still
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -46,12 +46,13 @@
         zone: "santander".into(),
         region: "cantabria".into(),
         ready: true,
+        ..EntryHost::default()
     }
 }
 
 fn sync_with(running: &[RunningItem], online: u32) -> EntrySync {
     let uses = vec![UpstreamUse { upstream_id: "a".into(), online, batch: 0 }];
-    EntrySync { running: running.to_vec(), uses, ..EntrySync::default() }
+    EntrySync { has_report: true, running: running.to_vec(), uses, ..EntrySync::default() }
 }
 
 fn running_item(assignment: &ItemAssignment) -> RunningItem {
