Send nothing to upstreams that say that they leave

Cause: `Server-Leaving` in answers and refusals was not read, so that hosts sent requests to an upstream that leaves until its heartbeats said so. Change: the host that sees it takes the upstream out at once, closes its idle connections, and tells the control hosts, which tell all others. A later heartbeat of the same incarnation does not bring the upstream back; a new incarnation is used.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -14,7 +14,7 @@
 use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, Scheduler};
 use crate::directory::{
     CrashExchange, Directory, EntryTable, FleetWatch, FleetWatchOptions, HeartbeatOutcome,
-    SyncHandler, UpstreamRecord,
+    LeavingTable, SyncHandler, UpstreamRecord,
 };
 use crate::ledger::{command, find_route, Job, Ledger};
 use crate::peer::PeerCaller;
@@ -66,6 +66,8 @@
     pub(super) scheduler: Mutex<Scheduler>,
     /// Crash records, which entry hosts send to every control host and receive from any.
     pub(super) crashes: Arc<CrashTable>,
+    /// Upstreams that said that they leave, as entry hosts and other control hosts report.
+    pub(super) leaving: Arc<LeavingTable>,
     pub(super) relay: FleetRelay,
     watch: Arc<OnceLock<Arc<FleetWatch>>>,
     leader_client: LeaderClient,
@@ -129,6 +131,7 @@
             ReplicaManager::open(replica, ledger.clone(), ledger.clone(), caller.clone())?;
         let watch = Arc::new(OnceLock::new());
         let hint = Arc::new(ControlLeaderHint { replica: replica.clone(), watch: watch.clone() });
+        let leaving = Arc::new(LeavingTable::default());
         let interval = Duration::from_millis(settings.upstream_heartbeat_ms);
         let directory = Directory::new(rand::random_range(1..u64::MAX), interval);
         let watch_options = FleetWatchOptions {
@@ -136,6 +139,7 @@
             zone: settings.zone.clone(),
             zone_regions: settings.zone_regions.clone(),
             polls_all: true,
+            leaving: leaving.clone(),
             seed_addresses: settings.seed_addresses.iter().map(ToString::to_string).collect(),
             own_address: settings.peer_address.to_string(),
             directory_timeout: directory.heartbeat_timeout(),
@@ -149,6 +153,7 @@
             entries: Mutex::default(),
             scheduler: Mutex::default(),
             crashes: crashes.clone(),
+            leaving,
             relay: FleetRelay::new(),
             watch,
             leader_client: LeaderClient::open(caller.clone(), hint),
@@ -443,6 +448,23 @@
         self.changed.notify();
     }
 
+    /// Tells the other control hosts of upstreams that an entry host saw leave.
+    pub(super) fn record_leaving(&self, sync: &EntrySync) {
+        let (now, mut is_new) = (Instant::now(), false);
+        for upstream in &sync.leaving {
+            let (id, started) = (upstream.upstream_id.as_str(), upstream.started_at_unix_ms);
+            if self.leaving.insert(id, started, now) {
+                log::info!(event = "upstream_leaves", upstream = id;
+                    "another host reports that the upstream leaves");
+                is_new = true;
+            }
+        }
+        // Every control host is told by the one that heard of it from an entry host.
+        if let Some(watch) = self.watch.get().filter(|_| is_new && sync.entry.is_some()) {
+            watch.sync_now();
+        }
+    }
+
     /// Passes the directory of this host to the fleet watch, which merges it with those of the
     /// other control hosts.
     fn merge_own_directory(&self) {
--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -29,6 +29,7 @@
         if let Some(entry) = &sync.entry {
             self.apply_report(entry, &sync, leads);
         }
+        self.record_leaving(&sync);
         let leader_address = self.leader_address();
         self.crashes.merge(&sync.crashes);
         let until = Instant::now() + self.wait_limit(&sync, leads);
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -8,8 +8,8 @@
 
 use crate::directory::control_host::ControlHost;
 use crate::directory::{
-    choose_polled, list_live, newest_records, Distance, FleetView, PollCandidate, SyncHandler,
-    UpstreamRecord,
+    choose_polled, list_live, newest_records, Distance, FleetView, LeavingTable, Phase,
+    PollCandidate, SyncHandler, UpstreamRecord,
 };
 use crate::peer::{PeerCaller, TrafficClass};
 use crate::schema::peer::{
@@ -54,6 +54,8 @@
     pub directory_timeout: Duration,
     /// Poll every control host, as a control host does, which passes on what it hears.
     pub polls_all: bool,
+    /// Upstreams that said that they leave.
+    pub leaving: Arc<LeavingTable>,
 }
 
 /// Polls control hosts for changes of their directories and publishes the merged view.
@@ -109,6 +111,7 @@
             sync_requested: Signal::default(),
         });
         task::spawn(supervise(watch.clone()));
+        task::spawn(spread_leaving(watch.clone()));
         watch
     }
 
@@ -172,6 +175,7 @@
             routes_version: view.routes.version,
             wait_ms: POLL_WAIT_MS,
             has_report: view.leader_address.as_ref().is_none_or(|leader| leader == address),
+            leaving: self.options.leaving.recent(Instant::now()),
             ..EntrySync::default()
         };
         if let Some(control_host) = inner.control_hosts.get(address) {
@@ -268,7 +272,13 @@
     /// Merges the directories of the control hosts into the view.
     fn merge_upstreams(&self, inner: &Inner, next: &mut FleetView, now: Instant) {
         let sources = inner.control_hosts.values().map(|control_host| &control_host.source);
-        let known = newest_records(sources, self.options.directory_timeout, now);
+        let mut known = newest_records(sources, self.options.directory_timeout, now);
+        let leaving = &self.options.leaving;
+        for record in known.iter_mut().filter(|record| record.phase == Phase::Ready) {
+            if leaving.contains(&record.upstream_id, record.started_at_unix_ms) {
+                record.phase = Phase::Draining;
+            }
+        }
         let upstreams = list_live(&known);
         if *next.upstreams != upstreams {
             log_changes(&next.upstreams, &upstreams);
@@ -429,6 +439,21 @@
     }
 }
 
+/// Takes upstreams that say that they leave out of the view. An entry host, which saw the answer, tells
+/// the control hosts at once.
+async fn spread_leaving(watch: Arc<FleetWatch>) {
+    let leaving = watch.options.leaving.clone();
+    loop {
+        leaving.changed().listen().await;
+        let inner = watch.lock();
+        watch.publish(&inner, Affected { upstreams: true, ..Affected::default() }, None);
+        drop(inner);
+        if !watch.options.polls_all {
+            watch.sync_now();
+        }
+    }
+}
+
 /// Polls one control host, with one pending request at a time, for as long as its task is listed.
 async fn poll_control_host(watch: Arc<FleetWatch>, address: String, task: u64) {
     while watch.lock().polling_tasks.get(&address) == Some(&task) {
--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -224,7 +224,8 @@
         let sent = timeout(STALL_LIMIT, self.connector.send(target, &request)).await;
         let mut answer = match sent {
             Ok(Ok(answer)) => answer,
-            Ok(Err(error @ SendError::NotRun { .. })) => {
+            Ok(Err(error @ SendError::NotRun { notice, .. })) => {
+                self.fleet.record_refusal_notice(&upstream, &notice);
                 log_failed_attempt(assignment, &error.to_string());
                 return Err(not_run);
             }
@@ -238,7 +239,7 @@
                 return Err(RunError::Returned(ItemReturn::Interrupted));
             }
         };
-        upstream.record_rate_limit(answer.head().rate_limit);
+        self.fleet.record_answer_notice(&upstream, &answer.head().notice);
         match answer.head().status {
             200..=299 => {}
             UNPROCESSABLE_STATUS => return Err(RunError::Unprocessable),
--- a/src/gateway/connector.rs
+++ b/src/gateway/connector.rs
@@ -37,8 +37,17 @@
     /// Whether the body has a length or chunks. If not, it ends with the connection, as an upstream
     /// that crashes before its first event also does.
     pub has_framing: bool,
-    /// Requests per second that the upstream takes from all hosts together, if it names a limit.
+    /// What the upstream says of itself.
+    pub notice: UpstreamNotice,
+}
+
+/// What an upstream says of itself in an answer or a refusal.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct UpstreamNotice {
+    /// Requests per second that it takes from all hosts together, if it names a limit.
     pub rate_limit: Option<f64>,
+    /// It leaves and must get no more requests.
+    pub is_leaving: bool,
 }
 
 /// A chunk of an answer's body; `None` at its end.
@@ -59,7 +68,7 @@
 }
 
 /// Why a request to an upstream brought no complete answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum SendError {
     /// No byte of the request was sent, for this reason.
     NotSent(String),
@@ -67,6 +76,8 @@
     NotRun {
         /// Status code of its answer.
         status: u16,
+        /// What it says of itself.
+        notice: UpstreamNotice,
     },
     /// The connection broke or the answer was not valid; the upstream may have run the request.
     Lost(String),
@@ -76,7 +87,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(reason) => write!(formatter, "not sent: {reason}"),
-            Self::NotRun { status } => write!(formatter, "not run, status {status}"),
+            Self::NotRun { status, .. } => write!(formatter, "not run, status {status}"),
             Self::Lost(reason) => write!(formatter, "lost: {reason}"),
         }
     }
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -168,6 +168,7 @@
             zone: settings.zone.clone(),
             zone_regions: settings.zone_regions.clone(),
             polls_all: false,
+            leaving: fleet.leaving().clone(),
             seed_addresses: settings.seed_addresses.iter().map(ToString::to_string).collect(),
             own_address: settings.peer_address.to_string(),
             directory_timeout: heartbeat_timeout(Duration::from_millis(
@@ -384,8 +385,11 @@
             upstreams = view.upstreams.clone();
             fleet.replace(&upstreams);
             let current = fleet.load();
-            connector
-                .retain_upstreams(&|id| current.iter().any(|upstream| upstream.upstream_id == id));
+            // Connections to an upstream that gets no more requests are of no use.
+            connector.retain_upstreams(&|id| {
+                let mut upstreams = current.iter();
+                upstreams.any(|upstream| upstream.upstream_id == id && upstream.accepts_work)
+            });
         }
         changed.await;
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,11 +1,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 
-use crate::directory::UpstreamRecord;
+use crate::directory::{LeavingTable, UpstreamRecord};
 use crate::gateway::upstream::monotonic_ms;
-use crate::gateway::Upstream;
+use crate::gateway::{Upstream, UpstreamNotice};
 use crate::schema::peer::{UpstreamRate, UpstreamUse};
 use crate::signal::Signal;
 
@@ -24,6 +25,7 @@
     leader_heard_ms: AtomicU64,
     /// Number of ready entry hosts, this one included.
     entry_hosts: AtomicU32,
+    leaving: Arc<LeavingTable>,
 }
 
 impl GatewayFleet {
@@ -38,6 +40,28 @@
         upstreams.iter().find(|upstream| upstream.upstream_id == upstream_id).cloned()
     }
 
+    /// Upstreams that said that they leave.
+    pub fn leaving(&self) -> &Arc<LeavingTable> {
+        &self.leaving
+    }
+
+    /// Applies what an upstream says of itself in the head of an answer.
+    pub fn record_answer_notice(&self, upstream: &Upstream, notice: &UpstreamNotice) {
+        upstream.record_rate_limit(notice.rate_limit);
+        self.record_refusal_notice(upstream, notice);
+    }
+
+    /// Applies what an upstream says of itself in a refusal, which may leave out its limit.
+    pub fn record_refusal_notice(&self, upstream: &Upstream, notice: &UpstreamNotice) {
+        if notice.is_leaving {
+            let id = upstream.upstream_id.as_str();
+            if self.leaving.insert(id, upstream.started_at_unix_ms, Instant::now()) {
+                log::info!(event = "upstream_leaves", upstream = id;
+                    "the upstream says in an answer that it leaves");
+            }
+        }
+    }
+
     /// Notes that an online request was sent to a full upstream that runs batch items, and wakes the
     /// task in [`GatewayFleet::wait_for_contention`], which makes batch items release their slots.
     pub fn note_contention(&self) {
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -197,7 +197,7 @@
             Ok(answer) => {
                 progress.runs += 1;
                 progress.stage = AnswerStage::Begun;
-                upstream.record_rate_limit(answer.head().rate_limit);
+                self.fleet.record_answer_notice(&upstream, &answer.head().notice);
                 self.relay_answer(route, request, deadline, answer, &upstream, progress, sink)
                     .await?
             }
@@ -311,7 +311,10 @@
         progress.broke_off = may_have_run;
         progress.last_error = error.to_string();
         let pause = match error {
-            SendError::NotRun { .. } => Duration::ZERO,
+            SendError::NotRun { notice, .. } => {
+                self.fleet.record_refusal_notice(upstream, notice);
+                Duration::ZERO
+            }
             _ => upstream.record_failure(monotonic_ms()),
         };
         log::warn!(event = "attempt_failed", request = request.request_id.as_str(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,7 +27,7 @@
 pub use batch_worker::BatchWorker;
 pub use choice::{choose_upstream, ChoiceInput};
 pub use connector::{
-    BodyChunk, CallTarget, SendError, StreamConnector, UpstreamAnswer, UpstreamHead,
+    BodyChunk, CallTarget, SendError, StreamConnector, UpstreamAnswer, UpstreamHead, UpstreamNotice,
 };
 pub use crash_guard::CrashGuard;
 pub use entry_part::{Gateway, GatewayOptions};
--- a/tests/batch_worker.rs
+++ b/tests/batch_worker.rs
@@ -13,7 +13,7 @@
 use damaskhoist::directory::{Phase, UpstreamRecord};
 use damaskhoist::gateway::{
     BatchWorker, BodyChunk, CallTarget, GatewayFleet, SendError, StreamConnector, StreamRequest,
-    UpstreamAnswer, UpstreamHead,
+    UpstreamAnswer, UpstreamHead, UpstreamNotice,
 };
 use damaskhoist::http::Headers;
 use damaskhoist::peer::{CallError, PeerCaller, TrafficClass};
@@ -68,7 +68,7 @@
             headers: Headers::default(),
             is_event_stream: true,
             has_framing: true,
-            rate_limit: None,
+            notice: UpstreamNotice::default(),
         };
         Ok(Box::new(ScriptedAnswer {
             head,
--- a/tests/fleet_relay.rs
+++ b/tests/fleet_relay.rs
@@ -3,10 +3,11 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use damaskhoist::directory::{
-    choose_polled, Distance, EntryList, Phase, PollCandidate, RelayDirectory, UpstreamRecord,
+    choose_polled, Distance, EntryList, LeavingTable, Phase, PollCandidate, RelayDirectory,
+    UpstreamRecord,
 };
 use damaskhoist::schema::peer::EntryHost;
 
@@ -201,3 +202,20 @@
     }
     assert!(list.changes_since(known).is_complete, "removals this old are forgotten");
 }
+
+/// Guards against an upstream that leaves and is used again because of a later heartbeat, and against a new
+/// incarnation under its id that is never used.
+#[test]
+fn an_incarnation_that_leaves_never_comes_back() {
+    let (leaving, now) = (LeavingTable::default(), Instant::now());
+    assert!(leaving.insert("a", 10, now));
+    assert!(!leaving.insert("a", 10, now));
+    assert!(leaving.contains("a", 10));
+    assert!(!leaving.contains("a", 11), "a later incarnation is used");
+    assert_eq!(leaving.recent(now).len(), 1);
+    assert!(
+        leaving.recent(now + Duration::from_secs(60)).is_empty(),
+        "old notices are not repeated"
+    );
+    assert!(leaving.contains("a", 10));
+}
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -14,6 +14,7 @@
 use damaskhoist::gateway::{
     AnswerSink, BodyChunk, CallTarget, CrashGuard, ForwardOutcome, Forwarder, GatewayFleet, Prompt,
     Refusal, RefusalKind, SendError, StreamConnector, StreamRequest, UpstreamAnswer, UpstreamHead,
+    UpstreamNotice,
 };
 use damaskhoist::http::{Headers, HttpError};
 use damaskhoist::schema::routes::{Route, RouteKind, ServiceShare};
@@ -118,7 +119,13 @@
 
 fn head(status: u16, is_event_stream: bool) -> UpstreamHead {
     let headers = Headers::default();
-    UpstreamHead { status, headers, is_event_stream, has_framing: true, rate_limit: None }
+    UpstreamHead {
+        status,
+        headers,
+        is_event_stream,
+        has_framing: true,
+        notice: UpstreamNotice::default(),
+    }
 }
 
 /// A sink that records what the caller receives.
@@ -339,7 +346,7 @@
 /// run and other upstreams remain.
 #[test]
 fn a_request_that_did_not_run_is_sent_to_another_upstream() {
-    let full = Script::Fails(SendError::NotRun { status: 503 });
+    let full = Script::Fails(SendError::NotRun { status: 503, notice: UpstreamNotice::default() });
     let down = Script::Fails(SendError::NotSent("refused".into()));
     let whole = ok_answer(true, vec![Ok("id: 1\ndata: a\n\n")]);
     let (end, _, sent) = forward(&route(false), vec![full, down, whole]);
@@ -349,7 +356,8 @@
 /// Guards against refusals without a retry delay.
 #[test]
 fn a_request_that_no_upstream_runs_is_refused_with_a_retry_delay() {
-    let full = || Script::Fails(SendError::NotRun { status: 503 });
+    let full =
+        || Script::Fails(SendError::NotRun { status: 503, notice: UpstreamNotice::default() });
     let (_, caller, sent) = forward(&route(false), vec![full(), full(), full(), full()]);
     let refusal = caller.refusal.unwrap();
     assert_eq!((refusal.kind, sent.len()), (RefusalKind::NotRun, 4));
