Forget the load of other hosts while no leader tells it

Cause: without a leader, an entry host kept the last numbers of requests that the leader had told it, so an upstream that was full at that moment seemed full until there was a leader again, and its requests were refused.

--- a/src/gateway/connector.rs
+++ b/src/gateway/connector.rs
@@ -46,6 +46,8 @@
 pub struct UpstreamNotice {
     /// Requests per second that it takes from all hosts together, if it names a limit.
     pub rate_limit: Option<f64>,
+    /// Number of requests that it runs or queues, of all hosts, if it tells.
+    pub requests: Option<u32>,
     /// It leaves and must get no more requests.
     pub is_leaving: bool,
 }
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -31,6 +31,10 @@
 /// one message, and the delay is small compared to the time to a first event.
 const PRESSURE_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Interval at which the requests of other hosts are forgotten by half while the leader is silent; about
+/// the time that a short request takes.
+const STALE_USE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Settings and dependencies of a [`Gateway`].
 pub struct GatewayOptions {
     /// Settings of this host.
@@ -193,6 +197,7 @@
         let gateway = Arc::new(Self { settings, routes, forwarder, watch, leader, sync_state });
         task::spawn(yield_batch_slots(gateway.clone(), fleet.clone(), caller));
         task::spawn(send_crash_records(gateway.clone()));
+        task::spawn(forget_stale_use(gateway.clone(), fleet.clone()));
         task::spawn(apply_views(gateway.clone(), fleet, connector));
         gateway
     }
@@ -351,6 +356,18 @@
     }
 }
 
+/// Forgets the requests of other hosts while the leader no longer tells them.
+async fn forget_stale_use(gateway: Arc<Gateway>, fleet: Arc<GatewayFleet>) {
+    loop {
+        task::sleep(STALE_USE_INTERVAL).await;
+        if fleet.is_leader_silent() {
+            fleet.decay_remote_use();
+            // The next leader, or the same one, then sends all numbers again.
+            gateway.sync_state.uses_revision.store(0, Ordering::Release);
+        }
+    }
+}
+
 /// Sends each crash record that this host publishes to the control hosts at once.
 async fn send_crash_records(gateway: Arc<Gateway>) {
     let table = gateway.sync_state.crashes.table().clone();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -13,6 +13,9 @@
 /// Time without word of the leader after which a host keeps to its own share of each named limit:
 /// above the interval of the leader's answers in the largest fleet.
 const LEADER_SILENCE_MS: u64 = 600;
+/// Time without word of the leader after which its last word of the requests of others no longer holds.
+/// Requests last about a second, and the leader answers each host several times a second.
+const STALE_USE_MS: u64 = 1_000;
 
 /// The known upstreams, replaced as a whole with each change.
 #[derive(Debug, Default)]
@@ -60,6 +63,24 @@
                     "the upstream says in an answer that it leaves");
             }
         }
+        if let Some(requests) = notice.requests.filter(|_| self.is_leader_silent()) {
+            upstream.set_total_requests(requests);
+        }
+    }
+
+    /// True if the leader has told of the requests of other hosts before and now no longer does.
+    pub fn is_leader_silent(&self) -> bool {
+        let heard_ms = self.leader_heard_ms.load(Ordering::Relaxed);
+        heard_ms > 0 && monotonic_ms().saturating_sub(heard_ms) >= STALE_USE_MS
+    }
+
+    /// Halves the number of requests that other hosts are believed to have at each upstream. Called at
+    /// intervals while the leader is silent: without it, an upstream that was full at the last word of
+    /// the leader would seem full for good.
+    pub fn decay_remote_use(&self) {
+        for upstream in self.upstreams.load().iter() {
+            upstream.decay_remote_use();
+        }
     }
 
     /// Notes that an online request was sent to a full upstream that runs batch items, and wakes the
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -103,6 +103,21 @@
         self.load.remote_batch.store(batch, Ordering::Relaxed);
     }
 
+    /// Halves the numbers of requests that other hosts are believed to have.
+    pub fn decay_remote_use(&self) {
+        for count in [&self.load.remote_online, &self.load.remote_batch] {
+            // The closure always returns a value, so the update succeeds.
+            let _ = count.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| Some(n / 2));
+        }
+    }
+
+    /// Sets the number of requests of all hosts, as the upstream itself tells it. Used while the leader
+    /// does not tell the requests of the others.
+    pub fn set_total_requests(&self, requests: u32) {
+        let (online, batch) = self.local_use();
+        self.set_remote_use(requests.saturating_sub(online + batch), 0);
+    }
+
     /// Counts an online request until the guard is dropped.
     pub fn begin_online(self: &Arc<Self>) -> InFlightGuard {
         self.load.online.fetch_add(1, Ordering::Relaxed);
--- a/tests/fleet_relay.rs
+++ b/tests/fleet_relay.rs
@@ -9,7 +9,8 @@
     choose_polled, Distance, EntryList, LeavingTable, Phase, PollCandidate, RelayDirectory,
     UpstreamRecord,
 };
-use damaskhoist::schema::peer::EntryHost;
+use damaskhoist::gateway::GatewayFleet;
+use damaskhoist::schema::peer::{EntryHost, UpstreamUse};
 
 const ZONES: [(&str, Distance); 6] = [
     ("santander", Distance::Zone),
@@ -219,3 +220,22 @@
     );
     assert!(leaving.contains("a", 10));
 }
+
+/// Guards against upstreams that were full at the last word of the leader and seem full for as long as
+/// there is no leader.
+#[test]
+fn the_last_word_of_a_silent_leader_is_forgotten() {
+    let fleet = GatewayFleet::default();
+    fleet.replace(&[upstream("a", 1, Phase::Ready)]);
+    let uses = [UpstreamUse { upstream_id: "a".into(), online: 11, batch: 2 }];
+    fleet.set_remote_use(&uses, true);
+    fleet.apply_rates(&[], 1);
+    assert!(!fleet.is_leader_silent());
+    assert_eq!(fleet.load()[0].in_use(), 13);
+    std::thread::sleep(Duration::from_millis(1_050));
+    assert!(fleet.is_leader_silent());
+    for _ in 0..4 {
+        fleet.decay_remote_use();
+    }
+    assert_eq!(fleet.load()[0].in_use(), 0);
+}
