Report slots again after an answer that was awaited

A report that becomes due while the answer to the last one is awaited was dropped, since a new report would invalidate that answer. The requests that had queued meanwhile waited for the next periodic report, up to 200 ms later. Change: the report follows as soon as the answer arrives.

--- a/src/admission/slot_exchange.rs
+++ b/src/admission/slot_exchange.rs
@@ -82,6 +82,8 @@
     owner: (String, String),
     /// The current owner has granted a lease before.
     is_granted: bool,
+    /// A report was due while the answer to the last one was awaited.
+    is_report_due: bool,
     holder: SlotHolder,
 }
 
@@ -202,8 +204,10 @@
             }
             // A new report would invalidate the grant that answers the pending one.
             if held.holder.is_awaiting_grant(now_ms, self.times) {
+                held.is_report_due = true;
                 continue;
             }
+            held.is_report_due = false;
             let identity = (self.parts.host_id.as_str(), self.parts.incarnation);
             let report = held.holder.build_report(now_ms, sequence, identity, counts, waiting);
             let message = reports.entry(held.owner.clone()).or_insert_with(|| wire::SlotReport {
@@ -244,6 +248,7 @@
         let fleet = self.parts.fleet.load_full();
         let now_ms = self.now_ms();
         let mut state = self.lock();
+        let mut is_report_due = false;
         for lease in &grant.leases {
             let upstream = fleet.upstream(&lease.upstream_id);
             let upstream =
@@ -256,6 +261,7 @@
                 continue;
             }
             held.is_granted = true;
+            is_report_due |= std::mem::take(&mut held.is_report_due);
             let counts = upstream.set_limits(lease.online_slots, lease.batch_slots);
             if !lease.cut_batch {
                 continue;
@@ -266,6 +272,10 @@
                 }
             }
         }
+        drop(state);
+        if is_report_due {
+            self.parts.queue.request_report();
+        }
     }
 
     /// Grants leases to the holder that sent a report, and notifies hosts whose report would free
@@ -333,8 +343,11 @@
             }
             let previous = held.remove(id).filter(|held| held.incarnation == incarnation);
             let holder = previous.as_ref().map(|held| held.holder.clone()).unwrap_or_default();
-            let is_granted = previous.is_some_and(|held| held.is_granted && held.owner == owner);
-            state.held.insert(id.clone(), HeldLease { incarnation, owner, is_granted, holder });
+            let is_granted =
+                previous.as_ref().is_some_and(|held| held.is_granted && held.owner == owner);
+            let is_report_due = previous.is_some_and(|held| held.is_report_due);
+            let held = HeldLease { incarnation, owner, is_granted, is_report_due, holder };
+            state.held.insert(id.clone(), held);
         }
         state.view = view;
     }
