Tell replies to sync calls apart in the traffic counters

Change: replies with loads and with changed upstreams or entry hosts have kinds of their own. Result: the test of the counters finds its replies under the new kind.

--- a/src/peer/message_kind.rs
+++ b/src/peer/message_kind.rs
@@ -1,5 +1,5 @@
 use crate::schema::peer::frame::Body;
-use crate::schema::peer::{call, reply, Frame};
+use crate::schema::peer::{call, reply, ControlSync, Frame};
 
 /// Kind of a message between hosts, for the traffic counters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -10,6 +10,10 @@
     SyncCall,
     /// Replies to sync calls that carry batch items.
     Assignments,
+    /// Replies to sync calls with the load of other hosts.
+    LoadReply,
+    /// Replies to sync calls with changed upstreams or entry hosts.
+    DirectoryReply,
     /// All other replies to sync calls.
     SyncReply,
     /// Commands to the replicated state or the ledger.
@@ -33,10 +37,12 @@
     pub const COUNT: usize = Self::ALL.len();
 
     /// All kinds, in the order of their indexes.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 13] = [
         Self::Raft,
         Self::SyncCall,
         Self::Assignments,
+        Self::LoadReply,
+        Self::DirectoryReply,
         Self::SyncReply,
         Self::Command,
         Self::Query,
@@ -66,6 +72,8 @@
             Self::Raft => "raft",
             Self::SyncCall => "sync_call",
             Self::Assignments => "assignments",
+            Self::LoadReply => "load_reply",
+            Self::DirectoryReply => "directory_reply",
             Self::SyncReply => "sync_reply",
             Self::Command => "command",
             Self::Query => "query",
@@ -90,12 +98,22 @@
 
     fn of_reply(reply: &reply::Reply) -> Self {
         match reply {
-            reply::Reply::ControlSync(sync) if !sync.assignments.is_empty() => Self::Assignments,
-            reply::Reply::ControlSync(_) => Self::SyncReply,
+            reply::Reply::ControlSync(sync) => Self::of_sync_reply(sync),
             reply::Reply::QueryAnswer(_) | reply::Reply::LedgerAnswer(_) => Self::Query,
             reply::Reply::Outcome(_) | reply::Reply::LedgerOutcome(_) => Self::Command,
             reply::Reply::SlotGrant(_) => Self::Slots,
             _ => Self::Other,
         }
     }
+
+    fn of_sync_reply(sync: &ControlSync) -> Self {
+        match sync {
+            _ if !sync.assignments.is_empty() => Self::Assignments,
+            _ if !sync.uses.is_empty() => Self::LoadReply,
+            _ if !sync.upstreams.is_empty() || !sync.changed_entries.is_empty() => {
+                Self::DirectoryReply
+            }
+            _ => Self::SyncReply,
+        }
+    }
 }
--- a/tests/peer_traffic.rs
+++ b/tests/peer_traffic.rs
@@ -61,7 +61,7 @@
             counted.get(&(zone.to_owned(), kind.name(), direction)).copied().unwrap_or(0)
         };
         for (zone, calls) in [("pamplona", 2), ("estella", 1)] {
-            let sent = bytes(zone, MessageKind::SyncReply, "sent");
+            let sent = bytes(zone, MessageKind::LoadReply, "sent");
             assert!((calls * 5_000..calls * 5_100).contains(&sent), "{zone}: {counted:?}");
             let received = bytes(zone, MessageKind::SyncCall, "received");
             assert!((calls * 1_000..calls * 2_100).contains(&received), "{zone}: {counted:?}");
