List only a few hosts in each notice of a control host

Cause: each notice listed all control hosts that its sender knew, and each control host sends one to all others four times a second. Change: a notice lists the hosts that appeared in the last 2 s, and three others drawn anew each time.

--- a/src/replication/notice_table.rs
+++ b/src/replication/notice_table.rs
@@ -1,6 +1,8 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use rand::seq::IteratorRandom;
+
 use crate::schema::peer::ControlNotice;
 
 /// Age at which a notice counts as stale.
@@ -8,6 +10,12 @@
 /// Age at which a notice or a listed address is removed; long enough for a reboot of the host.
 const NOTICE_RETENTION: Duration = Duration::from_secs(60);
 
+/// Time for which each notice lists a host that has just appeared, so that all others hear of it at once.
+const NEWCOMER_TIME: Duration = Duration::from_secs(2);
+/// Number of other hosts that each notice lists, drawn anew each time: a notice must not grow with the
+/// number of control hosts, since each of them sends it to all others several times a second.
+const LISTED_HOSTS: usize = 3;
+
 /// The last notice of a control host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Notice {
@@ -22,6 +30,8 @@
     /// Random number that the host chose for its empty data folder.
     pub nonce: u64,
     received_at: Instant,
+    /// First of the notices without a longer pause between them.
+    appeared_at: Instant,
 }
 
 impl Notice {
@@ -48,6 +58,8 @@
         }
         let ControlNotice { host_id, peer_address, zone, replica_id, nonce, .. } = notice;
         self.listed.remove(&peer_address);
+        let previous = self.notices.get(&peer_address).filter(|previous| previous.is_fresh(now));
+        let appeared_at = previous.map_or(now, |previous| previous.appeared_at);
         let notice = Notice {
             host_id,
             peer_address: peer_address.clone(),
@@ -55,6 +67,7 @@
             replica_id,
             nonce,
             received_at: now,
+            appeared_at,
         };
         self.notices.insert(peer_address, notice);
     }
@@ -75,10 +88,15 @@
         self.notices.values()
     }
 
-    /// Peer addresses of the hosts whose notices are fresh.
-    pub fn fresh_addresses(&self, now: Instant) -> impl Iterator<Item = &str> {
-        let fresh = self.notices.values().filter(move |notice| notice.is_fresh(now));
-        fresh.map(|notice| notice.peer_address.as_str())
+    /// Peer addresses to list in a notice: of the hosts that have just appeared, and of a few others with
+    /// fresh notices.
+    pub fn addresses_to_list(&self, now: Instant) -> Vec<String> {
+        let fresh = || self.notices.values().filter(|notice| notice.is_fresh(now));
+        let is_new = |notice: &&Notice| now.duration_since(notice.appeared_at) < NEWCOMER_TIME;
+        let mut listed: Vec<&Notice> = fresh().filter(is_new).collect();
+        let others = fresh().filter(|notice| !is_new(notice));
+        listed.extend(others.choose_multiple(&mut rand::rng(), LISTED_HOSTS));
+        listed.into_iter().map(|notice| notice.peer_address.clone()).collect()
     }
 
     /// Peer addresses of all hosts that sent a notice or are listed in one.
--- a/src/replication/replica_manager.rs
+++ b/src/replication/replica_manager.rs
@@ -310,7 +310,7 @@
             region: String::new(),
             replica_id: self.status().map_or(0, |status| status.replica_id),
             nonce: inner.nonce,
-            known_addresses: inner.notices.fresh_addresses(now).map(str::to_owned).collect(),
+            known_addresses: inner.notices.addresses_to_list(now),
         }
     }
 
