Draw upstreams in proportion to their free slots

Cause: 28 entry hosts of a zone compared four random upstreams by reports that are up to 340 ms old, and all sent their requests to the same least loaded ones until the next report; requests queued there while other slots were free. Batch items hid the fault where they filled the idle slots evenly. Change: the upstream is drawn at random, weighted by its free slots, its distance and its prefix cache.

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -1,29 +1,29 @@
 use std::sync::Arc;
 
+use rand::seq::IndexedRandom;
+
 use crate::gateway::Upstream;
 use crate::schema::routes::Route;
 
 /// Online requests that may queue at an upstream beyond its slots. A slot becomes free about every
 /// 90 ms there, so the last one starts within its target.
 const QUEUE_LIMIT: u32 = 3;
-/// Cost of another availability zone, as a fraction of a fully used upstream: less than one slot, since
-/// the distance costs a few milliseconds and little bandwidth.
-const ZONE_COST: f32 = 0.05;
-/// Cost of another region: about one and a half slots, since its round trip is an eighth of the time to
-/// the first event and its link is narrow and metered.
-const REGION_COST: f32 = 0.18;
-/// Cost reduction for the upstream that probably has the shared prefix in its cache: less than one slot.
-const PREFIX_BONUS: f32 = 0.08;
-/// Cost of an upstream that names a limit of requests per second: what it still takes is kept for bursts
+/// Weight of a slot that a batch item holds, in comparison with a free one. Items yield their slots, but only
+/// after some milliseconds.
+const BATCH_SLOT_WEIGHT: f32 = 0.2;
+/// Weight of an upstream without a free slot, so that it can be chosen when all others are full as well.
+const FULL_WEIGHT: f32 = 0.1;
+/// Factor for another availability zone of the region. The distance costs a few milliseconds and little
+/// bandwidth.
+const ZONE_FACTOR: f32 = 0.3;
+/// Factor for another region. Its round trip is an eighth of the time to the first event, and its link is
+/// narrow and metered.
+const REGION_FACTOR: f32 = 0.03;
+/// Factor for the upstream that probably has the shared prefix in its cache.
+const PREFIX_FACTOR: f32 = 1.5;
+/// Factor for an upstream that names a limit of requests per second: what it still takes is kept for bursts
 /// and for batch items while others have free slots.
-const RATE_LIMIT_COST: f32 = 0.9;
-/// Upper bound of the random cost, so that hosts with the same view do not all choose the same upstream.
-const JITTER: f32 = 0.06;
-
-/// Number of upstreams that are compared. Hosts report a few times a second, so if all upstreams were
-/// compared, every host would choose the same least loaded ones; a small random sample spreads the
-/// requests.
-const SAMPLE_SIZE: usize = 4;
+const RATE_LIMIT_FACTOR: f32 = 0.02;
 
 /// The inputs of a choice other than the upstreams.
 #[derive(Clone, Copy, Debug)]
@@ -44,8 +44,13 @@
     pub allow_full: bool,
 }
 
-/// Chooses the upstream with the lowest cost; `None` if every upstream of the service is full, was
-/// already tried, has used up its named limit or accepts no new requests.
+/// Chooses an upstream at random, in proportion to its free slots and less often the farther away it is; `None`
+/// if every upstream of the service is full, was already tried, has used up its named limit or accepts no new
+/// requests.
+///
+/// A host knows the requests of the others from a report that is some hundred milliseconds old in a large fleet.
+/// If each host chose the least loaded upstream, or the least loaded one of a few, all would send their requests to
+/// the same ones until the next report, and these requests would queue there while other slots are free.
 ///
 /// Paused upstreams are considered only if all other candidates are paused as well.
 pub fn choose_upstream(
@@ -68,48 +73,29 @@
         input.allow_full || upstream.online_requests() < upstream.slots + QUEUE_LIMIT
     });
     let preferred = input.prefix.map(|prefix| highest_rendezvous_hash(upstreams, service, prefix));
-    let mut candidates: Vec<&Arc<Upstream>> = with_room.collect();
-    sample(&mut candidates, input);
-    let costs = candidates.into_iter().map(|upstream| (cost(upstream, input, preferred), upstream));
-    let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
-    best.map(|(_, upstream)| upstream.clone())
-}
-
-/// Keeps [`SAMPLE_SIZE`] random candidates: of this zone if it has that many with a free slot, else of
-/// this region under the same condition, else of all.
-fn sample(candidates: &mut Vec<&Arc<Upstream>>, input: &ChoiceInput<'_>) {
-    if candidates.len() <= SAMPLE_SIZE {
-        return;
-    }
-    let has_free_slot = |upstream: &Upstream| upstream.online_requests() < upstream.slots;
-    let in_zone = |upstream: &Upstream| upstream.zone == input.zone && has_free_slot(upstream);
-    let in_region =
-        |upstream: &Upstream| upstream.region == input.region && has_free_slot(upstream);
-    if candidates.iter().filter(|upstream| in_zone(upstream)).count() >= SAMPLE_SIZE {
-        candidates.retain(|upstream| in_zone(upstream));
-    } else if candidates.iter().filter(|upstream| in_region(upstream)).count() >= SAMPLE_SIZE {
-        candidates.retain(|upstream| in_region(upstream));
-    }
-    for index in 0..SAMPLE_SIZE.min(candidates.len()) {
-        let other = rand::random_range(index..candidates.len());
-        candidates.swap(index, other);
-    }
-    candidates.truncate(SAMPLE_SIZE);
+    let candidates: Vec<&Arc<Upstream>> = with_room.collect();
+    let chosen = candidates
+        .choose_weighted(&mut rand::rng(), |upstream| weight(upstream, input, preferred))
+        .ok()?;
+    Some(Arc::clone(chosen))
 }
 
-fn cost(upstream: &Upstream, input: &ChoiceInput<'_>, preferred: Option<u64>) -> f32 {
-    let load = upstream.in_use() as f32 / upstream.slots as f32;
+fn weight(upstream: &Upstream, input: &ChoiceInput<'_>, preferred: Option<u64>) -> f32 {
+    let (online, in_use) = (upstream.online_requests(), upstream.in_use());
+    let free = upstream.slots.saturating_sub(in_use) as f32;
+    let held_by_batch = upstream.slots.saturating_sub(online) as f32 - free;
+    let slots = (free + held_by_batch * BATCH_SLOT_WEIGHT).max(FULL_WEIGHT);
     let distance = match (upstream.zone == input.zone, upstream.region == input.region) {
-        (true, _) => 0.0,
-        (false, true) => ZONE_COST,
-        (false, false) => REGION_COST,
+        (true, _) => 1.0,
+        (false, true) => ZONE_FACTOR,
+        (false, false) => REGION_FACTOR,
     };
     let is_preferred = preferred.is_some_and(|hash| {
         input.prefix.is_some_and(|prefix| rendezvous_hash(prefix, &upstream.upstream_id) == hash)
     });
-    let bonus = if is_preferred { PREFIX_BONUS } else { 0.0 };
-    let limit = if upstream.has_rate_limit() { RATE_LIMIT_COST } else { 0.0 };
-    load + distance + limit - bonus + rand::random::<f32>() * JITTER
+    let prefix = if is_preferred { PREFIX_FACTOR } else { 1.0 };
+    let limit = if upstream.has_rate_limit() { RATE_LIMIT_FACTOR } else { 1.0 };
+    slots * distance * prefix * limit
 }
 
 /// Picks a service of the route at random, by weight; `None` if no service has a weight.
