--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -12,8 +12,8 @@
 };
 use crate::gateway::batch_worker::BatchWorker;
 use crate::gateway::{
-    AnswerSink, CrashGuard, ForwardOutcome, Forwarder, GatewayFleet, RouteIndex, StreamConnector,
-    StreamRequest,
+    AnswerSink, CrashGuard, ForwardOutcome, Forwarder, GatewayFleet, Refusal, RouteIndex,
+    StreamConnector, StreamRequest,
 };
 use crate::http::HttpError;
 use crate::ledger::command;
@@ -66,6 +66,8 @@
     /// The first table of routes was received.
     has_routes: AtomicBool,
     draining: AtomicBool,
+    /// Online requests are refused, since the process is about to end.
+    closing: AtomicBool,
     /// Revision of the other hosts' request counts that this host last received, as numbered by the leader.
     uses_revision: AtomicU64,
 }
@@ -165,6 +167,7 @@
             worker: OnceLock::new(),
             has_routes: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             uses_revision: AtomicU64::new(0),
         });
         let watch_options = FleetWatchOptions {
@@ -247,6 +250,11 @@
         self.watch.sync_now();
     }
 
+    /// Refuses online requests from now on, so that those in progress are the last ones.
+    pub fn stop_accepting(&self) {
+        self.sync_state.closing.store(true, Ordering::Release);
+    }
+
     /// Forwards an online request. `routes` must be the routes by which the request was classified as
     /// online, since newer ones may classify it as a batch job.
     ///
@@ -258,6 +266,11 @@
         request: &StreamRequest,
         sink: &mut dyn AnswerSink,
     ) -> Result<ForwardOutcome, HttpError> {
+        if self.sync_state.closing.load(Ordering::Acquire) {
+            // Another host can take the request at once.
+            let refusal = Refusal::not_run("the host is about to stop", Duration::ZERO);
+            return self.forwarder.refuse(request, routes.version(), refusal, sink).await;
+        }
         let route = routes.find(&request.host, request.path());
         self.forwarder.forward(route, routes.version(), request, sink).await
     }
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -130,7 +130,7 @@
     }
 
     /// Logs and counts a refusal and sends it to the caller.
-    async fn refuse(
+    pub(super) async fn refuse(
         &self,
         request: &StreamRequest,
         version: u64,
