Share a named limit among a few hosts

Cause: every entry host might send to an upstream that names a limit while it saw room, and hosts hear of each other's sends up to a third of a second late. Change: each limit is shared by at least four hosts, the same ones in the view of every host, more where there are few upstreams; other hosts send elsewhere.

--- a/src/admission/rendezvous.rs
+++ b/src/admission/rendezvous.rs
@@ -1,3 +1,5 @@
+use std::hash::Hasher;
+
 use sha2::{Digest, Sha256};
 
 use crate::membership::{HostEntry, MembershipView, Status, UpstreamRecord};
@@ -33,3 +35,13 @@
     let digest = digest.finalize();
     std::array::from_fn(|index| digest[index])
 }
+
+/// Rank of a candidate for a key, the same on every host. Cheap enough for the path of a request.
+pub fn rendezvous_rank(key: &[u8], candidate: &str) -> u64 {
+    let mut hasher = fnv::FnvHasher::default();
+    hasher.write(key);
+    hasher.write_u8(0);
+    hasher.write(candidate.as_bytes());
+    // FNV spreads the last bytes of its input poorly, so the result is mixed once more.
+    hasher.finish().wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(31)
+}
--- a/src/directory/poll_set.rs
+++ b/src/directory/poll_set.rs
@@ -1,5 +1,6 @@
 use std::collections::HashSet;
-use std::hash::{Hash, Hasher};
+
+use crate::admission::rendezvous_rank;
 
 /// Number of control hosts up to which an entry host polls all of them.
 const POLL_ALL_LIMIT: usize = 4;
@@ -53,7 +54,9 @@
     }
     let mut ordered: Vec<&PollCandidate<'a>> = candidates.iter().collect();
     ordered.sort_by_cached_key(|candidate| {
-        (candidate.is_failing, candidate.distance, spread(own_host_id, candidate.address))
+        // The rank differs on each entry host, so that the load spreads.
+        let rank = rendezvous_rank(own_host_id.as_bytes(), candidate.address);
+        (candidate.is_failing, candidate.distance, rank)
     });
     let mut chosen = choose_homes(&ordered);
     let leader = leader.and_then(|address| ordered.iter().find(|it| it.address == address));
@@ -128,12 +131,3 @@
 fn is_chosen(chosen: &[&PollCandidate<'_>], candidate: &PollCandidate<'_>) -> bool {
     chosen.iter().any(|it| it.address == candidate.address)
 }
-
-/// Order of control hosts at the same distance, different on each entry host, so that the load spreads.
-fn spread(own_host_id: &str, address: &str) -> u64 {
-    let mut hasher = fnv::FnvHasher::default();
-    own_host_id.hash(&mut hasher);
-    address.hash(&mut hasher);
-    // FNV spreads the last bytes of its input poorly, so the result is mixed once more.
-    hasher.finish().wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(31)
-}
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -2,6 +2,7 @@
 
 use rand::seq::IndexedRandom;
 
+use crate::admission::rendezvous_rank;
 use crate::gateway::Upstream;
 use crate::schema::routes::Route;
 
@@ -72,7 +73,7 @@
     let with_room = usable.filter(|upstream| {
         input.allow_full || upstream.online_requests() < upstream.slots + QUEUE_LIMIT
     });
-    let preferred = input.prefix.map(|prefix| highest_rendezvous_hash(upstreams, service, prefix));
+    let preferred = input.prefix.map(|prefix| highest_rendezvous_rank(upstreams, service, prefix));
     let candidates: Vec<&Arc<Upstream>> = with_room.collect();
     let chosen = candidates
         .choose_weighted(&mut rand::rng(), |upstream| weight(upstream, input, preferred))
@@ -90,8 +91,10 @@
         (false, true) => ZONE_FACTOR,
         (false, false) => REGION_FACTOR,
     };
-    let is_preferred = preferred.is_some_and(|hash| {
-        input.prefix.is_some_and(|prefix| rendezvous_hash(prefix, &upstream.upstream_id) == hash)
+    let is_preferred = preferred.is_some_and(|rank| {
+        input.prefix.is_some_and(|prefix| {
+            rendezvous_rank(&prefix.to_be_bytes(), &upstream.upstream_id) == rank
+        })
     });
     let prefix = if is_preferred { PREFIX_FACTOR } else { 1.0 };
     let limit = if upstream.has_rate_limit() { RATE_LIMIT_FACTOR } else { 1.0 };
@@ -112,19 +115,13 @@
     None
 }
 
-/// The highest rendezvous hash of a prefix among the upstreams of a service. It is the same on each
+/// The highest rendezvous rank of a prefix among the upstreams of a service. It is the same on each
 /// host, so all hosts prefer the same upstream for a prefix.
-fn highest_rendezvous_hash(upstreams: &[Arc<Upstream>], service: &str, prefix: u64) -> u64 {
+fn highest_rendezvous_rank(upstreams: &[Arc<Upstream>], service: &str, prefix: u64) -> u64 {
     let of_service =
         upstreams.iter().filter(|upstream| upstream.accepts_work && upstream.service == service);
-    of_service.map(|upstream| rendezvous_hash(prefix, &upstream.upstream_id)).max().unwrap_or(0)
-}
-
-fn rendezvous_hash(prefix: u64, upstream_id: &str) -> u64 {
-    use std::hash::{Hash, Hasher};
-    let mut hasher = fnv::FnvHasher::default();
-    prefix.hash(&mut hasher);
-    upstream_id.hash(&mut hasher);
-    // FNV spreads the last bytes of its input poorly, so the result is mixed once more.
-    hasher.finish().wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(31)
+    of_service
+        .map(|upstream| rendezvous_rank(&prefix.to_be_bytes(), &upstream.upstream_id))
+        .max()
+        .unwrap_or(0)
 }
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -409,7 +409,7 @@
         }
         let ready = view.entries.iter().filter(|entry| entry.ready);
         let ready: Vec<String> = ready.map(|entry| entry.host_id.clone()).collect();
-        fleet.set_entry_hosts(ready.len());
+        fleet.set_entry_hosts(&gateway.settings.host_id, &view.entries);
         gateway.sync_state.crashes.set_entry_hosts(ready);
         if !Arc::ptr_eq(&upstreams, &view.upstreams) {
             upstreams = view.upstreams.clone();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,13 +1,15 @@
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
 
+use crate::admission::{rate_holders, HolderCandidate};
 use crate::directory::{LeavingTable, UpstreamRecord};
 use crate::gateway::upstream::monotonic_ms;
 use crate::gateway::{Upstream, UpstreamNotice};
-use crate::schema::peer::{UpstreamRate, UpstreamUse};
+use crate::schema::peer::{EntryHost, UpstreamRate, UpstreamUse};
 use crate::signal::Signal;
 
 /// Time without word of the leader after which a host keeps to its own share of each named limit:
@@ -26,11 +28,17 @@
     contention_signal: Signal,
     /// When the leader last told the requests of the others; 0 if it never did.
     leader_heard_ms: AtomicU64,
-    /// Number of ready entry hosts, this one included.
-    entry_hosts: AtomicU32,
+    entry_hosts: ArcSwap<EntryHosts>,
     leaving: Arc<LeavingTable>,
 }
 
+/// Known entry hosts, among which named limits are shared.
+#[derive(Debug, Default)]
+struct EntryHosts {
+    own_host_id: String,
+    hosts: Arc<Vec<Arc<EntryHost>>>,
+}
+
 impl GatewayFleet {
     /// All upstreams, in the order of their ids.
     pub fn load(&self) -> Arc<Vec<Arc<Upstream>>> {
@@ -51,6 +59,9 @@
     /// Applies what an upstream says of itself in the head of an answer.
     pub fn record_answer_notice(&self, upstream: &Upstream, notice: &UpstreamNotice) {
         upstream.record_rate_limit(notice.rate_limit);
+        if upstream.needs_rate_holders() {
+            self.update_rate_holders();
+        }
         self.record_refusal_notice(upstream, notice);
     }
 
@@ -122,19 +133,52 @@
         }
     }
 
-    /// Sets the number of ready entry hosts.
-    pub fn set_entry_hosts(&self, count: usize) {
-        self.entry_hosts.store(count as u32, Ordering::Relaxed);
+    /// Replaces the known entry hosts, among which named limits are shared.
+    pub fn set_entry_hosts(&self, own_host_id: &str, hosts: &Arc<Vec<Arc<EntryHost>>>) {
+        if Arc::ptr_eq(&self.entry_hosts.load().hosts, hosts) {
+            return;
+        }
+        let (own_host_id, hosts) = (own_host_id.to_owned(), hosts.clone());
+        self.entry_hosts.store(Arc::new(EntryHosts { own_host_id, hosts }));
+        self.update_rate_holders();
     }
 
-    /// Among how many hosts a named limit is shared evenly: 1 while the leader tells this host of the
-    /// requests of the others, so that each takes what is left.
-    pub fn rate_share(&self) -> u32 {
-        let heard_ms = self.leader_heard_ms.load(Ordering::Relaxed);
-        if heard_ms > 0 && monotonic_ms().saturating_sub(heard_ms) < LEADER_SILENCE_MS {
-            return 1;
+    /// Determines for each upstream that names a limit whether this host is one of those that share it.
+    fn update_rate_holders(&self) {
+        let upstreams = self.upstreams.load();
+        if !upstreams.iter().any(|upstream| upstream.has_rate_limit()) {
+            return;
+        }
+        let EntryHosts { own_host_id, hosts } = &**self.entry_hosts.load();
+        let usable = || upstreams.iter().filter(|upstream| upstream.accepts_work);
+        let mut of_service: HashMap<&str, usize> = HashMap::new();
+        let mut regions: HashSet<(&str, &str)> = HashSet::new();
+        for upstream in usable() {
+            *of_service.entry(upstream.service.as_str()).or_default() += 1;
+            regions.insert((&upstream.service, &upstream.region));
+        }
+        for upstream in usable().filter(|upstream| upstream.has_rate_limit()) {
+            let service = upstream.service.as_str();
+            let candidates = hosts.iter().filter(|host| host.ready).map(|host| HolderCandidate {
+                host_id: &host.host_id,
+                // A host whose region has no upstream of the service depends on the others.
+                is_near: host.region == upstream.region
+                    || !regions.contains(&(service, host.region.as_str())),
+            });
+            let candidates: Vec<HolderCandidate<'_>> = candidates.collect();
+            let id = upstream.upstream_id.as_str();
+            upstream.set_rate_holders(match candidates.is_empty() {
+                true => Some(1),
+                false => rate_holders(&candidates, own_host_id, id, of_service[service]),
+            });
         }
-        self.entry_hosts.load(Ordering::Relaxed).max(1)
+    }
+
+    /// True while the leader tells this host of the requests of the others, so that it may use what is
+    /// left of a named limit.
+    pub fn hears_of_others(&self) -> bool {
+        let heard_ms = self.leader_heard_ms.load(Ordering::Relaxed);
+        heard_ms > 0 && monotonic_ms().saturating_sub(heard_ms) < LEADER_SILENCE_MS
     }
 
     /// Limits and requests of this host at the upstreams that named a limit lately.
@@ -149,6 +193,9 @@
                 upstream.apply_rate(rate, epoch);
             }
         }
+        if self.upstreams.load().iter().any(|upstream| upstream.needs_rate_holders()) {
+            self.update_rate_holders();
+        }
         self.leader_heard_ms.store(monotonic_ms().max(1), Ordering::Relaxed);
     }
 
@@ -163,5 +210,6 @@
         let next: Vec<Arc<Upstream>> = next.map(Arc::new).collect();
         drop(before);
         self.upstreams.store(Arc::new(next));
+        self.update_rate_holders();
     }
 }
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -244,10 +244,10 @@
         request: &StreamRequest,
         progress: &Progress,
     ) -> Option<Arc<Upstream>> {
-        let rate_share = self.fleet.rate_share();
+        let hears_of_others = self.fleet.hears_of_others();
         for _ in 0..MAX_SENDS {
             let upstream = self.choose_upstream(route, request, progress)?;
-            if upstream.try_send(rate_share) {
+            if upstream.try_send(hears_of_others) {
                 return Some(upstream);
             }
         }
@@ -289,11 +289,17 @@
         if usable.peek().is_none() {
             return Refusal::not_run("no upstream of the route is known", RETRY_AFTER_STARTUP);
         }
-        let room = usable.map(|upstream| upstream.time_to_rate_room()).min().unwrap_or_default();
-        if room.is_zero() {
-            return Refusal::not_run("no upstream can accept the request now", RETRY_AFTER);
+        // Another host may hold a share of a limit in which this one has none.
+        let room = usable.filter_map(|upstream| upstream.time_to_rate_room()).min();
+        match room {
+            Some(Duration::ZERO) => {
+                Refusal::not_run("no upstream can accept the request now", RETRY_AFTER)
+            }
+            _ => Refusal::not_run(
+                "the limits that the upstreams name are used up",
+                RETRY_AFTER.max(room.unwrap_or_default()),
+            ),
         }
-        Refusal::not_run("the limits that the upstreams name are used up", RETRY_AFTER.max(room))
     }
 
     /// Decides whether to retry after a send that brought no answer.
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -139,9 +139,19 @@
     }
 
     /// Counts a request if the upstream's limit has room for it. A host that does not hear of the
-    /// requests of others takes its share of the limit, one in `rate_share`.
-    pub fn try_send(&self, rate_share: u32) -> bool {
-        self.load.rate.try_send(rate_share)
+    /// requests of others keeps to an even share of the limit.
+    pub fn try_send(&self, hears_others: bool) -> bool {
+        self.load.rate.try_send(hears_others)
+    }
+
+    /// Sets the number of hosts that share a named limit; `None` if this host is none of them.
+    pub fn set_rate_holders(&self, holders: Option<u32>) {
+        self.load.rate.set_holders(holders);
+    }
+
+    /// True if the hosts that share a named limit have to be determined.
+    pub fn needs_rate_holders(&self) -> bool {
+        self.load.rate.needs_holders()
     }
 
     /// True while the upstream names a limit.
@@ -154,8 +164,8 @@
         self.load.rate.has_room()
     }
 
-    /// Time until the upstream's limit has room.
-    pub fn time_to_rate_room(&self) -> Duration {
+    /// Time until the upstream's limit has room; `None` if this host does not share it.
+    pub fn time_to_rate_room(&self) -> Option<Duration> {
         self.load.rate.time_to_room()
     }
 
--- a/src/gateway/upstream_rate.rs
+++ b/src/gateway/upstream_rate.rs
@@ -1,4 +1,4 @@
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use crate::admission::RateLimit;
@@ -22,8 +22,15 @@
     /// The leader's count of the requests of others that this host has allowed for, and its epoch.
     others_sent: AtomicU64,
     others_epoch: AtomicU64,
+    /// Number of hosts that share the limit, as [`HOLDERS_UNKNOWN`] and [`NOT_A_HOLDER`] say.
+    holders: AtomicU32,
 }
 
+/// The hosts that share the limit were not determined yet.
+const HOLDERS_UNKNOWN: u32 = 0;
+/// This host is none of those that share the limit.
+const NOT_A_HOLDER: u32 = u32::MAX;
+
 impl UpstreamRate {
     /// Applies the limit in an answer that arrived at `at_ms`, or the lack of one. Returns true if the
     /// limit has changed.
@@ -39,23 +46,42 @@
         before != millis
     }
 
-    /// Counts a request of this host if the limit has room for it.
-    pub(super) fn try_send(&self, share: u32) -> bool {
-        let has_room = self.limit.try_take(monotonic_us(), share);
+    /// Counts a request of this host if the limit has room for it. A host that does not hear of the
+    /// requests of the other holders keeps to an even share.
+    pub(super) fn try_send(&self, hears_others: bool) -> bool {
+        let holders = self.holders.load(Ordering::Relaxed);
+        let share = if hears_others { 1 } else { holders.max(1) };
+        let has_room = self.may_send() && self.limit.try_take(monotonic_us(), share);
         self.sent.fetch_add(u64::from(has_room), Ordering::Relaxed);
         has_room
     }
 
+    /// Sets the number of hosts that share the limit; `None` if this host is none of them.
+    pub(super) fn set_holders(&self, holders: Option<u32>) {
+        self.holders.store(holders.unwrap_or(NOT_A_HOLDER), Ordering::Relaxed);
+    }
+
+    /// True if the hosts that share the limit have to be determined.
+    pub(super) fn needs_holders(&self) -> bool {
+        self.limit.is_set() && self.holders.load(Ordering::Relaxed) == HOLDERS_UNKNOWN
+    }
+
+    /// True if there is no limit, or this host is one of those that share it.
+    fn may_send(&self) -> bool {
+        !self.limit.is_set() || self.holders.load(Ordering::Relaxed) != NOT_A_HOLDER
+    }
+
     pub(super) fn is_limited(&self) -> bool {
         self.limit.is_set()
     }
 
     pub(super) fn has_room(&self) -> bool {
-        self.limit.has_room(monotonic_us())
+        self.may_send() && self.limit.has_room(monotonic_us())
     }
 
-    pub(super) fn time_to_room(&self) -> Duration {
-        self.limit.time_to_room(monotonic_us())
+    /// Time until the limit has room; `None` if this host does not share it.
+    pub(super) fn time_to_room(&self) -> Option<Duration> {
+        self.may_send().then(|| self.limit.time_to_room(monotonic_us()))
     }
 
     /// The report to the leader; `None` if the upstream has not named a limit lately.
--- a/tests/shared_rate_limit.rs
+++ b/tests/shared_rate_limit.rs
@@ -1,9 +1,10 @@
 //! Guards against an upstream that gets more requests than the rate it names, because each host counts
 //! only its own, and against hosts that leave most of the rate unused.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use damaskhoist::admission::RateLimit;
+use damaskhoist::admission::{rate_holders, HolderCandidate, RateLimit};
 use damaskhoist::coordinator::RateShares;
 use damaskhoist::schema::peer::UpstreamRate;
 use proptest::prelude::*;
@@ -64,19 +65,32 @@
         Self { limit, sent: 0, others: None }
     }
 
-    fn sync(&mut self, id: &str, leader: &mut RateShares, per_second: f64, now: Instant, us: u64) {
-        let report = UpstreamRate {
-            upstream_id: UPSTREAM.to_owned(),
+    fn report(&self, upstream_id: &str, per_second: f64) -> UpstreamRate {
+        UpstreamRate {
+            upstream_id: upstream_id.to_owned(),
             limit_millis: (per_second * 1e3) as u64,
             age_ms: 0,
             sent: self.sent,
-        };
-        leader.apply_report(id, &[report], now);
+        }
+    }
+
+    fn hear(&mut self, told: &UpstreamRate, us: u64) {
+        let before = self.others.replace(told.sent);
+        self.limit.take(before.map_or(0, |before| told.sent - before), us);
+    }
+
+    fn sync(&mut self, id: &str, leader: &mut RateShares, per_second: f64, now: Instant, us: u64) {
+        leader.apply_report(id, &[self.report(UPSTREAM, per_second)], now);
         for told in leader.for_host(id, now) {
-            let before = self.others.replace(told.sent);
-            self.limit.take(before.map_or(0, |before| told.sent - before), us);
+            self.hear(&told, us);
         }
     }
+
+    fn try_send(&mut self, us: u64) -> bool {
+        let has_room = self.limit.try_take(us, 1);
+        self.sent += u64::from(has_room);
+        has_room
+    }
 }
 
 proptest! {
@@ -106,8 +120,7 @@
                     host.sync(&format!("host-{index}"), &mut leader, per_second, now, us);
                 }
                 let wants = random.random::<f64>() < demand * per_second / hosts as f64 / 1e3;
-                if wants && host.limit.try_take(us, 1) {
-                    host.sent += 1;
+                if wants && host.try_send(us) {
                     sent.push(now_ms);
                 }
             }
@@ -143,3 +156,123 @@
     }
     assert!(most_in_span(&sent) as f64 <= allowed(per_second), "{}", most_in_span(&sent));
 }
+
+/// A message between a host and the leader of the larger fleet below.
+enum Message {
+    Report(UpstreamRate),
+    /// The leader answers the report.
+    Answer,
+    Told(Vec<UpstreamRate>),
+}
+
+/// A fleet whose hosts hear of each other's requests late.
+struct LargeFleet {
+    hosts: usize,
+    upstreams: usize,
+    per_second: f64,
+    /// Requests that want an upstream, in one second of a burst and of a calm span.
+    burst_per_s: f64,
+    calm_per_s: f64,
+    /// Time for which the leader holds a report before it answers, and the one-way delay to it.
+    answer_ms: u64,
+    delay_ms: u64,
+}
+
+impl LargeFleet {
+    /// Upstreams whose limit a host shares.
+    fn held_by(&self, host: usize) -> Vec<usize> {
+        let host_ids: Vec<String> = (0..self.hosts).map(|host| format!("host-{host}")).collect();
+        let candidates = host_ids.iter().map(|host_id| HolderCandidate { host_id, is_near: true });
+        let candidates: Vec<HolderCandidate<'_>> = candidates.collect();
+        let is_held = |upstream: &usize| {
+            let upstream_id = upstream.to_string();
+            rate_holders(&candidates, &host_ids[host], &upstream_id, self.upstreams).is_some()
+        };
+        (0..self.upstreams).filter(is_held).collect()
+    }
+
+    /// Times of the requests that each upstream got.
+    fn play(&self, for_ms: u64, seed: u64) -> Vec<Vec<u64>> {
+        use rand::{rngs::StdRng, seq::SliceRandom, Rng, SeedableRng};
+        let mut random = StdRng::seed_from_u64(seed);
+        let start = Instant::now();
+        let mut leader = RateShares::open(start);
+        let new_host = |_| (0..self.upstreams).map(|_| Host::open(self.per_second)).collect();
+        let mut fleet: Vec<Vec<Host>> = (0..self.hosts).map(new_host).collect();
+        let mut messages: BTreeMap<u64, Vec<(usize, Message)>> = BTreeMap::new();
+        let mut sent = vec![Vec::new(); self.upstreams];
+        let held: Vec<Vec<usize>> = (0..self.hosts).map(|host| self.held_by(host)).collect();
+        let round_ms = self.answer_ms + 2 * self.delay_ms;
+        for now_ms in 0..for_ms {
+            let (now, us) = (start + Duration::from_millis(now_ms), now_ms * 1_000);
+            for (host, upstreams) in fleet.iter().enumerate() {
+                if !(now_ms + host as u64 * 7).is_multiple_of(round_ms) {
+                    continue;
+                }
+                for (index, upstream) in upstreams.iter().enumerate() {
+                    let report = upstream.report(&index.to_string(), self.per_second);
+                    let at_ms = now_ms + self.delay_ms;
+                    messages.entry(at_ms).or_default().push((host, Message::Report(report)));
+                }
+                let told_ms = now_ms + self.delay_ms + self.answer_ms;
+                messages.entry(told_ms).or_default().push((host, Message::Answer));
+            }
+            for (host, message) in messages.remove(&now_ms).unwrap_or_default() {
+                let host_id = format!("host-{host}");
+                match message {
+                    Message::Report(report) => leader.apply_report(&host_id, &[report], now),
+                    Message::Answer => {
+                        let told = Message::Told(leader.for_host(&host_id, now));
+                        messages.entry(now_ms + self.delay_ms).or_default().push((host, told));
+                    }
+                    Message::Told(rates) => rates.iter().for_each(|told| {
+                        let index: usize = told.upstream_id.parse().unwrap();
+                        fleet[host][index].hear(told, us);
+                    }),
+                }
+            }
+            let per_s = if now_ms % 6_600 < 2_800 { self.burst_per_s } else { self.calm_per_s };
+            for _ in 0..(random.random::<f64>() + per_s / 1e3) as usize {
+                let host = random.random_range(0..self.hosts);
+                let mut choices = held[host].clone();
+                choices.shuffle(&mut random);
+                let mut choices = choices.into_iter();
+                let Some(index) = choices.find(|index| fleet[host][*index].try_send(us)) else {
+                    continue;
+                };
+                sent[index].push(now_ms);
+            }
+        }
+        sent
+    }
+}
+
+/// Guards against a small limit that many hosts exceed because they all see it free at the same time,
+/// before they hear of each other.
+#[rstest]
+#[case::grown(59, 78, 2.5)]
+#[case::large(170, 74, 3.5)]
+#[case::few_upstreams(59, 12, 3.5)]
+fn many_hosts_keep_to_small_rates_in_bursts(
+    #[case] hosts: usize,
+    #[case] upstreams: usize,
+    #[case] per_second: f64,
+) {
+    let capacity_per_s = upstreams as f64 * per_second;
+    let fleet = LargeFleet {
+        hosts,
+        upstreams,
+        per_second,
+        burst_per_s: 2.5 * capacity_per_s,
+        calm_per_s: 0.5 * capacity_per_s,
+        answer_ms: 2 * hosts as u64,
+        delay_ms: 20,
+    };
+    let sent = fleet.play(14_000, 7);
+    for times_ms in &sent {
+        let most = most_in_span(times_ms);
+        assert!(most as f64 <= allowed(per_second), "{most} of {}", allowed(per_second));
+    }
+    let used = sent.iter().map(Vec::len).sum::<usize>() as f64 / (14.0 * capacity_per_s);
+    assert!(used >= 0.6, "only {used} of the rate was used");
+}
