Keep calls in flight when another call of their connection times out

Cause: a call that timed out while no frame arrived closed its connection, and all calls in flight on it were lost with an unknown effect. Calls get what is left of a budget, so 20 to 50 ms sufficed, less than a round trip between regions. Change: such a connection gets no new calls, and calls in flight go on. A call of less than 0.3 s says nothing of it.

--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -25,6 +25,11 @@
 /// Buffered bytes after which queued frames are written to the socket.
 const WRITE_BATCH_BYTES: usize = 64 * 1024;
 
+/// Time that a call must have waited without any frame of the peer before the connection is suspected to
+/// deliver nothing any more. Several round trips between regions, so that a call with little time left says
+/// nothing of the connection.
+const SUSPECT_AFTER: Duration = Duration::from_millis(300);
+
 /// Reply channels of the calls in flight, by call id.
 type WaitingCalls = Mutex<HashMap<u64, oneshot::Sender<Reply>>>;
 
@@ -34,6 +39,9 @@
     waiting: Arc<WaitingCalls>,
     next_call_id: AtomicU64,
     closed: Arc<AtomicBool>,
+    /// It may deliver nothing any more, so new calls use another connection. Calls in flight go on: a peer
+    /// that is only slow still answers them.
+    suspected: AtomicBool,
     /// Number of frames read from the peer, which shows whether the connection still delivers.
     frames_read: Arc<AtomicU64>,
 }
@@ -53,13 +61,18 @@
         let frames_read = Arc::new(AtomicU64::new(0));
         task::spawn(read_replies(stream, waiting.clone(), closed.clone(), frames_read.clone()));
         let next_call_id = AtomicU64::new(1);
-        let connection = Self { outgoing, waiting, next_call_id, closed, frames_read };
+        let suspected = AtomicBool::new(false);
+        let connection = Self { outgoing, waiting, next_call_id, closed, suspected, frames_read };
         connection.send(Body::Hello(hello));
         Ok(connection)
     }
 
-    /// Whether the connection is closed and must be replaced by a new one.
-    pub fn is_closed(&self) -> bool {
+    /// Whether new calls may use the connection; if not, it must be replaced by a new one.
+    pub fn is_usable(&self) -> bool {
+        !self.is_closed() && !self.suspected.load(Ordering::Acquire)
+    }
+
+    fn is_closed(&self) -> bool {
         self.closed.load(Ordering::Acquire) || self.outgoing.is_closed()
     }
 
@@ -95,11 +108,10 @@
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(_)) => Err(CallError::Lost("connection was closed".into())),
             Err(_) => {
-                if self.frames_read.load(Ordering::Relaxed) == frames_read_before {
-                    // No frame arrived during the whole call. A connection may stop delivering
-                    // for good while new connections to the peer work, so this one is closed.
-                    self.closed.store(true, Ordering::Release);
-                    self.outgoing.close();
+                let is_silent = self.frames_read.load(Ordering::Relaxed) == frames_read_before;
+                if is_silent && timeout >= SUSPECT_AFTER {
+                    // A connection may stop delivering for good while new connections to the peer work.
+                    self.suspected.store(true, Ordering::Release);
                 }
                 Err(CallError::Lost(format!("timeout after {} ms", timeout.as_millis())))
             }
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -45,9 +45,9 @@
 }
 
 impl PooledConnection {
-    /// Returns the current connection unless it is closed.
+    /// Returns the current connection if new calls may use it.
     fn usable_connection(&self) -> Option<Arc<Connection>> {
-        self.current.load_full().filter(|connection| !connection.is_closed())
+        self.current.load_full().filter(|connection| connection.is_usable())
     }
 }
 
--- /dev/null
+++ b/tests/peer_calls.rs
@@ -0,0 +1,89 @@
+//! Guards against calls that are lost because another call on the same connection was given little time.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use async_trait::async_trait;
+use damaskhoist::peer::{
+    PeerCaller, PeerHandler, PeerListener, PeerPool, PeerTraffic, TrafficClass,
+};
+use damaskhoist::schema::peer::frame::Body;
+use damaskhoist::schema::peer::{call, reply, Call, ControlSync, EntrySync, Reply};
+use futures::StreamExt;
+
+/// Answers each sync call after the time that it asks for.
+struct SlowAnswers;
+
+#[async_trait]
+impl PeerHandler for SlowAnswers {
+    async fn handle_call(&self, _from: &str, call: Call) -> Reply {
+        if let Some(call::Call::EntrySync(sync)) = call.call {
+            task::sleep(Duration::from_millis(sync.wait_ms.into())).await;
+        }
+        Reply { reply: Some(reply::Reply::ControlSync(ControlSync::default())) }
+    }
+
+    fn handle_message(&self, _from: &str, _body: Body) {}
+}
+
+fn sync_call(wait_ms: u32) -> Call {
+    let sync = EntrySync { wait_ms, ..EntrySync::default() };
+    Call { traceparent: String::new(), call: Some(call::Call::EntrySync(sync)) }
+}
+
+async fn call(pool: &PeerPool, address: &str, wait_ms: u32, timeout_ms: u64) -> bool {
+    let timeout = Duration::from_millis(timeout_ms);
+    pool.call(address, TrafficClass::Bulk, sync_call(wait_ms), timeout).await.is_ok()
+}
+
+/// A call whose time is up takes no other call with it, whether it had little time or much.
+#[test]
+fn a_call_that_times_out_leaves_the_others_alone() {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let traffic = Arc::<PeerTraffic>::default();
+        let listener =
+            PeerListener::spawn(listener, "", Arc::new(SlowAnswers), traffic).expect("a listener");
+        let address = listener.address().to_string();
+        let pool = PeerPool::open("a", "pamplona", 1, "");
+        assert!(call(&pool, &address, 1, 5_000).await);
+        let (slow_pool, slow_address) = (pool.clone(), address.clone());
+        let slow = task::spawn(async move { call(&slow_pool, &slow_address, 1_000, 5_000).await });
+        task::sleep(Duration::from_millis(50)).await;
+        for timeout_ms in [20, 500] {
+            assert!(!call(&pool, &address, 2_000, timeout_ms).await);
+        }
+        assert!(slow.await, "the slow call was lost");
+        listener.close().await;
+    });
+}
+
+/// A connection that delivers nothing any more is replaced after a call of usual length, though new
+/// connections work; a short call says nothing of it.
+#[test]
+fn a_silent_connection_is_replaced() {
+    task::block_on(async {
+        let silent = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = silent.local_addr().expect("an address").to_string();
+        let accepted = Arc::new(AtomicUsize::new(0));
+        let count = accepted.clone();
+        let acceptor = task::spawn(async move {
+            let mut kept = Vec::new();
+            let mut incoming = silent.incoming();
+            while let Some(Ok(stream)) = incoming.next().await {
+                count.fetch_add(1, Ordering::Relaxed);
+                kept.push(stream);
+            }
+        });
+        let pool = PeerPool::open("a", "pamplona", 1, "");
+        for (timeout_ms, connections) in [(20, 1), (20, 1), (500, 1), (20, 2)] {
+            assert!(!call(&pool, &address, 1, timeout_ms).await);
+            task::sleep(Duration::from_millis(20)).await;
+            assert_eq!(accepted.load(Ordering::Relaxed), connections);
+        }
+        acceptor.cancel().await;
+    });
+}
