Keep waiting batch items by job in the scheduler

Cause: for each sync call the leader asked the routes twice for each waiting item, and it walked all of them for each finished one; with 2,000 waiting items one call made 2,000 look-ups. Waiting and running items also held their job, so the ledger copied the whole job for each result, and the old copies stayed in memory. Change: waiting items are kept by job, with what the routes say of it, which is derived once for each version of the routes. Items share the identity of their job and their own content only. The tokens that wait are counted per job.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -16,7 +16,7 @@
     CrashExchange, Directory, EntryTable, FleetWatch, FleetWatchOptions, HeartbeatOutcome,
     LeavingTable, SyncHandler, UpstreamRecord,
 };
-use crate::ledger::{command, find_route, Job, Ledger};
+use crate::ledger::{command, find_route, JobHead, Ledger};
 use crate::peer::PeerCaller;
 use crate::raft::{Priority, ProposeError, ReadError};
 use crate::replication::{ReplicaManager, ReplicaManagerOptions, RetiredHosts};
@@ -423,7 +423,7 @@
             return self.not_leader_failure();
         }
         let routes = self.ledger.routes();
-        let max_attempts = |job: &Job| {
+        let max_attempts = |job: &JobHead| {
             let route = find_route(&routes.routes, &job.host, &job.path);
             route.map_or(1, |route| route.max_attempts.max(1))
         };
--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -6,9 +6,10 @@
 use crate::control::unix_ms;
 use crate::coordinator::control_role::lock;
 use crate::coordinator::fleet_relay::set_entries;
-use crate::coordinator::{Coordinator, Scheduler, SchedulerInput};
-use crate::ledger::{find_route, Job};
+use crate::coordinator::{Coordinator, JobPlan, Scheduler, SchedulerInput};
+use crate::ledger::{find_route, JobHead};
 use crate::schema::peer::{ControlSync, EntryHost, EntrySync, ItemAssignment, SlotPressure};
+use crate::schema::routes::Route;
 use crate::signal::Signal;
 
 /// Time for which the leader keeps a sync call of an entry host waiting for changes, in a fleet
@@ -118,22 +119,11 @@
     ) -> T {
         let routes = self.ledger.routes();
         let upstreams = self.upstreams();
-        let route = |job: &Job| find_route(&routes.routes, &job.host, &job.path);
-        let services = |job: &Job| {
-            let shares = route(job).into_iter().flat_map(|route| &route.shares);
-            shares
-                .filter(|share| share.weight > 0)
-                .map(|share| share.service.clone())
-                .collect::<Vec<_>>()
-        };
-        let due_unix_ms = |job: &Job| {
-            let target_ms = route(job).map_or(0, |route| u64::from(route.completion_target_ms));
-            job.submitted_at_unix_ms + target_ms
-        };
+        let plan = |job: &JobHead| job_plan(job, &routes.routes);
         decide(&SchedulerInput {
             upstreams: &upstreams,
-            services: &services,
-            due_unix_ms: &due_unix_ms,
+            routes_version: routes.version,
+            plan: &plan,
             now_unix_ms: unix_ms(),
             now,
         })
@@ -230,3 +220,15 @@
         assignments
     }
 }
+
+/// What the routes say of a job.
+fn job_plan(job: &JobHead, routes: &[Route]) -> JobPlan {
+    let Some(route) = find_route(routes, &job.host, &job.path) else {
+        return JobPlan { services: Vec::new(), due_unix_ms: job.submitted_at_unix_ms };
+    };
+    let shares = route.shares.iter().filter(|share| share.weight > 0);
+    JobPlan {
+        services: shares.map(|share| share.service.clone()).collect(),
+        due_unix_ms: job.submitted_at_unix_ms + u64::from(route.completion_target_ms),
+    }
+}
--- /dev/null
+++ b/src/coordinator/pending_items.rs
@@ -0,0 +1,147 @@
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::coordinator::running_items::Progress;
+use crate::coordinator::{JobPlan, SchedulerInput};
+use crate::ledger::JobHead;
+use crate::schema::ledger::NewItem;
+
+/// A batch item that waits for a slot.
+#[derive(Debug)]
+pub(super) struct PendingItem {
+    pub(super) content: Arc<NewItem>,
+    pub(super) progress: Progress,
+    pub(super) not_before: Instant,
+}
+
+/// The waiting items of one job.
+#[derive(Debug)]
+struct PendingJob {
+    head: Arc<JobHead>,
+    /// The plan of the job, and the version of the routes that it was derived from.
+    plan: Option<(u64, Arc<JobPlan>)>,
+    items: BTreeMap<u32, PendingItem>,
+}
+
+/// A waiting item that may be started.
+#[derive(Clone, Debug)]
+pub(super) struct StartableItem {
+    pub(super) job_id: Arc<str>,
+    pub(super) item: u32,
+    pub(super) plan: Arc<JobPlan>,
+}
+
+/// Items that wait for a slot, by job. A choice among them costs one step a job and one an item that is
+/// chosen.
+#[derive(Debug, Default)]
+pub(super) struct PendingItems {
+    /// Jobs with waiting items, in the order of their submission.
+    jobs: BTreeMap<(u64, Arc<str>), PendingJob>,
+    /// Submission time of each of these jobs.
+    submitted: HashMap<Arc<str>, u64>,
+    len: usize,
+}
+
+impl PendingItems {
+    pub(super) fn insert(&mut self, head: &Arc<JobHead>, item: u32, pending: PendingItem) {
+        let position = (head.submitted_at_unix_ms, head.job_id.clone());
+        self.submitted.insert(head.job_id.clone(), head.submitted_at_unix_ms);
+        let job = self.jobs.entry(position).or_insert_with(|| PendingJob {
+            head: head.clone(),
+            plan: None,
+            items: BTreeMap::new(),
+        });
+        self.len += usize::from(job.items.insert(item, pending).is_none());
+    }
+
+    pub(super) fn remove(
+        &mut self,
+        job_id: &str,
+        item: u32,
+    ) -> Option<(Arc<JobHead>, PendingItem)> {
+        let (job_id, submitted) = self.submitted.get_key_value(job_id)?;
+        let position = (*submitted, job_id.clone());
+        let job = self.jobs.get_mut(&position)?;
+        let pending = job.items.remove(&item)?;
+        let head = job.head.clone();
+        self.len -= 1;
+        if job.items.is_empty() {
+            self.jobs.remove(&position);
+            self.submitted.remove(&position.1);
+        }
+        Some((head, pending))
+    }
+
+    pub(super) fn get_mut(&mut self, job_id: &str, item: u32) -> Option<&mut PendingItem> {
+        let (job_id, submitted) = self.submitted.get_key_value(job_id)?;
+        self.jobs.get_mut(&(*submitted, job_id.clone()))?.items.get_mut(&item)
+    }
+
+    /// Drops the items of jobs that are not in `open`.
+    pub(super) fn retain_jobs(&mut self, open: &HashSet<&str>) {
+        self.jobs.retain(|(_, job_id), _| open.contains(&**job_id));
+        self.submitted.retain(|job_id, _| open.contains(&**job_id));
+        self.len = self.jobs.values().map(|job| job.items.len()).sum();
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Up to `limit` items that may be started now: those that can still meet their completion target,
+    /// then the late ones, each group by age.
+    pub(super) fn startable(
+        &mut self,
+        input: &SchedulerInput<'_>,
+        limit: usize,
+    ) -> Vec<StartableItem> {
+        let mut late = Vec::new();
+        let mut chosen = Vec::new();
+        for job in self.jobs.values_mut() {
+            let plan = job.plan(input);
+            if !input.can_meet_target(&plan) {
+                late.push((&*job, plan));
+                continue;
+            }
+            job.add_startable(&plan, input.now, limit, &mut chosen);
+            if chosen.len() >= limit {
+                return chosen;
+            }
+        }
+        for (job, plan) in late {
+            job.add_startable(&plan, input.now, limit, &mut chosen);
+        }
+        chosen
+    }
+}
+
+impl PendingJob {
+    /// The plan of the job by the current routes.
+    fn plan(&mut self, input: &SchedulerInput<'_>) -> Arc<JobPlan> {
+        if let Some((_, plan)) =
+            self.plan.as_ref().filter(|(version, _)| *version == input.routes_version)
+        {
+            return plan.clone();
+        }
+        let plan = Arc::new((input.plan)(&self.head));
+        self.plan = Some((input.routes_version, plan.clone()));
+        plan
+    }
+
+    fn add_startable(
+        &self,
+        plan: &Arc<JobPlan>,
+        now: Instant,
+        limit: usize,
+        chosen: &mut Vec<StartableItem>,
+    ) {
+        let ready = self.items.iter().filter(|(_, pending)| pending.not_before <= now);
+        let ready = ready.take(limit.saturating_sub(chosen.len()));
+        chosen.extend(ready.map(|(item, _)| StartableItem {
+            job_id: self.head.job_id.clone(),
+            item: *item,
+            plan: plan.clone(),
+        }));
+    }
+}
--- a/src/coordinator/running_items.rs
+++ b/src/coordinator/running_items.rs
@@ -1,10 +1,13 @@
-use std::collections::{BTreeSet, HashMap};
+use std::borrow::Borrow;
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::hash::Hash;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 
-use crate::ledger::Job;
+use crate::ledger::JobHead;
+use crate::schema::ledger::NewItem;
 use crate::schema::peer::StopReason;
 
 /// Time after which a stop is sent again to an entry host that still runs the item.
@@ -24,8 +27,9 @@
 /// A batch item that is assigned to an entry host and an upstream.
 #[derive(Debug)]
 pub(super) struct AssignedItem {
-    pub(super) job: Arc<Job>,
+    pub(super) job: Arc<JobHead>,
     pub(super) item: u32,
+    pub(super) content: Arc<NewItem>,
     pub(super) host_id: String,
     pub(super) upstream_id: String,
     pub(super) progress: Progress,
@@ -45,18 +49,20 @@
     }
 }
 
-/// Assigned items by assignment id, with indexes by entry host and upstream.
+/// Assigned items by assignment id, with indexes by entry host, upstream and job.
 #[derive(Debug, Default)]
 pub(super) struct RunningItems {
     items: HashMap<u64, AssignedItem>,
     by_host: HashMap<String, BTreeSet<u64>>,
     by_upstream: HashMap<String, BTreeSet<u64>>,
+    by_job: HashMap<Arc<str>, BTreeSet<u64>>,
 }
 
 impl RunningItems {
     pub(super) fn insert(&mut self, id: u64, running: AssignedItem) {
         self.by_host.entry(running.host_id.clone()).or_default().insert(id);
         self.by_upstream.entry(running.upstream_id.clone()).or_default().insert(id);
+        self.by_job.entry(running.job.job_id.clone()).or_default().insert(id);
         self.items.insert(id, running);
     }
 
@@ -64,6 +70,7 @@
         let running = self.items.remove(&id)?;
         remove_from_index(&mut self.by_host, &running.host_id, id);
         remove_from_index(&mut self.by_upstream, &running.upstream_id, id);
+        remove_from_index(&mut self.by_job, &running.job.job_id, id);
         Some(running)
     }
 
@@ -75,12 +82,16 @@
         self.items.get_mut(&id)
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = (u64, &AssignedItem)> {
-        self.items.iter().map(|(id, running)| (*id, running))
+    /// Assignment ids of an item.
+    pub(super) fn of_item(&self, job_id: &str, item: u32) -> Vec<u64> {
+        let ids = self.by_job.get(job_id).into_iter().flatten().copied();
+        ids.filter(|id| self.items.get(id).is_some_and(|running| running.item == item)).collect()
     }
 
-    pub(super) fn values_mut(&mut self) -> impl Iterator<Item = &mut AssignedItem> {
-        self.items.values_mut()
+    /// Assignment ids of jobs that are not in `open`.
+    pub(super) fn of_closed_jobs(&self, open: &HashSet<&str>) -> Vec<u64> {
+        let closed = self.by_job.iter().filter(|(job_id, _)| !open.contains(&***job_id));
+        closed.flat_map(|(_, ids)| ids).copied().collect()
     }
 
     /// Assignment ids of an entry host, oldest first.
@@ -98,7 +109,11 @@
     }
 }
 
-fn remove_from_index(index: &mut HashMap<String, BTreeSet<u64>>, key: &str, id: u64) {
+fn remove_from_index<K: Borrow<str> + Eq + Hash>(
+    index: &mut HashMap<K, BTreeSet<u64>>,
+    key: &str,
+    id: u64,
+) {
     let Some(ids) = index.get_mut(key) else { return };
     ids.remove(&id);
     if ids.is_empty() {
--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -1,13 +1,15 @@
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::coordinator::online_load::OnlineLoad;
+use crate::coordinator::pending_items::{PendingItem, PendingItems, StartableItem};
 use crate::coordinator::running_items::{AssignedItem, Progress, RunningItems};
 use crate::coordinator::{ItemEnd, RateShares, SchedulerInput, UpstreamShare, UpstreamUseUpdate};
 use crate::directory::{Phase, UpstreamRecord};
-use crate::ledger::Job;
+use crate::ledger::{Job, JobHead};
+use crate::schema::ledger::NewItem;
 use crate::schema::peer::{
     EntryHost, EntrySync, ItemAssignment, ItemReturn, ItemStop, ReturnItem, RunningItem,
     SlotPressure, StopReason, UpstreamRate, UpstreamUse,
@@ -36,8 +38,6 @@
 /// regions. They choose the upstream only when their own region is full.
 const MIN_REMOTE_REGION_CHANGE: u32 = 2;
 
-type ItemKey = (Arc<str>, u32);
-
 /// Assigns batch items to entry hosts and upstreams. Only the leader's scheduler is active.
 ///
 /// The scheduler has no durable state. A new leader rebuilds it from the reports of the entry
@@ -48,11 +48,10 @@
     leader_since: Option<Instant>,
     /// Last assignment id or revision that was issued.
     last_issued_id: u64,
-    /// Items that wait for a slot, by submission time and id of their job, then by item index.
-    pending: BTreeMap<(u64, Arc<str>, u32), PendingItem>,
-    /// Items of open jobs that were queued or adopted, each with its assignment id; 0 while
-    /// pending.
-    tracked_items: HashMap<ItemKey, u64>,
+    /// Items that wait for a slot.
+    pending: PendingItems,
+    /// Open jobs whose items were queued.
+    queued_jobs: HashSet<Arc<str>>,
     running: RunningItems,
     load: OnlineLoad,
     /// Limits that upstreams name; `None` on a follower.
@@ -65,13 +64,6 @@
     ended_assignments: HashSet<u64>,
 }
 
-#[derive(Debug)]
-struct PendingItem {
-    job: Arc<Job>,
-    progress: Progress,
-    not_before: Instant,
-}
-
 #[derive(Debug)]
 struct UpstreamBackoff {
     failures: u32,
@@ -95,47 +87,38 @@
         leads
     }
 
-    /// Reconciles the scheduler with the open jobs of the ledger: queues new items, drops pending
-    /// items of jobs that are no longer open and marks their running items to be stopped.
+    /// Reconciles the scheduler with the open jobs of the ledger: queues the items of new jobs, drops
+    /// pending items of jobs that are no longer open and marks their running items to be stopped.
     pub fn reconcile(&mut self, open_jobs: &[Arc<Job>], now: Instant) {
-        let open: HashSet<&str> = open_jobs.iter().map(|job| job.job_id.as_str()).collect();
-        self.pending.retain(|(_, job_id, _), _| open.contains(&**job_id));
-        for running in self.running.values_mut() {
-            if !open.contains(running.job.job_id.as_str()) {
+        let open: HashSet<&str> = open_jobs.iter().map(|job| &*job.head.job_id).collect();
+        self.pending.retain_jobs(&open);
+        for id in self.running.of_closed_jobs(&open) {
+            if let Some(running) = self.running.get_mut(id) {
                 running.stop = Some(StopReason::Cancelled);
             }
         }
-        self.tracked_items.retain(|(job_id, _), _| open.contains(&**job_id));
+        self.queued_jobs.retain(|job_id| open.contains(&**job_id));
         for job in open_jobs {
-            let job_id: Arc<str> = job.job_id.as_str().into();
+            if !self.queued_jobs.insert(job.head.job_id.clone()) {
+                continue;
+            }
             for item in job.unfinished() {
-                if self.tracked_items.contains_key(&(job_id.clone(), item)) {
-                    continue;
-                }
-                let waiting = PendingItem {
-                    job: job.clone(),
-                    progress: Progress::default(),
-                    not_before: now,
-                };
-                self.tracked_items.insert((job_id.clone(), item), 0);
-                self.pending.insert((job.submitted_at_unix_ms, job_id.clone(), item), waiting);
+                let content = job.items[item as usize].clone();
+                let waiting =
+                    PendingItem { content, progress: Progress::default(), not_before: now };
+                self.pending.insert(&job.head, item, waiting);
             }
         }
     }
 
     /// Removes an item that has a result in the ledger.
     pub fn mark_finished(&mut self, job_id: &str, item: u32) {
-        let ids = self
-            .running
-            .iter()
-            .filter(|(_, running)| running.job.job_id == job_id && running.item == item);
-        let ids: Vec<u64> = ids.map(|(id, _)| id).collect();
-        for id in ids {
+        for id in self.running.of_item(job_id, item) {
             if let Some(running) = self.running.remove(id) {
                 self.upstream_backoffs.remove(&running.upstream_id);
             }
         }
-        self.pending.retain(|(_, job, index), _| !(&**job == job_id && *index == item));
+        self.pending.remove(job_id, item);
     }
 
     /// Applies the report of an entry host: updates its load and requeues assigned items that it
@@ -189,18 +172,18 @@
             if self.is_known_assignment(id) {
                 continue;
             }
-            let Some(job) = jobs.iter().find(|job| job.job_id == item.job_id) else { continue };
-            let key = (Arc::<str>::from(item.job_id.as_str()), item.item);
-            let position = (job.submitted_at_unix_ms, key.0.clone(), key.1);
-            if job.is_finished(item.item) {
+            let job = jobs.iter().find(|job| *job.head.job_id == *item.job_id);
+            if job.is_none_or(|job| job.is_finished(item.item)) {
                 continue;
             }
-            let Some(waiting) = self.pending.remove(&position) else { continue };
-            self.tracked_items.insert(key, item.assignment_id);
+            let Some((head, waiting)) = self.pending.remove(&item.job_id, item.item) else {
+                continue;
+            };
             self.contended_upstreams.insert(item.upstream_id.clone());
             let running = AssignedItem {
-                job: job.clone(),
+                job: head,
                 item: item.item,
+                content: waiting.content,
                 host_id: host_id.to_owned(),
                 upstream_id: item.upstream_id.clone(),
                 progress: waiting.progress,
@@ -232,7 +215,7 @@
     pub fn handle_return(
         &mut self,
         item: &ReturnItem,
-        max_attempts: &dyn Fn(&Job) -> u32,
+        max_attempts: &dyn Fn(&JobHead) -> u32,
         now: Instant,
     ) -> ItemEnd {
         let Some(running) = self.running.get_mut(item.assignment_id) else {
@@ -264,11 +247,7 @@
     /// Stores the progress of an item that an earlier leader assigned, if it is pending and the
     /// progress is newer.
     fn record_progress(&mut self, item: &ReturnItem) {
-        let waiting = self
-            .pending
-            .iter_mut()
-            .find(|((_, job_id, index), _)| **job_id == *item.job_id && *index == item.item);
-        let Some((_, waiting)) = waiting else { return };
+        let Some(waiting) = self.pending.get_mut(&item.job_id, item.item) else { return };
         if item.last_event_id > waiting.progress.last_event_id {
             waiting.progress.text = item.text.clone();
             waiting.progress.last_event_id = item.last_event_id;
@@ -296,15 +275,12 @@
     fn requeue(&mut self, id: u64, now: Instant) {
         let Some(running) = self.running.remove(id) else { return };
         self.record_ended(id);
-        let AssignedItem { job, item, progress, stop, .. } = running;
-        let job_id: Arc<str> = job.job_id.as_str().into();
-        if stop == Some(StopReason::Cancelled) || job.is_finished(item) {
+        let AssignedItem { job, item, content, progress, stop, .. } = running;
+        if stop == Some(StopReason::Cancelled) {
             return;
         }
         let not_before = if progress.failures > 0 { now + RETRY_DELAY } else { now };
-        self.tracked_items.insert((job_id.clone(), item), 0);
-        let position = (job.submitted_at_unix_ms, job_id, item);
-        self.pending.insert(position, PendingItem { job, progress, not_before });
+        self.pending.insert(&job, item, PendingItem { content, progress, not_before });
     }
 
     /// Slots of an upstream, and how many of them online requests and batch items use.
@@ -333,7 +309,7 @@
             // newest yields first: it has the least KV cache content that another upstream must
             // compute again.
             assigned_items.sort_by_key(|(_, assigned)| {
-                (input.can_meet_target(&assigned.job), Reverse(assigned.started))
+                (input.can_meet_target(&(input.plan)(&assigned.job)), Reverse(assigned.started))
             });
             let running =
                 assigned_items.into_iter().filter(|(_, assigned)| assigned.stop.is_none());
@@ -448,7 +424,7 @@
 
     /// True if there are pending items.
     pub fn has_pending_items(&self) -> bool {
-        !self.pending.is_empty()
+        self.pending.len() > 0
     }
 
     /// Assigns pending items to an entry host, on upstreams near it that have free slots. Items
@@ -462,22 +438,22 @@
             return Vec::new();
         };
         let held = self.running.on_host(host_id).count();
-        let mut capacity = MAX_ITEMS_PER_ENTRY_HOST.saturating_sub(held);
+        let capacity = MAX_ITEMS_PER_ENTRY_HOST.saturating_sub(held);
         let mut nearby = self.near_upstreams(&entry.host, input);
+        let has_free_slot = |nearby: &[(&UpstreamRecord, UpstreamShare)]| {
+            nearby.iter().any(|(_, share)| share.free_batch_slots() > 0)
+        };
+        if !has_free_slot(&nearby) {
+            return Vec::new();
+        }
         let mut assigned = Vec::new();
-        let waiting = || self.pending.iter().filter(|(_, pending)| pending.not_before <= input.now);
-        let in_time = waiting().filter(|(_, pending)| input.can_meet_target(&pending.job));
-        let late = waiting().filter(|(_, pending)| !input.can_meet_target(&pending.job));
-        let ordered = in_time.chain(late).map(|(position, _)| position.clone());
-        let positions: Vec<_> = ordered.take(capacity).collect();
-        for position in positions {
-            if capacity == 0 || nearby.iter().all(|(_, share)| share.free_batch_slots() == 0) {
+        for startable in self.pending.startable(input, capacity) {
+            if !has_free_slot(&nearby) {
                 break;
             }
-            let services = (input.services)(&self.pending[&position].job);
             let candidates = nearby.iter_mut().filter(|(record, share)| {
                 share.free_batch_slots() > 0
-                    && services.contains(&record.service)
+                    && startable.plan.services.contains(&record.service)
                     && self.has_rate_room(&record.upstream_id, input.now)
             });
             let Some((record, share)) =
@@ -486,9 +462,8 @@
                 continue;
             };
             share.batch += 1;
-            capacity -= 1;
             let upstream_id = record.upstream_id.clone();
-            assigned.push(self.start(position, host_id, upstream_id, input.now));
+            assigned.push(self.start(&startable, host_id, upstream_id, input.now));
         }
         assigned
     }
@@ -525,33 +500,34 @@
     /// Moves a pending item to the running items and builds its assignment.
     fn start(
         &mut self,
-        position: (u64, Arc<str>, u32),
+        startable: &StartableItem,
         host_id: &str,
         upstream_id: String,
         now: Instant,
     ) -> ItemAssignment {
-        let PendingItem { job, progress, .. } =
-            self.pending.remove(&position).expect("only pending items are started");
-        let (_, job_id, item) = position;
+        let StartableItem { job_id, item, .. } = startable;
+        let (job, pending) =
+            self.pending.remove(job_id, *item).expect("only pending items are started");
+        let PendingItem { content, progress, .. } = pending;
         if let Some(rates) = &mut self.rates {
             rates.record_batch_item(&upstream_id, now);
         }
         self.last_issued_id += 1;
         let assignment_id = self.last_issued_id;
-        self.tracked_items.insert((job_id.clone(), item), assignment_id);
         let assignment = ItemAssignment {
             assignment_id,
             job_id: job_id.to_string(),
-            item,
+            item: *item,
             upstream_id: upstream_id.clone(),
             host: job.host.clone(),
-            content: job.items.get(item as usize).cloned(),
+            content: Some(NewItem::clone(&content)),
             text: progress.text.clone(),
             last_event_id: progress.last_event_id,
         };
         let running = AssignedItem {
             job,
-            item,
+            item: *item,
+            content,
             host_id: host_id.to_owned(),
             upstream_id,
             progress,
--- a/src/coordinator/scheduler_input.rs
+++ b/src/coordinator/scheduler_input.rs
@@ -1,7 +1,8 @@
 use std::time::Instant;
 
+use crate::coordinator::JobPlan;
 use crate::directory::UpstreamRecord;
-use crate::ledger::Job;
+use crate::ledger::JobHead;
 
 /// Estimated run time of an item on an upstream: a thousand tokens at 4 ms each, minus the time
 /// that shorter items and earlier progress save.
@@ -11,10 +12,10 @@
 pub struct SchedulerInput<'a> {
     /// Registered upstreams, sorted by id.
     pub upstreams: &'a [UpstreamRecord],
-    /// Services that may run the items of a job; empty if the job no longer has a route.
-    pub services: &'a dyn Fn(&Job) -> Vec<String>,
-    /// Time at which the results of a job are due, in Unix milliseconds.
-    pub due_unix_ms: &'a dyn Fn(&Job) -> u64,
+    /// Version of the current routes.
+    pub routes_version: u64,
+    /// Derives the plan of a job from the current routes.
+    pub plan: &'a dyn Fn(&JobHead) -> JobPlan,
     /// Current time in Unix milliseconds.
     pub now_unix_ms: u64,
     /// Current monotonic time.
@@ -29,8 +30,8 @@
         index.ok().and_then(|index| self.upstreams.get(index))
     }
 
-    /// True if an item of the job that starts now is likely to finish before the job is due.
-    pub(super) fn can_meet_target(&self, job: &Job) -> bool {
-        self.now_unix_ms + ESTIMATED_RUN_MS <= (self.due_unix_ms)(job)
+    /// True if an item of a job with this plan that starts now is likely to finish before it is due.
+    pub(super) fn can_meet_target(&self, plan: &JobPlan) -> bool {
+        self.now_unix_ms + ESTIMATED_RUN_MS <= plan.due_unix_ms
     }
 }
--- a/src/ledger/job.rs
+++ b/src/ledger/job.rs
@@ -1,51 +1,37 @@
+use std::sync::Arc;
+
 use bytes::Bytes;
 
+use crate::ledger::JobHead;
 use crate::schema::ledger::{FinishedItem, JobRecord, NewItem};
 
 /// An accepted batch job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Job {
-    /// Identity, chosen by the customer.
-    pub job_id: String,
-    /// Name of the route that accepted it.
-    pub route: String,
-    /// Host that the job was submitted to, as named in the request.
-    pub host: String,
-    /// Path that the job was submitted to.
-    pub path: String,
-    /// Time at which the job was accepted.
-    pub submitted_at_unix_ms: u64,
+    /// Identity of the job.
+    pub head: Arc<JobHead>,
     /// True once the job is cancelled; none of its items is started after that.
     pub cancelled: bool,
-    /// Items in the order of the submission.
-    pub items: Vec<NewItem>,
+    /// Items in the order of the submission. They are shared with those that run them.
+    pub items: Vec<Arc<NewItem>>,
     /// Results in the order in which the items finished.
     pub results: Vec<FinishedItem>,
     /// Whether each item has a result, by item index.
     finished: Vec<bool>,
+    /// Tokens of the items without a result.
+    unfinished_tokens: u64,
 }
 
 impl Job {
     /// Creates a job without results.
-    pub fn new(
-        job_id: String,
-        route: String,
-        host: String,
-        path: String,
-        items: Vec<NewItem>,
-        now_unix_ms: u64,
-    ) -> Self {
-        let finished = vec![false; items.len()];
+    pub fn new(head: JobHead, items: Vec<NewItem>) -> Self {
         Self {
-            job_id,
-            route,
-            host,
-            path,
-            submitted_at_unix_ms: now_unix_ms,
+            head: Arc::new(head),
             cancelled: false,
-            items,
+            finished: vec![false; items.len()],
+            unfinished_tokens: items.iter().map(|item| item.tokens).sum(),
+            items: items.into_iter().map(Arc::new).collect(),
             results: Vec::new(),
-            finished,
         }
     }
 
@@ -71,7 +57,7 @@
         if self.cancelled {
             return 0;
         }
-        self.unfinished().map(|index| self.items[index as usize].tokens).sum()
+        self.unfinished_tokens
     }
 
     /// Appends a result unless the item already has one; true if it was appended.
@@ -81,8 +67,10 @@
             return false;
         }
         *finished = true;
+        let item = &mut self.items[result.item as usize];
+        self.unfinished_tokens -= item.tokens;
         // The body of an item is not read once its result is listed.
-        self.items[result.item as usize].body = Bytes::new();
+        Arc::make_mut(item).body = Bytes::new();
         self.results.push(result);
         true
     }
@@ -96,14 +84,15 @@
 
 impl From<&Job> for JobRecord {
     fn from(job: &Job) -> Self {
+        let JobHead { job_id, route, host, path, submitted_at_unix_ms } = &*job.head;
         Self {
-            job_id: job.job_id.clone(),
-            route: job.route.clone(),
-            host: job.host.clone(),
-            path: job.path.clone(),
-            submitted_at_unix_ms: job.submitted_at_unix_ms,
+            job_id: job_id.to_string(),
+            route: route.clone(),
+            host: host.clone(),
+            path: path.clone(),
+            submitted_at_unix_ms: *submitted_at_unix_ms,
             cancelled: job.cancelled,
-            items: job.items.clone(),
+            items: job.items.iter().map(|item| NewItem::clone(item)).collect(),
             results: job.results.clone(),
         }
     }
@@ -111,8 +100,10 @@
 
 impl From<JobRecord> for Job {
     fn from(record: JobRecord) -> Self {
-        let JobRecord { job_id, route, host, path, submitted_at_unix_ms, items, .. } = record;
-        let mut job = Self::new(job_id, route, host, path, items, submitted_at_unix_ms);
+        let JobRecord { job_id, route, host, path, submitted_at_unix_ms, .. } = record;
+        let job_id = job_id.into();
+        let head = JobHead { job_id, route, host, path, submitted_at_unix_ms };
+        let mut job = Self::new(head, record.items);
         job.cancelled = record.cancelled;
         for result in record.results {
             job.finish(result);
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -5,6 +5,7 @@
 
 mod command;
 mod job;
+mod job_head;
 mod replicated_ledger;
 mod route_check;
 mod route_match;
@@ -13,6 +14,7 @@
 
 pub use command::command;
 pub use job::Job;
+pub use job_head::JobHead;
 pub use replicated_ledger::Ledger;
 pub use route_check::check_routes;
 pub use route_match::find_route;
--- a/src/ledger/replicated_ledger.rs
+++ b/src/ledger/replicated_ledger.rs
@@ -75,6 +75,7 @@
         let open = tables.jobs.values().filter(|job| !job.has_ended());
         let mut open: Vec<_> = open.cloned().collect();
         open.sort_by(|a, b| {
+            let (a, b) = (&a.head, &b.head);
             (a.submitted_at_unix_ms, &a.job_id).cmp(&(b.submitted_at_unix_ms, &b.job_id))
         });
         open
--- a/src/ledger/snapshot.rs
+++ b/src/ledger/snapshot.rs
@@ -58,7 +58,7 @@
             }
             Some(Record::Job(record)) => {
                 let job = Job::from(record);
-                jobs.insert(job.job_id.clone(), Arc::new(job));
+                jobs.insert(job.head.job_id.to_string(), Arc::new(job));
             }
             Some(Record::End(end)) if end.jobs == jobs.len() as u64 => {
                 tables.jobs = jobs;
--- a/src/ledger/tables.rs
+++ b/src/ledger/tables.rs
@@ -5,7 +5,7 @@
 
 use crate::ledger::command::{done, not_found, refused};
 use crate::ledger::route_match::find_route;
-use crate::ledger::{check_routes, Job};
+use crate::ledger::{check_routes, Job, JobHead};
 use crate::schema::ledger::{
     command, outcome, Command, Expire, FinishedItem, InstallRoutes, JobAccepted, NewItem, Outcome,
     RefusalReason, RoutesInstalled, SubmitJob,
@@ -81,7 +81,14 @@
             return refused(RefusalReason::Quota, waiting, limit);
         }
         let SubmitJob { job_id, host, path, items } = submit;
-        let job = Job::new(job_id.clone(), name, host, path, items, self.now_unix_ms);
+        let head = JobHead {
+            job_id: job_id.as_str().into(),
+            route: name,
+            host,
+            path,
+            submitted_at_unix_ms: self.now_unix_ms,
+        };
+        let job = Job::new(head, items);
         let outcome = job_accepted(&job, false);
         self.jobs.insert(job_id, Arc::new(job));
         outcome
@@ -89,7 +96,7 @@
 
     /// Tokens of the unfinished items of all jobs on a route.
     pub(super) fn waiting_tokens(&self, route: &str) -> u64 {
-        let jobs = self.jobs.values().filter(|job| job.route == route && !job.has_ended());
+        let jobs = self.jobs.values().filter(|job| job.head.route == route && !job.has_ended());
         jobs.map(|job| job.waiting_tokens()).sum()
     }
 
@@ -112,13 +119,14 @@
     /// that are past the retention of their route or have no route.
     fn expire(&mut self, expire: &Expire) -> Outcome {
         let now = self.now_unix_ms;
-        let is_old = |job: &Job| job.submitted_at_unix_ms.saturating_add(expire.keep_ms) <= now;
+        let is_old =
+            |job: &Job| job.head.submitted_at_unix_ms.saturating_add(expire.keep_ms) <= now;
         self.jobs.retain(|_, job| !(job.has_ended() && is_old(job)));
         let table = self.table.clone();
         for job in self.jobs.values_mut().filter(|job| !job.has_ended()) {
-            let route = find_route(&table.routes, &job.host, &job.path);
+            let route = find_route(&table.routes, &job.head.host, &job.head.path);
             let retention_ms = route.map_or(0, |route| u64::from(route.retention_ms));
-            let is_over = job.submitted_at_unix_ms.saturating_add(retention_ms) <= now;
+            let is_over = job.head.submitted_at_unix_ms.saturating_add(retention_ms) <= now;
             if is_over && retention_ms > 0 || route.is_none() {
                 fail_unfinished_items(Arc::make_mut(job));
             }
@@ -131,7 +139,7 @@
 fn fail_unfinished_items(job: &mut Job) {
     let unfinished: Vec<u32> = job.unfinished().collect();
     for item in unfinished {
-        let job_id = job.job_id.clone();
+        let job_id = job.head.job_id.to_string();
         job.finish(FinishedItem { job_id, item, failed: true, text: Bytes::new() });
     }
 }
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -1,13 +1,14 @@
 //! Guards against batch items that run twice, are lost, or take slots from online requests.
 
+use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use damaskhoist::coordinator::{ItemEnd, Scheduler, SchedulerInput, UpstreamShare};
+use damaskhoist::coordinator::{ItemEnd, JobPlan, Scheduler, SchedulerInput, UpstreamShare};
 use damaskhoist::directory::{Phase, UpstreamRecord};
-use damaskhoist::ledger::Job;
+use damaskhoist::ledger::{Job, JobHead};
 use damaskhoist::schema::ledger::{FinishedItem, NewItem};
 use damaskhoist::schema::peer::{
     EntryHost, EntrySync, ItemAssignment, ItemReturn, ReturnItem, RunningItem, SlotPressure,
@@ -20,9 +21,15 @@
 const AFTER_START_DELAY: Duration = Duration::from_millis(800);
 
 fn job(id: &str, items: usize) -> Arc<Job> {
+    job_submitted_at(id, items, 1)
+}
+
+fn job_submitted_at(id: &str, items: usize, submitted_at_unix_ms: u64) -> Arc<Job> {
     let items = (0..items).map(|n| NewItem { item_id: format!("{id}-{n}"), ..NewItem::default() });
     let (host, path) = ("engraver.example".to_owned(), "/sheets/".to_owned());
-    Arc::new(Job::new(id.into(), "sheets".into(), host, path, items.collect(), 1))
+    let (job_id, route) = (id.into(), "sheets".to_owned());
+    let head = JobHead { job_id, route, host, path, submitted_at_unix_ms };
+    Arc::new(Job::new(head, items.collect()))
 }
 
 fn upstream(id: &str) -> UpstreamRecord {
@@ -80,10 +87,11 @@
     now: Instant,
     decide: impl FnOnce(&SchedulerInput<'_>) -> T,
 ) -> T {
-    let services = |_: &Job| vec!["engraver".to_owned()];
-    let due_unix_ms = |job: &Job| job.submitted_at_unix_ms + 18_000;
-    let (services, due_unix_ms) = (&services, &due_unix_ms);
-    decide(&SchedulerInput { upstreams, services, due_unix_ms, now_unix_ms, now })
+    let plan = |job: &JobHead| JobPlan {
+        services: vec!["engraver".to_owned()],
+        due_unix_ms: job.submitted_at_unix_ms + 18_000,
+    };
+    decide(&SchedulerInput { upstreams, routes_version: 1, plan: &plan, now_unix_ms, now })
 }
 
 fn leading_scheduler(start: Instant, jobs: &[Arc<Job>]) -> Scheduler {
@@ -216,9 +224,8 @@
 #[test]
 fn late_items_are_assigned_after_items_in_time() {
     let start = Instant::now();
-    let mut fresh = Job::clone(&job("fresh", 1));
-    fresh.submitted_at_unix_ms = 20_000;
-    let mut scheduler = leading_scheduler(start, &[job("late", 9), Arc::new(fresh)]);
+    let fresh = job_submitted_at("fresh", 1, 20_000);
+    let mut scheduler = leading_scheduler(start, &[job("late", 9), fresh]);
     let (now, upstreams) = (start + AFTER_START_DELAY, [upstream("a")]);
     let assigned =
         with_scheduler_input(&upstreams, 25_000, now, |input| scheduler.assign("e1", input));
@@ -376,3 +383,41 @@
         scheduler.apply_report(&entry_host("e1"), &sync_with(&[], 0), now);
     }
 }
+
+/// Guards against a leader whose work for one sync call grows with the items that wait.
+#[test]
+fn the_routes_are_asked_once_for_each_job() {
+    let start = Instant::now();
+    let jobs: Vec<Arc<Job>> = (0..200).map(|number| job(&format!("j{number}"), 10)).collect();
+    let mut scheduler = leading_scheduler(start, &jobs);
+    let lookups = Cell::new(0);
+    let plan = |job: &JobHead| {
+        lookups.set(lookups.get() + 1);
+        JobPlan { services: vec!["engraver".to_owned()], due_unix_ms: job.submitted_at_unix_ms }
+    };
+    let upstreams = [upstream("a")];
+    let now = start + AFTER_START_DELAY;
+    for routes_version in [1, 1, 1, 2] {
+        scheduler.assign(
+            "e1",
+            &SchedulerInput {
+                upstreams: &upstreams,
+                routes_version,
+                plan: &plan,
+                now_unix_ms: 1,
+                now,
+            },
+        );
+    }
+    assert!(lookups.get() <= 400, "{} lookups under two versions of the routes", lookups.get());
+}
+
+/// Guards against jobs that the ledger has to copy for each result, because the scheduler holds them.
+#[test]
+fn the_scheduler_holds_no_job() {
+    let start = Instant::now();
+    let jobs = [job("j", 10)];
+    let mut scheduler = leading_scheduler(start, &jobs);
+    assign(&mut scheduler, "e1", &[upstream("a")], start + AFTER_START_DELAY);
+    assert_eq!(Arc::strong_count(&jobs[0]), 1);
+}
