Keep a given-up item assigned until the ledger has its result

Cause: the scheduler forgot an item when it gave it up, before the command that says so was applied. If the command failed, as without a quorum, the item had no result and nobody ran it until the leader changed (found by reading). Change: the item stays assigned until the command is applied; when the entry host returns it again, it is given up again. Result: the new test failed before (Unknown instead of GivenUp) and passes now.

--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -232,7 +232,8 @@
             ItemReturn::FailedAttempt => {
                 running.progress.failures += 1;
                 if running.progress.failures >= max_attempts(&running.job) {
-                    self.running.remove(item.assignment_id);
+                    // It stays assigned until the ledger has its result: the command may fail, and the
+                    // entry host then returns the item again.
                     return ItemEnd::GivenUp;
                 }
             }
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -421,3 +421,24 @@
     assign(&mut scheduler, "e1", &[upstream("a")], start + AFTER_START_DELAY);
     assert_eq!(Arc::strong_count(&jobs[0]), 1);
 }
+
+/// Guards against an item that nobody runs any more and that has no result: the entry host reports the end
+/// of an item again when the command that gives it up was not applied.
+#[test]
+fn an_item_is_given_up_until_the_ledger_says_so() {
+    let start = Instant::now();
+    let mut scheduler = leading_scheduler(start, &[job("j", 1)]);
+    let now = start + AFTER_START_DELAY;
+    let assigned = assign(&mut scheduler, "e1", &[upstream("a")], now).remove(0);
+    let failed = ReturnItem {
+        assignment_id: assigned.assignment_id,
+        job_id: "j".into(),
+        reason: ItemReturn::FailedAttempt.into(),
+        ..ReturnItem::default()
+    };
+    assert_eq!(scheduler.handle_return(&failed, &|_| 1, now), ItemEnd::GivenUp);
+    assert_eq!(scheduler.handle_return(&failed, &|_| 1, now), ItemEnd::GivenUp);
+    scheduler.mark_finished("j", 0);
+    assert_eq!(scheduler.handle_return(&failed, &|_| 1, now), ItemEnd::Unknown);
+    assert_eq!(scheduler.item_counts(), (0, 0));
+}
