Wake only the readers of a job with its results

Change: reads wait for a signal of their own job. Result: the new test passes; with the signal of the whole ledger, which reads used before, a result of any job wakes every reader.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -407,7 +407,7 @@
         let wait = Duration::from_millis(read.wait_ms.into()).min(MAX_RESULT_WAIT);
         let until = Instant::now() + wait;
         loop {
-            let changed = self.ledger.changed().listen();
+            let changed = self.ledger.listen_for_results(&read.job_id);
             let page = self.ledger.results(&read.job_id, read.after)?;
             let left = until.saturating_duration_since(Instant::now());
             let is_last = read.after >= page.total;
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -6,6 +6,7 @@
 mod command;
 mod job;
 mod job_head;
+mod job_signals;
 mod replicated_ledger;
 mod route_check;
 mod route_match;
--- a/src/ledger/replicated_ledger.rs
+++ b/src/ledger/replicated_ledger.rs
@@ -3,9 +3,11 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use event_listener::EventListener;
 use prost::Message;
 
 use crate::ledger::command::done;
+use crate::ledger::job_signals::{AffectedJobs, JobSignals};
 use crate::ledger::snapshot::{self, SnapshotContent};
 use crate::ledger::tables::Tables;
 use crate::ledger::Job;
@@ -24,6 +26,7 @@
     /// The routes in force, readable without a lock.
     routes: ArcSwap<RouteTable>,
     changed: Signal,
+    job_signals: JobSignals,
 }
 
 impl Ledger {
@@ -43,6 +46,11 @@
         &self.changed
     }
 
+    /// Creates a listener that is notified once the results of a job may have changed.
+    pub fn listen_for_results(&self, job_id: &str) -> EventListener {
+        self.job_signals.listen(job_id)
+    }
+
     /// True if an operator has retired the host.
     pub fn is_retired(&self, host_id: &str) -> bool {
         self.tables().retired_hosts.contains(host_id)
@@ -95,11 +103,14 @@
     fn apply(&self, index: u64, command: &[u8]) -> Bytes {
         let outcome = match Command::decode(command) {
             Ok(command) => {
+                let affected = AffectedJobs::of(&command);
                 let mut tables = self.tables.write().unwrap_or_else(PoisonError::into_inner);
                 let outcome = tables.apply(command);
                 if tables.table.version != self.routes.load().version {
                     self.routes.store(tables.table.clone());
                 }
+                drop(tables);
+                self.job_signals.notify(&affected);
                 outcome
             }
             Err(error) => {
@@ -122,6 +133,7 @@
         let tables = snapshot::read(source)?;
         self.routes.store(tables.table.clone());
         *self.tables.write().unwrap_or_else(PoisonError::into_inner) = tables;
+        self.job_signals.notify(&AffectedJobs::All);
         self.changed.notify();
         Ok(())
     }
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -11,6 +11,7 @@
     RefusalReason, SubmitJob,
 };
 use damaskhoist::schema::routes::{Route, RouteKind, RouteTable, RoutedService, ServiceShare};
+use futures::FutureExt;
 use prost::Message;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -203,3 +204,23 @@
     restored.restore(&mut &saved[..]).unwrap();
     restored
 }
+
+/// Guards against reads that every result of any job wakes, which costs the leader the product of readers
+/// and results.
+#[test]
+fn a_result_wakes_only_the_readers_of_its_job() {
+    let ledger = ledger_with_routes();
+    apply(&ledger, 1, submit("read", 2, 1));
+    apply(&ledger, 1, submit("other", 2, 1));
+    let mut reader = ledger.listen_for_results("read");
+    apply(&ledger, 2, finish("other", 0, "text"));
+    assert!((&mut reader).now_or_never().is_none(), "woken by another job");
+    apply(&ledger, 3, finish("read", 1, "text"));
+    assert!(reader.now_or_never().is_some());
+    let reader = ledger.listen_for_results("read");
+    apply(&ledger, 4, Kind::CancelJob(CancelJob { job_id: "read".into() }));
+    assert!(reader.now_or_never().is_some());
+    let reader = ledger.listen_for_results("read");
+    apply(&ledger, 100_000, Kind::Expire(Expire { keep_ms: 1 }));
+    assert!(reader.now_or_never().is_some());
+}
