Read batch jobs at the nearest replica

Cause: all results left from the leader. Change: control hosts say whether they run a replica; an entry host reads at one of its region. A follower asks the leader for the read index first. Reads moved from control_role.rs to a file of their own.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -18,11 +18,10 @@
 };
 use crate::ledger::{command, find_route, JobHead, Ledger};
 use crate::peer::PeerCaller;
-use crate::raft::{Priority, ProposeError, ReadError};
-use crate::replication::{ReplicaManager, ReplicaManagerOptions, RetiredHosts};
+use crate::raft::{Priority, ProposeError};
+use crate::replication::{KnownControlHost, ReplicaManager, ReplicaManagerOptions, RetiredHosts};
 use crate::schema::ledger::{
-    answer, command::Command as Kind, query, Answer, Command, Expire, FinishItems, FinishedItem,
-    NotFound, Outcome, Query, ReadResults, ResultPage, RetirementState,
+    command::Command as Kind, Command, Expire, FinishItems, FinishedItem, Outcome,
 };
 use crate::schema::peer::{
     call, reply, ControlHostEntry, ControlSync, EntrySync, FailureKind, ReturnItem,
@@ -39,14 +38,10 @@
 const LEDGER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval of the commands that expire old jobs.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Time limit of a read barrier. Operators and callers retry on another host after a second.
-const READ_BARRIER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest interval at which what is passed on to entry hosts is brought up to date.
 const RELAY_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest interval of the same, so that a wave of changes is passed on together.
 const MIN_RELAY_INTERVAL: Duration = Duration::from_millis(5);
-/// Maximum time that a read of results waits for the next result.
-const MAX_RESULT_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Options of a [`Coordinator`].
 pub struct CoordinatorOptions {
@@ -94,7 +89,7 @@
     }
 
     fn control_addresses(&self) -> Vec<String> {
-        self.replica.control_hosts().into_iter().map(|(address, _)| address).collect()
+        self.replica.control_hosts().into_iter().map(|host| host.peer_address).collect()
     }
 }
 
@@ -247,6 +242,7 @@
             call::Call::EntrySync(sync) => reply::Reply::ControlSync(self.handle_sync(sync).await),
             call::Call::LedgerCommand(command) => self.propose(command).await,
             call::Call::LedgerQuery(query) => self.query(query).await,
+            call::Call::ReadIndex(_) => self.read_index().await,
             call::Call::ReturnItem(item) => self.return_item(item).await,
             call::Call::RetireHost(retire) => match self.leads() {
                 true => self.retire_as_leader(&retire.host_id).await,
@@ -270,7 +266,7 @@
         self.replica.status().is_some_and(|status| status.is_leader)
     }
 
-    fn not_leader_failure(&self) -> reply::Reply {
+    pub(super) fn not_leader_failure(&self) -> reply::Reply {
         let leader = Some(self.leader_address()).filter(|address| !address.is_empty());
         call_failure(FailureKind::NotLeader, "this replica does not lead", leader)
     }
@@ -307,9 +303,10 @@
             watch.update_local_entries(entries);
         }
         let own_address = self.settings.peer_address.to_string();
-        let control_hosts = self.replica.control_hosts().into_iter().map(|(peer_address, zone)| {
+        let control_hosts = self.replica.control_hosts().into_iter().map(|host| {
+            let KnownControlHost { peer_address, zone, has_replica } = host;
             let is_reached = peer_address == own_address || watch.reaches(&peer_address);
-            ControlHostEntry { peer_address, zone, is_reached }
+            ControlHostEntry { peer_address, zone, is_reached, has_replica }
         });
         changed |= self.relay.update(&watch.view(), control_hosts.collect(), Instant::now());
         let leader = self.leader_address();
@@ -356,68 +353,6 @@
         reply::Reply::LedgerOutcome(outcome)
     }
 
-    /// Waits until a quorum has confirmed that this replica is the leader and its state is current.
-    pub(super) async fn confirm_leadership(&self) -> Result<(), reply::Reply> {
-        let Some(group) = self.replica.group() else { return Err(self.not_leader_failure()) };
-        match async_std::future::timeout(READ_BARRIER_TIMEOUT, group.read_barrier()).await {
-            Ok(Ok(_)) => Ok(()),
-            Ok(Err(ReadError::NotLeader { leader_address })) => {
-                Err(call_failure(FailureKind::NotLeader, "not the leader", leader_address))
-            }
-            Ok(Err(error)) => Err(call_failure(FailureKind::NoQuorum, &error.to_string(), None)),
-            Err(_) => {
-                Err(call_failure(FailureKind::NoQuorum, "no quorum confirmed the read", None))
-            }
-        }
-    }
-
-    async fn query(&self, query: Query) -> reply::Reply {
-        if let Err(refusal) = self.confirm_leadership().await {
-            return refusal;
-        }
-        let not_found = || answer::Answer::NotFound(NotFound {});
-        let answer = match query.query {
-            Some(query::Query::ReadResults(read)) => {
-                self.wait_for_results(&read).await.map_or_else(not_found, answer::Answer::Results)
-            }
-            Some(query::Query::ReadItemBody(read)) => {
-                let job = self.ledger.job(&read.job_id);
-                let body = job.and_then(|job| job.unfinished_item_body(&read.item_id));
-                body.map_or_else(not_found, answer::Answer::ItemBody)
-            }
-            Some(query::Query::ReadRoutes(_)) => {
-                self.ledger.document().map_or_else(not_found, answer::Answer::Document)
-            }
-            Some(query::Query::ReadRetirement(read)) => {
-                match self.ledger.is_retired(&read.host_id) {
-                    true => {
-                        let completed = self.replica.hosts_no_replica(&read.host_id);
-                        answer::Answer::Retirement(RetirementState { completed })
-                    }
-                    false => not_found(),
-                }
-            }
-            None => not_found(),
-        };
-        reply::Reply::LedgerAnswer(Answer { answer: Some(answer) })
-    }
-
-    /// Reads a page of results. Waits up to `wait_ms` for the first result on the page.
-    async fn wait_for_results(&self, read: &ReadResults) -> Option<ResultPage> {
-        let wait = Duration::from_millis(read.wait_ms.into()).min(MAX_RESULT_WAIT);
-        let until = Instant::now() + wait;
-        loop {
-            let changed = self.ledger.listen_for_results(&read.job_id);
-            let page = self.ledger.results(&read.job_id, read.after)?;
-            let left = until.saturating_duration_since(Instant::now());
-            let is_last = read.after >= page.total;
-            if !page.results.is_empty() || left.is_zero() || is_last {
-                return Some(page);
-            }
-            Signal::wait(changed, left).await;
-        }
-    }
-
     async fn return_item(&self, item: ReturnItem) -> reply::Reply {
         if !self.leads() {
             return self.not_leader_failure();
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -11,6 +11,7 @@
 mod operator;
 mod pending_items;
 mod rate_shares;
+mod reads;
 mod running_items;
 mod scheduler;
 mod scheduler_input;
--- /dev/null
+++ b/src/coordinator/reads.rs
@@ -0,0 +1,117 @@
+use std::time::{Duration, Instant};
+
+use async_std::future::timeout;
+
+use crate::coordinator::operator::call_failure;
+use crate::coordinator::Coordinator;
+use crate::raft::{Group, ReadError};
+use crate::schema::ledger::{
+    answer, query, Answer, NotFound, Query, ReadResults, ResultPage, RetirementState,
+};
+use crate::schema::peer::{call, reply, FailureKind, ReadIndex, ReadIndexCall};
+use crate::signal::Signal;
+
+/// Time limit of a read barrier. Operators and callers retry on another host after a second.
+const READ_BARRIER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum time that a read of results waits for the next result.
+const MAX_RESULT_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Reads of the ledger. Each replica answers those of batch jobs, so that results do not all leave from the
+/// leader and cross the link between regions only once, in the log. A follower first asks the leader how
+/// far it must have applied the log, which makes its answer as current as the leader's.
+impl Coordinator {
+    /// Answers a read of the ledger.
+    pub(super) async fn query(&self, query: Query) -> reply::Reply {
+        let is_read_of_job = matches!(
+            query.query,
+            Some(query::Query::ReadResults(_) | query::Query::ReadItemBody(_))
+        );
+        let current = match self.replica().group().filter(|_| is_read_of_job && !self.leads()) {
+            Some(group) => self.catch_up(&group).await,
+            None => self.confirm_leadership().await.map(|_| ()),
+        };
+        if let Err(refusal) = current {
+            return refusal;
+        }
+        let not_found = || answer::Answer::NotFound(NotFound {});
+        let answer = match query.query {
+            Some(query::Query::ReadResults(read)) => {
+                self.wait_for_results(&read).await.map_or_else(not_found, answer::Answer::Results)
+            }
+            Some(query::Query::ReadItemBody(read)) => {
+                let job = self.ledger().job(&read.job_id);
+                let body = job.and_then(|job| job.unfinished_item_body(&read.item_id));
+                body.map_or_else(not_found, answer::Answer::ItemBody)
+            }
+            Some(query::Query::ReadRoutes(_)) => {
+                self.ledger().document().map_or_else(not_found, answer::Answer::Document)
+            }
+            Some(query::Query::ReadRetirement(read)) => {
+                match self.ledger().is_retired(&read.host_id) {
+                    true => {
+                        let completed = self.replica().hosts_no_replica(&read.host_id);
+                        answer::Answer::Retirement(RetirementState { completed })
+                    }
+                    false => not_found(),
+                }
+            }
+            None => not_found(),
+        };
+        reply::Reply::LedgerAnswer(Answer { answer: Some(answer) })
+    }
+
+    /// Waits until a quorum has confirmed that this replica is the leader and its state is current. Returns
+    /// the index up to which the log is applied.
+    pub(super) async fn confirm_leadership(&self) -> Result<u64, reply::Reply> {
+        let Some(group) = self.replica().group() else { return Err(self.not_leader_failure()) };
+        match timeout(READ_BARRIER_TIMEOUT, group.read_barrier()).await {
+            Ok(Ok(point)) => Ok(point.index),
+            Ok(Err(ReadError::NotLeader { leader_address })) => {
+                Err(call_failure(FailureKind::NotLeader, "not the leader", leader_address))
+            }
+            Ok(Err(error)) => Err(call_failure(FailureKind::NoQuorum, &error.to_string(), None)),
+            Err(_) => {
+                Err(call_failure(FailureKind::NoQuorum, "no quorum confirmed the read", None))
+            }
+        }
+    }
+
+    /// Tells a follower up to which entry it must have applied the log to answer a read.
+    pub(super) async fn read_index(&self) -> reply::Reply {
+        match self.confirm_leadership().await {
+            Ok(index) => reply::Reply::ReadIndex(ReadIndex { index }),
+            Err(refusal) => refusal,
+        }
+    }
+
+    /// Waits until this follower has applied all that was committed when the read began.
+    async fn catch_up(&self, group: &Group) -> Result<(), reply::Reply> {
+        let failure = |message: &str| call_failure(FailureKind::NoQuorum, message, None);
+        let call = call::Call::ReadIndex(ReadIndexCall {});
+        let started = Instant::now();
+        let asked =
+            self.leader_client().call(call, READ_BARRIER_TIMEOUT, READ_BARRIER_TIMEOUT).await;
+        let Ok(reply::Reply::ReadIndex(ReadIndex { index })) = asked else {
+            return Err(failure("no leader confirmed the read"));
+        };
+        let left = READ_BARRIER_TIMEOUT.saturating_sub(started.elapsed());
+        let applied = timeout(left, group.wait_until_applied(index)).await;
+        applied.map_err(|_| failure("this replica is behind the leader"))
+    }
+
+    /// Reads a page of results. Waits up to `wait_ms` for the first result on the page.
+    async fn wait_for_results(&self, read: &ReadResults) -> Option<ResultPage> {
+        let wait = Duration::from_millis(read.wait_ms.into()).min(MAX_RESULT_WAIT);
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.ledger().listen_for_results(&read.job_id);
+            let page = self.ledger().results(&read.job_id, read.after)?;
+            let left = until.saturating_duration_since(Instant::now());
+            let is_last = read.after >= page.total;
+            if !page.results.is_empty() || left.is_zero() || is_last {
+                return Some(page);
+            }
+            Signal::wait(changed, left).await;
+        }
+    }
+}
--- a/src/directory/control_host_list.rs
+++ b/src/directory/control_host_list.rs
@@ -18,7 +18,7 @@
         hosts.sort_by(|a, b| a.peer_address.cmp(&b.peer_address));
         let mut hasher = fnv::FnvHasher::default();
         for host in &hosts {
-            (&host.peer_address, &host.zone, host.is_reached).hash(&mut hasher);
+            (&host.peer_address, &host.zone, host.is_reached, host.has_replica).hash(&mut hasher);
         }
         Self { hosts, hash: hasher.finish().max(1) }
     }
--- a/src/directory/fleet_view.rs
+++ b/src/directory/fleet_view.rs
@@ -18,6 +18,8 @@
     pub entries: Arc<Vec<Arc<EntryHost>>>,
     /// Peer addresses of the control hosts.
     pub control_addresses: Arc<Vec<String>>,
+    /// Peer addresses of control hosts of this region that run a replica of the ledger, nearest first.
+    pub near_replicas: Arc<Vec<String>>,
     /// Peer address of the leader; `None` while it is unknown.
     pub leader_address: Option<String>,
 }
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 use futures::future::{select, Either};
 
+use crate::admission::rendezvous_rank;
 use crate::directory::control_host::ControlHost;
 use crate::directory::{
     choose_polled, list_live, newest_records, Distance, FleetView, LeavingTable, Phase,
@@ -258,6 +259,7 @@
             next.leader_address = leader_address;
         }
         next.control_addresses = Arc::new(self.addresses(inner));
+        next.near_replicas = Arc::new(self.near_replicas(inner));
         let routes = reply.and_then(|reply| reply.routes);
         if let Some(routes) = routes.filter(|table| table.version > next.routes.version) {
             log::info!(event = "routes_in_force", version = routes.version,
@@ -307,6 +309,27 @@
         addresses
     }
 
+    /// Peer addresses of the control hosts of this region that run a replica, nearest first.
+    fn near_replicas(&self, inner: &Inner) -> Vec<String> {
+        let answering = inner
+            .control_hosts
+            .values()
+            .filter(|control_host| control_host.failing_since.is_none());
+        let listed = answering.flat_map(|control_host| &control_host.listed);
+        let near = listed
+            .filter(|entry| entry.has_replica && self.distance(&entry.zone) < Distance::Remote);
+        let host_id = self.options.host_id.as_bytes();
+        let mut near: Vec<(Distance, u64, &String)> = near
+            .map(|entry| {
+                let address = &entry.peer_address;
+                (self.distance(&entry.zone), rendezvous_rank(host_id, address), address)
+            })
+            .collect();
+        near.sort();
+        near.dedup();
+        near.into_iter().map(|(_, _, address)| address.clone()).collect()
+    }
+
     /// Addresses of the control hosts that have to be polled now.
     fn polled_addresses(&self, inner: &Inner) -> Vec<String> {
         let mut addresses = self.addresses(inner);
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -11,6 +11,7 @@
     heartbeat_timeout, CrashExchange, FleetView, FleetWatch, FleetWatchOptions, SyncHandler,
 };
 use crate::gateway::batch_worker::BatchWorker;
+use crate::gateway::job_reader::JobReader;
 use crate::gateway::{
     AnswerSink, CrashGuard, ForwardOutcome, Forwarder, GatewayFleet, Refusal, RouteIndex,
     StreamConnector, StreamRequest,
@@ -52,6 +53,7 @@
     forwarder: Forwarder,
     watch: Arc<FleetWatch>,
     leader: Arc<LeaderClient>,
+    job_reader: JobReader,
     sync_state: Arc<EntrySyncState>,
 }
 
@@ -197,7 +199,9 @@
             counters,
         );
         let routes = ArcSwap::from_pointee(RouteIndex::default());
-        let gateway = Arc::new(Self { settings, routes, forwarder, watch, leader, sync_state });
+        let job_reader = JobReader::open(caller.clone(), leader.clone(), watch.clone());
+        let gateway =
+            Arc::new(Self { settings, routes, forwarder, watch, leader, job_reader, sync_state });
         task::spawn(yield_batch_slots(gateway.clone(), fleet.clone(), caller));
         task::spawn(send_crash_records(gateway.clone()));
         task::spawn(forget_stale_use(gateway.clone(), fleet.clone()));
@@ -310,7 +314,7 @@
         let wait_ms = wait.as_millis() as u32;
         let read = ReadResults { job_id: job_id.to_owned(), after, wait_ms };
         let query = Query { query: Some(query::Query::ReadResults(read)) };
-        let Answer { answer } = self.leader.query(query, wait, budget).await?;
+        let Answer { answer } = self.job_reader.query(query, wait, budget).await?;
         Ok(match answer {
             Some(answer::Answer::Results(page)) => Some(page),
             _ => None,
@@ -329,7 +333,7 @@
     ) -> Result<Option<bytes::Bytes>, LeaderError> {
         let read = ReadItemBody { job_id: job_id.to_owned(), item_id: item_id.to_owned() };
         let query = Query { query: Some(query::Query::ReadItemBody(read)) };
-        let Answer { answer } = self.leader.query(query, Duration::ZERO, budget).await?;
+        let Answer { answer } = self.job_reader.query(query, Duration::ZERO, budget).await?;
         Ok(match answer {
             Some(answer::Answer::ItemBody(body)) => Some(body),
             _ => None,
--- /dev/null
+++ b/src/gateway/job_reader.rs
@@ -0,0 +1,79 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwapOption;
+
+use crate::coordinator::{LeaderClient, LeaderError};
+use crate::directory::FleetWatch;
+use crate::peer::{PeerCaller, TrafficClass};
+use crate::schema::ledger::{query, Answer, Query};
+use crate::schema::peer::{call, reply, Call, Reply};
+
+/// Time for a replica to answer, in addition to its wait for a result. What is left of the budget then
+/// suffices for the leader.
+const REPLICA_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time for which a replica that did not answer is passed over.
+const AVOID_TIME: Duration = Duration::from_secs(1);
+
+/// Reads batch jobs at a replica of this region, or at the leader if that fails. The results of a job then
+/// cross the link between regions in the log only, and not with each read.
+pub struct JobReader {
+    caller: Arc<dyn PeerCaller>,
+    leader: Arc<LeaderClient>,
+    watch: Arc<FleetWatch>,
+    /// The replica that failed last, and until when it is passed over.
+    avoided: ArcSwapOption<(String, Instant)>,
+}
+
+impl JobReader {
+    /// Creates a reader that looks for replicas in the view of `watch`.
+    pub fn open(
+        caller: Arc<dyn PeerCaller>,
+        leader: Arc<LeaderClient>,
+        watch: Arc<FleetWatch>,
+    ) -> Self {
+        Self { caller, leader, watch, avoided: ArcSwapOption::empty() }
+    }
+
+    /// Runs a linearizable read of a job; the replica may wait up to `max_wait` before it answers.
+    ///
+    /// # Errors
+    /// If neither a replica nor the leader answered within `budget`.
+    pub async fn query(
+        &self,
+        query: Query,
+        max_wait: Duration,
+        budget: Duration,
+    ) -> Result<Answer, LeaderError> {
+        let started = Instant::now();
+        let Some(address) = self.near_replica() else {
+            return self.leader.query(query, max_wait, budget).await;
+        };
+        let message =
+            Call { traceparent: String::new(), call: Some(call::Call::LedgerQuery(query.clone())) };
+        let timeout = (max_wait + REPLICA_TIMEOUT).min(budget);
+        let answer = self.caller.call(&address, TrafficClass::Bulk, message, timeout).await;
+        if let Ok(Reply { reply: Some(reply::Reply::LedgerAnswer(answer)) }) = answer {
+            return Ok(answer);
+        }
+        self.avoided.store(Some(Arc::new((address, Instant::now() + AVOID_TIME))));
+        let left = budget.saturating_sub(started.elapsed());
+        self.leader.query(without_wait(query), Duration::ZERO, left).await
+    }
+
+    fn near_replica(&self) -> Option<String> {
+        let avoided = self.avoided.load();
+        let avoided = avoided.as_ref().filter(|avoided| Instant::now() < avoided.1);
+        let view = self.watch.view();
+        let mut near = view.near_replicas.iter();
+        near.find(|address| avoided.is_none_or(|avoided| avoided.0 != **address)).cloned()
+    }
+}
+
+/// The same read without a wait for new results.
+fn without_wait(mut query: Query) -> Query {
+    if let Some(query::Query::ReadResults(read)) = &mut query.query {
+        read.wait_ms = 0;
+    }
+    query
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod fleet;
 mod forward_progress;
 mod forwarder;
+mod job_reader;
 mod prompt;
 mod refusal;
 mod route_index;
--- a/src/raft/driver.rs
+++ b/src/raft/driver.rs
@@ -23,6 +23,7 @@
 };
 use crate::schema::peer;
 use crate::schema::peer::raft_message::Body as WireBody;
+use crate::signal::Signal;
 
 /// Maximum number of events that are handled before the resulting actions are performed.
 const EVENT_BATCH: usize = 1024;
@@ -84,6 +85,8 @@
     pub disk_quota: Arc<DiskQuota>,
     /// The published status of the replica.
     pub status: Arc<ArcSwap<GroupStatus>>,
+    /// Notified when further entries are applied.
+    pub applied: Arc<Signal>,
 }
 
 impl Driver {
--- a/src/raft/driver_status.rs
+++ b/src/raft/driver_status.rs
@@ -29,6 +29,7 @@
         if self.published == Some(current) {
             return;
         }
+        let has_applied = self.published.is_none_or(|published| published.3 != self.applied_index);
         self.published = Some(current);
         let status = GroupStatus {
             group: self.options.group,
@@ -50,5 +51,8 @@
             followers: node.followers(self.now_ms()),
         };
         self.context.status.store(Arc::new(status));
+        if has_applied {
+            self.context.applied.notify();
+        }
     }
 }
--- a/src/raft/group.rs
+++ b/src/raft/group.rs
@@ -18,12 +18,14 @@
     ReadError, ReadPoint, ReplicaChange, StateMachine, Transport,
 };
 use crate::schema::peer::RaftMessage;
+use crate::signal::Signal;
 
 /// Handle of a running replica of a group. Clones refer to the same replica.
 #[derive(Clone)]
 pub struct Group {
     events: Sender<Event>,
     status: Arc<ArcSwap<GroupStatus>>,
+    applied: Arc<Signal>,
     queue: QueueLimit,
     disk_quota: Arc<DiskQuota>,
     closed: futures::future::Shared<oneshot::Receiver<()>>,
@@ -71,6 +73,7 @@
         )
         .map_err(|error| OpenError::Io { group, error })?;
         let status = Arc::new(ArcSwap::from_pointee(GroupStatus::default()));
+        let applied = Arc::new(Signal::default());
         let context = DriverContext {
             machine,
             transport,
@@ -79,6 +82,7 @@
             jobs,
             disk_quota: disk_quota.clone(),
             status: status.clone(),
+            applied: applied.clone(),
         };
         let driver = Driver::new(options, recovery, context);
         let (done, closed) = oneshot::channel();
@@ -89,7 +93,8 @@
             let _ = done.send(());
         });
         let closed = futures::FutureExt::shared(closed);
-        Ok(Self { events: event_sender, status, queue: QueueLimit::default(), disk_quota, closed })
+        let (events, queue) = (event_sender, QueueLimit::default());
+        Ok(Self { events, status, applied, queue, disk_quota, closed })
     }
 
     /// Replicates a command; returns the state machine's outcome once it is committed and applied.
@@ -128,6 +133,17 @@
         point.await.unwrap_or(Err(ReadError::NoQuorum))
     }
 
+    /// Waits until this replica has applied the log up to `index`.
+    pub async fn wait_until_applied(&self, index: u64) {
+        loop {
+            let applied = self.applied.listen();
+            if self.status.load().applied_index >= index {
+                return;
+            }
+            applied.await;
+        }
+    }
+
     /// Enqueues a message from another replica. Does not block.
     pub fn receive(&self, message: RaftMessage) {
         let _ = self.events.try_send(Event::Message(message));
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -7,12 +7,14 @@
 //! empty disk or runs on a host that is being retired. [`ReplicaManager`] manages the replica of
 //! one host throughout.
 
+mod known_control_host;
 mod member;
 mod notice_table;
 mod repair;
 mod replica_manager;
 mod replica_status;
 
+pub use known_control_host::KnownControlHost;
 pub use member::{Candidate, Member, MemberState};
 pub use notice_table::{Notice, NoticeTable};
 pub use repair::{plan_repair, RepairStep};
--- a/src/replication/replica_manager.rs
+++ b/src/replication/replica_manager.rs
@@ -15,7 +15,7 @@
     sync_folder, Group, GroupOptions, GroupStatus, Identity, Replica, ReplicaChange, StateMachine,
 };
 use crate::replication::replica_status::assess_members;
-use crate::replication::{plan_repair, Candidate, NoticeTable, RepairStep};
+use crate::replication::{plan_repair, Candidate, KnownControlHost, NoticeTable, RepairStep};
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{Admission, ControlNotice, RaftMessage};
 
@@ -172,17 +172,23 @@
         }
     }
 
-    /// Peer addresses and availability zones of the control hosts with fresh notices and of this one,
-    /// sorted.
-    pub fn control_hosts(&self) -> Vec<(String, String)> {
+    /// The control hosts with fresh notices and this one, sorted by address.
+    pub fn control_hosts(&self) -> Vec<KnownControlHost> {
         let (inner, now) = (self.lock(), Instant::now());
-        let fresh = inner.notices.iter().filter(|notice| notice.is_fresh(now));
-        let mut hosts: Vec<(String, String)> =
-            fresh.map(|notice| (notice.peer_address.clone(), notice.zone.clone())).collect();
-        let own = (self.options.peer_address.clone(), self.options.zone.clone());
-        if !hosts.contains(&own) {
-            hosts.push(own);
-        }
+        let others = inner.notices.iter().filter(|notice| {
+            notice.is_fresh(now) && notice.peer_address != self.options.peer_address
+        });
+        let others = others.map(|notice| KnownControlHost {
+            peer_address: notice.peer_address.clone(),
+            zone: notice.zone.clone(),
+            has_replica: notice.replica_id > 0,
+        });
+        let own = KnownControlHost {
+            peer_address: self.options.peer_address.clone(),
+            zone: self.options.zone.clone(),
+            has_replica: self.group.load().is_some(),
+        };
+        let mut hosts: Vec<KnownControlHost> = others.chain([own]).collect();
         hosts.sort();
         hosts
     }
