Keep the routes in force on the disks of control hosts

Change: each control host keeps the newest routes that were in force in a file and passes them on after a restart until it knows newer ones.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -11,7 +11,7 @@
 use crate::control::unix_ms;
 use crate::coordinator::fleet_relay::FleetRelay;
 use crate::coordinator::operator::call_failure;
-use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, Scheduler};
+use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, RouteFile, Scheduler};
 use crate::directory::{
     CrashExchange, Directory, EntryTable, FleetWatch, FleetWatchOptions, HeartbeatOutcome,
     LeavingTable, SyncHandler, UpstreamRecord,
@@ -65,6 +65,9 @@
     pub(super) leaving: Arc<LeavingTable>,
     pub(super) relay: FleetRelay,
     watch: Arc<OnceLock<Arc<FleetWatch>>>,
+    /// Routes in force before the last restart of this host.
+    stored_routes: Arc<RouteTable>,
+    route_file: Arc<RouteFile>,
     leader_client: LeaderClient,
     /// Wakes all pending sync calls, which then check for changes.
     pub(super) changed: Signal,
@@ -140,6 +143,7 @@
             directory_timeout: directory.heartbeat_timeout(),
         };
         let crashes = Arc::new(CrashTable::open());
+        let route_file = Arc::new(RouteFile::open(&settings.data_folder));
         let coordinator = Arc::new(Self {
             settings,
             ledger,
@@ -151,6 +155,8 @@
             leaving,
             relay: FleetRelay::new(),
             watch,
+            stored_routes: Arc::new(read_stored_routes(&route_file)),
+            route_file,
             leader_client: LeaderClient::open(caller.clone(), hint),
             changed: Signal::default(),
             entries_changed: Signal::default(),
@@ -166,6 +172,7 @@
             task::spawn(expire_jobs(coordinator.clone())),
             task::spawn(watch_ledger(coordinator.clone())),
             task::spawn(relay_changes(coordinator.clone())),
+            task::spawn(store_routes(coordinator.clone())),
         ];
         *lock(&coordinator.tasks) = tasks;
         Ok(coordinator)
@@ -282,11 +289,14 @@
         known.unwrap_or_default()
     }
 
-    /// The routes in force, as the ledger of this host or another control host has them.
+    /// The newest routes in force that this host knows: from its ledger, from another control host or from
+    /// before its restart.
     pub(super) fn routes(&self) -> Arc<RouteTable> {
         let own = self.ledger.routes();
         let heard = self.watch.get().map(|watch| watch.view().routes.clone());
-        heard.filter(|heard| heard.version > own.version).unwrap_or(own)
+        let others = heard.into_iter().chain([self.stored_routes.clone()]);
+        others
+            .fold(own, |newest, other| if other.version > newest.version { other } else { newest })
     }
 
     /// Brings what is passed on to entry hosts up to date, and wakes pending sync calls if it changed.
@@ -500,6 +510,40 @@
     }
 }
 
+/// Keeps the file of routes up to date. The disk may be slow or hang, so nothing else waits for it.
+async fn store_routes(coordinator: Arc<Coordinator>) {
+    let mut stored_version = coordinator.stored_routes.version;
+    while let Some(watch) = coordinator.watch.get() {
+        let changed = select(watch.changed().listen(), coordinator.ledger.changed().listen());
+        let routes = coordinator.routes();
+        if routes.version > stored_version {
+            stored_version = routes.version;
+            let file = coordinator.route_file.clone();
+            if let Err(error) = task::spawn_blocking(move || file.write(&routes)).await {
+                log::warn!(event = "routes_not_stored", version = stored_version; "{error}");
+            }
+            continue;
+        }
+        changed.await;
+    }
+}
+
+/// Reads the routes from before the restart; none if the file can't be used, since the group has them too.
+fn read_stored_routes(file: &RouteFile) -> RouteTable {
+    match file.read() {
+        Ok(Some(table)) => {
+            log::info!(event = "routes_read", version = table.version;
+                "routes from before the restart are in force until newer ones are known");
+            table
+        }
+        Ok(None) => RouteTable::default(),
+        Err(error) => {
+            log::warn!(event = "stored_routes_unusable"; "{error}");
+            RouteTable::default()
+        }
+    }
+}
+
 async fn expire_jobs(coordinator: Arc<Coordinator>) {
     loop {
         task::sleep(EXPIRE_INTERVAL).await;
