Derive the stall limit of a stream from its route

Cause: a resumable stream without an event for 0.7 s was started again elsewhere, whatever its route declares. That suits the first sites (first event within 0.3 s, pauses of 0.2 s); a deployment with slower engines would have sound streams cut and run again (a report of other operators). Change: the limit is twice the route's target for the first event, or for the pause between events, and at least 0.7 s. Result: the new test failed before (a stream with pauses of 0.9 s under a target of 1 s was sent twice) and passes now.

--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -4,6 +4,7 @@
 use async_std::future::timeout;
 
 use crate::gateway::forward_progress::{AnswerStage, Progress};
+use crate::gateway::stall_limit::stall_limit;
 use crate::gateway::upstream::monotonic_ms;
 use crate::gateway::{
     choose_upstream, AnswerSink, CallTarget, ChoiceInput, CrashGuard, EventSplitter, GatewayFleet,
@@ -18,9 +19,6 @@
 /// A request is sent only while at least this much of its time remains; less is not enough for a first
 /// event.
 const MIN_SEND_TIME: Duration = Duration::from_millis(30);
-/// Time without a whole event from an upstream, or without data where the answer has no events, after
-/// which a request that may be repeated or resumed is sent to another upstream. Gaps in the streams of busy upstreams stay below a quarter of a second.
-const STALL_LIMIT: Duration = Duration::from_millis(700);
 /// Retry delay of a refused request, for example while all upstreams are full. Callers retry once, and
 /// bursts last some seconds: with 150 ms most retries fell into the same burst.
 const RETRY_AFTER: Duration = Duration::from_millis(600);
@@ -188,7 +186,7 @@
             is_repeatable: may_repeat,
         };
         let may_resume = may_repeat && progress.runs + 1 < route.max_attempts;
-        let wait = if may_resume { remaining.min(STALL_LIMIT) } else { remaining };
+        let wait = if may_resume { remaining.min(stall_limit(route, false)) } else { remaining };
         let result = timeout(wait, self.connector.send(target, request)).await;
         let result = result.unwrap_or_else(|_| {
             Err(SendError::Lost("the upstream sent no answer in time".to_owned()))
@@ -386,7 +384,9 @@
                 progress.last_error = "the time limit of the request has passed".to_owned();
                 return Ok(NextStep::GiveUp(timeout_refusal(progress)));
             }
-            let until_stall = STALL_LIMIT.saturating_sub(last_progress_at.elapsed());
+            let has_begun = progress.stage == AnswerStage::HasBody;
+            let until_stall =
+                stall_limit(route, has_begun).saturating_sub(last_progress_at.elapsed());
             let wait = if may_resume { remaining.min(until_stall) } else { remaining };
             let chunk = match timeout(wait, answer.next_chunk()).await {
                 Ok(Ok(Some(chunk))) => chunk,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod prompt;
 mod refusal;
 mod route_index;
+mod stall_limit;
 mod stream_request;
 mod upstream;
 mod upstream_rate;
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -37,6 +37,11 @@
         first: &'static str,
         unit: &'static str,
     },
+    /// A stream of events with a pause before each of them.
+    Pauses {
+        pause: Duration,
+        events: Vec<&'static str>,
+    },
     Fails(SendError),
 }
 
@@ -66,6 +71,25 @@
     }
 }
 
+struct PausingAnswer {
+    head: UpstreamHead,
+    pause: Duration,
+    events: VecDeque<&'static str>,
+}
+
+#[async_trait]
+impl UpstreamAnswer for PausingAnswer {
+    fn head(&self) -> &UpstreamHead {
+        &self.head
+    }
+
+    async fn next_chunk(&mut self) -> Result<BodyChunk, SendError> {
+        let Some(event) = self.events.pop_front() else { return Ok(None) };
+        task::sleep(self.pause).await;
+        Ok(Some(Bytes::from_static(event.as_bytes())))
+    }
+}
+
 struct TricklingAnswer {
     head: UpstreamHead,
     first: Option<&'static str>,
@@ -103,6 +127,9 @@
             Script::Trickles { first, unit } => {
                 Ok(Box::new(TricklingAnswer { head: head(200, true), first: Some(first), unit }))
             }
+            Script::Pauses { pause, events } => {
+                Ok(Box::new(PausingAnswer { head: head(200, true), pause, events: events.into() }))
+            }
             Script::Unframed { chunks } => {
                 let head = UpstreamHead { has_framing: false, ..head(200, true) };
                 Ok(Box::new(ScriptedAnswer { head, chunks: chunks.into() }))
@@ -384,3 +411,20 @@
     assert_eq!((end, sent.len()), (ForwardOutcome::Refused, 0));
     assert_eq!(caller.refusal.expect("a refusal").kind, RefusalKind::NotRun);
 }
+
+/// Guards against sound streams of a slow service that are started again elsewhere for their pauses, and
+/// against streams that stall for long because their route allows a late first event.
+#[test]
+fn a_stream_stalls_by_the_targets_of_its_route() {
+    let events = || vec!["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
+    let slow = || Script::Pauses { pause: Duration::from_millis(900), events: events() };
+    let rest = || ok_answer(true, vec![Ok("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")]);
+    let patient = Route { latency_target_ms: 1_000, event_gap_target_ms: 1_000, ..route(true) };
+    let (end, caller, sent) = forward(&patient, vec![slow(), rest()]);
+    assert_eq!((end, sent.len()), (ForwardOutcome::Answered, 1), "it was started again");
+    assert_eq!(caller.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    let late_start = Route { event_gap_target_ms: 200, ..patient };
+    let rest_after_first = ok_answer(true, vec![Ok("id: 2\ndata: b\n\n")]);
+    let (end, _, sent) = forward(&late_start, vec![slow(), rest_after_first]);
+    assert_eq!((end, sent), (ForwardOutcome::Answered, vec![None, Some(1)]));
+}
