Keep known upstreams on the disks of control hosts

Cause: with stored routes, entry hosts serve before upstreams have announced themselves again. Change: each control host stores the upstreams that send heartbeats to it, with those that left, and lists them after a restart until they are silent for the usual time. The file of the routes became a type for both.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -11,7 +11,7 @@
 use crate::control::unix_ms;
 use crate::coordinator::fleet_relay::FleetRelay;
 use crate::coordinator::operator::call_failure;
-use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, RouteFile, Scheduler};
+use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, Scheduler, StateFile};
 use crate::directory::{
     CrashExchange, Directory, EntryTable, FleetWatch, FleetWatchOptions, HeartbeatOutcome,
     LeavingTable, SyncHandler, UpstreamRecord,
@@ -24,7 +24,7 @@
     command::Command as Kind, Command, Expire, FinishItems, FinishedItem, Outcome,
 };
 use crate::schema::peer::{
-    call, reply, ControlHostEntry, ControlSync, EntrySync, FailureKind, ReturnItem,
+    call, reply, ControlHostEntry, ControlSync, EntrySync, FailureKind, ReturnItem, StoredUpstreams,
 };
 use crate::schema::routes::RouteTable;
 use crate::settings::FleetHostSettings;
@@ -42,6 +42,8 @@
 const RELAY_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest interval of the same, so that a wave of changes is passed on together.
 const MIN_RELAY_INTERVAL: Duration = Duration::from_millis(5);
+/// Shortest interval at which the upstreams are stored.
+const STORE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Options of a [`Coordinator`].
 pub struct CoordinatorOptions {
@@ -67,7 +69,10 @@
     watch: Arc<OnceLock<Arc<FleetWatch>>>,
     /// Routes in force before the last restart of this host.
     stored_routes: Arc<RouteTable>,
-    route_file: Arc<RouteFile>,
+    route_file: Arc<StateFile<RouteTable>>,
+    upstream_file: Arc<StateFile<StoredUpstreams>>,
+    /// Notified when upstreams that send heartbeats to this host are new, have changed or are silent.
+    upstreams_changed: Signal,
     leader_client: LeaderClient,
     /// Wakes all pending sync calls, which then check for changes.
     pub(super) changed: Signal,
@@ -143,7 +148,8 @@
             directory_timeout: directory.heartbeat_timeout(),
         };
         let crashes = Arc::new(CrashTable::open());
-        let route_file = Arc::new(RouteFile::open(&settings.data_folder));
+        let route_file = Arc::new(StateFile::open(&settings.data_folder, "routes"));
+        let upstream_file = Arc::new(StateFile::open(&settings.data_folder, "upstreams"));
         let coordinator = Arc::new(Self {
             settings,
             ledger,
@@ -155,8 +161,10 @@
             leaving,
             relay: FleetRelay::new(),
             watch,
-            stored_routes: Arc::new(read_stored_routes(&route_file)),
+            stored_routes: Arc::new(route_file.read_if_usable().unwrap_or_default()),
             route_file,
+            upstream_file,
+            upstreams_changed: Signal::default(),
             leader_client: LeaderClient::open(caller.clone(), hint),
             changed: Signal::default(),
             entries_changed: Signal::default(),
@@ -167,12 +175,14 @@
         let observer = Observer { crash_exchange: CrashExchange::open(crashes) };
         let watch = FleetWatch::spawn(watch_options, caller, Arc::new(observer));
         let _ = coordinator.watch.set(watch);
+        coordinator.restore_upstreams();
         let tasks = vec![
             task::spawn(tick(coordinator.clone())),
             task::spawn(expire_jobs(coordinator.clone())),
             task::spawn(watch_ledger(coordinator.clone())),
             task::spawn(relay_changes(coordinator.clone())),
             task::spawn(store_routes(coordinator.clone())),
+            task::spawn(store_upstreams(coordinator.clone())),
         ];
         *lock(&coordinator.tasks) = tasks;
         Ok(coordinator)
@@ -391,6 +401,17 @@
     fn publish_directory(&self) {
         self.merge_own_directory();
         self.changed.notify();
+        self.upstreams_changed.notify();
+    }
+
+    /// Lists the upstreams from before the restart until they are silent for as long as any other one.
+    fn restore_upstreams(&self) {
+        let Some(stored) = self.upstream_file.read_if_usable() else { return };
+        log::info!(event = "stored_state_read", upstreams = stored.upstreams.len(),
+            routes_version = self.stored_routes.version;
+            "the state from before the restart holds until newer one is known");
+        lock(&self.directory).restore(stored.upstreams, Instant::now());
+        self.publish_directory();
     }
 
     /// Tells the other control hosts of upstreams that an entry host saw leave.
@@ -528,18 +549,25 @@
     }
 }
 
-/// Reads the routes from before the restart; none if the file can't be used, since the group has them too.
-fn read_stored_routes(file: &RouteFile) -> RouteTable {
-    match file.read() {
-        Ok(Some(table)) => {
-            log::info!(event = "routes_read", version = table.version;
-                "routes from before the restart are in force until newer ones are known");
-            table
+/// Keeps the file of upstreams up to date, as [`store_routes`] does.
+async fn store_upstreams(coordinator: Arc<Coordinator>) {
+    let mut stored_version = (0, 0);
+    loop {
+        let changed = coordinator.upstreams_changed.listen();
+        let (version, upstreams) = {
+            let directory = lock(&coordinator.directory);
+            (directory.version(), directory.changes_since(0, 0))
+        };
+        if version == stored_version || upstreams.is_empty() {
+            changed.await;
+            // A wave of changes is stored together.
+            task::sleep(STORE_INTERVAL).await;
+            continue;
         }
-        Ok(None) => RouteTable::default(),
-        Err(error) => {
-            log::warn!(event = "stored_routes_unusable"; "{error}");
-            RouteTable::default()
+        stored_version = version;
+        let (file, stored) = (coordinator.upstream_file.clone(), StoredUpstreams { upstreams });
+        if let Err(error) = task::spawn_blocking(move || file.write(&stored)).await {
+            log::warn!(event = "upstreams_not_stored"; "{error}");
         }
     }
 }
--- a/src/directory/upstream_directory.rs
+++ b/src/directory/upstream_directory.rs
@@ -93,6 +93,21 @@
         HeartbeatOutcome::Changed
     }
 
+    /// Adds upstreams that were known before a restart, as if their last heartbeats arrived at `now`. Those
+    /// that are known already stay as they are.
+    pub fn restore(&mut self, entries: Vec<UpstreamEntry>, now: Instant) {
+        for entry in entries {
+            let record = UpstreamRecord::from(entry);
+            if self.entries.contains_key(&record.upstream_id) {
+                continue;
+            }
+            self.revision += 1;
+            let has_left = record.phase == Phase::Gone;
+            let entry = Entry { revision: self.revision, last_contact_at: now, has_left, record };
+            self.entries.insert(entry.record.upstream_id.clone(), entry);
+        }
+    }
+
     /// Marks an upstream as gone at its own request, unless a later incarnation is registered.
     /// `started_at_unix_ms` is 0 if the request did not contain the start time.
     pub fn deregister(
--- a/tests/route_file.rs
+++ b/tests/state_file.rs
@@ -1,14 +1,14 @@
-//! Guards against stored routes that are torn or lost by a crash while they are written.
+//! Guards against stored state that is torn or lost by a crash while they are written.
 
 use std::fs;
 
-use damaskhoist::coordinator::RouteFile;
+use damaskhoist::coordinator::StateFile;
 use damaskhoist::schema::routes::RouteTable;
 
 #[test]
-fn the_newest_whole_table_is_read() {
+fn the_newest_whole_message_is_read() {
     let folder = tempfile::tempdir().expect("a folder");
-    let file = RouteFile::open(folder.path());
+    let file = StateFile::<RouteTable>::open(folder.path(), "routes");
     assert_eq!(file.read().expect("no file is no error"), None);
     for version in [3, 7] {
         let table = RouteTable { version, ..RouteTable::default() };
--- a/tests/upstream_directory.rs
+++ b/tests/upstream_directory.rs
@@ -146,3 +146,28 @@
     restarted.update((2, 0), Vec::new(), HEARTBEAT_TIMEOUT * 2, later);
     assert!(merge_directories([&lost, &restarted].into_iter(), HEARTBEAT_TIMEOUT, later).is_empty());
 }
+
+/// Guards against a fleet that knows no upstream after a restart until each has sent a heartbeat, and against
+/// restored records that hide newer ones or outlive their upstream.
+#[test]
+fn upstreams_from_before_a_restart_are_listed_until_they_are_silent() {
+    let (start, interval) = (Instant::now(), HEARTBEAT_INTERVAL);
+    let mut before = Directory::new(1, interval);
+    for id in ["stays", "restarts", "vanishes", "left"] {
+        before.record_heartbeat(record(id, 1, 5, Phase::Ready), start);
+    }
+    before.deregister("left", 1, 10_000, start);
+    let mut after = Directory::new(2, interval);
+    after.record_heartbeat(record("restarts", 2, 1, Phase::Ready), start);
+    after.restore(before.changes_since(0, 0), start);
+    let phase = |directory: &Directory, id: &str| directory.get(id).map(|it| it.phase);
+    assert_eq!(phase(&after, "stays"), Some(Phase::Ready));
+    assert_eq!(after.get("restarts").map(|it| it.started_at_unix_ms), Some(2));
+    let late = record("left", 1, 6, Phase::Ready);
+    assert_eq!(after.record_heartbeat(late, start), HeartbeatOutcome::Stale);
+    let beat = record("stays", 1, 6, Phase::Ready);
+    assert_eq!(after.record_heartbeat(beat, start + interval * 3), HeartbeatOutcome::Refreshed);
+    let mut silent = after.expire(start + interval * 5);
+    silent.sort();
+    assert_eq!(silent, ["restarts", "vanishes"]);
+}
