Bound calls to peers by their own time while they connect

Cause: calls to a peer that did not answer waited for one attempt to connect after the other, 0.5 s each, whatever time they had. After a restart of all hosts, entry hosts also waited 0.5 s for attempts whose first packet was lost while the control host was starting. Change: an attempt that failed counts for all calls that waited for it; a call ends with its own time, and its attempt goes on for later ones. The first attempt may take 0.2 s, each further one twice as long, up to 1 s.

--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex as SyncMutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
 use async_std::sync::Mutex;
@@ -12,8 +12,11 @@
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{Call, Hello, Reply};
 
-/// Time limit for connecting to a peer.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit for the first attempt to connect to a peer; doubled with each failure. The opening packet is
+/// lost while a peer starts, and is sent again only after a second, so a new attempt is faster.
+const FIRST_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Longest time limit for connecting to a peer.
+const MAX_CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Sends calls and one-way messages to peers, which are identified by address.
 #[async_trait]
@@ -41,7 +44,31 @@
 struct PooledConnection {
     current: ArcSwapOption<Connection>,
     /// Held while connecting, so that concurrent callers open only one connection.
-    connect_lock: Mutex<()>,
+    connect_lock: Mutex<ConnectFailures>,
+}
+
+/// Attempts to connect that failed since the last one that succeeded.
+#[derive(Default)]
+struct ConnectFailures {
+    count: u32,
+    /// Time and reason of the last failure.
+    last: Option<(Instant, String)>,
+}
+
+impl ConnectFailures {
+    fn record(&mut self, reason: String) {
+        self.count += 1;
+        self.last = Some((Instant::now(), reason));
+    }
+
+    /// Reason of a failure after `since`.
+    fn reason_since(&self, since: Instant) -> Option<&str> {
+        self.last.as_ref().filter(|(at, _)| *at >= since).map(|(_, reason)| reason.as_str())
+    }
+
+    fn next_timeout(&self) -> Duration {
+        (FIRST_CONNECT_TIMEOUT * 2_u32.saturating_pow(self.count.min(8))).min(MAX_CONNECT_TIMEOUT)
+    }
 }
 
 impl PooledConnection {
@@ -81,6 +108,25 @@
     pub fn close(self) {
         self.shared.pooled_connections.lock().expect("lock is not poisoned").clear();
     }
+
+    /// Returns the open connection to a peer, or connects if there is none. The attempt outlives a call that
+    /// has little time, so that a later one finds the connection.
+    async fn connection_within(
+        &self,
+        address: &str,
+        class: TrafficClass,
+        timeout: Duration,
+    ) -> Result<Arc<Connection>, CallError> {
+        let pooled = self.shared.pooled_connection(address, class);
+        if let Some(connection) = pooled.usable_connection() {
+            return Ok(connection);
+        }
+        let (shared, to) = (self.shared.clone(), address.to_owned());
+        let connecting = task::spawn(async move { shared.connection(&to, class).await });
+        async_std::future::timeout(timeout, connecting).await.unwrap_or_else(|_| {
+            Err(CallError::NotSent(format!("{address}: not connected in the time of the call")))
+        })
+    }
 }
 
 impl Shared {
@@ -99,15 +145,28 @@
         if let Some(connection) = pooled.usable_connection() {
             return Ok(connection);
         }
-        let _connect_guard = pooled.connect_lock.lock().await;
+        let started = Instant::now();
+        let mut failures = pooled.connect_lock.lock().await;
         if let Some(connection) = pooled.usable_connection() {
             return Ok(connection);
         }
-        let result = Connection::open(address, self.hello.clone(), CONNECT_TIMEOUT).await;
-        let connection =
-            Arc::new(result.map_err(|error| CallError::NotSent(format!("{address}: {error}")))?);
-        pooled.current.store(Some(connection.clone()));
-        Ok(connection)
+        // The attempt that this call waited for counts for it as well.
+        if let Some(reason) = failures.reason_since(started) {
+            return Err(CallError::NotSent(reason.to_owned()));
+        }
+        match Connection::open(address, self.hello.clone(), failures.next_timeout()).await {
+            Ok(connection) => {
+                *failures = ConnectFailures::default();
+                let connection = Arc::new(connection);
+                pooled.current.store(Some(connection.clone()));
+                Ok(connection)
+            }
+            Err(error) => {
+                let reason = format!("{address}: {error}");
+                failures.record(reason.clone());
+                Err(CallError::NotSent(reason))
+            }
+        }
     }
 }
 
@@ -120,7 +179,9 @@
         call: Call,
         timeout: Duration,
     ) -> Result<Reply, CallError> {
-        self.shared.connection(address, class).await?.call(call, timeout).await
+        let started = Instant::now();
+        let connection = self.connection_within(address, class, timeout).await?;
+        connection.call(call, timeout.saturating_sub(started.elapsed())).await
     }
 
     fn send(&self, address: &str, class: TrafficClass, body: Body) {
--- a/tests/peer_calls.rs
+++ b/tests/peer_calls.rs
@@ -1,8 +1,9 @@
 //! Guards against calls that are lost because another call on the same connection was given little time.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::net::TcpListener;
 use async_std::task;
@@ -13,6 +14,7 @@
 use damaskhoist::schema::peer::frame::Body;
 use damaskhoist::schema::peer::{call, reply, Call, ControlSync, EntrySync, Reply};
 use futures::StreamExt;
+use socket2::{Domain, Socket, Type};
 
 /// Answers each sync call after the time that it asks for.
 struct SlowAnswers;
@@ -87,3 +89,34 @@
         acceptor.cancel().await;
     });
 }
+
+/// An address that answers no attempt to connect, as a host that is just starting or cut off.
+fn unanswering_address() -> (Socket, Vec<Socket>, String) {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    listener.listen(0).expect("it listens");
+    let address = listener.local_addr().expect("an address");
+    // Connections that nobody accepts fill the queue; the kernel then drops further attempts.
+    let filling = (0..4).map(|_| {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_nonblocking(true).expect("it does not block");
+        let _ = socket.connect(&address);
+        socket
+    });
+    let filling = filling.collect();
+    (listener, filling, address.as_socket().expect("an address").to_string())
+}
+
+/// Guards against calls that wait for one attempt to connect after the other, far beyond their own time.
+#[test]
+fn calls_to_a_peer_that_does_not_answer_end_in_time() {
+    task::block_on(async {
+        let (_listener, _filling, address) = unanswering_address();
+        let pool = PeerPool::open("a", "pamplona", 1, "");
+        let started = Instant::now();
+        let calls = (0..12).map(|_| call(&pool, &address, 1, 300));
+        let answered = futures::future::join_all(calls).await;
+        assert!(answered.iter().all(|answered| !answered));
+        assert!(started.elapsed() < Duration::from_secs(2), "ended after {:?}", started.elapsed());
+    });
+}
