Name other entry hosts to each caller of a large zone

Cause: a lookup names at most 64 entry hosts, and always the first ones, so that any further hosts of a zone, or of a region whose callers are sent there, got no callers. Change: where there are more, each caller is told of the hosts that rank first for its address, the same ones at any host that answers.

--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -8,7 +8,8 @@
 use crate::control::unix_ms;
 use crate::coordinator::{LeaderClient, LeaderError, LeaderHint};
 use crate::directory::{
-    heartbeat_timeout, CrashExchange, FleetView, FleetWatch, FleetWatchOptions, SyncHandler,
+    choose_entries, heartbeat_timeout, CrashExchange, FleetView, FleetWatch, FleetWatchOptions,
+    SyncHandler,
 };
 use crate::gateway::batch_worker::BatchWorker;
 use crate::gateway::job_reader::JobReader;
@@ -229,19 +230,17 @@
         Duration::from_millis(self.settings.lookup_ttl_ms)
     }
 
-    /// Caller addresses of ready entry hosts for a caller, at most `limit`: those in its availability
-    /// zone if there are at least two, else those in its region if there are at least two, else all.
-    pub fn entry_addresses(&self, zone: &str, region: &str, limit: usize) -> Vec<String> {
+    /// Caller addresses of entry hosts for a caller, as [`choose_entries`] says.
+    pub fn entry_addresses(
+        &self,
+        zone: &str,
+        region: &str,
+        caller: &str,
+        limit: usize,
+    ) -> Vec<String> {
         let view = self.watch.view();
-        let ready: Vec<&Arc<EntryHost>> = view.entries.iter().filter(|entry| entry.ready).collect();
-        let in_zone: Vec<_> = ready.iter().filter(|entry| entry.zone == zone).collect();
-        let in_region: Vec<_> = ready.iter().filter(|entry| entry.region == region).collect();
-        let chosen = match (in_zone.len(), in_region.len()) {
-            (2.., _) => in_zone,
-            (_, 2..) => in_region,
-            _ => ready.iter().collect(),
-        };
-        chosen.into_iter().take(limit).map(|entry| entry.caller_address.clone()).collect()
+        let chosen = choose_entries(&view.entries, zone, region, caller, limit);
+        chosen.into_iter().map(|entry| entry.caller_address.clone()).collect()
     }
 
     /// Starts to drain: batch items are returned to the leader, and the host is no longer reported as
