--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -11,7 +11,8 @@
 use crate::control::unix_ms;
 use crate::coordinator::fleet_relay::FleetRelay;
 use crate::coordinator::operator::call_failure;
-use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, Scheduler, StateFile};
+use crate::coordinator::stored_state::{store_routes, store_upstreams, StoredState};
+use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, Scheduler};
 use crate::directory::{
     CrashExchange, Directory, EntryTable, FleetWatch, FleetWatchOptions, HeartbeatOutcome,
     LeavingTable, SyncHandler, UpstreamRecord,
@@ -24,7 +25,7 @@
     command::Command as Kind, Command, Expire, FinishItems, FinishedItem, Outcome,
 };
 use crate::schema::peer::{
-    call, reply, ControlHostEntry, ControlSync, EntrySync, FailureKind, ReturnItem, StoredUpstreams,
+    call, reply, ControlHostEntry, ControlSync, EntrySync, FailureKind, ReturnItem,
 };
 use crate::schema::routes::RouteTable;
 use crate::settings::FleetHostSettings;
@@ -42,8 +43,6 @@
 const RELAY_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest interval of the same, so that a wave of changes is passed on together.
 const MIN_RELAY_INTERVAL: Duration = Duration::from_millis(5);
-/// Shortest interval at which the upstreams are stored.
-const STORE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Options of a [`Coordinator`].
 pub struct CoordinatorOptions {
@@ -67,12 +66,9 @@
     pub(super) leaving: Arc<LeavingTable>,
     pub(super) relay: FleetRelay,
     watch: Arc<OnceLock<Arc<FleetWatch>>>,
-    /// Routes in force before the last restart of this host.
-    stored_routes: Arc<RouteTable>,
-    route_file: Arc<StateFile<RouteTable>>,
-    upstream_file: Arc<StateFile<StoredUpstreams>>,
+    pub(super) stored: StoredState,
     /// Notified when upstreams that send heartbeats to this host are new, have changed or are silent.
-    upstreams_changed: Signal,
+    pub(super) upstreams_changed: Signal,
     leader_client: LeaderClient,
     /// Wakes all pending sync calls, which then check for changes.
     pub(super) changed: Signal,
@@ -148,8 +144,7 @@
             directory_timeout: directory.heartbeat_timeout(),
         };
         let crashes = Arc::new(CrashTable::open());
-        let route_file = Arc::new(StateFile::open(&settings.data_folder, "routes"));
-        let upstream_file = Arc::new(StateFile::open(&settings.data_folder, "upstreams"));
+        let stored = StoredState::open(&settings.data_folder);
         let coordinator = Arc::new(Self {
             settings,
             ledger,
@@ -161,9 +156,7 @@
             leaving,
             relay: FleetRelay::new(),
             watch,
-            stored_routes: Arc::new(route_file.read_if_usable().unwrap_or_default()),
-            route_file,
-            upstream_file,
+            stored,
             upstreams_changed: Signal::default(),
             leader_client: LeaderClient::open(caller.clone(), hint),
             changed: Signal::default(),
@@ -299,12 +292,17 @@
         known.unwrap_or_default()
     }
 
+    /// The view of the other control hosts; `None` only while this one is being created.
+    pub(super) fn watch(&self) -> Option<&Arc<FleetWatch>> {
+        self.watch.get()
+    }
+
     /// The newest routes in force that this host knows: from its ledger, from another control host or from
     /// before its restart.
     pub(super) fn routes(&self) -> Arc<RouteTable> {
         let own = self.ledger.routes();
         let heard = self.watch.get().map(|watch| watch.view().routes.clone());
-        let others = heard.into_iter().chain([self.stored_routes.clone()]);
+        let others = heard.into_iter().chain([self.stored.routes.clone()]);
         others
             .fold(own, |newest, other| if other.version > newest.version { other } else { newest })
     }
@@ -398,22 +396,12 @@
         self.watch.get().map(|watch| watch.view().upstreams.clone()).unwrap_or_default()
     }
 
-    fn publish_directory(&self) {
+    pub(super) fn publish_directory(&self) {
         self.merge_own_directory();
         self.changed.notify();
         self.upstreams_changed.notify();
     }
 
-    /// Lists the upstreams from before the restart until they are silent for as long as any other one.
-    fn restore_upstreams(&self) {
-        let Some(stored) = self.upstream_file.read_if_usable() else { return };
-        log::info!(event = "stored_state_read", upstreams = stored.upstreams.len(),
-            routes_version = self.stored_routes.version;
-            "the state from before the restart holds until newer one is known");
-        lock(&self.directory).restore(stored.upstreams, Instant::now());
-        self.publish_directory();
-    }
-
     /// Tells the other control hosts of upstreams that an entry host saw leave.
     pub(super) fn record_leaving(&self, sync: &EntrySync) {
         let (now, mut is_new) = (Instant::now(), false);
@@ -531,47 +519,6 @@
     }
 }
 
-/// Keeps the file of routes up to date. The disk may be slow or hang, so nothing else waits for it.
-async fn store_routes(coordinator: Arc<Coordinator>) {
-    let mut stored_version = coordinator.stored_routes.version;
-    while let Some(watch) = coordinator.watch.get() {
-        let changed = select(watch.changed().listen(), coordinator.ledger.changed().listen());
-        let routes = coordinator.routes();
-        if routes.version > stored_version {
-            stored_version = routes.version;
-            let file = coordinator.route_file.clone();
-            if let Err(error) = task::spawn_blocking(move || file.write(&routes)).await {
-                log::warn!(event = "routes_not_stored", version = stored_version; "{error}");
-            }
-            continue;
-        }
-        changed.await;
-    }
-}
-
-/// Keeps the file of upstreams up to date, as [`store_routes`] does.
-async fn store_upstreams(coordinator: Arc<Coordinator>) {
-    let mut stored_version = (0, 0);
-    loop {
-        let changed = coordinator.upstreams_changed.listen();
-        let (version, upstreams) = {
-            let directory = lock(&coordinator.directory);
-            (directory.version(), directory.changes_since(0, 0))
-        };
-        if version == stored_version || upstreams.is_empty() {
-            changed.await;
-            // A wave of changes is stored together.
-            task::sleep(STORE_INTERVAL).await;
-            continue;
-        }
-        stored_version = version;
-        let (file, stored) = (coordinator.upstream_file.clone(), StoredUpstreams { upstreams });
-        if let Err(error) = task::spawn_blocking(move || file.write(&stored)).await {
-            log::warn!(event = "upstreams_not_stored"; "{error}");
-        }
-    }
-}
-
 async fn expire_jobs(coordinator: Arc<Coordinator>) {
     loop {
         task::sleep(EXPIRE_INTERVAL).await;
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -16,6 +16,7 @@
 mod scheduler;
 mod scheduler_input;
 mod state_file;
+mod stored_state;
 mod upstream_share;
 mod upstream_use_update;
 
--- a/src/coordinator/state_file.rs
+++ b/src/coordinator/state_file.rs
@@ -58,6 +58,8 @@
     /// If the disk refuses it. The file before is then still there.
     pub fn write(&self, message: &M) -> io::Result<()> {
         let message = message.encode_to_vec();
+        // The folder of a host that has no replica yet may not exist.
+        fs::create_dir_all(&self.folder)?;
         let new_file = self.folder.join(format!("{}.tmp", self.name));
         let mut file = File::create(&new_file)?;
         file.write_all(&crc32fast::hash(&message).to_le_bytes())?;
--- a/src/gateway/job_reader.rs
+++ b/src/gateway/job_reader.rs
@@ -53,9 +53,13 @@
             Call { traceparent: String::new(), call: Some(call::Call::LedgerQuery(query.clone())) };
         let timeout = (max_wait + REPLICA_TIMEOUT).min(budget);
         let answer = self.caller.call(&address, TrafficClass::Bulk, message, timeout).await;
-        if let Ok(Reply { reply: Some(reply::Reply::LedgerAnswer(answer)) }) = answer {
-            return Ok(answer);
-        }
+        let reason = match answer {
+            Ok(Reply { reply: Some(reply::Reply::LedgerAnswer(answer)) }) => return Ok(answer),
+            Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => failure.message,
+            Ok(_) => "unexpected reply".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        log::warn!(event = "replica_avoided", address = address.as_str(); "{reason}");
         self.avoided.store(Some(Arc::new((address, Instant::now() + AVOID_TIME))));
         let left = budget.saturating_sub(started.elapsed());
         self.leader.query(without_wait(query), Duration::ZERO, left).await
