Determine anew who shares a limit when it is named again

Cause: who shares a limit was kept from the last time when the upstream named none any more, so a host went by an old list of hosts when it named one again (found on review). Change: it is forgotten with the limit. Result: the new test failed before at a host that had become the only one, and passes now.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -146,6 +146,9 @@
     /// Determines for each upstream that names a limit whether this host is one of those that share it.
     fn update_rate_holders(&self) {
         let upstreams = self.upstreams.load();
+        for upstream in upstreams.iter().filter(|upstream| !upstream.has_rate_limit()) {
+            upstream.clear_rate_holders();
+        }
         if !upstreams.iter().any(|upstream| upstream.has_rate_limit()) {
             return;
         }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -149,6 +149,11 @@
         self.load.rate.set_holders(holders);
     }
 
+    /// Forgets which hosts share a named limit.
+    pub fn clear_rate_holders(&self) {
+        self.load.rate.clear_holders();
+    }
+
     /// True if the hosts that share a named limit have to be determined.
     pub fn needs_rate_holders(&self) -> bool {
         self.load.rate.needs_holders()
--- a/src/gateway/upstream_rate.rs
+++ b/src/gateway/upstream_rate.rs
@@ -61,6 +61,11 @@
         self.holders.store(holders.unwrap_or(NOT_A_HOLDER), Ordering::Relaxed);
     }
 
+    /// Forgets which hosts share the limit, to determine them again when one is named.
+    pub(super) fn clear_holders(&self) {
+        self.holders.store(HOLDERS_UNKNOWN, Ordering::Relaxed);
+    }
+
     /// True if the hosts that share the limit have to be determined.
     pub(super) fn needs_holders(&self) -> bool {
         self.limit.is_set() && self.holders.load(Ordering::Relaxed) == HOLDERS_UNKNOWN
--- a/tests/shared_rate_limit.rs
+++ b/tests/shared_rate_limit.rs
@@ -2,11 +2,14 @@
 //! only its own, and against hosts that leave most of the rate unused.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use damaskhoist::admission::{rate_holders, HolderCandidate, RateLimit};
 use damaskhoist::coordinator::RateShares;
-use damaskhoist::schema::peer::UpstreamRate;
+use damaskhoist::directory::{Phase, UpstreamRecord};
+use damaskhoist::gateway::{GatewayFleet, UpstreamNotice};
+use damaskhoist::schema::peer::{EntryHost, UpstreamRate};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -276,3 +279,51 @@
     let used = sent.iter().map(Vec::len).sum::<usize>() as f64 / (14.0 * capacity_per_s);
     assert!(used >= 0.6, "only {used} of the rate was used");
 }
+
+/// Guards against a host that goes by an old list of hosts when an upstream names a limit again, and against
+/// one that sends to a limited upstream though others share the limit.
+#[test]
+fn a_host_shares_a_limit_by_the_current_list_of_hosts() {
+    let hosts = |count: usize| {
+        let host = |number| EntryHost {
+            host_id: format!("host-{number}"),
+            ready: true,
+            ..EntryHost::default()
+        };
+        Arc::new((0..count).map(|number| Arc::new(host(number))).collect::<Vec<_>>())
+    };
+    let record = |number: usize| UpstreamRecord {
+        upstream_id: format!("upstream-{number:02}"),
+        service: "engraver".into(),
+        address: "10.0.0.1:80".into(),
+        zone: "santander".into(),
+        region: "cantabria".into(),
+        slots: 8,
+        phase: Phase::Ready,
+        started_at_unix_ms: 1,
+        sequence: 1,
+    };
+    let fleet = GatewayFleet::default();
+    fleet.replace(&(0..30).map(record).collect::<Vec<_>>());
+    let names_limit = |rate_limit| {
+        let notice = UpstreamNotice { rate_limit, ..UpstreamNotice::default() };
+        fleet.record_answer_notice(&fleet.load()[0], &notice);
+    };
+    let may_send = || fleet.load()[0].try_send(true);
+    names_limit(Some(1e6));
+    let shares = |number: &usize| {
+        fleet.set_entry_hosts(&format!("host-{number}"), &hosts(40));
+        may_send()
+    };
+    let sharing: Vec<usize> = (0..40).filter(shares).collect();
+    assert_eq!(sharing.len(), 4, "{sharing:?}");
+    let other = (0..40).find(|number| !sharing.contains(number)).unwrap();
+    fleet.set_entry_hosts(&format!("host-{other}"), &hosts(40));
+    assert!(!may_send());
+    names_limit(None);
+    assert!(may_send(), "no limit is named");
+    let alone = Arc::new(vec![hosts(40)[other].clone()]);
+    fleet.set_entry_hosts(&format!("host-{other}"), &alone);
+    names_limit(Some(1e6));
+    assert!(may_send(), "it is the only host now");
+}
