Tell entry hosts of loads twice as often in large fleets

Cause: the leader answers each of 170 entry hosts every 0.34 s. Requests last half a second, so hosts send to upstreams that have filled up since the last answer, and requests queue there while other slots are free. Change: 1 ms for each entry host in place of 2, so the leader answers a thousand calls a second at most. Fleets of up to 60 entry hosts are answered each 60 ms. Result: the test of the age of loads failed before.

--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -15,9 +15,9 @@
 /// Time for which the leader keeps a sync call of an entry host waiting for changes, in a fleet
 /// with few entry hosts. Bounds the age of the load that entry hosts see.
 const LEADER_BASE_WAIT: Duration = Duration::from_millis(60);
-/// Waiting time per entry host in a larger fleet. Bounds the sync calls that the leader answers per
-/// second.
-const LEADER_WAIT_PER_ENTRY_HOST: Duration = Duration::from_millis(2);
+/// Waiting time per entry host in a larger fleet. Bounds the sync calls that the leader answers to a thousand
+/// a second.
+const LEADER_WAIT_PER_ENTRY_HOST: Duration = Duration::from_millis(1);
 /// Maximum time for which a sync call waits for changes.
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
 
@@ -57,8 +57,7 @@
         if !leads || sync.entry.is_none() {
             return requested;
         }
-        let entries = lock(&self.entries).list().len() as u32;
-        requested.min(LEADER_BASE_WAIT.max(LEADER_WAIT_PER_ENTRY_HOST * entries))
+        requested.min(leader_wait(lock(&self.entries).list().len()))
     }
 
     fn apply_report(&self, entry: &EntryHost, sync: &EntrySync, leads: bool) {
@@ -221,6 +220,11 @@
     }
 }
 
+/// Time for which the leader keeps the sync call of one of `entry_hosts` waiting.
+pub fn leader_wait(entry_hosts: usize) -> Duration {
+    LEADER_BASE_WAIT.max(LEADER_WAIT_PER_ENTRY_HOST * entry_hosts as u32)
+}
+
 /// What the routes say of a job.
 fn job_plan(job: &JobHead, routes: &[Route]) -> JobPlan {
     let Some(route) = find_route(routes, &job.host, &job.path) else {
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -21,6 +21,7 @@
 mod upstream_use_update;
 
 pub use control_role::{Coordinator, CoordinatorOptions};
+pub use entry_sync::leader_wait;
 pub use item_end::ItemEnd;
 pub use job_plan::JobPlan;
 pub use leader_client::{LeaderClient, LeaderError, LeaderHint};
--- a/tests/fleet_relay.rs
+++ b/tests/fleet_relay.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use damaskhoist::coordinator::leader_wait;
 use damaskhoist::directory::{
     choose_polled, Distance, EntryList, LeavingTable, Phase, PollCandidate, RelayDirectory,
     UpstreamRecord,
@@ -239,3 +240,14 @@
     }
     assert_eq!(fleet.load()[0].in_use(), 0);
 }
+
+/// Guards against loads that are older than the requests that they count: hosts of a fleet of 200 would send
+/// to upstreams that have filled up meanwhile. Small fleets hear several times as often, and the leader of a
+/// fleet of the size to design for answers no more than a thousand calls a second.
+#[test]
+fn hosts_hear_of_loads_while_the_requests_still_run() {
+    const SHORT_REQUEST: Duration = Duration::from_millis(250);
+    assert!(leader_wait(170) < SHORT_REQUEST);
+    assert!(leader_wait(12) < SHORT_REQUEST / 4);
+    assert!(340.0 / leader_wait(340).as_secs_f64() <= 1_000.0);
+}
