Pass on heartbeats of upstreams that come back to a control host

Upstreams had sent heartbeats to the leader's own host, then again to another one, which knew them already (here from its stored state) and so passed nothing on. Copies of its directory kept the old sequence number, and the leader's own record, later and silent by now, counted for more. Without stored state it took an upstream that comes back within four intervals. Change: a heartbeat after a gap in the sequence counts as a change, since those in between went elsewhere.

--- a/src/directory/upstream_directory.rs
+++ b/src/directory/upstream_directory.rs
@@ -83,7 +83,9 @@
         known.last_contact_at = now;
         known.has_left = false;
         let same = UpstreamRecord { sequence: known.record.sequence, ..record.clone() };
-        let changed = same != known.record;
+        // Heartbeats in between went to other control hosts, whose later record would count for more.
+        let was_elsewhere = record.sequence > known.record.sequence.saturating_add(1);
+        let changed = same != known.record || was_elsewhere;
         known.record = record;
         if !changed {
             return HeartbeatOutcome::Refreshed;
--- a/tests/upstream_directory.rs
+++ b/tests/upstream_directory.rs
@@ -171,3 +171,31 @@
     silent.sort();
     assert_eq!(silent, ["restarts", "vanishes"]);
 }
+
+/// Guards against a live upstream that no other host uses: it sent its heartbeats to one control host, then
+/// to another, which marks it as silent once it comes back to the first one, where nothing seems to have
+/// changed. Found by the soak with seed 2, after restarts with stored upstreams.
+#[test]
+fn an_upstream_that_comes_back_to_a_control_host_stays_in_use() {
+    let (start, second) = (Instant::now(), Duration::from_secs(1));
+    let mut first = Directory::new(1, HEARTBEAT_INTERVAL);
+    first.record_heartbeat(record("a", 1, 5, Phase::Ready), start);
+    let mut copy_of_first = copy_of(&first, start);
+    let mut other = Directory::new(2, HEARTBEAT_INTERVAL);
+    for sequence in 6..9 {
+        other.record_heartbeat(record("a", 1, sequence, Phase::Ready), start + second);
+    }
+    let back = start + second * 3;
+    let outcome = first.record_heartbeat(record("a", 1, 9, Phase::Ready), back);
+    assert_eq!(outcome, HeartbeatOutcome::Changed);
+    let next = first.record_heartbeat(record("a", 1, 10, Phase::Ready), back + second);
+    assert_eq!(next, HeartbeatOutcome::Refreshed, "further heartbeats say nothing new");
+    let now = back + second * 3;
+    assert_eq!(other.expire(now), ["a"]);
+    let known = copy_of_first.version;
+    let changes = first.changes_since(known.0, known.1);
+    copy_of_first.update(first.version(), changes, HEARTBEAT_TIMEOUT * 2, now);
+    let sources = [copy_of_first, copy_of(&other, now)];
+    let live = merge_directories(sources.iter(), HEARTBEAT_TIMEOUT, now);
+    assert_eq!(live.len(), 1, "the upstream is not used");
+}
