--- a/src/admission/rate_holders.rs
+++ b/src/admission/rate_holders.rs
@@ -1,7 +1,8 @@
 use crate::admission::rendezvous_rank;
 
 /// Least number of hosts that share a named limit. Each may send a request before it hears of those of the
-/// others, so the number bounds what a burst sends beyond the limit.
+/// others, so a burst exceeds the limit by about as many requests as there are holders: more than these where
+/// many hosts depend on few upstreams.
 const MIN_HOLDERS: usize = 4;
 /// Limited upstreams that each host can use on average, so that every host serves its callers.
 const MIN_UPSTREAMS_PER_HOST: usize = 2;
