--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -15,7 +15,7 @@
 use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, Scheduler};
 use crate::directory::{
     CrashExchange, Directory, EntryTable, FleetWatch, FleetWatchOptions, HeartbeatOutcome,
-    LeavingTable, SyncHandler, UpstreamRecord,
+    LeavingTable, OriginTable, SyncHandler, UpstreamRecord,
 };
 use crate::ledger::{command, find_route, JobHead, Ledger};
 use crate::peer::PeerCaller;
@@ -64,6 +64,8 @@
     pub(super) crashes: Arc<CrashTable>,
     /// Upstreams that said that they leave, as entry hosts and other control hosts report.
     pub(super) leaving: Arc<LeavingTable>,
+    /// Where streams began, as entry hosts report.
+    pub(super) origins: Mutex<OriginTable>,
     pub(super) relay: FleetRelay,
     watch: Arc<OnceLock<Arc<FleetWatch>>>,
     pub(super) stored: StoredState,
@@ -154,6 +156,7 @@
             scheduler: Mutex::default(),
             crashes: crashes.clone(),
             leaving,
+            origins: Mutex::default(),
             relay: FleetRelay::new(),
             watch,
             stored,
@@ -253,6 +256,9 @@
             call::Call::LedgerCommand(command) => self.propose(command).await,
             call::Call::LedgerQuery(query) => self.query(query).await,
             call::Call::ReadIndex(_) => self.read_index().await,
+            call::Call::FindStreamOrigin(find) => {
+                reply::Reply::FoundStreamOrigin(self.find_stream_origin(&find))
+            }
             call::Call::ReturnItem(item) => self.return_item(item).await,
             call::Call::RetireHost(retire) => match self.leads() {
                 true => self.retire_as_leader(&retire.host_id).await,
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -9,6 +9,7 @@
 mod leader_client;
 mod online_load;
 mod operator;
+mod origin_records;
 mod pending_items;
 mod rate_shares;
 mod reads;
--- a/src/coordinator/pending_items.rs
+++ b/src/coordinator/pending_items.rs
@@ -4,6 +4,7 @@
 
 use crate::coordinator::running_items::Progress;
 use crate::coordinator::{JobPlan, SchedulerInput};
+use crate::directory::{Phase, UpstreamRecord};
 use crate::ledger::JobHead;
 use crate::schema::ledger::NewItem;
 
@@ -15,6 +16,20 @@
     pub(super) not_before: Instant,
 }
 
+impl PendingItem {
+    /// True if the item may be sent to an upstream: to continue there, or to start anew if the upstreams that
+    /// may continue it are gone, or have had no slot for as long as the item has run, since it then loses
+    /// less by starting anew than by waiting.
+    pub(super) fn may_run_at(&self, upstream: &UpstreamRecord, input: &SchedulerInput<'_>) -> bool {
+        if self.progress.may_continue_at(upstream) {
+            return true;
+        }
+        let mut ready = input.upstreams.iter().filter(|record| record.phase == Phase::Ready);
+        input.now.saturating_duration_since(self.not_before) > self.progress.run_time
+            || !ready.any(|record| self.progress.may_continue_at(record))
+    }
+}
+
 /// The waiting items of one job.
 #[derive(Debug)]
 struct PendingJob {
@@ -73,6 +88,11 @@
         Some((head, pending))
     }
 
+    pub(super) fn get(&self, job_id: &str, item: u32) -> Option<&PendingItem> {
+        let (job_id, submitted) = self.submitted.get_key_value(job_id)?;
+        self.jobs.get(&(*submitted, job_id.clone()))?.items.get(&item)
+    }
+
     pub(super) fn get_mut(&mut self, job_id: &str, item: u32) -> Option<&mut PendingItem> {
         let (job_id, submitted) = self.submitted.get_key_value(job_id)?;
         self.jobs.get_mut(&(*submitted, job_id.clone()))?.items.get_mut(&item)
@@ -89,12 +109,13 @@
         self.len
     }
 
-    /// Up to `limit` items that may be started now: those that can still meet their completion target,
-    /// then the late ones, each group by age.
+    /// Up to `limit` items that may be started now and for which `has_place` is true: those that can still
+    /// meet their completion target, then the late ones, each group by age.
     pub(super) fn startable(
         &mut self,
         input: &SchedulerInput<'_>,
         limit: usize,
+        has_place: &dyn Fn(&PendingItem) -> bool,
     ) -> Vec<StartableItem> {
         let mut late = Vec::new();
         let mut chosen = Vec::new();
@@ -104,13 +125,13 @@
                 late.push((&*job, plan));
                 continue;
             }
-            job.add_startable(&plan, input.now, limit, &mut chosen);
+            job.add_startable(&plan, input.now, limit, has_place, &mut chosen);
             if chosen.len() >= limit {
                 return chosen;
             }
         }
         for (job, plan) in late {
-            job.add_startable(&plan, input.now, limit, &mut chosen);
+            job.add_startable(&plan, input.now, limit, has_place, &mut chosen);
         }
         chosen
     }
@@ -134,9 +155,13 @@
         plan: &Arc<JobPlan>,
         now: Instant,
         limit: usize,
+        has_place: &dyn Fn(&PendingItem) -> bool,
         chosen: &mut Vec<StartableItem>,
     ) {
-        let ready = self.items.iter().filter(|(_, pending)| pending.not_before <= now);
+        let ready = self
+            .items
+            .iter()
+            .filter(|(_, pending)| pending.not_before <= now && has_place(pending));
         let ready = ready.take(limit.saturating_sub(chosen.len()));
         chosen.extend(ready.map(|(item, _)| StartableItem {
             job_id: self.head.job_id.clone(),
--- a/src/coordinator/running_items.rs
+++ b/src/coordinator/running_items.rs
@@ -6,9 +6,10 @@
 
 use bytes::Bytes;
 
+use crate::directory::{StreamOrigin, UpstreamRecord};
 use crate::ledger::JobHead;
 use crate::schema::ledger::NewItem;
-use crate::schema::peer::StopReason;
+use crate::schema::peer::{ReturnItem, StopReason};
 
 /// Time after which a stop is sent again to an entry host that still runs the item.
 const STOP_RESEND_INTERVAL: Duration = Duration::from_millis(200);
@@ -20,10 +21,42 @@
     pub(super) text: Bytes,
     /// Id of the last received event; 0 for none.
     pub(super) last_event_id: u64,
+    /// Where the events come from; `None` while there are none.
+    pub(super) origin: Option<StreamOrigin>,
+    /// Time that the runs took in which the events were received.
+    pub(super) run_time: Duration,
     /// Number of failed attempts.
     pub(super) failures: u32,
 }
 
+impl Progress {
+    /// Takes over the events of a run. Those without an origin can't be continued, so the item starts anew.
+    /// `run_time` is how long the run took.
+    pub(super) fn replace_events(&mut self, item: &ReturnItem, run_time: Duration) {
+        let run_time = match item.last_event_id > self.last_event_id {
+            true => self.run_time + run_time,
+            false => self.run_time,
+        };
+        self.clear_events();
+        let Some(origin) = item.origin.clone().filter(|_| item.last_event_id > 0) else { return };
+        self.text = item.text.clone();
+        self.last_event_id = item.last_event_id;
+        self.origin = Some(origin.into());
+        self.run_time = run_time;
+    }
+
+    /// Drops the events, so that the item starts anew.
+    pub(super) fn clear_events(&mut self) {
+        *self = Self { failures: self.failures, ..Self::default() };
+    }
+
+    /// True if an upstream may continue the item.
+    pub(super) fn may_continue_at(&self, upstream: &UpstreamRecord) -> bool {
+        let UpstreamRecord { service, version, .. } = upstream;
+        self.origin.as_ref().is_none_or(|origin| origin.may_continue_at(service, version))
+    }
+}
+
 /// A batch item that is assigned to an entry host and an upstream.
 #[derive(Debug)]
 pub(super) struct AssignedItem {
--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -225,8 +225,7 @@
         let upstream_id = running.upstream_id.clone();
         let yielded = running.stop.is_some();
         if !item.text.is_empty() || item.last_event_id > 0 {
-            running.progress.text = item.text.clone();
-            running.progress.last_event_id = item.last_event_id;
+            running.progress.replace_events(item, now - running.started);
         }
         match item.reason() {
             ItemReturn::FailedAttempt => {
@@ -250,8 +249,8 @@
     fn record_progress(&mut self, item: &ReturnItem) {
         let Some(waiting) = self.pending.get_mut(&item.job_id, item.item) else { return };
         if item.last_event_id > waiting.progress.last_event_id {
-            waiting.progress.text = item.text.clone();
-            waiting.progress.last_event_id = item.last_event_id;
+            // When the earlier leader assigned the item is not known.
+            waiting.progress.replace_events(item, Duration::ZERO);
         }
     }
 
@@ -448,12 +447,22 @@
             return Vec::new();
         }
         let mut assigned = Vec::new();
-        for startable in self.pending.startable(input, capacity) {
+        let has_place = |pending: &PendingItem| {
+            // Most items have no events yet, and any upstream may run them.
+            pending.progress.origin.is_none()
+                || nearby.iter().any(|(record, share)| {
+                    share.free_batch_slots() > 0 && pending.may_run_at(record, input)
+                })
+        };
+        for startable in self.pending.startable(input, capacity, &has_place) {
             if !has_free_slot(&nearby) {
                 break;
             }
+            let StartableItem { job_id, item, .. } = &startable;
+            let pending = self.pending.get(job_id, *item);
             let candidates = nearby.iter_mut().filter(|(record, share)| {
                 share.free_batch_slots() > 0
+                    && pending.is_some_and(|pending| pending.may_run_at(record, input))
                     && startable.plan.services.contains(&record.service)
                     && self.has_rate_room(&record.upstream_id, input.now)
             });
@@ -463,8 +472,7 @@
                 continue;
             };
             share.batch += 1;
-            let upstream_id = record.upstream_id.clone();
-            assigned.push(self.start(&startable, host_id, upstream_id, input.now));
+            assigned.push(self.start(&startable, host_id, record, input.now));
         }
         assigned
     }
@@ -503,13 +511,20 @@
         &mut self,
         startable: &StartableItem,
         host_id: &str,
-        upstream_id: String,
+        upstream: &UpstreamRecord,
         now: Instant,
     ) -> ItemAssignment {
         let StartableItem { job_id, item, .. } = startable;
         let (job, pending) =
             self.pending.remove(job_id, *item).expect("only pending items are started");
-        let PendingItem { content, progress, .. } = pending;
+        let PendingItem { content, mut progress, .. } = pending;
+        if !progress.may_continue_at(upstream) {
+            log::info!(event = "item_starts_anew", job = &*job.job_id, item = *item,
+                upstream = upstream.upstream_id.as_str(), last_event = progress.last_event_id;
+                "no upstream of the version that began the item has a slot");
+            progress.clear_events();
+        }
+        let upstream_id = upstream.upstream_id.clone();
         if let Some(rates) = &mut self.rates {
             rates.record_batch_item(&upstream_id, now);
         }
@@ -524,6 +539,7 @@
             content: Some(NewItem::clone(&content)),
             text: progress.text.clone(),
             last_event_id: progress.last_event_id,
+            origin: progress.origin.as_ref().map(Into::into),
         };
         let running = AssignedItem {
             job,
--- a/src/directory/fleet_view.rs
+++ b/src/directory/fleet_view.rs
@@ -1,6 +1,7 @@
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use crate::directory::UpstreamRecord;
+use crate::directory::{OriginKeeper, UpstreamRecord};
 use crate::schema::peer::EntryHost;
 use crate::schema::routes::RouteTable;
 
@@ -14,12 +15,16 @@
     /// On a control host, the newest record of each upstream, gone ones included, to be passed on to
     /// entry hosts; empty on an entry host.
     pub known_upstreams: Arc<Vec<UpstreamRecord>>,
+    /// Software versions of each service that any upstream had lately, gone ones included.
+    pub service_versions: Arc<BTreeMap<String, BTreeSet<String>>>,
     /// Entry hosts that are in contact with the control hosts, sorted by name.
     pub entries: Arc<Vec<Arc<EntryHost>>>,
     /// Peer addresses of the control hosts.
     pub control_addresses: Arc<Vec<String>>,
     /// Peer addresses of control hosts of this region that run a replica of the ledger, nearest first.
     pub near_replicas: Arc<Vec<String>>,
+    /// Control hosts that may keep origins of streams.
+    pub origin_keepers: Arc<Vec<OriginKeeper>>,
     /// Peer address of the leader; `None` while it is unknown.
     pub leader_address: Option<String>,
 }
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -9,8 +9,8 @@
 use crate::admission::rendezvous_rank;
 use crate::directory::control_host::ControlHost;
 use crate::directory::{
-    choose_polled, list_live, newest_records, Distance, FleetView, LeavingTable, Phase,
-    PollCandidate, SyncHandler, UpstreamRecord,
+    choose_polled, list_live, newest_records, Distance, FleetView, LeavingTable, OriginKeeper,
+    Phase, PollCandidate, SyncHandler, UpstreamRecord,
 };
 use crate::peer::{PeerCaller, TrafficClass};
 use crate::schema::peer::{
@@ -260,6 +260,7 @@
         }
         next.control_addresses = Arc::new(self.addresses(inner));
         next.near_replicas = Arc::new(self.near_replicas(inner));
+        next.origin_keepers = Arc::new(self.origin_keepers(inner, &next.control_addresses));
         let routes = reply.and_then(|reply| reply.routes);
         if let Some(routes) = routes.filter(|table| table.version > next.routes.version) {
             log::info!(event = "routes_in_force", version = routes.version,
@@ -281,6 +282,11 @@
                 record.phase = Phase::Draining;
             }
         }
+        let versions = service_versions(&known);
+        if *next.service_versions != versions {
+            log::info!(event = "service_versions"; "{versions:?}");
+            next.service_versions = Arc::new(versions);
+        }
         let upstreams = list_live(&known);
         if *next.upstreams != upstreams {
             log_changes(&next.upstreams, &upstreams);
@@ -330,6 +336,23 @@
         near.into_iter().map(|(_, _, address)| address.clone()).collect()
     }
 
+    /// Control hosts that may keep origins of streams: all that are known.
+    fn origin_keepers(&self, inner: &Inner, addresses: &[String]) -> Vec<OriginKeeper> {
+        let answering = || inner.control_hosts.values().filter(|host| host.is_reached());
+        let keeper = |address: &String| {
+            let mut listed = answering().flat_map(|host| &host.listed);
+            let zone = listed.find(|entry| entry.peer_address == *address).map(|entry| &entry.zone);
+            let region = zone.and_then(|zone| self.options.zone_regions.get(zone));
+            let is_reached = match inner.control_hosts.get(address) {
+                Some(polled) => polled.is_reached(),
+                None => answering().any(|host| host.reached.contains(address)),
+            };
+            let region = region.cloned().unwrap_or_default();
+            OriginKeeper { address: address.clone(), region, is_reached }
+        };
+        addresses.iter().map(keeper).collect()
+    }
+
     /// Addresses of the control hosts that have to be polled now.
     fn polled_addresses(&self, inner: &Inner) -> Vec<String> {
         let mut addresses = self.addresses(inner);
@@ -448,6 +471,15 @@
     named.find(|address| !address.is_empty()).cloned()
 }
 
+/// The software versions of each service among these upstreams, gone ones included.
+fn service_versions(records: &[UpstreamRecord]) -> BTreeMap<String, BTreeSet<String>> {
+    let mut versions: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+    for record in records.iter().filter(|record| !record.service.is_empty()) {
+        versions.entry(record.service.clone()).or_default().insert(record.version.clone());
+    }
+    versions
+}
+
 /// Starts and ends polling tasks, and publishes changes of the view that are due to timeouts instead of
 /// replies.
 async fn supervise(watch: Arc<FleetWatch>) {
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -5,6 +5,9 @@
 //! Entry hosts poll a few control hosts ([`choose_polled`]), which pass on what they hear
 //! ([`RelayDirectory`]). Of two records with the same id, the one of the later incarnation wins, then
 //! the one with the higher sequence number.
+//!
+//! Control hosts also keep where streams began ([`OriginTable`]), since any entry host may be asked to
+//! continue a stream that another one began.
 
 mod control_host;
 mod control_host_list;
@@ -16,8 +19,11 @@
 mod fleet_view;
 mod fleet_watch;
 mod leaving_table;
+mod origin_keepers;
+mod origin_table;
 mod poll_set;
 mod relay_directory;
+mod stream_origin;
 mod sync_handler;
 mod upstream_directory;
 mod upstream_record;
@@ -31,8 +37,11 @@
 pub use fleet_view::FleetView;
 pub use fleet_watch::{FleetWatch, FleetWatchOptions};
 pub use leaving_table::LeavingTable;
+pub use origin_keepers::{choose_asked, choose_keepers, OriginKeeper};
+pub use origin_table::{request_hash, KnownOrigin, OriginTable};
 pub use poll_set::{choose_polled, Distance, PollCandidate};
 pub use relay_directory::RelayDirectory;
+pub use stream_origin::StreamOrigin;
 pub use sync_handler::SyncHandler;
 pub use upstream_directory::{heartbeat_timeout, Directory, HeartbeatOutcome};
 pub use upstream_record::{Phase, UpstreamRecord};
--- a/src/directory/relay_directory.rs
+++ b/src/directory/relay_directory.rs
@@ -81,6 +81,7 @@
         && a.started_at_unix_ms == b.started_at_unix_ms
         && a.address == b.address
         && a.service == b.service
+        && a.version == b.version
         && a.slots == b.slots
         && a.zone == b.zone
         && a.region == b.region
--- a/src/directory/upstream_directory.rs
+++ b/src/directory/upstream_directory.rs
@@ -186,6 +186,7 @@
         address: String::new(),
         zone: String::new(),
         region: String::new(),
+        version: String::new(),
         slots: 0,
         phase: Phase::Gone,
         started_at_unix_ms: 0,
--- a/src/directory/upstream_record.rs
+++ b/src/directory/upstream_record.rs
@@ -13,6 +13,8 @@
     pub zone: String,
     /// Region of the zone.
     pub region: String,
+    /// Version of its software.
+    pub version: String,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Whether it accepts new requests.
@@ -57,6 +59,7 @@
             address: self.address.clone(),
             zone: self.zone.clone(),
             region: self.region.clone(),
+            version: self.version.clone(),
             slots: self.slots,
             phase: phase.into(),
             started_at_unix_ms: self.started_at_unix_ms,
@@ -80,6 +83,7 @@
             address: wire.address,
             zone: wire.zone,
             region: wire.region,
+            version: wire.version,
             slots: wire.slots,
             phase,
             started_at_unix_ms: wire.started_at_unix_ms,
--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -9,9 +9,11 @@
 use futures::future::{select, Either, FutureExt};
 
 use crate::coordinator::LeaderClient;
+use crate::directory::StreamOrigin;
 use crate::gateway::upstream::monotonic_ms;
 use crate::gateway::{
-    CallTarget, EventSplitter, GatewayFleet, Prompt, SendError, StreamConnector, StreamRequest,
+    CallTarget, Event, EventSplitter, GatewayFleet, Prompt, SendError, StreamConnector,
+    StreamRequest, Upstream,
 };
 use crate::http::Headers;
 use crate::ledger::command;
@@ -76,8 +78,8 @@
     Finished(Bytes),
     /// No upstream can process the item.
     Unprocessable,
-    /// The item is returned to the leader: reason, text so far and id of its last event.
-    Returned(ItemReturn, Bytes, u64),
+    /// The item is returned to the leader, with its progress.
+    Returned(ItemReturn, ItemProgress),
     /// The item was cancelled or is already finished; nothing is reported.
     Cancelled,
 }
@@ -187,15 +189,12 @@
                 Either::Right((reason, _)) => Err(reason.unwrap_or(StopReason::Cancelled)),
             }
         };
-        let text = progress.text.freeze();
         match end {
-            Ok(Ok(())) => RunEnd::Finished(text),
+            Ok(Ok(())) => RunEnd::Finished(progress.text.freeze()),
             Ok(Err(RunError::Unprocessable)) => RunEnd::Unprocessable,
-            Ok(Err(RunError::Returned(reason))) => {
-                RunEnd::Returned(reason, text, progress.last_event_id)
-            }
+            Ok(Err(RunError::Returned(reason))) => RunEnd::Returned(reason, progress),
             Err(StopReason::Cancelled) => RunEnd::Cancelled,
-            Err(_) => RunEnd::Returned(ItemReturn::Yielded, text, progress.last_event_id),
+            Err(_) => RunEnd::Returned(ItemReturn::Yielded, progress),
         }
     }
 
@@ -211,9 +210,16 @@
         else {
             return Err(not_run);
         };
+        if !upstream.may_continue(progress.origin.as_ref()) {
+            log_failed_attempt(
+                assignment,
+                "the upstream has another version than the one that began",
+            );
+            return Err(not_run);
+        }
         let Some(request) = item_request(assignment) else { return Err(RunError::Unprocessable) };
         let _guard = upstream.begin_batch();
-        let last_event_id = Some(assignment.last_event_id).filter(|id| *id > 0);
+        let last_event_id = Some(progress.last_event_id).filter(|id| *id > 0);
         let target = CallTarget {
             upstream_id: &upstream.upstream_id,
             address: upstream.address,
@@ -284,7 +290,7 @@
             while let Some(event) = splitter.next_event() {
                 has_event = true;
                 last_event_at = Instant::now();
-                if !progress.append(&event) {
+                if !progress.append(&event, &upstream) {
                     log_failed_attempt(
                         assignment,
                         "the event ids of the stream are not consecutive",
@@ -313,14 +319,15 @@
         let (name, call) = match end {
             RunEnd::Finished(text) => ("item_finished", finished(false, text)),
             RunEnd::Unprocessable => ("item_impossible", finished(true, Bytes::new())),
-            RunEnd::Returned(reason, text, last_event_id) => {
+            RunEnd::Returned(reason, progress) => {
                 let item = ReturnItem {
                     assignment_id: assignment.assignment_id,
                     job_id: assignment.job_id.clone(),
                     item: assignment.item,
                     reason: reason.into(),
-                    text,
-                    last_event_id,
+                    text: progress.text.freeze(),
+                    last_event_id: progress.last_event_id,
+                    origin: progress.origin.as_ref().map(Into::into),
                 };
                 ("item_given_back", call::Call::ReturnItem(item))
             }
@@ -352,17 +359,28 @@
     text: BytesMut,
     /// Id of the last event; 0 before the first.
     last_event_id: u64,
+    /// Where the events come from; `None` before the first.
+    origin: Option<StreamOrigin>,
 }
 
 impl ItemProgress {
     /// Progress at the start of a run.
     fn of(assignment: &ItemAssignment) -> Self {
-        Self { text: BytesMut::from(&assignment.text[..]), last_event_id: assignment.last_event_id }
+        let origin = assignment.origin.clone().filter(|_| assignment.last_event_id > 0);
+        let Some(origin) = origin else {
+            // Events of an unknown origin can't be continued.
+            return Self { text: BytesMut::new(), last_event_id: 0, origin: None };
+        };
+        Self {
+            text: BytesMut::from(&assignment.text[..]),
+            last_event_id: assignment.last_event_id,
+            origin: Some(origin.into()),
+        }
     }
 
-    /// Appends the data of an event; returns false if it has no id or one that does not follow the
-    /// last one.
-    fn append(&mut self, event: &crate::gateway::Event) -> bool {
+    /// Appends the data of an event of `upstream`; returns false if it has no id or one that does not
+    /// follow the last one.
+    fn append(&mut self, event: &Event, upstream: &Upstream) -> bool {
         let Some(id) = event.id else { return false };
         if self.last_event_id > 0 && id != self.last_event_id + 1 {
             return false;
@@ -372,6 +390,7 @@
         }
         self.text.extend_from_slice(&event.data());
         self.last_event_id = id;
+        self.origin.get_or_insert_with(|| upstream.origin());
         true
     }
 }
@@ -421,6 +440,7 @@
         body: content.body.clone(),
         caller_timeout: None,
         last_event_id: None,
+        resumes: None,
         prompt: Prompt::default(),
         arrived: Instant::now(),
     })
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -3,6 +3,7 @@
 use rand::seq::IndexedRandom;
 
 use crate::admission::rendezvous_rank;
+use crate::directory::StreamOrigin;
 use crate::gateway::Upstream;
 use crate::schema::routes::Route;
 
@@ -37,6 +38,8 @@
     pub region: &'a str,
     /// Hash of the shared prompt prefix, if the route has prefix affinity.
     pub prefix: Option<u64>,
+    /// Where the stream began, if the caller has events of it.
+    pub origin: Option<&'a StreamOrigin>,
     /// Ids of the upstreams that the request was already sent to.
     pub tried: &'a [String],
     /// Current time in milliseconds, on the clock of `monotonic_ms`.
@@ -58,10 +61,14 @@
     upstreams: &[Arc<Upstream>],
     input: &ChoiceInput<'_>,
 ) -> Option<Arc<Upstream>> {
-    let service = pick_service(input.route)?;
+    let service = match input.origin {
+        Some(origin) => routed_service(input.route, &origin.service)?,
+        None => pick_service(input.route)?,
+    };
     let is_candidate = |upstream: &&Arc<Upstream>| {
         upstream.accepts_work
             && upstream.service == service
+            && upstream.may_continue(input.origin)
             && !input.tried.contains(&upstream.upstream_id)
             && upstream.has_rate_room()
     };
@@ -101,6 +108,12 @@
     slots * distance * prefix * limit
 }
 
+/// The service of this name, if the route still sends requests to it.
+fn routed_service<'a>(route: &'a Route, service: &str) -> Option<&'a str> {
+    let mut shares = route.shares.iter().filter(|share| share.weight > 0);
+    shares.find(|share| share.service == service).map(|share| share.service.as_str())
+}
+
 /// Picks a service of the route at random, by weight; `None` if no service has a weight.
 fn pick_service(route: &Route) -> Option<&str> {
     let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -14,8 +14,8 @@
 use crate::gateway::batch_worker::BatchWorker;
 use crate::gateway::job_reader::JobReader;
 use crate::gateway::{
-    AnswerSink, CrashGuard, ForwardOutcome, Forwarder, GatewayFleet, Refusal, RouteIndex,
-    StreamConnector, StreamRequest,
+    AnswerSink, CrashGuard, FleetOrigins, ForwardOutcome, Forwarder, GatewayFleet, Refusal,
+    RouteIndex, StreamConnector, StreamRequest,
 };
 use crate::http::HttpError;
 use crate::ledger::command;
@@ -66,6 +66,7 @@
     crashes: Arc<CrashGuard>,
     crash_exchange: CrashExchange,
     worker: OnceLock<Arc<BatchWorker>>,
+    origins: OnceLock<Arc<FleetOrigins>>,
     /// The first table of routes was received.
     has_routes: AtomicBool,
     draining: AtomicBool,
@@ -126,6 +127,9 @@
     }
 
     fn handle_reply(&self, from_address: &str, answer: &ControlSync) {
+        if let Some(origins) = self.origins.get() {
+            origins.record_epoch(from_address, answer.directory_epoch);
+        }
         self.crashes.handle_changes(&self.crash_exchange.handle_reply(from_address, answer));
         let Some(worker) = self.worker.get().filter(|_| answer.leads) else { return };
         worker.record_leader_contact();
@@ -168,6 +172,7 @@
             crashes: crashes.clone(),
             crash_exchange: CrashExchange::open(crashes.table().clone()),
             worker: OnceLock::new(),
+            origins: OnceLock::new(),
             has_routes: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             closing: AtomicBool::new(false),
@@ -191,12 +196,16 @@
         let worker =
             BatchWorker::spawn(fleet.clone(), connector.clone(), leader.clone(), counters.clone());
         let _ = sync_state.worker.set(worker);
+        let origins =
+            FleetOrigins::spawn(&settings.region, caller.clone(), watch.clone(), counters.clone());
+        let _ = sync_state.origins.set(origins.clone());
         let forwarder = Forwarder::open(
             &settings.zone,
             &settings.region,
             fleet.clone(),
             connector.clone(),
             crashes,
+            origins,
             counters,
         );
         let routes = ArcSwap::from_pointee(RouteIndex::default());
--- a/src/gateway/forward_progress.rs
+++ b/src/gateway/forward_progress.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use crate::directory::StreamOrigin;
+
 /// How far the answer to a send came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AnswerStage {
@@ -21,6 +23,8 @@
     pub(super) sends: u32,
     /// Id of the last event that the caller has.
     pub(super) last_event_id: Option<u64>,
+    /// Where the events that the caller has come from; `None` while it has none.
+    pub(super) origin: Option<StreamOrigin>,
     /// The head of an answer was sent to the caller.
     pub(super) head_sent: bool,
     /// Everything sent to the caller is whole events with ids, so another upstream can continue after
@@ -37,13 +41,15 @@
 }
 
 impl Progress {
-    /// Progress before the first send; `last_event_id` is the last event that the caller already has.
-    pub(super) fn new(last_event_id: Option<u64>) -> Self {
+    /// Progress before the first send; `last_event_id` is the last event that the caller already has, and
+    /// `origin` where it comes from.
+    pub(super) fn new(last_event_id: Option<u64>, origin: Option<StreamOrigin>) -> Self {
         Self {
             tried: Vec::new(),
             runs: 0,
             sends: 0,
             last_event_id,
+            origin,
             head_sent: false,
             has_event_ids: true,
             first_event: None,
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -8,7 +8,8 @@
 use crate::gateway::upstream::monotonic_ms;
 use crate::gateway::{
     choose_upstream, AnswerSink, CallTarget, ChoiceInput, CrashGuard, EventSplitter, GatewayFleet,
-    Refusal, RefusalKind, SendError, StreamConnector, StreamRequest, Upstream, UpstreamAnswer,
+    Refusal, RefusalKind, SendError, StreamConnector, StreamOrigins, StreamRequest, Upstream,
+    UpstreamAnswer,
 };
 use crate::http::HttpError;
 use crate::schema::routes::{Route, RouteKind};
@@ -44,6 +45,7 @@
     fleet: Arc<GatewayFleet>,
     connector: Arc<dyn StreamConnector>,
     crashes: Arc<CrashGuard>,
+    origins: Arc<dyn StreamOrigins>,
     counters: Counters,
 }
 
@@ -62,10 +64,11 @@
         fleet: Arc<GatewayFleet>,
         connector: Arc<dyn StreamConnector>,
         crashes: Arc<CrashGuard>,
+        origins: Arc<dyn StreamOrigins>,
         counters: Counters,
     ) -> Self {
         let (zone, region) = (zone.to_owned(), region.to_owned());
-        Self { zone, region, fleet, connector, crashes, counters }
+        Self { zone, region, fleet, connector, crashes, origins, counters }
     }
 
     /// Forwards a request by its route and writes the answer to `sink`. `route` is `None` if no route
@@ -95,7 +98,17 @@
         let route_limit = Duration::from_millis(route.timeout_ms.into());
         let time_limit = request.caller_timeout.map_or(route_limit, |limit| limit.min(route_limit));
         let deadline = request.arrived + time_limit;
-        let mut progress = Progress::new(request.last_event_id);
+        let resumes = route.kind() == RouteKind::Stream && request.last_event_id > Some(0);
+        let origin = match resumes {
+            true => self.origins.find(request, route).await,
+            false => None,
+        };
+        if resumes && origin.is_none() {
+            let reason = "the version that began the stream is not known";
+            let refusal = Refusal::not_run(reason, RETRY_AFTER);
+            return self.refuse(request, version, refusal, sink).await;
+        }
+        let mut progress = Progress::new(request.last_event_id, origin);
         loop {
             let next = self.send_once(route, request, deadline, &mut progress, sink).await?;
             match next {
@@ -225,6 +238,15 @@
         }
     }
 
+    /// The events of a stream bind it to the version of the upstream that sent them.
+    fn bind_stream(&self, request: &StreamRequest, upstream: &Upstream, progress: &mut Progress) {
+        if progress.origin.is_none() {
+            let origin = upstream.origin();
+            self.origins.record(request, &origin);
+            progress.origin = Some(origin);
+        }
+    }
+
     /// Records that the answer of the current send has brought a part of its body.
     fn record_body(&self, request: &StreamRequest, progress: &mut Progress) {
         if progress.stage == AnswerStage::HasBody {
@@ -264,9 +286,11 @@
             zone: &self.zone,
             region: &self.region,
             prefix: request.prompt.shared_key().filter(|_| route.prefix_affinity),
+            origin: progress.origin.as_ref(),
             tried: &progress.tried,
             now_ms: monotonic_ms(),
-            allow_full: progress.runs > 0,
+            // A caller that has a part of its answer goes before those that have none.
+            allow_full: progress.runs > 0 || progress.origin.is_some(),
         };
         choose_upstream(&upstreams, &input)
     }
@@ -283,7 +307,12 @@
         let mut usable = upstreams
             .iter()
             .filter(|upstream| upstream.accepts_work && serves(upstream))
+            .filter(|upstream| upstream.may_continue(progress.origin.as_ref()))
             .peekable();
+        if usable.peek().is_none() && progress.origin.is_some() {
+            let reason = "no upstream of the version that began the stream is left";
+            return Refusal::not_run(reason, RETRY_AFTER);
+        }
         if usable.peek().is_none() {
             return Refusal::not_run("no upstream of the route is known", RETRY_AFTER_STARTUP);
         }
@@ -453,6 +482,7 @@
             }
             last_progress_at = Instant::now();
             self.record_body(request, progress);
+            self.bind_stream(request, upstream, progress);
             if !progress.head_sent {
                 progress.head_sent = true;
                 let elapsed = request.arrived.elapsed();
--- a/src/gateway/stream_request.rs
+++ b/src/gateway/stream_request.rs
@@ -25,6 +25,8 @@
     pub caller_timeout: Option<Duration>,
     /// Id of the last event that the caller already has; the answer continues after it.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream, if this one continues it.
+    pub resumes: Option<String>,
     /// Parts of the prompt, for prefix affinity.
     pub prompt: Prompt,
     /// Arrival time of the request, taken before its body is read.
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::directory::{Phase, UpstreamRecord};
+use crate::directory::{Phase, StreamOrigin, UpstreamRecord};
 use crate::gateway::upstream_rate::UpstreamRate;
 use crate::schema::peer::UpstreamRate as WireRate;
 
@@ -26,6 +26,8 @@
     pub zone: String,
     /// Region of the zone.
     pub region: String,
+    /// Version of its software.
+    pub version: String,
     /// Number of requests that it runs concurrently; at least 1.
     pub slots: u32,
     /// Start time of the incarnation, in milliseconds since the Unix epoch.
@@ -60,6 +62,7 @@
             address: record.address.parse().ok()?,
             zone: record.zone.clone(),
             region: record.region.clone(),
+            version: record.version.clone(),
             slots: record.slots.max(1),
             started_at_unix_ms: record.started_at_unix_ms,
             accepts_work: record.phase == Phase::Ready,
@@ -67,6 +70,16 @@
         })
     }
 
+    /// Origin of the streams that it begins.
+    pub fn origin(&self) -> StreamOrigin {
+        StreamOrigin { service: self.service.clone(), version: self.version.clone() }
+    }
+
+    /// True if a stream with this origin may be sent to it, or a new one if there is no origin.
+    pub fn may_continue(&self, origin: Option<&StreamOrigin>) -> bool {
+        origin.is_none_or(|origin| origin.may_continue_at(&self.service, &self.version))
+    }
+
     /// Number of online requests of all hosts; those of other hosts as last reported.
     pub fn online_requests(&self) -> u32 {
         self.load.online.load(Ordering::Relaxed) + self.load.remote_online.load(Ordering::Relaxed)
--- a/src/host/fleet_host.rs
+++ b/src/host/fleet_host.rs
@@ -62,6 +62,7 @@
         match body {
             Body::Raft(message) => coordinator.replica().receive(message),
             Body::ControlNotice(notice) => coordinator.replica().record_notice(notice),
+            Body::StreamOrigins(origins) => coordinator.record_stream_origins(origins),
             Body::SlotPressure(pressure) => coordinator.handle_slot_pressure(&pressure),
             Body::Admission(admission) => {
                 task::spawn(async move { coordinator.replica().handle_admission(admission).await });
--- a/src/peer/message_kind.rs
+++ b/src/peer/message_kind.rs
@@ -28,6 +28,8 @@
     Gossip,
     /// Slot reports, grants and notices.
     Slots,
+    /// Origins of streams, and questions for them.
+    StreamOrigins,
     /// Everything else.
     Other,
 }
@@ -37,7 +39,7 @@
     pub const COUNT: usize = Self::ALL.len();
 
     /// All kinds, in the order of their indexes.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Raft,
         Self::SyncCall,
         Self::Assignments,
@@ -50,6 +52,7 @@
         Self::ControlNotice,
         Self::Gossip,
         Self::Slots,
+        Self::StreamOrigins,
         Self::Other,
     ];
 
@@ -60,6 +63,7 @@
             Some(Body::Gossip(_)) => Self::Gossip,
             Some(Body::ControlNotice(_) | Body::Admission(_)) => Self::ControlNotice,
             Some(Body::SlotNotice(_) | Body::SlotPressure(_)) => Self::Slots,
+            Some(Body::StreamOrigins(_)) => Self::StreamOrigins,
             Some(Body::Call(call)) => call.call.as_ref().map_or(Self::Other, Self::of_call),
             Some(Body::Reply(reply)) => reply.reply.as_ref().map_or(Self::Other, Self::of_reply),
             Some(Body::Hello(_)) | None => Self::Other,
@@ -81,6 +85,7 @@
             Self::ControlNotice => "control_notice",
             Self::Gossip => "gossip",
             Self::Slots => "slots",
+            Self::StreamOrigins => "stream_origins",
             Self::Other => "other",
         }
     }
@@ -92,6 +97,7 @@
             call::Call::Query(_) | call::Call::LedgerQuery(_) => Self::Query,
             call::Call::ReturnItem(_) => Self::ItemReturn,
             call::Call::SlotReport(_) => Self::Slots,
+            call::Call::FindStreamOrigin(_) => Self::StreamOrigins,
             _ => Self::Other,
         }
     }
@@ -102,6 +108,7 @@
             reply::Reply::QueryAnswer(_) | reply::Reply::LedgerAnswer(_) => Self::Query,
             reply::Reply::Outcome(_) | reply::Reply::LedgerOutcome(_) => Self::Command,
             reply::Reply::SlotGrant(_) => Self::Slots,
+            reply::Reply::FoundStreamOrigin(_) => Self::StreamOrigins,
             _ => Self::Other,
         }
     }
--- a/tests/batch_worker.rs
+++ b/tests/batch_worker.rs
@@ -19,7 +19,9 @@
 use damaskhoist::peer::{CallError, PeerCaller, TrafficClass};
 use damaskhoist::schema::ledger::{command, FinishItems, NewItem, Outcome};
 use damaskhoist::schema::peer::frame::Body;
-use damaskhoist::schema::peer::{call, reply, Call, ItemAssignment, ItemReturn, Reply, ReturnItem};
+use damaskhoist::schema::peer::{
+    call, reply, Call, ItemAssignment, ItemReturn, Reply, ReturnItem, StreamOrigin,
+};
 use damaskhoist::telemetry::Counters;
 
 const SLOTS: u32 = 2;
@@ -138,6 +140,7 @@
         address: "10.0.0.1:80".into(),
         zone: "santander".into(),
         region: "cantabria".into(),
+        version: "v1".into(),
         slots: SLOTS,
         phase: Phase::Ready,
         started_at_unix_ms: 1,
@@ -203,3 +206,21 @@
     assert_eq!(returned[0].reason(), ItemReturn::Yielded);
     assert_eq!((returned[0].last_event_id, &returned[0].text[..]), (3, &b"x\nx\nx"[..]));
 }
+
+/// Guards against a result whose text comes from two versions of the upstream software: an upstream may come
+/// back with another version between the assignment of an item and its start.
+#[async_std::test]
+async fn an_item_of_another_version_is_not_sent() {
+    let (worker, _fleet, leader) = spawn(ScriptedUpstream { event_count: 3, ends_stream: true });
+    let origin = StreamOrigin { service: "engraver".into(), version: "v0".into() };
+    worker.start(&[ItemAssignment {
+        text: "half".into(),
+        last_event_id: 9,
+        origin: Some(origin.clone()),
+        ..assignment(1)
+    }]);
+    wait_until("the item to come back", || !leader.returned.lock().unwrap().is_empty()).await;
+    let returned = leader.returned.lock().unwrap();
+    assert_eq!(returned[0].reason(), ItemReturn::NotRun);
+    assert_eq!((&returned[0].text[..], &returned[0].origin), (&b"half"[..], &Some(origin)));
+}
--- a/tests/fleet_relay.rs
+++ b/tests/fleet_relay.rs
@@ -146,6 +146,7 @@
         address: "10.0.0.1:80".into(),
         zone: "santander".into(),
         region: "cantabria".into(),
+        version: "v1".into(),
         slots: 8,
         phase,
         started_at_unix_ms: 1,
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -10,11 +10,11 @@
 use async_std::task;
 use async_trait::async_trait;
 use bytes::Bytes;
-use damaskhoist::directory::{Phase, UpstreamRecord};
+use damaskhoist::directory::{Phase, StreamOrigin, UpstreamRecord};
 use damaskhoist::gateway::{
     AnswerSink, BodyChunk, CallTarget, CrashGuard, ForwardOutcome, Forwarder, GatewayFleet, Prompt,
-    Refusal, RefusalKind, SendError, StreamConnector, StreamRequest, UpstreamAnswer, UpstreamHead,
-    UpstreamNotice,
+    Refusal, RefusalKind, SendError, StreamConnector, StreamOrigins, StreamRequest, UpstreamAnswer,
+    UpstreamHead, UpstreamNotice,
 };
 use damaskhoist::http::{Headers, HttpError};
 use damaskhoist::schema::routes::{Route, RouteKind, ServiceShare};
@@ -47,11 +47,12 @@
 
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// A connector that returns the scripted results in order, and records the event id of each send.
+/// A connector that returns the scripted results in order, and records the upstream and the event id of each
+/// send.
 #[derive(Default)]
 struct ScriptedConnector {
     scripts: Mutex<VecDeque<Script>>,
-    sent_last_event_ids: Mutex<Vec<Option<u64>>>,
+    sent: Mutex<Vec<(String, Option<u64>)>>,
 }
 
 struct ScriptedAnswer {
@@ -118,7 +119,8 @@
         target: CallTarget<'_>,
         _request: &StreamRequest,
     ) -> Result<Box<dyn UpstreamAnswer>, SendError> {
-        self.sent_last_event_ids.lock().unwrap().push(target.last_event_id);
+        let sent = (target.upstream_id.to_owned(), target.last_event_id);
+        self.sent.lock().unwrap().push(sent);
         match self.scripts.lock().unwrap().pop_front().expect("there is no script for this send") {
             Script::Fails(error) => Err(error),
             Script::Answers { status, events, chunks } => {
@@ -188,6 +190,25 @@
     }
 }
 
+/// Origins of streams in memory.
+#[derive(Default)]
+struct RecordedOrigins {
+    /// Answer to each question.
+    known: Option<StreamOrigin>,
+    recorded: Mutex<Vec<(String, StreamOrigin)>>,
+}
+
+#[async_trait]
+impl StreamOrigins for RecordedOrigins {
+    fn record(&self, request: &StreamRequest, origin: &StreamOrigin) {
+        self.recorded.lock().unwrap().push((request.request_id.clone(), origin.clone()));
+    }
+
+    async fn find(&self, _request: &StreamRequest, _route: &Route) -> Option<StreamOrigin> {
+        self.known.clone()
+    }
+}
+
 fn route(resumable: bool) -> Route {
     Route {
         name: "r".into(),
@@ -215,26 +236,51 @@
     route: &Route,
     scripts: Vec<Script>,
 ) -> (ForwardOutcome, RecordingSink, Vec<Option<u64>>) {
-    let record = |id: &str| UpstreamRecord {
-        upstream_id: id.into(),
+    let upstreams: Vec<(&str, &str)> = upstream_ids.iter().map(|id| (*id, "v1")).collect();
+    let (end, caller, sent, _) = forward_resumed(&upstreams, route, None, None, scripts);
+    (end, caller, sent.into_iter().map(|(_, after)| after).collect())
+}
+
+/// Forwards a request that continues a stream after `last_event_id`, through a fleet of upstreams given by id
+/// and version. Returns the outcome, what the caller received, the upstream and last event id of each send,
+/// and the origins that were recorded.
+#[allow(clippy::type_complexity)]
+fn forward_resumed(
+    upstreams: &[(&str, &str)],
+    route: &Route,
+    last_event_id: Option<u64>,
+    known: Option<StreamOrigin>,
+    scripts: Vec<Script>,
+) -> (ForwardOutcome, RecordingSink, Vec<(String, Option<u64>)>, Vec<(String, StreamOrigin)>) {
+    let record = |(id, version): &(&str, &str)| UpstreamRecord {
+        upstream_id: (*id).into(),
         service: "engraver".into(),
         address: "10.0.0.1:80".into(),
         zone: "santander".into(),
         region: "cantabria".into(),
+        version: (*version).into(),
         slots: 8,
         phase: Phase::Ready,
         started_at_unix_ms: 1,
         sequence: 1,
     };
     let fleet = Arc::new(GatewayFleet::default());
-    let records: Vec<UpstreamRecord> = upstream_ids.iter().map(|id| record(id)).collect();
+    let records: Vec<UpstreamRecord> = upstreams.iter().map(record).collect();
     fleet.replace(&records);
     let connector =
         Arc::new(ScriptedConnector { scripts: Mutex::new(scripts.into()), ..Default::default() });
     let counters = Counters::open("test", None);
     let crashes = Arc::new(CrashGuard::open("entry-1"));
-    let forwarder =
-        Forwarder::open("santander", "cantabria", fleet, connector.clone(), crashes, counters);
+    let origins = Arc::new(RecordedOrigins { known, ..RecordedOrigins::default() });
+    let forwarder = Forwarder::open(
+        "santander",
+        "cantabria",
+        fleet,
+        connector.clone(),
+        crashes,
+        origins.clone(),
+        counters,
+    );
     let request = StreamRequest {
         request_id: "r1".into(),
         host: "shop.example".into(),
@@ -243,14 +289,16 @@
         headers: Headers::default(),
         body: Bytes::new(),
         caller_timeout: Some(Duration::from_secs(5)),
-        last_event_id: None,
+        last_event_id,
+        resumes: last_event_id.map(|_| "r0".into()),
         prompt: Prompt::default(),
         arrived: Instant::now(),
     };
     let mut caller = RecordingSink::default();
     let end = task::block_on(forwarder.forward(Some(route), 1, &request, &mut caller)).unwrap();
-    let sent = connector.sent_last_event_ids.lock().unwrap().clone();
-    (end, caller, sent)
+    let sent = connector.sent.lock().unwrap().clone();
+    let recorded = origins.recorded.lock().unwrap().clone();
+    (end, caller, sent, recorded)
 }
 
 fn connection_lost() -> SendError {
@@ -428,3 +476,73 @@
     let (end, _, sent) = forward(&late_start, vec![slow(), rest_after_first]);
     assert_eq!((end, sent), (ForwardOutcome::Answered, vec![None, Some(1)]));
 }
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin { service: "engraver".into(), version: version.into() }
+}
+
+/// Guards against a stream whose parts come from two versions of the upstream software.
+#[test]
+fn a_broken_stream_resumes_only_at_the_version_that_began_it() {
+    let three_attempts = Route { max_attempts: 3, ..route(true) };
+    for _ in 0..20 {
+        let broken = ok_answer(true, vec![Ok("id: 1\ndata: a\n\n"), Err(connection_lost())]);
+        let rest = ok_answer(true, vec![Ok("id: 2\ndata: b\n\n")]);
+        let upstreams = [("a1", "v1"), ("b1", "v1"), ("a2", "v2"), ("b2", "v2")];
+        let (end, _, sent, recorded) =
+            forward_resumed(&upstreams, &three_attempts, None, None, vec![broken, rest]);
+        assert_eq!(end, ForwardOutcome::Answered);
+        let versions: Vec<&str> = sent.iter().map(|(id, _)| &id[1..]).collect();
+        assert_eq!(versions[0], versions[1], "{sent:?}");
+        assert_eq!(recorded, [("r1".to_owned(), origin(&format!("v{}", versions[0])))]);
+    }
+}
+
+/// Guards against a stream that goes on at another version where its own has no upstream left.
+#[test]
+fn a_broken_stream_without_an_upstream_of_its_version_is_cut() {
+    let broken = ok_answer(true, vec![Ok("id: 1\ndata: a\n\n"), Err(connection_lost())]);
+    let upstreams = [("a", "v1"), ("b", "v2")];
+    let (end, caller, sent, _) =
+        forward_resumed(&upstreams, &route(true), None, None, vec![broken]);
+    assert_eq!((end, caller.finished, sent.len()), (ForwardOutcome::Cut, false, 1));
+}
+
+/// Guards against retries of a request without events that are bound to a version for no reason.
+#[test]
+fn a_request_without_events_is_retried_at_any_version() {
+    let failed = Script::Fails(connection_lost());
+    let whole = ok_answer(true, vec![Ok("id: 1\ndata: a\n\n")]);
+    let upstreams = [("a", "v1"), ("b", "v2")];
+    let (end, _, sent, recorded) =
+        forward_resumed(&upstreams, &route(true), None, None, vec![failed, whole]);
+    assert_eq!((end, sent.len(), recorded.len()), (ForwardOutcome::Answered, 2, 1));
+}
+
+/// Guards against a stream that a caller takes up and that goes on at another version.
+#[test]
+fn a_stream_is_taken_up_at_the_version_that_began_it() {
+    for _ in 0..20 {
+        let rest = ok_answer(true, vec![Ok("id: 4\ndata: d\n\n")]);
+        let upstreams = [("a", "v1"), ("b", "v2"), ("c", "v2"), ("d", "v2")];
+        let (end, _, sent, recorded) =
+            forward_resumed(&upstreams, &route(true), Some(3), Some(origin("v1")), vec![rest]);
+        assert_eq!(end, ForwardOutcome::Answered);
+        assert_eq!(sent, [("a".to_owned(), Some(3))]);
+        assert!(recorded.is_empty(), "the caller names the attempt that began the stream");
+    }
+}
+
+/// Guards against a stream that is taken up at a version that was guessed, and against a refusal of it that
+/// does not say that nothing has run.
+#[rstest]
+#[case::unknown(None)]
+#[case::version_has_left(Some(origin("v0")))]
+#[case::other_service(Some(StreamOrigin { service: "draughts".into(), version: "v1".into() }))]
+fn a_stream_of_an_unknown_or_absent_version_is_refused(#[case] known: Option<StreamOrigin>) {
+    let upstreams = [("a", "v1"), ("b", "v2")];
+    let (end, caller, sent, _) =
+        forward_resumed(&upstreams, &route(true), Some(3), known, Vec::new());
+    assert_eq!((end, sent.len()), (ForwardOutcome::Refused, 0));
+    assert_eq!(caller.refusal.map(|refusal| refusal.kind), Some(RefusalKind::NotRun));
+}
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -12,7 +12,7 @@
 use damaskhoist::schema::ledger::{FinishedItem, NewItem};
 use damaskhoist::schema::peer::{
     EntryHost, EntrySync, ItemAssignment, ItemReturn, ReturnItem, RunningItem, SlotPressure,
-    UpstreamUse,
+    StreamOrigin, UpstreamUse,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -39,6 +39,7 @@
         address: "10.0.0.1:80".into(),
         zone: "santander".into(),
         region: "cantabria".into(),
+        version: "v1".into(),
         slots: 8,
         phase: Phase::Ready,
         started_at_unix_ms: 1,
@@ -46,6 +47,14 @@
     }
 }
 
+fn upstream_of_version(id: &str, version: &str) -> UpstreamRecord {
+    UpstreamRecord { version: version.into(), ..upstream(id) }
+}
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin { service: "engraver".into(), version: version.into() }
+}
+
 fn entry_host(id: &str) -> EntryHost {
     EntryHost {
         host_id: id.into(),
@@ -248,6 +257,7 @@
         reason: ItemReturn::Interrupted.into(),
         text: Bytes::from_static(b"half"),
         last_event_id: 9,
+        origin: Some(origin("v1")),
     };
     assert_eq!(scheduler.handle_return(&returned, &|_| 2, now), ItemEnd::Waits);
     for expected in [ItemEnd::Waits, ItemEnd::GivenUp] {
@@ -277,6 +287,7 @@
         reason: ItemReturn::Interrupted.into(),
         text: Bytes::from_static(b"half"),
         last_event_id: 9,
+        origin: Some(origin("v1")),
     };
     scheduler.handle_return(&returned, &|_| 2, now);
     let late_report = [running_item(&first)];
@@ -287,6 +298,111 @@
     assert_eq!((&next.text[..], next.last_event_id), (&b"half"[..], 9));
 }
 
+/// Returns an item that stopped after event 9 at an upstream of `version`.
+fn return_after_nine_events(
+    scheduler: &mut Scheduler,
+    assignment: &ItemAssignment,
+    version: &str,
+    now: Instant,
+) {
+    let returned = ReturnItem {
+        assignment_id: assignment.assignment_id,
+        job_id: "j".into(),
+        item: assignment.item,
+        reason: ItemReturn::Yielded.into(),
+        text: Bytes::from_static(b"half"),
+        last_event_id: 9,
+        origin: Some(origin(version)),
+    };
+    assert_eq!(scheduler.handle_return(&returned, &|_| 2, now), ItemEnd::Waits);
+}
+
+/// Guards against a result whose text comes from two versions of the upstream software.
+#[test]
+fn an_item_is_continued_only_at_the_version_that_began_it() {
+    let start = Instant::now();
+    let mut scheduler = leading_scheduler(start, &[job("j", 1)]);
+    let now = start + AFTER_START_DELAY;
+    let (old, new) = (upstream_of_version("a", "v1"), upstream_of_version("b", "v2"));
+    let first = assign(&mut scheduler, "e1", std::slice::from_ref(&old), now).remove(0);
+    let now = now + Duration::from_secs(1);
+    return_after_nine_events(&mut scheduler, &first, "v1", now);
+    let full = UpstreamRecord { slots: 1, ..old.clone() };
+    assert!(assign(&mut scheduler, "e1", &[full, new.clone()], now).is_empty());
+    let next = assign(&mut scheduler, "e1", &[old, new], now).remove(0);
+    assert_eq!((next.upstream_id.as_str(), next.last_event_id), ("a", 9));
+    assert_eq!(next.origin, Some(origin("v1")));
+}
+
+/// Guards against an item that waits for good for a version that has left, and one that then goes on in the
+/// middle at another version.
+#[test]
+fn an_item_whose_version_has_left_starts_anew() {
+    let start = Instant::now();
+    let mut scheduler = leading_scheduler(start, &[job("j", 1)]);
+    let now = start + AFTER_START_DELAY;
+    let first = assign(&mut scheduler, "e1", &[upstream_of_version("a", "v1")], now).remove(0);
+    return_after_nine_events(&mut scheduler, &first, "v1", now);
+    let next = assign(&mut scheduler, "e1", &[upstream_of_version("b", "v2")], now).remove(0);
+    assert_eq!((&next.text[..], next.last_event_id, next.origin), (&b""[..], 0, None));
+}
+
+/// Guards against an item that waits for a slot of its version for longer than it would take to start anew.
+#[test]
+fn an_item_waits_for_its_version_as_long_as_it_has_run() {
+    let start = Instant::now();
+    let mut scheduler = leading_scheduler(start, &[job("j", 1)]);
+    let now = start + AFTER_START_DELAY;
+    let old = upstream_of_version("a", "v1");
+    let first = assign(&mut scheduler, "e1", std::slice::from_ref(&old), now).remove(0);
+    let now = now + Duration::from_millis(700);
+    return_after_nine_events(&mut scheduler, &first, "v1", now);
+    let upstreams = [UpstreamRecord { slots: 1, ..old }, upstream_of_version("b", "v2")];
+    assert!(assign(&mut scheduler, "e1", &upstreams, now + Duration::from_millis(690)).is_empty());
+    let later = now + Duration::from_millis(710);
+    let next = assign(&mut scheduler, "e1", &upstreams, later).remove(0);
+    assert_eq!((next.upstream_id.as_str(), next.last_event_id), ("b", 0));
+}
+
+/// Guards against items that wait behind one whose version has no free slot.
+#[test]
+fn an_item_that_waits_for_its_version_holds_up_no_others() {
+    let start = Instant::now();
+    let mut scheduler = leading_scheduler(start, &[job("j", 40)]);
+    let now = start + AFTER_START_DELAY;
+    let old = UpstreamRecord { slots: 30, ..upstream_of_version("a", "v1") };
+    let first = assign(&mut scheduler, "e1", std::slice::from_ref(&old), now);
+    assert_eq!(first.len(), 24);
+    let now = now + Duration::from_secs(1);
+    for assignment in &first {
+        return_after_nine_events(&mut scheduler, assignment, "v1", now);
+    }
+    let full = UpstreamRecord { slots: 1, ..old };
+    let assigned = assign(&mut scheduler, "e1", &[full, upstream_of_version("b", "v2")], now);
+    assert_eq!(assigned.len(), 7);
+    assert!(assigned.iter().all(|assignment| assignment.upstream_id == "b"));
+}
+
+/// Guards against events of an unknown version that are continued: those of a host of an earlier build.
+#[test]
+fn an_item_without_an_origin_starts_anew() {
+    let start = Instant::now();
+    let mut scheduler = leading_scheduler(start, &[job("j", 1)]);
+    let now = start + AFTER_START_DELAY;
+    let first = assign(&mut scheduler, "e1", &[upstream("a")], now).remove(0);
+    let returned = ReturnItem {
+        assignment_id: first.assignment_id,
+        job_id: "j".into(),
+        reason: ItemReturn::Yielded.into(),
+        text: Bytes::from_static(b"half"),
+        last_event_id: 9,
+        ..ReturnItem::default()
+    };
+    scheduler.handle_return(&returned, &|_| 2, now);
+    let next = assign(&mut scheduler, "e1", &[upstream("a")], now).remove(0);
+    assert_eq!((&next.text[..], next.last_event_id), (&b""[..], 0));
+}
+
 /// Guards against progress that is lost in a leader change: an item that an earlier leader assigned
 /// is returned to the new leader.
 #[test]
@@ -300,6 +416,7 @@
         reason: ItemReturn::Interrupted.into(),
         text: Bytes::from_static(b"half"),
         last_event_id: 9,
+        origin: Some(origin("v1")),
     };
     assert_eq!(scheduler.handle_return(&returned, &|_| 2, start), ItemEnd::Unknown);
     let next = assign(&mut scheduler, "e1", &[upstream("a")], start + AFTER_START_DELAY).remove(0);
--- a/tests/shared_rate_limit.rs
+++ b/tests/shared_rate_limit.rs
@@ -298,6 +298,7 @@
         address: "10.0.0.1:80".into(),
         zone: "santander".into(),
         region: "cantabria".into(),
+        version: "v1".into(),
         slots: 8,
         phase: Phase::Ready,
         started_at_unix_ms: 1,
--- a/tests/upstream_directory.rs
+++ b/tests/upstream_directory.rs
@@ -17,6 +17,7 @@
         address: format!("10.0.0.{}:80", id.len()),
         zone: "santander".into(),
         region: "cantabria".into(),
+        version: "v1".into(),
         slots: 8,
         phase,
         started_at_unix_ms,
