Send requests through other hosts while a host's own links are lost

Callers of entry hosts that were cut off from all upstreams, and from nothing else, were refused: the hosts went on naming themselves in lookups, and each of their sends failed by itself until the request's sends were used up.

Cause: a host judged each upstream by itself and nothing judged the host; requests could leave it only directly.

Change: when two different upstreams fail within a second, a host tries to reach eight upstreams and asks up to six other entry hosts to try the same ones. Its links are lost only if it reaches a quarter of them or fewer and another host reaches at least half of the rest; a wave of crashes looks the same from all hosts and changes nothing. A host without links sends requests through other entry hosts of its region (RelayClient, RelayServer): the host that has the caller still decides on upstream, sends and deadline, and reads the answer part by part. Lookups name other hosts, batch items go elsewhere, and two rounds of probes end the detour. A failure to reach an upstream counts as its crash only if the check does not explain it by the host's own links.

--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -433,7 +433,8 @@
     pub fn assign(&mut self, host_id: &str, input: &SchedulerInput<'_>) -> Vec<ItemAssignment> {
         let is_past_delay =
             self.leader_since.is_some_and(|since| input.now - since >= TERM_START_DELAY);
-        let Some(entry) = self.load.get(host_id).filter(|entry| is_past_delay && entry.host.ready)
+        let Some(entry) =
+            self.load.get(host_id).filter(|entry| is_past_delay && takes_items(&entry.host))
         else {
             return Vec::new();
         };
@@ -485,9 +486,9 @@
         host: &EntryHost,
         input: &SchedulerInput<'a>,
     ) -> Vec<(&'a UpstreamRecord, UpstreamShare)> {
-        let ready = self.load.values().filter(|entry| entry.host.ready);
+        let ready = self.load.values().filter(|entry| takes_items(&entry.host));
         let zones: HashSet<&str> = ready.map(|entry| entry.host.zone.as_str()).collect();
-        let ready = self.load.values().filter(|entry| entry.host.ready);
+        let ready = self.load.values().filter(|entry| takes_items(&entry.host));
         let regions: HashSet<&str> = ready.map(|entry| entry.host.region.as_str()).collect();
         let is_near = |record: &UpstreamRecord| {
             if record.zone == host.zone {
@@ -561,3 +562,8 @@
         (self.pending.len(), self.running.len())
     }
 }
+
+/// True if batch items are assigned to an entry host. One that has lost its links reaches no upstream.
+fn takes_items(host: &EntryHost) -> bool {
+    host.ready && !host.links_lost
+}
--- a/src/directory/entry_choice.rs
+++ b/src/directory/entry_choice.rs
@@ -20,6 +20,9 @@
 ) -> Vec<&'a EntryHost> {
     let ready: Vec<&EntryHost> =
         entries.iter().map(|entry| &**entry).filter(|entry| entry.ready).collect();
+    let linked: Vec<&EntryHost> = ready.iter().copied().filter(|entry| !entry.links_lost).collect();
+    // Hosts that have lost their links serve callers through the others, which is slower.
+    let ready = if linked.is_empty() { ready } else { linked };
     let in_zone: Vec<_> = ready.iter().copied().filter(|entry| entry.zone == zone).collect();
     let in_region: Vec<_> = ready.iter().copied().filter(|entry| entry.region == region).collect();
     let near = [in_zone, in_region].into_iter().find(|near| near.len() >= MIN_HOSTS);
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -12,20 +12,26 @@
     SyncHandler,
 };
 use crate::gateway::batch_worker::BatchWorker;
+use crate::gateway::connector_probe::ConnectorProbe;
 use crate::gateway::job_reader::JobReader;
+use crate::gateway::link_setup::LinkSetup;
 use crate::gateway::{
     AnswerSink, CrashGuard, FleetOrigins, ForwardOutcome, Forwarder, GatewayFleet, Refusal,
     RouteIndex, StreamConnector, StreamRequest,
 };
 use crate::http::HttpError;
 use crate::ledger::command;
+use crate::links::answer_link_check;
 use crate::peer::{PeerCaller, TrafficClass};
+use crate::relay::RelayServer;
 use crate::schema::ledger::{
     answer, command::Command as Kind, outcome, query, Answer, CancelJob, Outcome, Query,
     ReadItemBody, ReadResults, ResultPage, SubmitJob,
 };
 use crate::schema::peer::frame::Body;
-use crate::schema::peer::{ControlSync, EntryHost, EntrySync, SlotPressure, UpstreamUse};
+use crate::schema::peer::{
+    call, reply, CloseRelayed, ControlSync, EntryHost, EntrySync, SlotPressure, UpstreamUse,
+};
 use crate::settings::FleetHostSettings;
 use crate::telemetry::Counters;
 
@@ -55,6 +61,8 @@
     watch: Arc<FleetWatch>,
     leader: Arc<LeaderClient>,
     job_reader: JobReader,
+    relay_server: Arc<RelayServer>,
+    probe: ConnectorProbe,
     sync_state: Arc<EntrySyncState>,
 }
 
@@ -70,6 +78,10 @@
     /// The first table of routes was received.
     has_routes: AtomicBool,
     draining: AtomicBool,
+    /// This host can't reach upstreams that other hosts reach.
+    links_lost: AtomicBool,
+    /// Number of changes of `links_lost`.
+    link_changes: AtomicU64,
     /// Online requests are refused, since the process is about to end.
     closing: AtomicBool,
     /// Revision of the other hosts' request counts that this host last received, as numbered by the leader.
@@ -90,11 +102,26 @@
         uses
     }
 
+    /// Items are not run while the links are lost, as other hosts run them without a detour.
+    fn takes_items(&self) -> bool {
+        !self.draining.load(Ordering::Acquire) && !self.links_lost.load(Ordering::Acquire)
+    }
+
+    /// Applies a change of this host's links.
+    fn set_links_lost(&self, is_lost: bool) {
+        self.links_lost.store(is_lost, Ordering::Release);
+        self.link_changes.fetch_add(1, Ordering::AcqRel);
+        self.fleet.clear_pauses();
+        if let Some(worker) = self.worker.get().filter(|_| is_lost) {
+            worker.stop_all();
+        }
+    }
+
     fn is_ready(&self) -> bool {
         self.has_routes.load(Ordering::Acquire) && !self.draining.load(Ordering::Acquire)
     }
 
-    /// This host as it announces itself. Each flag changes once, so the sequence grows with each change.
+    /// This host as it announces itself. The sequence grows with each change.
     fn entry_host(&self) -> EntryHost {
         let caller_address = self.settings.caller_address.map(|address| address.to_string());
         let has_routes = u64::from(self.has_routes.load(Ordering::Acquire));
@@ -106,7 +133,9 @@
             region: self.settings.region.clone(),
             ready: has_routes == 1 && draining == 0,
             started_at_unix_ms: self.started_at_unix_ms,
-            sequence: has_routes + draining,
+            sequence: has_routes + draining + self.link_changes.load(Ordering::Acquire),
+            links_lost: self.links_lost.load(Ordering::Acquire),
+            peer_address: self.settings.peer_address.to_string(),
         }
     }
 }
@@ -137,7 +166,7 @@
         self.uses_revision.store(answer.uses_revision, Ordering::Release);
         self.fleet.apply_rates(&answer.rates, answer.rates_epoch);
         worker.stop(&answer.stops);
-        if !self.draining.load(Ordering::Acquire) {
+        if self.takes_items() {
             worker.start(&answer.assignments);
         }
     }
@@ -175,6 +204,8 @@
             origins: OnceLock::new(),
             has_routes: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            links_lost: AtomicBool::new(false),
+            link_changes: AtomicU64::new(0),
             closing: AtomicBool::new(false),
             uses_revision: AtomicU64::new(0),
         });
@@ -193,6 +224,21 @@
         let watch = FleetWatch::spawn(watch_options, caller.clone(), sync_state.clone());
         let hint = Arc::new(WatchHint { watch: watch.clone() });
         let leader = Arc::new(LeaderClient::open(caller.clone(), hint));
+        let (state, changed, direct) = (sync_state.clone(), watch.clone(), connector.clone());
+        let links = LinkSetup {
+            settings: &settings,
+            caller: &caller,
+            direct: &connector,
+            fleet: &fleet,
+            watch: &watch,
+        };
+        let (_, linked) = links.spawn(Box::new(move |is_lost| {
+            state.set_links_lost(is_lost);
+            // Connections from before may deliver nothing.
+            direct.retain_upstreams(&|_| !is_lost);
+            changed.sync_now();
+        }));
+        let relay_server = RelayServer::spawn(fleet.clone(), connector.clone(), counters.clone());
         let worker =
             BatchWorker::spawn(fleet.clone(), connector.clone(), leader.clone(), counters.clone());
         let _ = sync_state.worker.set(worker);
@@ -203,15 +249,24 @@
             &settings.zone,
             &settings.region,
             fleet.clone(),
-            connector.clone(),
+            linked,
             crashes,
             origins,
             counters,
         );
         let routes = ArcSwap::from_pointee(RouteIndex::default());
         let job_reader = JobReader::open(caller.clone(), leader.clone(), watch.clone());
-        let gateway =
-            Arc::new(Self { settings, routes, forwarder, watch, leader, job_reader, sync_state });
+        let gateway = Arc::new(Self {
+            settings,
+            routes,
+            forwarder,
+            watch,
+            leader,
+            job_reader,
+            relay_server,
+            probe: ConnectorProbe { connector: connector.clone() },
+            sync_state,
+        });
         task::spawn(yield_batch_slots(gateway.clone(), fleet.clone(), caller));
         task::spawn(send_crash_records(gateway.clone()));
         task::spawn(forget_stale_use(gateway.clone(), fleet.clone()));
@@ -287,6 +342,28 @@
         self.forwarder.forward(route, routes.version(), request, sink).await
     }
 
+    /// Handles a call of another entry host. Returns `None` if the entry role does not serve the call.
+    pub async fn handle(&self, call: call::Call) -> Option<reply::Reply> {
+        Some(match call {
+            call::Call::CheckUpstreams(check) => {
+                let upstreams = self.sync_state.fleet.load();
+                let is_known = |address: &str| {
+                    upstreams.iter().any(|upstream| upstream.address.to_string() == address)
+                };
+                let reached = answer_link_check(&self.probe, &check, &is_known).await;
+                reply::Reply::ReachedUpstreams(reached)
+            }
+            call::Call::RelayedRequest(request) => self.relay_server.open_request(request).await,
+            call::Call::ReadRelayed(read) => self.relay_server.read(read.relay_id).await,
+            _ => return None,
+        })
+    }
+
+    /// Ends a request that this host relays for another one.
+    pub fn close_relayed(&self, close: &CloseRelayed) {
+        self.relay_server.close_request(close.relay_id);
+    }
+
     /// Submits a batch job to the leader, within `budget`.
     ///
     /// # Errors
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -94,6 +94,13 @@
         }
     }
 
+    /// Ends the pauses of all upstreams: what they were paused for was not their fault.
+    pub fn clear_pauses(&self) {
+        for upstream in self.upstreams.load().iter() {
+            upstream.record_success();
+        }
+    }
+
     /// Notes that an online request was sent to a full upstream that runs batch items, and wakes the
     /// task in [`GatewayFleet::wait_for_contention`], which makes batch items release their slots.
     pub fn note_contention(&self) {
--- a/src/host/fleet_host.rs
+++ b/src/host/fleet_host.rs
@@ -13,7 +13,7 @@
 use crate::raft::GroupOptions;
 use crate::replication::ReplicaManagerOptions;
 use crate::schema::peer::frame::Body;
-use crate::schema::peer::{Call, Reply};
+use crate::schema::peer::{call, Call, Reply};
 use crate::settings::FleetHostSettings;
 use crate::telemetry::Counters;
 
@@ -42,22 +42,35 @@
     traffic: Arc<PeerTraffic>,
 }
 
-/// Dispatches the calls and one-way messages of peers to the control role.
+/// Dispatches the calls and one-way messages of peers to the roles.
 struct FleetPeerHandler {
     coordinator: OnceLock<Arc<Coordinator>>,
+    gateway: OnceLock<Arc<Gateway>>,
 }
 
 #[async_trait]
 impl PeerHandler for FleetPeerHandler {
     async fn handle_call(&self, _from_host_id: &str, call: Call) -> Reply {
-        let reply = match (call.call, self.coordinator.get()) {
-            (Some(call), Some(coordinator)) => coordinator.handle(call).await,
+        let Some(call) = call.call else { return Reply { reply: Some(unsupported()) } };
+        let is_for_entry = matches!(
+            call,
+            call::Call::CheckUpstreams(_)
+                | call::Call::RelayedRequest(_)
+                | call::Call::ReadRelayed(_)
+        );
+        let reply = match (is_for_entry, self.gateway.get(), self.coordinator.get()) {
+            (true, Some(gateway), _) => gateway.handle(call).await,
+            (false, _, Some(coordinator)) => coordinator.handle(call).await,
             _ => None,
         };
         Reply { reply: Some(reply.unwrap_or_else(unsupported)) }
     }
 
     fn handle_message(&self, _from_host_id: &str, body: Body) {
+        if let (Body::CloseRelayed(close), Some(gateway)) = (&body, self.gateway.get()) {
+            gateway.close_relayed(close);
+            return;
+        }
         let Some(coordinator) = self.coordinator.get().cloned() else { return };
         match body {
             Body::Raft(message) => coordinator.replica().receive(message),
@@ -88,7 +101,8 @@
         let listener = TcpListener::bind(address).await;
         let listener =
             listener.into_diagnostic().wrap_err_with(|| format!("listening on {address}"))?;
-        let handler = Arc::new(FleetPeerHandler { coordinator: OnceLock::new() });
+        let handler =
+            Arc::new(FleetPeerHandler { coordinator: OnceLock::new(), gateway: OnceLock::new() });
         let coordinator = match settings.roles.control {
             true => Some(Coordinator::spawn(coordinator_options(&settings), caller.clone())?),
             false => None,
@@ -97,12 +111,15 @@
             let _ = handler.coordinator.set(coordinator.clone());
         }
         let traffic = Arc::<PeerTraffic>::default();
-        let listener =
-            PeerListener::spawn(listener, "", handler, traffic.clone()).into_diagnostic()?;
+        let listener = PeerListener::spawn(listener, "", handler.clone(), traffic.clone())
+            .into_diagnostic()?;
         let gateway = settings.roles.entry.then(|| {
             let counters = counters.clone();
             Gateway::spawn(GatewayOptions { settings, connector, counters }, caller)
         });
+        if let Some(gateway) = &gateway {
+            let _ = handler.gateway.set(gateway.clone());
+        }
         Ok(Self { listener, pool, coordinator, gateway, counters, traffic })
     }
 
--- a/src/peer/message_kind.rs
+++ b/src/peer/message_kind.rs
@@ -30,6 +30,8 @@
     Slots,
     /// Origins of streams, and questions for them.
     StreamOrigins,
+    /// Requests that a host sends through another one, and what they check of their links.
+    Relayed,
     /// Everything else.
     Other,
 }
@@ -39,7 +41,7 @@
     pub const COUNT: usize = Self::ALL.len();
 
     /// All kinds, in the order of their indexes.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Raft,
         Self::SyncCall,
         Self::Assignments,
@@ -53,6 +55,7 @@
         Self::Gossip,
         Self::Slots,
         Self::StreamOrigins,
+        Self::Relayed,
         Self::Other,
     ];
 
@@ -64,6 +67,7 @@
             Some(Body::ControlNotice(_) | Body::Admission(_)) => Self::ControlNotice,
             Some(Body::SlotNotice(_) | Body::SlotPressure(_)) => Self::Slots,
             Some(Body::StreamOrigins(_)) => Self::StreamOrigins,
+            Some(Body::CloseRelayed(_)) => Self::Relayed,
             Some(Body::Call(call)) => call.call.as_ref().map_or(Self::Other, Self::of_call),
             Some(Body::Reply(reply)) => reply.reply.as_ref().map_or(Self::Other, Self::of_reply),
             Some(Body::Hello(_)) | None => Self::Other,
@@ -86,6 +90,7 @@
             Self::Gossip => "gossip",
             Self::Slots => "slots",
             Self::StreamOrigins => "stream_origins",
+            Self::Relayed => "relayed",
             Self::Other => "other",
         }
     }
@@ -98,6 +103,9 @@
             call::Call::ReturnItem(_) => Self::ItemReturn,
             call::Call::SlotReport(_) => Self::Slots,
             call::Call::FindStreamOrigin(_) => Self::StreamOrigins,
+            call::Call::CheckUpstreams(_)
+            | call::Call::RelayedRequest(_)
+            | call::Call::ReadRelayed(_) => Self::Relayed,
             _ => Self::Other,
         }
     }
@@ -109,6 +117,10 @@
             reply::Reply::Outcome(_) | reply::Reply::LedgerOutcome(_) => Self::Command,
             reply::Reply::SlotGrant(_) => Self::Slots,
             reply::Reply::FoundStreamOrigin(_) => Self::StreamOrigins,
+            reply::Reply::ReachedUpstreams(_)
+            | reply::Reply::RelayedHead(_)
+            | reply::Reply::RelayedChunk(_)
+            | reply::Reply::RelayFailure(_) => Self::Relayed,
             _ => Self::Other,
         }
     }
--- /dev/null
+++ b/src/relay/relay_server.rs
@@ -0,0 +1,206 @@
+use std::collections::HashMap;
+use std::future::Future;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_std::future::timeout;
+use async_std::sync::Mutex as AsyncMutex;
+use async_std::task;
+use futures::future::{select, Either};
+
+use crate::gateway::{
+    CallTarget, GatewayFleet, Prompt, SendError, StreamConnector, StreamRequest, UpstreamAnswer,
+};
+use crate::relay::relay_messages::headers_from_wire;
+use crate::schema::peer::{reply, RelayedChunk, RelayedRequest};
+use crate::signal::Signal;
+use crate::telemetry::Counters;
+
+/// Most requests that a host relays at a time, so that relaying leaves it room for its own callers. Others are
+/// told at once and go to another host.
+const RELAY_LIMIT: usize = 128;
+/// Time without a read after which a relayed answer is dropped: the host that has the caller is gone.
+const UNREAD_LIMIT: Duration = Duration::from_secs(5);
+/// Interval at which answers that nobody reads are looked for.
+const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Sends requests of other hosts to upstreams.
+pub struct RelayServer {
+    fleet: Arc<GatewayFleet>,
+    connector: Arc<dyn StreamConnector>,
+    counters: Counters,
+    relayed: Mutex<HashMap<u64, Relayed>>,
+}
+
+/// A request that is being relayed. Dropping it ends the upstream's work on it.
+struct Relayed {
+    /// `None` while the head of the answer is awaited.
+    answer: Option<Arc<AsyncMutex<Box<dyn UpstreamAnswer>>>>,
+    /// Notified when the asking host closes the request.
+    closed: Arc<Signal>,
+    last_used: Instant,
+}
+
+impl RelayServer {
+    /// Starts to relay requests to the upstreams of `fleet`.
+    pub fn spawn(
+        fleet: Arc<GatewayFleet>,
+        connector: Arc<dyn StreamConnector>,
+        counters: Counters,
+    ) -> Arc<Self> {
+        let server = Arc::new(Self { fleet, connector, counters, relayed: Mutex::default() });
+        task::spawn(drop_unread(server.clone()));
+        server
+    }
+
+    /// Sends a request to its upstream and returns the head of the answer.
+    pub async fn open_request(&self, wire: RelayedRequest) -> reply::Reply {
+        let relay_id = wire.relay_id;
+        match self.send(wire).await {
+            Ok(answer) => {
+                let head = answer.head().into();
+                let mut relayed = self.relayed();
+                // Closed meanwhile: the answer is dropped with this call.
+                let Some(entry) = relayed.get_mut(&relay_id) else {
+                    return failure(&SendError::Lost("the request was closed".to_owned()));
+                };
+                entry.answer = Some(Arc::new(AsyncMutex::new(answer)));
+                entry.last_used = Instant::now();
+                reply::Reply::RelayedHead(head)
+            }
+            Err(error) => {
+                self.close_request(relay_id);
+                failure(&error)
+            }
+        }
+    }
+
+    /// Reads the next part of an answer.
+    pub async fn read(&self, relay_id: u64) -> reply::Reply {
+        let known = self.relayed().get_mut(&relay_id).and_then(|relayed| {
+            relayed.last_used = Instant::now();
+            Some((relayed.answer.clone()?, relayed.closed.clone()))
+        });
+        let Some((answer, closed)) = known else {
+            return failure(&SendError::Lost("the relay does not know the request".to_owned()));
+        };
+        // A read that takes long must not hold an answer that was closed.
+        let chunk =
+            self.unless_closed(relay_id, &closed, async { answer.lock().await.next_chunk().await });
+        let chunk = chunk.await;
+        if let Some(relayed) = self.relayed().get_mut(&relay_id) {
+            relayed.last_used = Instant::now();
+        }
+        match chunk {
+            Ok(Some(data)) => reply::Reply::RelayedChunk(RelayedChunk { data }),
+            Ok(None) => {
+                self.close_request(relay_id);
+                reply::Reply::RelayedChunk(RelayedChunk::default())
+            }
+            Err(error) => {
+                self.close_request(relay_id);
+                failure(&error)
+            }
+        }
+    }
+
+    /// Ends a request before the end of its answer.
+    pub fn close_request(&self, relay_id: u64) {
+        if let Some(relayed) = self.relayed().remove(&relay_id) {
+            relayed.closed.notify();
+        }
+    }
+
+    async fn send(&self, wire: RelayedRequest) -> Result<Box<dyn UpstreamAnswer>, SendError> {
+        let upstream = self.fleet.get(&wire.upstream_id);
+        let Some(upstream) = upstream.filter(|upstream| upstream.accepts_work) else {
+            return Err(SendError::NotSent("the relay does not know the upstream".to_owned()));
+        };
+        let closed = Arc::<Signal>::default();
+        {
+            let mut relayed = self.relayed();
+            if relayed.len() >= RELAY_LIMIT {
+                self.counters.count("relay_refused");
+                return Err(SendError::NotSent("the relay has no room".to_owned()));
+            }
+            let entry = Relayed { answer: None, closed: closed.clone(), last_used: Instant::now() };
+            relayed.insert(wire.relay_id, entry);
+        }
+        self.counters.count("request_relayed");
+        let deadline = Duration::from_millis(wire.deadline_ms.into());
+        let target = CallTarget {
+            upstream_id: &upstream.upstream_id,
+            address: upstream.address,
+            deadline,
+            last_event_id: wire.last_event_id,
+            is_repeatable: wire.is_repeatable,
+        };
+        let request = StreamRequest {
+            request_id: wire.request_id,
+            host: wire.host,
+            method: wire.method,
+            target: wire.target,
+            headers: headers_from_wire(wire.headers),
+            body: wire.body,
+            caller_timeout: Some(deadline),
+            last_event_id: wire.last_event_id,
+            resumes: None,
+            prompt: Prompt::default(),
+            arrived: Instant::now(),
+        };
+        let send = self.unless_closed(wire.relay_id, &closed, async {
+            let sent = timeout(deadline, self.connector.send(target, &request)).await;
+            sent.unwrap_or_else(|_| {
+                Err(SendError::Lost("the upstream sent no answer in time".to_owned()))
+            })
+        });
+        send.await
+    }
+
+    /// Completes with `work`, or fails once the request is closed.
+    async fn unless_closed<T>(
+        &self,
+        relay_id: u64,
+        closed: &Signal,
+        work: impl Future<Output = Result<T, SendError>> + Send,
+    ) -> Result<T, SendError> {
+        let closing = Box::pin(self.until_closed(relay_id, closed));
+        let first = select(Box::pin(work), closing).await;
+        match first {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => Err(SendError::Lost("the request was closed".to_owned())),
+        }
+    }
+
+    /// Completes once a request is closed.
+    async fn until_closed(&self, relay_id: u64, closed: &Signal) {
+        loop {
+            let notified = closed.listen();
+            if !self.relayed().contains_key(&relay_id) {
+                return;
+            }
+            notified.await;
+        }
+    }
+
+    fn relayed(&self) -> MutexGuard<'_, HashMap<u64, Relayed>> {
+        self.relayed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn failure(error: &SendError) -> reply::Reply {
+    reply::Reply::RelayFailure(error.into())
+}
+
+/// Drops answers that nobody reads any more.
+async fn drop_unread(server: Arc<RelayServer>) {
+    loop {
+        task::sleep(UNREAD_CHECK_INTERVAL).await;
+        let now = Instant::now();
+        server.relayed().retain(|_, relayed| {
+            // A read that waits for the upstream holds a reference to the answer.
+            let is_read = relayed.answer.as_ref().is_none_or(|it| Arc::strong_count(it) > 1);
+            is_read || now - relayed.last_used < UNREAD_LIMIT
+        });
+    }
+}
