--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -44,4 +44,4 @@
 pub use stream_origin::StreamOrigin;
 pub use sync_handler::SyncHandler;
 pub use upstream_directory::{heartbeat_timeout, Directory, HeartbeatOutcome};
-pub use upstream_record::{Phase, UpstreamRecord};
+pub use upstream_record::{Phase, UpstreamRecord, MAX_SLOTS};
--- a/src/directory/upstream_record.rs
+++ b/src/directory/upstream_record.rs
@@ -1,5 +1,9 @@
 use crate::schema::peer::{UpstreamEntry, UpstreamPhase};
 
+/// Most slots of an upstream; far above what any has. Numbers near the limit of their type overflow when loads are
+/// added to them.
+pub const MAX_SLOTS: u32 = 100_000;
+
 /// State of an upstream according to its last heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamRecord {
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::directory::{Phase, StreamOrigin, UpstreamRecord};
+use crate::directory::{Phase, StreamOrigin, UpstreamRecord, MAX_SLOTS};
 use crate::gateway::upstream_rate::UpstreamRate;
 use crate::schema::peer::UpstreamRate as WireRate;
 
@@ -63,7 +63,7 @@
             zone: record.zone.clone(),
             region: record.region.clone(),
             version: record.version.clone(),
-            slots: record.slots.max(1),
+            slots: record.slots.clamp(1, MAX_SLOTS),
             started_at_unix_ms: record.started_at_unix_ms,
             accepts_work: record.phase == Phase::Ready,
             load: same_incarnation.map(|previous| previous.load.clone()).unwrap_or_default(),
