--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -232,7 +232,7 @@
             fleet: &fleet,
             watch: &watch,
         };
-        let (_, linked) = links.spawn(Box::new(move |is_lost| {
+        let linked = links.spawn(Box::new(move |is_lost| {
             state.set_links_lost(is_lost);
             // Connections from before may deliver nothing.
             direct.retain_upstreams(&|_| !is_lost);
--- a/src/gateway/fleet_origins.rs
+++ b/src/gateway/fleet_origins.rs
@@ -21,9 +21,9 @@
 
 /// Streams that may wait to be recorded. Those beyond it are not, so that callers can't resume them.
 const QUEUE_RECORDS: usize = 4_096;
-/// Time for which records are collected before they are sent. Streams of a host that ends within it can't be
-/// resumed.
-const COLLECT_TIME: Duration = Duration::from_millis(5);
+/// Time for which records are collected before they are sent together. Streams of a host that ends within it
+/// can't be resumed.
+const COLLECT_TIME: Duration = Duration::from_millis(25);
 /// Longest time to ask control hosts for an origin: a round trip between regions and a busy host.
 const FIND_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -40,11 +40,15 @@
     epochs: Mutex<HashMap<String, u64>>,
 }
 
-/// What the control hosts that were asked know of a stream.
+/// What is known of a stream that a caller continues.
 #[derive(Debug, Default)]
 struct Findings {
+    /// Who was asked, for the log.
+    source: &'static str,
     origin: Option<StreamOrigin>,
+    /// There are records of several origins.
     is_ambiguous: bool,
+    /// Control hosts that answered.
     answers: usize,
 }
 
@@ -119,6 +123,24 @@
         }
     }
 
+    /// Looks for the record of a stream, here and at the control hosts. `resumed` is the request that brought its
+    /// first event, if the caller names one.
+    async fn look_up(&self, resumed: Option<&str>) -> Findings {
+        let Some(resumed) = resumed else {
+            return Findings { source: "no_request_named", ..Findings::default() };
+        };
+        let hash = request_hash(resumed);
+        let own = lock(&self.own).find(hash);
+        let own_findings = Findings { source: "this_host", ..Findings::default() };
+        match own {
+            KnownOrigin::Known(origin) => {
+                Findings { origin: Some((*origin).clone()), ..own_findings }
+            }
+            KnownOrigin::Ambiguous => Findings { is_ambiguous: true, ..own_findings },
+            KnownOrigin::Unknown => self.ask(hash).await,
+        }
+    }
+
     /// Asks control hosts for the origin of a stream, until one knows it.
     async fn ask(&self, request_hash: u64) -> Findings {
         let keepers = self.watch.view().origin_keepers.clone();
@@ -131,7 +153,7 @@
                 self.caller.call(address, TrafficClass::Online, call, FIND_TIMEOUT)
             })
             .collect();
-        let mut findings = Findings::default();
+        let mut findings = Findings { source: "control_hosts", ..Findings::default() };
         while let Some(reply) = replies.next().await {
             let Ok(Reply { reply: Some(reply::Reply::FoundStreamOrigin(found)) }) = reply else {
                 continue;
@@ -168,36 +190,22 @@
     }
 
     async fn find(&self, request: &StreamRequest, route: &Route) -> Option<StreamOrigin> {
+        // A request that names itself says nothing of an earlier one.
         let resumed = request.resumes.as_deref().filter(|id| *id != request.request_id);
-        let (source, findings) = match resumed.map(request_hash) {
-            None => ("no_request_named", Findings::default()),
-            Some(hash) => {
-                let own = lock(&self.own).find(hash);
-                match own {
-                    KnownOrigin::Unknown => ("control_hosts", self.ask(hash).await),
-                    KnownOrigin::Known(origin) => {
-                        let origin = Some((*origin).clone());
-                        ("this_host", Findings { origin, ..Findings::default() })
-                    }
-                    KnownOrigin::Ambiguous => {
-                        ("this_host", Findings { is_ambiguous: true, ..Findings::default() })
-                    }
-                }
-            }
-        };
-        let is_sure = !findings.is_ambiguous;
-        let origin = match findings.origin {
-            Some(origin) => Some(origin).filter(|_| is_sure),
+        let findings = self.look_up(resumed).await;
+        let origin = match &findings.origin {
+            _ if findings.is_ambiguous => None,
+            Some(origin) => Some(origin.clone()),
             // A host that no control host answers may not have heard of a new version yet.
             None if resumed.is_some() && findings.answers == 0 => None,
-            None => self.only_origin(route).filter(|_| is_sure),
+            None => self.only_origin(route),
         };
         self.counters.count(match &origin {
             Some(_) => "stream_origin_found",
             None => "stream_origin_unknown",
         });
         log::info!(event = "stream_resumed", request = request.request_id.as_str(),
-            resumes = request.resumes.as_deref().unwrap_or_default(), source = source,
+            resumes = request.resumes.as_deref().unwrap_or_default(), source = findings.source,
             answers = findings.answers as u64, is_ambiguous = findings.is_ambiguous,
             service = origin.as_ref().map_or("", |origin| &origin.service),
             version = origin.as_ref().map_or("", |origin| &origin.version);
--- a/src/gateway/link_setup.rs
+++ b/src/gateway/link_setup.rs
@@ -19,12 +19,12 @@
 }
 
 impl LinkSetup<'_> {
-    /// Starts the monitor of this host's links, which calls `on_change`, and opens the connector that
-    /// follows it.
+    /// Starts the monitor of this host's links, which calls `on_change`, and returns the connector that follows
+    /// it.
     pub(super) fn spawn(
         self,
         on_change: Box<dyn Fn(bool) + Send + Sync>,
-    ) -> (Arc<LinkMonitor>, Arc<dyn StreamConnector>) {
+    ) -> Arc<dyn StreamConnector> {
         let (hosts, peers) = (self.relay_hosts(), self.relay_hosts());
         let Self { settings, caller, direct, fleet, .. } = self;
         let upstreams = fleet.clone();
@@ -43,8 +43,7 @@
         };
         let monitor = LinkMonitor::spawn(options);
         let relay = RelayClient::open(&settings.zone, &settings.region, caller.clone(), hosts);
-        let connector = LinkedConnector::open(direct.clone(), relay, monitor.clone());
-        (monitor, Arc::new(connector))
+        Arc::new(LinkedConnector::open(direct.clone(), relay, monitor))
     }
 
     /// Other entry hosts that have not reported that their links are lost.
--- a/tests/lost_links.rs
+++ b/tests/lost_links.rs
@@ -197,6 +197,15 @@
         self.gateway().forward(&routes, &request, caller).await.expect("the caller stays")
     }
 
+    /// Cuts the host off from its upstreams and gives it requests until it must have noticed.
+    async fn lose_links(&self) {
+        self.links.is_cut.store(true, Ordering::SeqCst);
+        let started = Instant::now();
+        while started.elapsed() < NOTICE_TIME {
+            self.count_served(4).await;
+        }
+    }
+
     /// Number of requests out of `count` that are answered in whole; a few run at a time.
     async fn count_served(&self, count: usize) -> usize {
         let mut served = 0;
@@ -325,11 +334,7 @@
 async fn callers_of_a_host_without_links_are_served_through_other_hosts() {
     let fleet = Fleet::start().await;
     let [cut, others @ ..] = &fleet.entries[..] else { panic!("there are hosts") };
-    cut.links.is_cut.store(true, Ordering::SeqCst);
-    let started = Instant::now();
-    while started.elapsed() < NOTICE_TIME {
-        cut.count_served(4).await;
-    }
+    cut.lose_links().await;
     let before: usize = others.iter().map(|it| it.links.sends.load(Ordering::SeqCst)).sum();
     assert_eq!(cut.count_served(40).await, 40);
     let after: usize = others.iter().map(|it| it.links.sends.load(Ordering::SeqCst)).sum();
@@ -378,11 +383,7 @@
 async fn a_refusal_through_another_host_still_says_that_nothing_ran() {
     let fleet = Fleet::start().await;
     let cut = &fleet.entries[0];
-    cut.links.is_cut.store(true, Ordering::SeqCst);
-    let started = Instant::now();
-    while started.elapsed() < NOTICE_TIME {
-        cut.count_served(4).await;
-    }
+    cut.lose_links().await;
     for other in &fleet.entries[1..] {
         other.links.is_full.store(true, Ordering::SeqCst);
     }
@@ -398,11 +399,7 @@
 async fn a_relayed_answer_is_read_as_fast_as_its_caller_and_ends_with_it() {
     let fleet = Fleet::start().await;
     let cut = &fleet.entries[0];
-    cut.links.is_cut.store(true, Ordering::SeqCst);
-    let started = Instant::now();
-    while started.elapsed() < NOTICE_TIME {
-        cut.count_served(4).await;
-    }
+    cut.lose_links().await;
     let count = |of: fn(&ScriptedLinks) -> &Arc<AtomicUsize>| -> usize {
         fleet.entries[1..].iter().map(|it| of(&it.links).load(Ordering::SeqCst)).sum()
     };
