--- a/src/coordinator/origin_records.rs
+++ b/src/coordinator/origin_records.rs
@@ -5,7 +5,7 @@
 use crate::directory::{KnownOrigin, StreamOrigin};
 use crate::schema::peer::{FindStreamOrigin, FoundStreamOrigin, StreamOrigins};
 
-/// Where streams began, kept for entry hosts that are asked to continue a stream of another host.
+/// Origins of streams, kept for entry hosts that are asked to continue a stream of another host.
 impl Coordinator {
     /// Records the origins of streams that began on an entry host.
     pub fn record_stream_origins(&self, reported: StreamOrigins) {
--- a/src/directory/origin_table.rs
+++ b/src/directory/origin_table.rs
@@ -27,7 +27,7 @@
 /// Origins of streams, by the hashes of the ids of the requests that brought their first events.
 #[derive(Debug, Default)]
 pub struct OriginTable {
-    /// `None` for a request with several origins.
+    /// The value is `None` if records of the request disagree.
     origins: HashMap<u64, Option<Arc<StreamOrigin>>>,
     by_age: VecDeque<(Instant, u64)>,
     /// The few origins that exist, which the records share.
--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -213,7 +213,7 @@
         if !upstream.may_continue(progress.origin.as_ref()) {
             log_failed_attempt(
                 assignment,
-                "the upstream has another version than the one that began",
+                "the upstream has another software version than the one that began the item",
             );
             return Err(not_run);
         }
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -238,7 +238,7 @@
         }
     }
 
-    /// The events of a stream bind it to the version of the upstream that sent them.
+    /// Binds a stream to the version of the upstream that sent its first event.
     fn bind_stream(&self, request: &StreamRequest, upstream: &Upstream, progress: &mut Progress) {
         if progress.origin.is_none() {
             let origin = upstream.origin();
--- a/src/relay/relay_client.rs
+++ b/src/relay/relay_client.rs
@@ -203,7 +203,7 @@
             }
             Ok(reply::Reply::RelayFailure(failure)) => {
                 self.exchange.has_ended = true;
-                // The request was sent, so what the caller has of the answer is cut in any case.
+                // The head was received, so the upstream ran the request whatever the relay says now.
                 Err(SendError::Lost(failure.reason))
             }
             Ok(_) => Err(SendError::Lost("the relay answered with another message".to_owned())),
