Send the origins of streams each 5 ms again

Callers whose hosts were killed while two versions served were refused: the record of their stream was still collected. Cause: records of 25 ms shared a message since; that was reckoned, and what it costs callers was not measured.

--- a/src/gateway/fleet_origins.rs
+++ b/src/gateway/fleet_origins.rs
@@ -23,7 +23,7 @@
 const QUEUE_RECORDS: usize = 4_096;
 /// Time for which records are collected before they are sent together. Streams of a host that ends within it
 /// can't be resumed.
-const COLLECT_TIME: Duration = Duration::from_millis(25);
+const COLLECT_TIME: Duration = Duration::from_millis(5);
 /// Longest time to ask control hosts for an origin: a round trip between regions and a busy host.
 const FIND_TIMEOUT: Duration = Duration::from_millis(250);
 
