--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -35,6 +35,7 @@
         events: 30,
         gap: std::time::Duration::from_millis(60),
         first: std::time::Duration::from_millis(30),
+        ..RunnerOptions::default()
     };
     let runner = Runner::start(&lab, 21, "santander", options, operators);
     lab.until("all entry machines are ready", || {
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -40,7 +40,7 @@
     let all: Vec<&Machine> = controls.iter().collect();
     lab.configure(&all, &configuration(1, 1_000_000));
     let operators: Vec<_> = controls.iter().map(Machine::control).collect();
-    let options = || RunnerOptions { events: EVENTS, gap: GAP, first: Duration::from_millis(60) };
+    let options = || RunnerOptions { events: EVENTS, gap: GAP, first: Duration::from_millis(60), ..RunnerOptions::default() };
     let runners: Vec<Arc<Runner>> = (0..3)
         .map(|n| Runner::start(&lab, 21 + n, ZONES[usize::from(n)].0, options(), operators.clone()))
         .collect();
--- a/review/lab/lab.rs
+++ b/review/lab/lab.rs
@@ -414,12 +414,29 @@
     pub born: u64,
     pub sequence: Arc<AtomicU64>,
     pub zone: String,
+    pub version: &'static str,
 }
 
 pub struct RunnerOptions {
     pub events: usize,
     pub gap: Duration,
     pub first: Duration,
+    /// Version of its software.
+    pub version: &'static str,
+    /// It falls silent after this event for this time and goes on.
+    pub silence: Option<(usize, Duration)>,
+}
+
+impl Default for RunnerOptions {
+    fn default() -> Self {
+        Self {
+            events: 42,
+            gap: Duration::from_millis(20),
+            first: Duration::from_millis(40),
+            version: "v1",
+            silence: None,
+        }
+    }
 }
 
 pub const SLOTS: usize = 8;
@@ -439,6 +456,7 @@
             born: unix_ms(),
             sequence: Arc::new(AtomicU64::new(0)),
             zone: zone.to_owned(),
+            version: options.version,
         });
         let (serving, record) = (runner.clone(), lab.record.clone());
         let options = Arc::new(options);
@@ -465,10 +483,10 @@
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let state = *self.state.lock().unwrap();
         let body = format!(
-            "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{SLOTS},\
+            "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{SLOTS},\
              \"state\":\"{state}\",\"warmupLeftMs\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\
              \"adapters\":[]}}],\"sequence\":{sequence},\"born\":{}}}",
-            self.address, self.zone, self.born
+            self.address, self.zone, self.version, self.born
         );
         let path = format!("/instances/{}", self.id);
         for control in controls {
@@ -559,6 +577,9 @@
             if event > after + 1 {
                 thread::sleep(options.gap);
             }
+            if let Some((_, silence)) = options.silence.filter(|it| it.0 + 1 == event) {
+                thread::sleep(silence);
+            }
             self.check_open(stream)?;
             let text = format!("id: {event}\ndata: {id}-{event}\n\n");
             stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
