--- a/review/lab/lab.rs
+++ b/review/lab/lab.rs
@@ -8,6 +8,7 @@
 use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
+use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -76,14 +77,16 @@
     pub fn start(&mut self) {
         let log = OpenOptions::new().create(true).append(true).open(&self.log).expect("a log file");
         let errors = log.try_clone().expect("a log file");
-        let child = Command::new("target/release/damaskhoist-platform")
-            .arg("--settings")
-            .arg(&self.settings)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn();
-        self.child = Some(child.expect("the program starts"));
+        let mut command = Command::new("target/release/damaskhoist-platform");
+        command.arg("--settings").arg(&self.settings);
+        command.stdin(Stdio::null()).stdout(log).stderr(errors);
+        // The process ends with the case, also if the case itself is killed.
+        let end_with_parent = || match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64) } {
+            0 => Ok(()),
+            _ => Err(io::Error::last_os_error()),
+        };
+        unsafe { command.pre_exec(end_with_parent) };
+        self.child = Some(command.spawn().expect("the program starts"));
     }
 
     /// Sends a signal to the process that this machine started.
@@ -155,8 +158,11 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
