Review: show that take-ups join two software versions after a full kill

Cause: without records, a single version among the known upstreams is taken as proof of where a stream began, and a restart under the same id replaces the old version.

--- a/review/lab/lab.rs
+++ b/review/lab/lab.rs
@@ -417,10 +417,13 @@
     pub acknowledged: Arc<Mutex<Vec<(Instant, String, &'static str)>>>,
     /// Says in its answers that it leaves.
     pub leaving: Arc<AtomicBool>,
-    pub born: u64,
+    pub born: Arc<AtomicU64>,
     pub sequence: Arc<AtomicU64>,
     pub zone: String,
-    pub version: &'static str,
+    pub version: Arc<Mutex<&'static str>>,
+    /// Grows with each restart; runs of an earlier one end.
+    incarnation: Arc<AtomicU64>,
+    is_down: Arc<AtomicBool>,
 }
 
 pub struct RunnerOptions {
@@ -459,15 +462,20 @@
             state: Arc::new(Mutex::new("ready")),
             acknowledged: Arc::default(),
             leaving: Arc::default(),
-            born: unix_ms(),
+            born: Arc::new(AtomicU64::new(unix_ms())),
             sequence: Arc::new(AtomicU64::new(0)),
             zone: zone.to_owned(),
-            version: options.version,
+            version: Arc::new(Mutex::new(options.version)),
+            incarnation: Arc::default(),
+            is_down: Arc::default(),
         });
         let (serving, record) = (runner.clone(), lab.record.clone());
         let options = Arc::new(options);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if serving.is_down.load(Ordering::SeqCst) {
+                    continue;
+                }
                 let (runner, record, options) = (serving.clone(), record.clone(), options.clone());
                 thread::spawn(move || {
                     let _ = runner.serve(stream, &record, &options);
@@ -492,7 +500,10 @@
             "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{SLOTS},\
              \"state\":\"{state}\",\"warmupLeftMs\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\
              \"adapters\":[]}}],\"sequence\":{sequence},\"born\":{}}}",
-            self.address, self.zone, self.version, self.born
+            self.address,
+            self.zone,
+            *self.version.lock().unwrap(),
+            self.born.load(Ordering::SeqCst)
         );
         let path = format!("/instances/{}", self.id);
         for control in controls {
@@ -505,6 +516,17 @@
         false
     }
 
+    /// Ends all its work and starts again after `down`, under the same id and address, with this version.
+    pub fn restart(&self, version: &'static str, down: Duration) {
+        self.is_down.store(true, Ordering::SeqCst);
+        self.incarnation.fetch_add(1, Ordering::SeqCst);
+        thread::sleep(down);
+        *self.version.lock().unwrap() = version;
+        self.born.store(unix_ms(), Ordering::SeqCst);
+        self.sequence.store(0, Ordering::SeqCst);
+        self.is_down.store(false, Ordering::SeqCst);
+    }
+
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().unwrap().clone()
     }
@@ -541,7 +563,8 @@
                 continue;
             }
             let after = headers.get("last-event-id").and_then(|it| it.parse::<usize>().ok()).unwrap_or(0);
-            record.note(format!("{} runs {id} after event {after}", self.id));
+            let version = *self.version.lock().unwrap();
+            record.note(format!("{} ({version}) runs {id} after event {after}", self.id));
             let run = Run { id: id.clone(), at: Instant::now(), events: 0, is_done: false };
             let number = {
                 let mut runs = self.runs.lock().unwrap();
@@ -572,6 +595,8 @@
         number: usize,
         options: &RunnerOptions,
     ) -> io::Result<()> {
+        let incarnation = self.incarnation.load(Ordering::SeqCst);
+        let version = *self.version.lock().unwrap();
         thread::sleep(options.first);
         let head = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp-{}-{id}\r\n{leaving}Content-Type: \
@@ -587,7 +612,10 @@
                 thread::sleep(silence);
             }
             self.check_open(stream)?;
-            let text = format!("id: {event}\ndata: {id}-{event}\n\n");
+            if self.incarnation.load(Ordering::SeqCst) != incarnation {
+                return Err(io::Error::new(ErrorKind::Other, "the runner ended"));
+            }
+            let text = format!("id: {event}\ndata: {version} {id} {event}\n\n");
             stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
             self.runs.lock().unwrap()[number].events = event;
         }
