--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,7 +1,7 @@
 //! Two control machines freeze for a few seconds, one after the other. The first one then holds a batch job that
 //! was refused, and lacks one that was accepted.
 
-#[path = "../lab/lab.rs"]
+#[path = "../lab.rs"]
 mod lab;
 
 use lab::*;
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -1,7 +1,7 @@
 //! An edge machine is stopped as planned. It takes requests for five and a half seconds, and cuts those that take
 //! longer than the two seconds that are left.
 
-#[path = "../lab/lab.rs"]
+#[path = "../lab.rs"]
 mod lab;
 
 use lab::*;
