--- a/review/lab.rs
+++ b/review/lab.rs
@@ -492,21 +492,22 @@
         runner
     }
 
-    /// Sends one heartbeat to the first control machine that acknowledges it.
+    /// Sends a heartbeat to one control machine after the other until one acknowledges it. Each call has a sequence
+    /// of its own.
     pub fn beat(&self, controls: &[SocketAddr]) -> bool {
-        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let state = *self.state.lock().unwrap();
-        let body = format!(
-            "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{SLOTS},\
-             \"state\":\"{state}\",\"warmupLeftMs\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\
-             \"adapters\":[]}}],\"sequence\":{sequence},\"born\":{}}}",
-            self.address,
-            self.zone,
-            *self.version.lock().unwrap(),
-            self.born.load(Ordering::SeqCst)
-        );
         let path = format!("/instances/{}", self.id);
         for control in controls {
+            let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+            let body = format!(
+                "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{SLOTS},\
+                 \"state\":\"{state}\",\"warmupLeftMs\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\
+                 \"adapters\":[]}}],\"sequence\":{sequence},\"born\":{}}}",
+                self.address,
+                self.zone,
+                *self.version.lock().unwrap(),
+                self.born.load(Ordering::SeqCst)
+            );
             let sent = call(*control, "PUT", &path, &[], body.as_bytes(), Duration::from_secs(1));
             if sent.is_ok_and(|answer| (200..300).contains(&answer.status)) {
                 self.acknowledged.lock().unwrap().push((Instant::now(), control.to_string(), state));
