Let replicas come back after a storage failure

Cause: the storage thread ended at its first failed job and the driver stopped the replica for good. Nothing opened it again or ended the process, so the second failure left one of three voters.

Change: a storage failure suspends the replica, which then acknowledges nothing, votes for no one and names no leader. What was acknowledged had been synced before; what is read back beyond that is made durable before it counts, since each opening writes the identity and the last segment anew. The state machine holds only committed entries and is kept.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -247,6 +247,8 @@
         counters.gauge("raft_commit_index", status.commit_index);
         counters.gauge("raft_applied_index", status.applied_index);
         counters.gauge("raft_data_bytes", status.data_bytes);
+        counters.gauge("raft_is_suspended", status.is_stopped.into());
+        counters.gauge("raft_storage_failures", status.storage_failures);
     }
 
     /// Handles a call of another host. Returns `None` if the control role does not serve the call.
--- a/src/raft/disk_log.rs
+++ b/src/raft/disk_log.rs
@@ -8,6 +8,9 @@
 use crate::raft::identity::sync_folder;
 use crate::raft::{Entry, Identity, LogStorage};
 
+/// Name of the last segment while it is written again.
+const REWRITTEN_FILE: &str = "segment.tmp";
+
 /// The log of one replica, stored in a folder as a sequence of segment files.
 ///
 /// Each write is one checksummed frame that is synced before the next one is written. An invalid
@@ -61,8 +64,12 @@
 }
 
 impl DiskLog {
-    /// Opens and reads the log in `folder`. A torn write at the end is truncated. Other damage is
+    /// Opens and reads the log in `folder`. A torn write at the end is cut off. Other damage is
     /// left as it is; [`DiskLog::quarantine_damaged`] must then be called before the first write.
+    ///
+    /// All entries that are returned are durable. A write that an earlier process, or an earlier
+    /// opening, could not sync may be read back from the page cache and still be lost with the
+    /// power, so the last segment, which holds it, is written again as a new file.
     pub fn open(folder: &Path, segment_bytes: u64, compress: bool) -> io::Result<(Self, LogScan)> {
         let mut log = Self {
             folder: folder.to_owned(),
@@ -74,6 +81,7 @@
         };
         let sequences = list_segments(folder)?;
         let mut scan = LogScan::default();
+        let mut last_content = Vec::new();
         for (position, &sequence) in sequences.iter().enumerate() {
             if let Some(expected) = log.segments.back().map(|segment| segment.sequence + 1) {
                 if sequence != expected {
@@ -83,9 +91,10 @@
                     return Ok((log, scan));
                 }
             }
-            let content = fs::read(log.path(sequence))?;
+            let mut content = fs::read(log.path(sequence))?;
             let end = log.scan_segment(sequence, &content, &mut scan.entries);
             if end == content.len() {
+                last_content = content;
                 continue;
             }
             if let Some(through) = log.find_last_index(&sequences[position..], end + 1)? {
@@ -94,14 +103,14 @@
                 return Ok((log, scan));
             }
             scan.torn_bytes = (content.len() - end) as u64;
-            let file = OpenOptions::new().write(true).open(log.path(sequence))?;
-            file.set_len(end as u64)?;
-            file.sync_all()?;
+            content.truncate(end);
+            last_content = content;
             for &later in &sequences[position + 1..] {
                 fs::remove_file(log.path(later))?;
             }
             break;
         }
+        log.rewrite_last_segment(&last_content)?;
         log.open_last_segment()?;
         Ok((log, scan))
     }
@@ -180,6 +189,17 @@
         segment.last_index = segment.last_index.max(last_index);
     }
 
+    /// Replaces the last segment by a new, synced file with this content.
+    fn rewrite_last_segment(&self, content: &[u8]) -> io::Result<()> {
+        let Some(segment) = self.segments.back() else { return Ok(()) };
+        let temporary = self.folder.join(REWRITTEN_FILE);
+        let mut file = File::create(&temporary)?;
+        file.write_all(content)?;
+        file.sync_all()?;
+        fs::rename(&temporary, self.path(segment.sequence))?;
+        sync_folder(&self.folder)
+    }
+
     fn open_last_segment(&mut self) -> io::Result<()> {
         let Some(segment) = self.segments.back() else { return Ok(()) };
         self.file = Some(OpenOptions::new().append(true).open(self.path(segment.sequence))?);
--- a/src/raft/disk_quota.rs
+++ b/src/raft/disk_quota.rs
@@ -14,11 +14,11 @@
 }
 
 impl DiskQuota {
-    /// A quota with the limits of the options.
-    pub fn new(options: &GroupOptions, log_bytes: u64, snapshot_bytes: u64) -> Self {
+    /// A quota with the limits of the options, without any usage.
+    pub fn new(options: &GroupOptions) -> Self {
         Self {
-            log_bytes: log_bytes.into(),
-            snapshot_bytes: snapshot_bytes.into(),
+            log_bytes: AtomicU64::new(0),
+            snapshot_bytes: AtomicU64::new(0),
             limit_bytes: options.data_limit_bytes,
             reserved_bytes: options.reserved_bytes,
         }
--- a/src/raft/driver.rs
+++ b/src/raft/driver.rs
@@ -1,5 +1,4 @@
 use std::collections::HashMap;
-use std::sync::mpsc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,13 +8,15 @@
 
 use crate::raft::disk_quota::DiskQuota;
 use crate::raft::driver_status::PublishedFields;
+use crate::raft::driver_storage::Activity;
 use crate::raft::event::Event;
 use crate::raft::formation::Formation;
 use crate::raft::pending_replies::{ChangeReply, PendingReplies, ReadReply};
 use crate::raft::proposal_queue::{Proposal, ProposalQueue};
 use crate::raft::recovery::RecoveredReplica;
 use crate::raft::snapshot_file::{SnapshotFile, SnapshotFiles};
-use crate::raft::storage_thread::{StorageEvent, StorageJob};
+use crate::raft::storage_opener::{OpenedStorage, RunningStorage, StorageOpener};
+use crate::raft::storage_thread::StorageJob;
 use crate::raft::wire::message_to_wire;
 use crate::raft::{
     Action, ChangeError, Entry, GroupOptions, GroupStatus, Identity, Message, Payload,
@@ -49,15 +50,26 @@
     pub(super) formation_due_ms: u64,
     /// Problem reported in the status.
     pub(super) fault: Option<String>,
-    /// The replica has failed and no longer takes part in the group.
-    pub(super) is_stopped: bool,
+    pub(super) activity: Activity,
+    /// Opens the storage again after a failure.
+    pub(super) opener: Arc<StorageOpener>,
+    /// The storage thread; `None` while failed storage is opened again.
+    pub(super) storage: Option<RunningStorage>,
+    /// Number of the last opening of the storage. Events of the threads of earlier ones are ignored.
+    pub(super) opening: u64,
+    /// Number of failures of the storage.
+    pub(super) storage_failures: u64,
+    /// Number of blocking tasks that use files of the replica.
+    pub(super) file_tasks: usize,
     started: Instant,
-    inflight_writes: usize,
+    pub(super) inflight_writes: usize,
     queue: ProposalQueue,
-    pending_replies: PendingReplies,
+    pub(super) pending_replies: PendingReplies,
     pub(super) applied_index: u64,
     pub(super) files: SnapshotFiles,
     pub(super) is_saving: bool,
+    /// Earliest time of the next snapshot, after one that could not be saved.
+    pub(super) snapshot_retry_ms: u64,
     /// The state machine is capturing the state for a snapshot; nothing may be applied meanwhile.
     pub(super) is_capturing: bool,
     pub(super) bytes_since_snapshot: u64,
@@ -79,8 +91,6 @@
     pub events: Receiver<Event>,
     /// Sends completion events of work that runs on other threads.
     pub event_sender: Sender<Event>,
-    /// Sends jobs to the storage thread.
-    pub jobs: mpsc::Sender<StorageJob>,
     /// Usage and limit of the data folder.
     pub disk_quota: Arc<DiskQuota>,
     /// The published status of the replica.
@@ -91,8 +101,14 @@
 
 impl Driver {
     /// Creates a driver from the state read from the disk.
-    pub fn new(options: GroupOptions, recovery: RecoveredReplica, context: DriverContext) -> Self {
-        let RecoveredReplica { recovered, identity, fault, .. } = recovery;
+    pub fn new(
+        options: GroupOptions,
+        opener: Arc<StorageOpener>,
+        opened: OpenedStorage,
+        context: DriverContext,
+    ) -> Self {
+        let OpenedStorage { replica, storage } = opened;
+        let RecoveredReplica { recovered, identity, fault } = replica;
         let is_forming = identity.standing == Standing::Forming;
         let initial = options.replicas.iter().map(|replica| replica.id);
         let formation = is_forming.then(|| Formation::new(&identity, initial));
@@ -109,12 +125,18 @@
             formation,
             formation_due_ms: 0,
             fault,
-            is_stopped: false,
+            activity: Activity::Active,
+            opener,
+            storage: Some(storage),
+            opening: 0,
+            storage_failures: 0,
+            file_tasks: 0,
             started: Instant::now(),
             inflight_writes: 0,
             queue: ProposalQueue::default(),
             pending_replies: PendingReplies::default(),
             is_saving: false,
+            snapshot_retry_ms: 0,
             is_capturing: false,
             bytes_since_snapshot: 0,
             outgoing_snapshots: HashMap::new(),
@@ -124,7 +146,7 @@
         driver
     }
 
-    /// Runs until the group is closed.
+    /// Runs until the group is closed. Returns once nothing uses the files of the replica any more.
     pub async fn run(mut self) {
         self.check_formation();
         loop {
@@ -141,6 +163,7 @@
             let mut handled = 0;
             while let Some(event) = next {
                 if matches!(event, Event::Close) {
+                    self.close().await;
                     return;
                 }
                 self.handle(event).await;
@@ -151,9 +174,12 @@
                 };
             }
             let now_ms = self.now_ms();
-            self.tick_formation(now_ms);
-            self.node.tick(now_ms);
-            self.node.flush_reads(now_ms);
+            self.tick_storage(now_ms);
+            if !self.is_stopped() {
+                self.tick_formation(now_ms);
+                self.node.tick(now_ms);
+                self.node.flush_reads(now_ms);
+            }
             self.submit_proposals(now_ms);
             self.perform_actions();
             self.apply();
@@ -162,24 +188,50 @@
         }
     }
 
+    /// Waits for the tasks that use files, and for the last write.
+    async fn close(mut self) {
+        while self.file_tasks > 0 {
+            let Ok(event) = self.context.events.recv().await else { break };
+            self.file_tasks -= usize::from(event.ends_file_task());
+            if let Event::StorageReopened(opened) = event {
+                self.storage = opened.ok().map(|opened| opened.storage);
+            }
+        }
+        if let Some(storage) = self.storage.take() {
+            storage.close().await;
+        }
+    }
+
+    /// True while the replica takes no part in the group.
+    pub(super) fn is_stopped(&self) -> bool {
+        self.activity != Activity::Active
+    }
+
     pub(super) fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
     }
 
     /// Time at which the loop must run next, even without an event.
     fn due_ms(&self) -> u64 {
-        let may_apply = !self.is_stopped && !self.is_capturing;
+        let may_apply = !self.is_stopped() && !self.is_capturing;
         if may_apply && self.applied_index < self.node.commit_index() {
             return 0;
         }
         let formation_ms = self.formation.as_ref().map(|_| self.formation_due_ms);
         let idle_ms = self.now_ms() + MAX_IDLE_WAIT_MS;
-        let due = [self.node.due_ms().filter(|_| !self.is_stopped), formation_ms];
-        due.into_iter().flatten().fold(idle_ms, u64::min)
+        let reopen_ms = match self.activity {
+            Activity::Suspended { reopen_at_ms } if self.file_tasks == 0 => Some(reopen_at_ms),
+            _ => None,
+        };
+        let active_ms = [self.node.due_ms(), formation_ms];
+        let active_ms = active_ms.map(|due_ms| due_ms.filter(|_| !self.is_stopped()));
+        let due = active_ms.into_iter().chain([reopen_ms]);
+        due.flatten().fold(idle_ms, u64::min)
     }
 
     async fn handle(&mut self, event: Event) {
         let now_ms = self.now_ms();
+        self.file_tasks -= usize::from(event.ends_file_task());
         match event {
             Event::Message(message) => self.handle_message(now_ms, message),
             Event::Propose(proposal) => self.queue.push(proposal),
@@ -192,7 +244,8 @@
                 };
                 let _ = reply.send(answer);
             }
-            Event::Storage(event) => self.handle_storage(now_ms, event),
+            Event::Storage(opening, event) => self.handle_storage(now_ms, opening, event),
+            Event::StorageReopened(opened) => self.handle_reopened(*opened),
             Event::SnapshotCaptured => self.is_capturing = false,
             Event::SnapshotSaved(meta, saved) => self.handle_snapshot_saved(meta, saved),
             Event::ChunkStored(stored) => self.handle_chunk_stored(stored).await,
@@ -202,7 +255,7 @@
     }
 
     fn handle_message(&mut self, now_ms: u64, message: peer::RaftMessage) {
-        if message.group != self.options.group || self.is_stopped {
+        if message.group != self.options.group || self.is_stopped() {
             return;
         }
         if !message.from_address.is_empty() {
@@ -223,7 +276,7 @@
 
     fn handle_read(&mut self, now_ms: u64, reply: ReadReply) {
         let id = self.pending_replies.next_read_id();
-        if self.is_stopped || !self.node.read(now_ms, id) {
+        if self.is_stopped() || !self.node.read(now_ms, id) {
             let leader_address = self.leader_address();
             let _ = reply.send(Err(ReadError::NotLeader { leader_address }));
             return;
@@ -232,7 +285,7 @@
     }
 
     fn handle_change(&mut self, now_ms: u64, change: &ReplicaChange, reply: ChangeReply) {
-        if self.is_stopped || !self.node.is_leader() {
+        if self.is_stopped() || !self.node.is_leader() {
             let leader_address = self.leader_address();
             let _ = reply.send(Err(ChangeError::NotLeader { leader_address }));
             return;
@@ -247,25 +300,11 @@
         }
     }
 
-    fn handle_storage(&mut self, now_ms: u64, event: StorageEvent) {
-        match event {
-            StorageEvent::Persisted { jobs, identity, last } => {
-                self.inflight_writes -= jobs;
-                if let Some(identity) = &identity {
-                    self.standing_persisted(now_ms, identity.standing);
-                }
-                self.node.persisted(now_ms, identity.map(|identity| identity.hard_state), last);
-            }
-            StorageEvent::Fetched { to, entries } => self.node.fetched(now_ms, to, entries),
-            StorageEvent::Failed(reason) => self.stop(format!("storage failed: {reason}")),
-        }
-    }
-
-    /// Stops the replica permanently and fails the pending calls.
+    /// Stops the replica permanently after a violated invariant, and fails the pending calls.
     pub(super) fn stop(&mut self, reason: String) {
         log::error!("group {}: replica stopped: {reason}", self.options.group);
         self.fault = Some(reason);
-        self.is_stopped = true;
+        self.activity = Activity::Stopped;
         self.pending_replies.fail_all();
     }
 
@@ -273,7 +312,7 @@
     /// that commands that arrive during a sync are written together and in the order of their
     /// priority.
     fn submit_proposals(&mut self, now_ms: u64) {
-        while self.inflight_writes < MAX_INFLIGHT_WRITES && !self.is_stopped {
+        while self.inflight_writes < MAX_INFLIGHT_WRITES && !self.is_stopped() {
             let batch = self.queue.next_batch();
             if batch.is_empty() {
                 break;
@@ -289,7 +328,7 @@
             self.node.replicate_all(now_ms);
             self.perform_actions();
         }
-        if self.is_stopped || !self.node.is_leader() {
+        if self.is_stopped() || !self.node.is_leader() {
             let remaining = self.queue.drain();
             self.reject_proposals(remaining);
         }
@@ -306,7 +345,7 @@
     /// Performs the actions queued by the node.
     fn perform_actions(&mut self) {
         for action in self.node.take_actions() {
-            if self.is_stopped {
+            if self.is_stopped() {
                 return;
             }
             match action {
@@ -325,7 +364,7 @@
                 Action::Fetch { to, first_index } => {
                     let limit_bytes = self.options.node_config().append_bytes;
                     let job = StorageJob::Fetch { to, first_index, limit_bytes };
-                    let _ = self.context.jobs.send(job);
+                    self.send_job(job);
                 }
                 Action::ReadChunk { to, last_index, offset_bytes } => {
                     self.read_chunk(to, last_index, offset_bytes);
@@ -343,7 +382,7 @@
             return;
         }
         self.inflight_writes += 1;
-        let _ = self.context.jobs.send(StorageJob::Write { identity, entries });
+        self.send_job(StorageJob::Write { identity, entries });
     }
 
     /// Sends a message, unless the address of the receiver is unknown.
@@ -362,13 +401,14 @@
         known.or_else(|| self.addresses.get(&id).cloned())
     }
 
+    /// Peer address of the leader. A replica that takes no part in the group knows none.
     pub(super) fn leader_address(&self) -> Option<String> {
-        self.address(self.node.leader_id()?)
+        self.address(self.node.leader_id().filter(|_| !self.is_stopped())?)
     }
 
     /// Applies a batch of committed entries and answers the calls that waited for them.
     fn apply(&mut self) {
-        if self.is_stopped || self.is_capturing {
+        if self.is_stopped() || self.is_capturing {
             return;
         }
         for _ in 0..APPLY_BATCH {
--- a/src/raft/driver_formation.rs
+++ b/src/raft/driver_formation.rs
@@ -86,7 +86,7 @@
         log::info!("group {}: replica has caught up and may vote", self.options.group);
         self.identity.standing = Standing::Member;
         self.write(Some(self.identity.clone()), Vec::new());
-        let _ = self.context.jobs.send(StorageJob::DiscardQuarantined);
+        self.send_job(StorageJob::DiscardQuarantined);
         self.fault = None;
     }
 
--- a/src/raft/driver_snapshots.rs
+++ b/src/raft/driver_snapshots.rs
@@ -12,6 +12,9 @@
 
 /// Size of a snapshot chunk.
 const CHUNK_BYTES: u64 = 256 << 10;
+/// Time until a snapshot that could not be saved is tried again; its log entries use up space
+/// meanwhile.
+const SNAPSHOT_RETRY_MS: u64 = 2_000;
 /// Number of election timeouts without a reply after which a follower no longer delays compaction.
 const INACTIVE_TIMEOUTS: u64 = 10;
 
@@ -23,7 +26,8 @@
         let entries = self.applied_index - last_index;
         let is_due = entries >= self.options.snapshot_interval_entries
             || self.bytes_since_snapshot >= self.options.data_limit_bytes / 8;
-        if !is_due || entries == 0 || self.is_saving || self.is_stopped {
+        let may_save = !self.is_saving && !self.is_stopped();
+        if !is_due || entries == 0 || !may_save || self.now_ms() < self.snapshot_retry_ms {
             return;
         }
         let Some(last_term) = self.node.log().term(self.applied_index) else { return };
@@ -33,6 +37,7 @@
         self.bytes_since_snapshot = 0;
         let (files, event_sender) = (self.files.clone(), self.context.event_sender.clone());
         let machine = self.context.machine.clone();
+        self.file_tasks += 1;
         task::spawn_blocking(move || {
             let notify_captured = || {
                 let _ = event_sender.try_send(Event::SnapshotCaptured);
@@ -45,22 +50,21 @@
     pub(super) fn handle_snapshot_saved(&mut self, meta: SnapshotMeta, saved: io::Result<()>) {
         (self.is_saving, self.is_capturing) = (false, false);
         let is_newer = meta.last_index > self.node.snapshot().last_index;
-        let committed = match saved {
-            Ok(()) if is_newer => self.files.commit_saved(),
-            Ok(()) => {
-                let _ = self.files.discard_saved();
-                return;
-            }
-            Err(error) => Err(error),
-        };
-        if let Err(error) = committed {
-            self.stop(format!("snapshot could not be saved: {error}"));
+        if saved.is_ok() && (!is_newer || self.is_stopped()) {
+            let _ = self.files.discard_saved();
+            return;
+        }
+        if let Err(error) = saved.and_then(|()| self.files.commit_saved()) {
+            // The log keeps all entries until a snapshot is saved, so nothing is lost.
+            log::warn!(event = "snapshot_not_saved", group = self.options.group; "{error}");
+            let _ = self.files.discard_saved();
+            self.snapshot_retry_ms = self.now_ms() + SNAPSHOT_RETRY_MS;
             return;
         }
         self.update_snapshot_bytes();
         let compact_index = self.compact_index(&meta);
         self.node.snapshot_saved(meta, compact_index);
-        let _ = self.context.jobs.send(StorageJob::Compact(compact_index));
+        self.send_job(StorageJob::Compact(compact_index));
     }
 
     /// Index up to which the log is compacted. Some entries are kept for followers that lag behind,
@@ -80,6 +84,7 @@
         let open_file =
             open_file.filter(|file| last_index != 0 && file.meta().last_index == last_index);
         let (files, event_sender) = (self.files.clone(), self.context.event_sender.clone());
+        self.file_tasks += 1;
         task::spawn_blocking(move || {
             let read = open_file.map_or_else(
                 || {
@@ -104,6 +109,7 @@
         read: io::Result<(Arc<SnapshotFile>, SnapshotChunk)>,
     ) {
         match read {
+            _ if self.is_stopped() => {}
             Ok((file, chunk)) => {
                 if chunk.last {
                     // If the last chunk must be sent again, the file is reopened.
@@ -119,6 +125,7 @@
 
     pub(super) fn store_chunk(&mut self, chunk: SnapshotChunk) {
         let (files, event_sender) = (self.files.clone(), self.context.event_sender.clone());
+        self.file_tasks += 1;
         task::spawn_blocking(move || {
             let stored = files.store_chunk(chunk.offset_bytes, &chunk.data);
             let stored = stored.and_then(|()| match chunk.last {
@@ -131,6 +138,7 @@
 
     pub(super) async fn handle_chunk_stored(&mut self, stored: io::Result<Option<SnapshotFile>>) {
         match stored {
+            _ if self.is_stopped() => {}
             Ok(None) => {
                 self.update_snapshot_bytes();
                 self.node.chunk_stored();
@@ -143,14 +151,18 @@
                 );
                 self.node.snapshot_failed();
             }
-            Err(error) => self.stop(format!("snapshot could not be stored: {error}")),
+            Err(error) => self.suspend(format!("snapshot could not be stored: {error}")),
         }
     }
 
     /// Replaces the state with a received snapshot, and the log unless it continues the snapshot.
     async fn install(&mut self, file: SnapshotFile) {
         let meta = file.meta().clone();
-        if meta.last_index <= self.applied_index || self.is_capturing {
+        // A replica that has lost a part of its log in a storage failure may need a snapshot for its
+        // log though its state machine is further.
+        let is_newer = meta.last_index > self.applied_index;
+        let is_needed = is_newer || meta.last_index > self.node.commit_index();
+        if !is_needed || self.is_capturing {
             // The state must not change while the state machine captures it for a snapshot; the
             // leader sends the snapshot again.
             self.node.snapshot_failed();
@@ -159,10 +171,13 @@
         let (files, machine) = (self.files.clone(), self.context.machine.clone());
         let installed = task::spawn_blocking(move || {
             files.commit_received()?;
-            file.restore(machine.as_ref())
+            match is_newer {
+                true => file.restore(machine.as_ref()),
+                false => Ok(()),
+            }
         });
         if let Err(error) = installed.await {
-            self.stop(format!("snapshot could not be installed: {error}"));
+            self.suspend(format!("snapshot could not be installed: {error}"));
             return;
         }
         log::info!(
@@ -171,10 +186,10 @@
             meta.last_index
         );
         if !self.node.log_matches(&meta) {
-            let _ = self.context.jobs.send(StorageJob::Clear);
+            self.send_job(StorageJob::Clear);
         }
         self.update_snapshot_bytes();
-        self.applied_index = meta.last_index;
+        self.applied_index = self.applied_index.max(meta.last_index);
         self.bytes_since_snapshot = 0;
         self.node.snapshot_installed(meta);
     }
--- a/src/raft/driver_status.rs
+++ b/src/raft/driver_status.rs
@@ -4,7 +4,7 @@
 use crate::raft::{GroupStatus, Standing};
 
 /// Values whose change causes the status to be published.
-pub type PublishedFields = (u64, Option<u64>, u64, u64, bool, Standing, bool, u64, u64);
+pub type PublishedFields = (u64, Option<u64>, u64, u64, bool, Standing, (bool, bool), u64, u64);
 
 /// Interval at which a leader publishes its status without other changes, since the time since its
 /// followers' last replies grows without any event.
@@ -22,7 +22,7 @@
             self.applied_index,
             node.is_leader(),
             node.standing(),
-            self.fault.is_some(),
+            (self.fault.is_some(), self.is_stopped()),
             data_bytes,
             if node.is_leader() { self.now_ms() / LEADER_INTERVAL_MS } else { 0 },
         );
@@ -34,8 +34,8 @@
         let status = GroupStatus {
             group: self.options.group,
             replica_id: self.options.replica_id,
-            is_leader: node.is_leader() && !self.is_stopped,
-            leader_id: node.leader_id(),
+            is_leader: node.is_leader() && !self.is_stopped(),
+            leader_id: node.leader_id().filter(|_| !self.is_stopped()),
             leader_address: self.leader_address(),
             term: node.hard_state().term,
             commit_index: node.commit_index(),
@@ -44,8 +44,9 @@
             last_index: node.log().last_index(),
             snapshot_index: node.snapshot().last_index,
             replicas: node.replicas().clone(),
-            may_vote: node.standing() == Standing::Member && !self.is_stopped,
-            is_stopped: self.is_stopped,
+            may_vote: node.standing() == Standing::Member && !self.is_stopped(),
+            is_stopped: self.is_stopped(),
+            storage_failures: self.storage_failures,
             fault: self.fault.clone(),
             data_bytes,
             followers: node.followers(self.now_ms()),
--- a/src/raft/event.rs
+++ b/src/raft/event.rs
@@ -6,8 +6,9 @@
 use crate::raft::pending_replies::{ChangeReply, ReadReply};
 use crate::raft::proposal_queue::Proposal;
 use crate::raft::snapshot_file::SnapshotFile;
+use crate::raft::storage_opener::OpenedStorage;
 use crate::raft::storage_thread::StorageEvent;
-use crate::raft::{ChangeError, ReplicaChange, SnapshotChunk, SnapshotMeta};
+use crate::raft::{ChangeError, OpenError, ReplicaChange, SnapshotChunk, SnapshotMeta};
 use crate::schema::peer::RaftMessage;
 
 /// Inputs of a group's driver.
@@ -22,8 +23,10 @@
     Change(ReplicaChange, ChangeReply),
     /// A transfer of leadership to a replica id, or to the most up-to-date follower if it is 0.
     Transfer(u64, oneshot::Sender<Result<u64, ChangeError>>),
-    /// An event from the storage thread.
-    Storage(StorageEvent),
+    /// An event from the storage thread, with the number of the opening that started the thread.
+    Storage(u64, StorageEvent),
+    /// Failed storage was opened again, or still fails.
+    StorageReopened(Box<Result<OpenedStorage, OpenError>>),
     /// The state machine has captured the state for a snapshot; commands may be applied again.
     SnapshotCaptured,
     /// Writing a snapshot has finished or failed.
@@ -35,3 +38,16 @@
     /// Stops the driver.
     Close,
 }
+
+impl Event {
+    /// True for the last event of a blocking task that uses files of the replica.
+    pub fn ends_file_task(&self) -> bool {
+        matches!(
+            self,
+            Self::SnapshotSaved(..)
+                | Self::ChunkStored(_)
+                | Self::ChunkRead(..)
+                | Self::StorageReopened(_)
+        )
+    }
+}
--- a/src/raft/group.rs
+++ b/src/raft/group.rs
@@ -10,9 +10,7 @@
 use crate::raft::driver::{Driver, DriverContext};
 use crate::raft::event::Event;
 use crate::raft::proposal_queue::{Proposal, QueueLimit};
-use crate::raft::recovery::recover;
-use crate::raft::snapshot_file::SnapshotFiles;
-use crate::raft::storage_thread::StorageThread;
+use crate::raft::storage_opener::StorageOpener;
 use crate::raft::{
     ChangeError, GroupOptions, GroupStatus, LogStorage, OpenError, Priority, ProposeError,
     ReadError, ReadPoint, ReplicaChange, StateMachine, Transport,
@@ -47,6 +45,7 @@
     }
 
     /// Opens the replica with a wrapper around its storage, for tests that inject storage errors.
+    /// The wrapper is applied again each time that failed storage is reopened.
     ///
     /// # Errors
     ///
@@ -55,23 +54,18 @@
         options: GroupOptions,
         machine: Arc<dyn StateMachine>,
         transport: Arc<dyn Transport>,
-        wrap: impl FnOnce(Box<dyn LogStorage>) -> Box<dyn LogStorage>,
+        wrap: impl Fn(Box<dyn LogStorage>) -> Box<dyn LogStorage> + Send + Sync + 'static,
     ) -> Result<Self, OpenError> {
-        let group = options.group;
-        let (recovery, storage) = recover(&options, machine.as_ref())?;
         let (event_sender, events) = unbounded();
-        let snapshot_bytes = SnapshotFiles::new(&options.data_folder).data_bytes();
-        let disk_quota = Arc::new(DiskQuota::new(&options, storage.data_bytes(), snapshot_bytes));
-        let storage_event_sender = event_sender.clone();
-        let (jobs, storage_thread) = StorageThread::spawn(
-            format!("raft-log-{group}"),
-            wrap(Box::new(storage)),
-            disk_quota.clone(),
-            Box::new(move |event| {
-                let _ = storage_event_sender.try_send(Event::Storage(event));
-            }),
-        )
-        .map_err(|error| OpenError::Io { group, error })?;
+        let disk_quota = Arc::new(DiskQuota::new(&options));
+        let opener = StorageOpener {
+            options: options.clone(),
+            machine: machine.clone(),
+            disk_quota: disk_quota.clone(),
+            events: event_sender.clone(),
+            wrap: Box::new(wrap),
+        };
+        let opened = opener.open(0, 0)?;
         let status = Arc::new(ArcSwap::from_pointee(GroupStatus::default()));
         let applied = Arc::new(Signal::default());
         let context = DriverContext {
@@ -79,17 +73,14 @@
             transport,
             events,
             event_sender: event_sender.clone(),
-            jobs,
             disk_quota: disk_quota.clone(),
             status: status.clone(),
             applied: applied.clone(),
         };
-        let driver = Driver::new(options, recovery, context);
+        let driver = Driver::new(options, Arc::new(opener), opened, context);
         let (done, closed) = oneshot::channel();
         task::spawn(async move {
             driver.run().await;
-            // The driver has dropped the sender of jobs, so the thread ends after the last job.
-            let _ = task::spawn_blocking(move || storage_thread.join()).await;
             let _ = done.send(());
         });
         let closed = futures::FutureExt::shared(closed);
--- a/src/raft/group_status.rs
+++ b/src/raft/group_status.rs
@@ -29,8 +29,11 @@
     pub replicas: ReplicaSet,
     /// True if the replica may vote.
     pub may_vote: bool,
-    /// True once the replica has stopped permanently.
+    /// True while the replica takes no part in the group: after a storage failure until its storage
+    /// works again, and for good after a violated invariant.
     pub is_stopped: bool,
+    /// Number of storage failures since the replica was opened.
+    pub storage_failures: u64,
     /// Problem that an operator should know of.
     pub fault: Option<String>,
     /// Size of the log and the snapshot files.
--- a/src/raft/recovery.rs
+++ b/src/raft/recovery.rs
@@ -19,11 +19,16 @@
     pub fault: Option<String>,
 }
 
-/// Reads the data folder and restores the newest snapshot into the state machine; returns the state
+/// Reads the data folder and restores the newest snapshot into the state machine, unless the state
+/// machine has already applied the log up to `applied_index` and so knows more; returns the state
 /// and the log on disk.
+///
+/// Everything that is returned is durable, also where an earlier write could not be synced: the
+/// identity and the end of the log are written again.
 pub fn recover(
     options: &GroupOptions,
     machine: &dyn StateMachine,
+    applied_index: u64,
 ) -> Result<(RecoveredReplica, DiskLog), OpenError> {
     let group = options.group;
     let io_error = |error| OpenError::Io { group, error };
@@ -33,7 +38,7 @@
         sync_folder(parent).map_err(io_error)?;
     }
     let identity = open_identity(options)?;
-    recover_log(options, machine, identity).map_err(io_error)
+    recover_log(options, machine, identity, applied_index).map_err(io_error)
 }
 
 /// Reads the identity file, or creates one in an empty folder.
@@ -45,6 +50,7 @@
             let (found_group, found_id) = (identity.group, identity.replica_id);
             return Err(OpenError::OtherReplica { found_group, found_id });
         }
+        identity.write(&options.data_folder).map_err(io_error)?;
         return Ok(identity);
     }
     let mut files = fs::read_dir(&options.data_folder).map_err(io_error)?;
@@ -76,6 +82,7 @@
     options: &GroupOptions,
     machine: &dyn StateMachine,
     mut identity: Identity,
+    applied_index: u64,
 ) -> io::Result<(RecoveredReplica, DiskLog)> {
     let folder = &options.data_folder;
     let snapshots = SnapshotFiles::new(folder);
@@ -133,7 +140,9 @@
         snapshots.commit_saved()?;
     }
     if let Ok(Some(file)) = &snapshot_file {
-        file.restore(machine)?;
+        if applied_index == 0 || file.meta().last_index > applied_index {
+            file.restore(machine)?;
+        }
     }
     if !entries_continue_snapshot(&snapshot, &entries) {
         // The process ended after it installed a snapshot from the leader and before it cleared the
--- a/src/raft/snapshot_file.rs
+++ b/src/raft/snapshot_file.rs
@@ -88,6 +88,14 @@
         fs::remove_file(self.folder.join(SAVING))
     }
 
+    /// Deletes files that an earlier run, or an earlier opening of the storage, left unfinished.
+    pub fn discard_unfinished(&self) {
+        for name in [SAVING, RECEIVING] {
+            // A file that remains is overwritten later.
+            let _ = fs::remove_file(self.folder.join(name));
+        }
+    }
+
     /// Writes a chunk of a snapshot that is being received. Offset 0 starts a new file.
     pub fn store_chunk(&self, offset_bytes: u64, data: &[u8]) -> io::Result<()> {
         let path = self.folder.join(RECEIVING);
--- a/tests/raft_disk_log.rs
+++ b/tests/raft_disk_log.rs
@@ -54,6 +54,33 @@
     assert_eq!(scan(folder.path()).entries.len(), 6);
 }
 
+// Guards against entries that a process reads back from the page cache after a failed sync and
+// counts as durable: the end of the log must be written again, to a new file, before it counts.
+#[test]
+fn the_last_segment_is_written_again_at_each_opening() {
+    use std::os::unix::fs::MetadataExt;
+    let folder = tempfile::tempdir().unwrap();
+    let batches = [entries(1..4, 1), entries(4..6, 1), entries(6..9, 2)];
+    write(folder.path(), 64, &batches);
+    let inodes = |folder: &Path| -> Vec<u64> {
+        segment_files(folder).iter().map(|path| fs::metadata(path).unwrap().ino()).collect()
+    };
+    let before = inodes(folder.path());
+    let (mut log, scan) = DiskLog::open(folder.path(), 64, true).unwrap();
+    assert_eq!(scan.entries, batches.concat());
+    let after = inodes(folder.path());
+    let (last, earlier) = (before.len() - 1, &before[..before.len() - 1]);
+    assert_eq!(&after[..last], earlier, "earlier segments are durable already");
+    assert_ne!(after[last], before[last]);
+    log.append(&entries(9..10, 2)).unwrap();
+    log.sync().unwrap();
+    assert_eq!(scan_entries(folder.path()).last(), entries(9..10, 2).last());
+}
+
+fn scan_entries(folder: &Path) -> Vec<Entry> {
+    scan(folder).entries
+}
+
 // Guards against damage before the tail that is cut silently, in any byte of a record, with the
 // record that shows it in the same segment or in a later one.
 #[rstest]
--- a/tests/raft_fuzz.rs
+++ b/tests/raft_fuzz.rs
@@ -24,6 +24,7 @@
         1 => (0..40u8).prop_map(|percent| Step::Loss { percent }),
         4 => (node(), 0..4u8).prop_map(|(node, jobs_done)| Step::Crash { node, jobs_done }),
         5 => node().prop_map(|node| Step::Restart { node }),
+        3 => (node(), 0..4u8).prop_map(|(node, jobs_done)| Step::FailStorage { node, jobs_done }),
         2 => (node(), any::<u8>()).prop_map(|(node, place)| Step::DamageRecord { node, place }),
         1 => node().prop_map(|node| Step::LoseDisk { node }),
         3 => (node(), 0..8u8).prop_map(|(node, kept)| Step::Snapshot { node, kept }),
