Write stored routes and upstreams again after a failed write

Callers could see: after a full disk and a restart of the whole fleet, hosts serve by the routes from before the failed write until there is a leader.

Cause: the stored version was taken as written before the write had succeeded, so the next write came with the next change only.

Change: the version counts as stored after the write; a failed one is tried again each second.

--- a/src/coordinator/stored_state.rs
+++ b/src/coordinator/stored_state.rs
@@ -10,6 +10,8 @@
 use crate::schema::peer::StoredUpstreams;
 use crate::schema::routes::RouteTable;
 
+/// Interval of the attempts to write a file that could not be written, for example on a full disk.
+const RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Shortest interval at which the upstreams are stored.
 const STORE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -55,10 +57,14 @@
             changed.await;
             continue;
         }
-        stored_version = routes.version;
+        let version = routes.version;
         let file = coordinator.stored.route_file.clone();
-        if let Err(error) = task::spawn_blocking(move || file.write(&routes)).await {
-            log::warn!(event = "routes_not_stored", version = stored_version; "{error}");
+        match task::spawn_blocking(move || file.write(&routes)).await {
+            Ok(()) => stored_version = version,
+            Err(error) => {
+                log::warn!(event = "routes_not_stored", version = version; "{error}");
+                task::sleep(RETRY_INTERVAL).await;
+            }
         }
     }
 }
@@ -78,11 +84,14 @@
             task::sleep(STORE_INTERVAL).await;
             continue;
         }
-        stored_version = version;
         let file = coordinator.stored.upstream_file.clone();
         let stored = StoredUpstreams { upstreams };
-        if let Err(error) = task::spawn_blocking(move || file.write(&stored)).await {
-            log::warn!(event = "upstreams_not_stored"; "{error}");
+        match task::spawn_blocking(move || file.write(&stored)).await {
+            Ok(()) => stored_version = version,
+            Err(error) => {
+                log::warn!(event = "upstreams_not_stored"; "{error}");
+                task::sleep(RETRY_INTERVAL).await;
+            }
         }
     }
 }
