Take requests during a planned stop only if their time limit ends in time

Cause: requests were accepted for three quarters of the grace period on the assumption that an answer takes less than the last quarter. Neither the caller's deadline nor the route's timeout was asked.

Change: PlannedStop holds the time by which work must end. Callers' requests, streams that are taken up, requests of other hosts, job calls and the requests of damaskhoistd are taken only if their time limit ends by then; others are refused as not run at once. The check of damaskhoistd for a draining host without open requests never held, as it counted itself, and is gone.

--- a/src/entry/caller_request.rs
+++ b/src/entry/caller_request.rs
@@ -156,7 +156,12 @@
             let message = "the deadline has passed already";
             return Err(Refusal::not_run(RefusalKind::DeadlineExceeded, message));
         }
-        Ok(Instant::now() + Duration::from_millis(deadline_ms.min(DEADLINE_LIMIT_MS)))
+        let deadline = Instant::now() + Duration::from_millis(deadline_ms.min(DEADLINE_LIMIT_MS));
+        if !self.shared().request_tracker.leaves_time_until(deadline) {
+            let message = "this host stops before the deadline of the request";
+            return Err(Refusal::not_run(RefusalKind::Draining, message));
+        }
+        Ok(deadline)
     }
 
     /// Reads the body and parses it as JSON; returns the raw bytes as well.
--- a/src/entry/entry_server.rs
+++ b/src/entry/entry_server.rs
@@ -14,6 +14,8 @@
 
 /// Upper bound on the time until all hosts learn that a host is leaving.
 const LEAVE_PROPAGATION_BOUND_MS: u64 = 2_000;
+/// Time at the end of a drain for answers that are ready at the deadline of their request.
+const DRAIN_SEND_TIME: Duration = Duration::from_millis(400);
 /// Interval at which a drain checks the number of open requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -49,12 +51,14 @@
     pub async fn drain(self) {
         let settings = &self.shared.settings.entry;
         let started = Instant::now();
+        let bound = Duration::from_millis(settings.drain_bound_ms);
         self.shared.membership.set_leaving();
-        self.shared.request_tracker.start_drain();
+        // The bound leaves time to send the answers that end at their deadline.
+        let requests_end_by = started + bound - DRAIN_SEND_TIME.min(bound / 8);
+        self.shared.request_tracker.start_drain(requests_end_by);
         log::info!("draining with {} open requests", self.shared.request_tracker.open_count());
         let entry_list_lifetime =
             Duration::from_millis(settings.entries_hold_ms + LEAVE_PROPAGATION_BOUND_MS);
-        let bound = Duration::from_millis(settings.drain_bound_ms);
         task::sleep(entry_list_lifetime.min(bound)).await;
         while self.shared.request_tracker.open_count() > 0 && started.elapsed() < bound {
             task::sleep(DRAIN_POLL_INTERVAL).await;
--- a/src/entry/request_tracker.rs
+++ b/src/entry/request_tracker.rs
@@ -1,8 +1,11 @@
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
+use std::time::Instant;
 
 use async_std::channel::{bounded, Receiver, Sender};
 
+use crate::admission::PlannedStop;
+
 /// Counts the open requests of this host and tracks whether it is draining. Clones share one state.
 #[derive(Clone, Debug, Default)]
 pub struct RequestTracker {
@@ -12,7 +15,7 @@
 #[derive(Debug)]
 struct Shared {
     open: AtomicU32,
-    draining: AtomicBool,
+    stop: PlannedStop,
     drain_sender: Sender<()>,
     drain_receiver: Receiver<()>,
 }
@@ -20,12 +23,7 @@
 impl Default for Shared {
     fn default() -> Self {
         let (drain_sender, drain_receiver) = bounded(1);
-        Self {
-            open: AtomicU32::new(0),
-            draining: AtomicBool::new(false),
-            drain_sender,
-            drain_receiver,
-        }
+        Self { open: AtomicU32::new(0), stop: PlannedStop::default(), drain_sender, drain_receiver }
     }
 }
 
@@ -43,7 +41,7 @@
 
     /// Whether the drain of this host has started.
     pub fn is_draining(&self) -> bool {
-        self.shared.draining.load(Ordering::Acquire)
+        self.shared.stop.has_begun()
     }
 
     /// Requests a drain from the task that runs the host; does nothing if a request is pending.
@@ -56,9 +54,14 @@
         let _ = self.shared.drain_receiver.recv().await;
     }
 
-    /// Marks the host as draining.
-    pub fn start_drain(&self) {
-        self.shared.draining.store(true, Ordering::Release);
+    /// Marks the host as draining. Requests that are still taken end by `requests_end_by`.
+    pub fn start_drain(&self, requests_end_by: Instant) {
+        self.shared.stop.begin(requests_end_by);
+    }
+
+    /// True if a request with this deadline ends before a drain of the host does.
+    pub fn leaves_time_until(&self, deadline: Instant) -> bool {
+        self.shared.stop.leaves_time_until(deadline)
     }
 }
 
--- a/src/entry/routes/completions.rs
+++ b/src/entry/routes/completions.rs
@@ -4,7 +4,7 @@
 use async_trait::async_trait;
 use tide::Response;
 
-use crate::admission::{Refusal, RefusalKind};
+use crate::admission::Refusal;
 use crate::entry::caller_request::{invalid_request, CallerRequest};
 use crate::entry::event_body::EventBody;
 use crate::entry::route::RouteHandler;
@@ -66,9 +66,6 @@
         let deadline = request.deadline()?;
         let (bytes, body) = request.json().await?;
         let shared = request.shared();
-        if shared.request_tracker.is_draining() && shared.request_tracker.open_count() == 0 {
-            return Err(Refusal::not_run(RefusalKind::Draining, "this host is stopping"));
-        }
         let model = EngineRequest::model_of(&body)?.to_owned();
         let stream = match body.get("stream") {
             None | Some(serde_json::Value::Null) => false,
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -1,10 +1,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use async_std::task;
 
+use crate::admission::PlannedStop;
 use crate::control::unix_ms;
 use crate::coordinator::{LeaderClient, LeaderError, LeaderHint};
 use crate::directory::{
@@ -77,13 +78,11 @@
     origins: OnceLock<Arc<FleetOrigins>>,
     /// The first table of routes was received.
     has_routes: AtomicBool,
-    draining: AtomicBool,
+    stop: Arc<PlannedStop>,
     /// This host can't reach upstreams that other hosts reach.
     links_lost: AtomicBool,
     /// Number of changes of `links_lost`.
     link_changes: AtomicU64,
-    /// Online requests are refused, since the process is about to end.
-    closing: AtomicBool,
     /// Revision of the other hosts' request counts that this host last received, as numbered by the leader.
     uses_revision: AtomicU64,
 }
@@ -104,7 +103,7 @@
 
     /// Items are not run while the links are lost, as other hosts run them without a detour.
     fn takes_items(&self) -> bool {
-        !self.draining.load(Ordering::Acquire) && !self.links_lost.load(Ordering::Acquire)
+        !self.stop.has_begun() && !self.links_lost.load(Ordering::Acquire)
     }
 
     /// Applies a change of this host's links.
@@ -118,14 +117,14 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.has_routes.load(Ordering::Acquire) && !self.draining.load(Ordering::Acquire)
+        self.has_routes.load(Ordering::Acquire) && !self.stop.has_begun()
     }
 
     /// This host as it announces itself. The sequence grows with each change.
     fn entry_host(&self) -> EntryHost {
         let caller_address = self.settings.caller_address.map(|address| address.to_string());
         let has_routes = u64::from(self.has_routes.load(Ordering::Acquire));
-        let draining = u64::from(self.draining.load(Ordering::Acquire));
+        let draining = u64::from(self.stop.has_begun());
         EntryHost {
             host_id: self.settings.host_id.clone(),
             caller_address: caller_address.unwrap_or_default(),
@@ -194,6 +193,7 @@
         let fleet = Arc::new(GatewayFleet::default());
         let started_at_unix_ms = unix_ms();
         let crashes = Arc::new(CrashGuard::open(&settings.host_id));
+        let stop = Arc::<PlannedStop>::default();
         let sync_state = Arc::new(EntrySyncState {
             settings: settings.clone(),
             started_at_unix_ms,
@@ -203,10 +203,9 @@
             worker: OnceLock::new(),
             origins: OnceLock::new(),
             has_routes: AtomicBool::new(false),
-            draining: AtomicBool::new(false),
+            stop: stop.clone(),
             links_lost: AtomicBool::new(false),
             link_changes: AtomicU64::new(0),
-            closing: AtomicBool::new(false),
             uses_revision: AtomicU64::new(0),
         });
         let watch_options = FleetWatchOptions {
@@ -238,7 +237,8 @@
             direct.retain_upstreams(&|_| !is_lost);
             changed.sync_now();
         }));
-        let relay_server = RelayServer::spawn(fleet.clone(), connector.clone(), counters.clone());
+        let relay_server =
+            RelayServer::spawn(fleet.clone(), connector.clone(), counters.clone(), stop.clone());
         let worker =
             BatchWorker::spawn(fleet.clone(), connector.clone(), leader.clone(), counters.clone());
         let _ = sync_state.worker.set(worker);
@@ -308,20 +308,16 @@
     }
 
     /// Starts to drain: batch items are returned to the leader, and the host is no longer reported as
-    /// ready, so lookups stop returning it. Requests are still served.
-    pub fn start_drain(&self) {
-        self.sync_state.draining.store(true, Ordering::Release);
+    /// ready, so lookups stop returning it. Requests whose time limit ends by `requests_end_by` are
+    /// still served.
+    pub fn start_drain(&self, requests_end_by: Instant) {
+        self.sync_state.stop.begin(requests_end_by);
         if let Some(worker) = self.sync_state.worker.get() {
             worker.stop_all();
         }
         self.watch.sync_now();
     }
 
-    /// Refuses online requests from now on, so that those in progress are the last ones.
-    pub fn stop_accepting(&self) {
-        self.sync_state.closing.store(true, Ordering::Release);
-    }
-
     /// Forwards an online request. `routes` must be the routes by which the request was classified as
     /// online, since newer ones may classify it as a batch job.
     ///
@@ -333,12 +329,14 @@
         request: &StreamRequest,
         sink: &mut dyn AnswerSink,
     ) -> Result<ForwardOutcome, HttpError> {
-        if self.sync_state.closing.load(Ordering::Acquire) {
+        let route = routes.find(&request.host, request.path());
+        let has_time = |route| self.sync_state.stop.leaves_time_until(request.deadline(route));
+        if !route.is_none_or(has_time) {
             // Another host can take the request at once.
-            let refusal = Refusal::not_run("the host is about to stop", Duration::ZERO);
+            let reason = "the host stops before the time limit of the request";
+            let refusal = Refusal::not_run(reason, Duration::ZERO);
             return self.forwarder.refuse(request, routes.version(), refusal, sink).await;
         }
-        let route = routes.find(&request.host, request.path());
         self.forwarder.forward(route, routes.version(), request, sink).await
     }
 
@@ -364,6 +362,14 @@
         self.relay_server.close_request(close.relay_id);
     }
 
+    /// Fails if the host stops before a call with this budget ends.
+    fn check_time(&self, budget: Duration) -> Result<(), LeaderError> {
+        match self.sync_state.stop.leaves_time_until(Instant::now() + budget) {
+            true => Ok(()),
+            false => Err(LeaderError::NotSubmitted("this host is about to stop".to_owned())),
+        }
+    }
+
     /// Submits a batch job to the leader, within `budget`.
     ///
     /// # Errors
@@ -373,6 +379,7 @@
         job: SubmitJob,
         budget: Duration,
     ) -> Result<Option<outcome::Outcome>, LeaderError> {
+        self.check_time(budget)?;
         let (job_id, items) = (job.job_id.clone(), job.items.len());
         let submitted = self.leader.submit(command(Kind::SubmitJob(job)), budget).await;
         match &submitted {
@@ -396,6 +403,7 @@
         wait: Duration,
         budget: Duration,
     ) -> Result<Option<ResultPage>, LeaderError> {
+        self.check_time(budget)?;
         let wait_ms = wait.as_millis() as u32;
         let read = ReadResults { job_id: job_id.to_owned(), after, wait_ms };
         let query = Query { query: Some(query::Query::ReadResults(read)) };
@@ -416,6 +424,7 @@
         item_id: &str,
         budget: Duration,
     ) -> Result<Option<bytes::Bytes>, LeaderError> {
+        self.check_time(budget)?;
         let read = ReadItemBody { job_id: job_id.to_owned(), item_id: item_id.to_owned() };
         let query = Query { query: Some(query::Query::ReadItemBody(read)) };
         let Answer { answer } = self.job_reader.query(query, Duration::ZERO, budget).await?;
@@ -430,6 +439,7 @@
     /// # Errors
     /// A [`LeaderError`], which says whether the job may have been cancelled.
     pub async fn cancel_job(&self, job_id: &str, budget: Duration) -> Result<bool, LeaderError> {
+        self.check_time(budget)?;
         let cancel = CancelJob { job_id: job_id.to_owned() };
         let outcome = self.leader.submit(command(Kind::CancelJob(cancel)), budget).await?;
         log::info!(event = "job_cancelled", job = job_id; "{:?}", outcome.outcome);
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -95,9 +95,7 @@
             let refusal = Refusal::not_run("the route accepts only batch jobs", RETRY_AFTER);
             return self.refuse(request, version, refusal, sink).await;
         }
-        let route_limit = Duration::from_millis(route.timeout_ms.into());
-        let time_limit = request.caller_timeout.map_or(route_limit, |limit| limit.min(route_limit));
-        let deadline = request.arrived + time_limit;
+        let deadline = request.deadline(route);
         let resumes = route.kind() == RouteKind::Stream && request.last_event_id > Some(0);
         let origin = match resumes {
             true => self.origins.find(request, route).await,
--- a/src/gateway/stream_request.rs
+++ b/src/gateway/stream_request.rs
@@ -4,6 +4,7 @@
 
 use crate::gateway::Prompt;
 use crate::http::Headers;
+use crate::schema::routes::Route;
 
 /// A caller's request or a batch item, independent of its encoding on the wire.
 #[derive(Clone, Debug)]
@@ -34,6 +35,13 @@
 }
 
 impl StreamRequest {
+    /// Time at which the request ends at the latest: the time limit of its caller or of its route.
+    pub fn deadline(&self, route: &Route) -> Instant {
+        let route_limit = Duration::from_millis(route.timeout_ms.into());
+        let limit = self.caller_timeout.map_or(route_limit, |limit| limit.min(route_limit));
+        self.arrived + limit
+    }
+
     /// Path without the query string.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
--- a/src/relay/relay_server.rs
+++ b/src/relay/relay_server.rs
@@ -8,6 +8,7 @@
 use async_std::task;
 use futures::future::{select, Either};
 
+use crate::admission::PlannedStop;
 use crate::gateway::{
     CallTarget, GatewayFleet, Prompt, SendError, StreamConnector, StreamRequest, UpstreamAnswer,
 };
@@ -29,6 +30,7 @@
     fleet: Arc<GatewayFleet>,
     connector: Arc<dyn StreamConnector>,
     counters: Counters,
+    stop: Arc<PlannedStop>,
     relayed: Mutex<HashMap<u64, Relayed>>,
 }
 
@@ -42,13 +44,15 @@
 }
 
 impl RelayServer {
-    /// Starts to relay requests to the upstreams of `fleet`.
+    /// Starts to relay requests to the upstreams of `fleet`, until `stop` leaves them no time.
     pub fn spawn(
         fleet: Arc<GatewayFleet>,
         connector: Arc<dyn StreamConnector>,
         counters: Counters,
+        stop: Arc<PlannedStop>,
     ) -> Arc<Self> {
-        let server = Arc::new(Self { fleet, connector, counters, relayed: Mutex::default() });
+        let relayed = Mutex::default();
+        let server = Arc::new(Self { fleet, connector, counters, stop, relayed });
         task::spawn(drop_unread(server.clone()));
         server
     }
@@ -116,6 +120,10 @@
         let Some(upstream) = upstream.filter(|upstream| upstream.accepts_work) else {
             return Err(SendError::NotSent("the relay does not know the upstream".to_owned()));
         };
+        let deadline = Duration::from_millis(wire.deadline_ms.into());
+        if !self.stop.leaves_time_until(Instant::now() + deadline) {
+            return Err(SendError::NotSent("the relay stops before the request ends".to_owned()));
+        }
         let closed = Arc::<Signal>::default();
         {
             let mut relayed = self.relayed();
@@ -127,7 +135,6 @@
             relayed.insert(wire.relay_id, entry);
         }
         self.counters.count("request_relayed");
-        let deadline = Duration::from_millis(wire.deadline_ms.into());
         let target = CallTarget {
             upstream_id: &upstream.upstream_id,
             address: upstream.address,
