Bound the bytes that a process holds over all connections

Report of other operators: an upstream sent bytes without end, and the host that had called it ran out of memory.

Cause: heads, events, texts of items and uploads had a limit each, and nothing bounded their sum.

An upload without room is refused as not run.

--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -15,7 +15,7 @@
     CallTarget, Event, EventSplitter, GatewayFleet, Prompt, SendError, StreamConnector,
     StreamRequest, Upstream,
 };
-use crate::http::Headers;
+use crate::http::{BufferLease, Headers};
 use crate::ledger::command;
 use crate::schema::ledger::{command::Command as Kind, FinishItems, FinishedItem};
 use crate::schema::peer::{
@@ -257,7 +257,8 @@
                 return Err(RunError::Returned(ItemReturn::FailedAttempt));
             }
         }
-        let mut splitter = EventSplitter::default();
+        let mut splitter = EventSplitter::new(BufferLease::for_answer());
+        let mut text_lease = BufferLease::for_answer();
         let (has_framing, mut has_event) = (answer.head().has_framing, false);
         let deadline = Instant::now() + ITEM_DEADLINE;
         let mut last_event_at = Instant::now();
@@ -298,7 +299,9 @@
                     return Err(RunError::Returned(ItemReturn::Interrupted));
                 }
             }
-            if splitter.is_over_limit() || progress.text.len() > TEXT_LIMIT_BYTES {
+            let may_hold_text =
+                progress.text.len() <= TEXT_LIMIT_BYTES && text_lease.resize(progress.text.len());
+            if !splitter.may_hold_rest() || !may_hold_text {
                 log_failed_attempt(assignment, "the answer is larger than the limit");
                 *progress = ItemProgress::of(assignment);
                 return Err(RunError::Returned(ItemReturn::Interrupted));
--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -2,20 +2,27 @@
 
 use crate::gateway::event::field;
 use crate::gateway::Event;
+use crate::http::BufferLease;
 
 /// Largest event. An upstream in trouble may send bytes without end that never complete one.
 const EVENT_LIMIT_BYTES: usize = 1 << 20;
 
 /// Splits the bytes of a stream into complete events. An upstream may fail in the middle of an event; the
 /// incomplete event must not reach the caller.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    lease: BufferLease,
     /// Number of bytes of the buffer that were already searched for the end of an event.
     searched: usize,
 }
 
 impl EventSplitter {
+    /// An empty buffer that grows within `lease`.
+    pub fn new(lease: BufferLease) -> Self {
+        Self { buffer: BytesMut::new(), lease, searched: 0 }
+    }
+
     /// Appends bytes of the stream to the buffer.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
@@ -29,9 +36,10 @@
         Some(Event { id: event_id(&bytes), bytes })
     }
 
-    /// True if the incomplete event in the buffer is above the limit.
-    pub fn is_over_limit(&self) -> bool {
-        self.buffer.len() > EVENT_LIMIT_BYTES
+    /// Counts the incomplete event in the buffer as held. False if it is above the limit of an event,
+    /// or all connections together hold too much; the stream must then be given up.
+    pub fn may_hold_rest(&mut self) -> bool {
+        self.buffer.len() <= EVENT_LIMIT_BYTES && self.lease.resize(self.buffer.len())
     }
 
     /// True if the buffer holds no part of an event.
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -11,7 +11,7 @@
     Refusal, RefusalKind, SendError, StreamConnector, StreamOrigins, StreamRequest, Upstream,
     UpstreamAnswer,
 };
-use crate::http::HttpError;
+use crate::http::{BufferLease, HttpError};
 use crate::schema::routes::{Route, RouteKind};
 use crate::telemetry::Counters;
 
@@ -400,7 +400,7 @@
             progress.last_error = "the resumed answer is not a stream of events".to_owned();
             return Ok(self.retry_or_cut(progress, false));
         }
-        let mut splitter = EventSplitter::default();
+        let mut splitter = EventSplitter::new(BufferLease::for_answer());
         let mut last_progress_at = Instant::now();
         // The head is sent together with the first event, so that a retry at another upstream is still
         // possible if this one fails before its first event.
@@ -471,7 +471,7 @@
                 progress.last_event_id = event.id.or(progress.last_event_id);
                 events.extend_from_slice(&event.bytes);
             }
-            if splitter.is_over_limit() {
+            if !splitter.may_hold_rest() {
                 progress.last_error = "an event of the stream is larger than the limit".to_owned();
                 return Ok(self.handle_broken_stream(request, upstream, progress, may_resume));
             }
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,6 +1,6 @@
 use bytes::{Buf, Bytes, BytesMut};
 
-use crate::http::{BodyFraming, Connection, HttpError};
+use crate::http::{BodyFraming, BufferLease, Connection, HttpError};
 
 /// Maximum length of a chunk-size line or a trailer field.
 const LINE_LIMIT_BYTES: usize = 4 << 10;
@@ -68,14 +68,16 @@
         }
     }
 
-    /// Reads the whole body.
+    /// Reads the whole body, for as long as `lease` has room for it.
     ///
     /// # Errors
-    /// [`HttpError::TooLarge`] above `limit_bytes`, and the errors of [`BodyReader::next`].
+    /// [`HttpError::TooLarge`] above `limit_bytes`, [`HttpError::NoBuffer`] if the lease can't be
+    /// enlarged, and the errors of [`BodyReader::next`].
     pub async fn read_all(
         &mut self,
         connection: &mut Connection,
         limit_bytes: u64,
+        lease: &mut BufferLease,
     ) -> Result<Bytes, HttpError> {
         if matches!(self.state, State::Length(length) if length > limit_bytes) {
             return Err(HttpError::TooLarge);
@@ -85,6 +87,9 @@
             if (body.len() + piece.len()) as u64 > limit_bytes {
                 return Err(HttpError::TooLarge);
             }
+            if !lease.resize(body.len() + piece.len()) {
+                return Err(HttpError::NoBuffer);
+            }
             body.extend_from_slice(&piece);
         }
         Ok(body.freeze())
--- a/src/http/error.rs
+++ b/src/http/error.rs
@@ -12,6 +12,8 @@
     Malformed(&'static str),
     /// The head or the body exceeds its size limit.
     TooLarge,
+    /// The process holds as many bytes of other parties as it may.
+    NoBuffer,
     /// The peer did not send the head in time.
     Timeout,
 }
@@ -23,6 +25,7 @@
             Self::Closed => formatter.write_str("closed inside a message"),
             Self::Malformed(reason) => write!(formatter, "malformed: {reason}"),
             Self::TooLarge => formatter.write_str("larger than the limit"),
+            Self::NoBuffer => formatter.write_str("the process can't buffer more bytes"),
             Self::Timeout => formatter.write_str("timeout"),
         }
     }
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -1,7 +1,7 @@
 use async_std::net::TcpStream;
 use bytes::Bytes;
 
-use crate::http::{BodyReader, Connection, Headers, HttpError, RequestHead};
+use crate::http::{BodyReader, BufferLease, Connection, Headers, HttpError, RequestHead};
 
 /// Whether a connection stays open after a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,12 +31,16 @@
         Self { connection, body, keep_alive, buffer: Vec::new() }
     }
 
-    /// Reads the whole body of the request.
+    /// Reads the whole body of the request. `lease` must live as long as the body is kept.
     ///
     /// # Errors
     /// The errors of [`BodyReader::read_all`].
-    pub async fn read_body(&mut self, limit_bytes: u64) -> Result<Bytes, HttpError> {
-        self.body.read_all(self.connection, limit_bytes).await
+    pub async fn read_body(
+        &mut self,
+        limit_bytes: u64,
+        lease: &mut BufferLease,
+    ) -> Result<Bytes, HttpError> {
+        self.body.read_all(self.connection, limit_bytes, lease).await
     }
 
     /// The underlying socket, to detect a disconnect of the caller.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,6 +7,7 @@
 //! directions.
 
 mod body;
+mod buffer_budget;
 mod connection;
 mod error;
 mod exchange;
@@ -17,6 +18,7 @@
 mod server;
 
 pub use body::BodyReader;
+pub use buffer_budget::{BufferBudget, BufferLease};
 pub use connection::Connection;
 pub use error::HttpError;
 pub use exchange::{ConnectionStatus, Exchange};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -151,6 +151,7 @@
 /// or failed.
 async fn respond_with_error(mut connection: Connection, error: &HttpError, shared: &Shared) {
     let status = match error {
+        HttpError::NoBuffer => 503,
         HttpError::TooLarge => 431,
         HttpError::Malformed(_) => 400,
         HttpError::Timeout => 408,
