Prove the version of a stream without a record by the control hosts

Report of other operators: a host that was out of step during a release continued streams at another software version than the one that began them.

Cause: a stream without a record was taken for one of the only version that the host itself knew, however old its view was; a request that named no earlier one was decided without a question. The versions also forgot an upstream that restarted under its id with another one.

Change: control hosts name the versions of the last minute in their answer on the origin of a stream. A stream without a record goes on only if more than half of those asked answered and all, with the host's own view, know one version. Versions of replaced records are kept for a minute. The new fields are in existing messages; builds that lack them count as no answer.

--- a/src/coordinator/origin_records.rs
+++ b/src/coordinator/origin_records.rs
@@ -21,12 +21,19 @@
 
     /// Answers what this host knows of the origin of a stream.
     pub(super) fn find_stream_origin(&self, find: &FindStreamOrigin) -> FoundStreamOrigin {
+        let versions = self.watch().map(|watch| {
+            let history = watch.view().service_versions.clone();
+            history.versions(&find.service, Instant::now()).into_iter().collect()
+        });
+        let versions = versions.unwrap_or_default();
         match lock(&self.origins).find(find.request_hash) {
-            KnownOrigin::Unknown => FoundStreamOrigin::default(),
+            KnownOrigin::Unknown => FoundStreamOrigin { versions, ..Default::default() },
             KnownOrigin::Known(origin) => {
-                FoundStreamOrigin { origin: Some((&*origin).into()), is_ambiguous: false }
+                FoundStreamOrigin { origin: Some((&*origin).into()), is_ambiguous: false, versions }
+            }
+            KnownOrigin::Ambiguous => {
+                FoundStreamOrigin { origin: None, is_ambiguous: true, versions }
             }
-            KnownOrigin::Ambiguous => FoundStreamOrigin { origin: None, is_ambiguous: true },
         }
     }
 }
--- a/src/directory/fleet_view.rs
+++ b/src/directory/fleet_view.rs
@@ -1,7 +1,6 @@
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use crate::directory::{OriginKeeper, UpstreamRecord};
+use crate::directory::{OriginKeeper, UpstreamRecord, VersionHistory};
 use crate::schema::peer::EntryHost;
 use crate::schema::routes::RouteTable;
 
@@ -16,7 +15,7 @@
     /// entry hosts; empty on an entry host.
     pub known_upstreams: Arc<Vec<UpstreamRecord>>,
     /// Software versions of each service that any upstream had lately, gone ones included.
-    pub service_versions: Arc<BTreeMap<String, BTreeSet<String>>>,
+    pub service_versions: Arc<VersionHistory>,
     /// Entry hosts that are in contact with the control hosts, sorted by name.
     pub entries: Arc<Vec<Arc<EntryHost>>>,
     /// Peer addresses of the control hosts.
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -282,8 +282,7 @@
                 record.phase = Phase::Draining;
             }
         }
-        let versions = service_versions(&known);
-        if *next.service_versions != versions {
+        if let Some(versions) = next.service_versions.updated(&known, now) {
             log::info!(event = "service_versions"; "{versions:?}");
             next.service_versions = Arc::new(versions);
         }
@@ -471,15 +470,6 @@
     named.find(|address| !address.is_empty()).cloned()
 }
 
-/// The software versions of each service among these upstreams, gone ones included.
-fn service_versions(records: &[UpstreamRecord]) -> BTreeMap<String, BTreeSet<String>> {
-    let mut versions: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
-    for record in records.iter().filter(|record| !record.service.is_empty()) {
-        versions.entry(record.service.clone()).or_default().insert(record.version.clone());
-    }
-    versions
-}
-
 /// Starts and ends polling tasks, and publishes changes of the view that are due to timeouts instead of
 /// replies.
 async fn supervise(watch: Arc<FleetWatch>) {
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -27,6 +27,7 @@
 mod sync_handler;
 mod upstream_directory;
 mod upstream_record;
+mod version_history;
 
 pub use control_host_list::ControlHostList;
 pub use crash_exchange::CrashExchange;
@@ -45,3 +46,4 @@
 pub use sync_handler::SyncHandler;
 pub use upstream_directory::{heartbeat_timeout, Directory, HeartbeatOutcome};
 pub use upstream_record::{Phase, UpstreamRecord, MAX_SLOTS};
+pub use version_history::{only_version, VersionHistory};
--- a/src/gateway/fleet_origins.rs
+++ b/src/gateway/fleet_origins.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -8,7 +8,8 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 
 use crate::directory::{
-    choose_asked, choose_keepers, request_hash, FleetWatch, KnownOrigin, OriginTable, StreamOrigin,
+    choose_asked, choose_keepers, only_version, request_hash, FleetWatch, KnownOrigin, OriginTable,
+    StreamOrigin,
 };
 use crate::gateway::{StreamOrigins, StreamRequest};
 use crate::peer::{PeerCaller, TrafficClass};
@@ -48,8 +49,10 @@
     origin: Option<StreamOrigin>,
     /// There are records of several origins.
     is_ambiguous: bool,
-    /// Control hosts that answered.
-    answers: usize,
+    /// Number of control hosts that were asked.
+    asked: usize,
+    /// The versions that the service had lately, as each control host that answered knows them.
+    versions: Vec<BTreeSet<String>>,
 }
 
 impl FleetOrigins {
@@ -125,9 +128,12 @@
 
     /// Looks for the record of a stream, here and at the control hosts. `resumed` is the request that brought its
     /// first event, if the caller names one.
-    async fn look_up(&self, resumed: Option<&str>) -> Findings {
+    async fn look_up(&self, resumed: Option<&str>, service: &str) -> Findings {
         let Some(resumed) = resumed else {
-            return Findings { source: "no_request_named", ..Findings::default() };
+            // Asks for the versions of the service only.
+            let findings = self.ask(request_hash(""), service).await;
+            let (origin, is_ambiguous) = (None, false);
+            return Findings { source: "no_request_named", origin, is_ambiguous, ..findings };
         };
         let hash = request_hash(resumed);
         let own = lock(&self.own).find(hash);
@@ -137,28 +143,30 @@
                 Findings { origin: Some((*origin).clone()), ..own_findings }
             }
             KnownOrigin::Ambiguous => Findings { is_ambiguous: true, ..own_findings },
-            KnownOrigin::Unknown => self.ask(hash).await,
+            KnownOrigin::Unknown => self.ask(hash, service).await,
         }
     }
 
-    /// Asks control hosts for the origin of a stream, until one knows it.
-    async fn ask(&self, request_hash: u64) -> Findings {
+    /// Asks control hosts for the origin of a stream of this service, until one knows it.
+    async fn ask(&self, request_hash: u64, service: &str) -> Findings {
         let keepers = self.watch.view().origin_keepers.clone();
         let asked = choose_asked(&keepers, request_hash);
+        let mut findings =
+            Findings { source: "control_hosts", asked: asked.len(), ..Findings::default() };
         let mut replies: FuturesUnordered<_> = asked
             .into_iter()
             .map(|address| {
-                let find = call::Call::FindStreamOrigin(FindStreamOrigin { request_hash });
+                let find = FindStreamOrigin { request_hash, service: service.to_owned() };
+                let find = call::Call::FindStreamOrigin(find);
                 let call = Call { traceparent: String::new(), call: Some(find) };
                 self.caller.call(address, TrafficClass::Online, call, FIND_TIMEOUT)
             })
             .collect();
-        let mut findings = Findings { source: "control_hosts", ..Findings::default() };
         while let Some(reply) = replies.next().await {
             let Ok(Reply { reply: Some(reply::Reply::FoundStreamOrigin(found)) }) = reply else {
                 continue;
             };
-            findings.answers += 1;
+            findings.versions.push(found.versions.into_iter().collect());
             findings.is_ambiguous |= found.is_ambiguous;
             if let Some(origin) = found.origin {
                 findings.origin = Some(origin.into());
@@ -168,18 +176,21 @@
         findings
     }
 
-    /// The only origin that a stream of the route can have, if its service had a single software version
-    /// lately.
-    fn only_origin(&self, route: &Route) -> Option<StreamOrigin> {
-        let mut services = route.shares.iter().filter(|share| share.weight > 0);
-        let service = services.next().filter(|_| services.next().is_none())?.service.as_str();
-        let view = self.watch.view();
-        let mut versions = view.service_versions.get(service)?.iter();
-        let version = versions.next().filter(|_| versions.next().is_none())?;
-        Some(StreamOrigin { service: service.to_owned(), version: version.clone() })
+    /// The only origin that a stream of this service can have, if the control hosts agree that there was
+    /// a single software version lately.
+    fn only_origin(&self, service: &str, findings: &Findings) -> Option<StreamOrigin> {
+        let own = self.watch.view().service_versions.versions(service, Instant::now());
+        let version = only_version(findings.asked, &findings.versions, &own)?;
+        Some(StreamOrigin { service: service.to_owned(), version })
     }
 }
 
+/// The service of a route; `None` if it has several.
+fn only_service(route: &Route) -> Option<&str> {
+    let mut services = route.shares.iter().filter(|share| share.weight > 0);
+    services.next().filter(|_| services.next().is_none()).map(|share| share.service.as_str())
+}
+
 #[async_trait]
 impl StreamOrigins for FleetOrigins {
     fn record(&self, request: &StreamRequest, origin: &StreamOrigin) {
@@ -192,13 +203,12 @@
     async fn find(&self, request: &StreamRequest, route: &Route) -> Option<StreamOrigin> {
         // A request that names itself says nothing of an earlier one.
         let resumed = request.resumes.as_deref().filter(|id| *id != request.request_id);
-        let findings = self.look_up(resumed).await;
+        let service = only_service(route);
+        let findings = self.look_up(resumed, service.unwrap_or_default()).await;
         let origin = match &findings.origin {
             _ if findings.is_ambiguous => None,
             Some(origin) => Some(origin.clone()),
-            // A host that no control host answers may not have heard of a new version yet.
-            None if resumed.is_some() && findings.answers == 0 => None,
-            None => self.only_origin(route),
+            None => service.and_then(|service| self.only_origin(service, &findings)),
         };
         self.counters.count(match &origin {
             Some(_) => "stream_origin_found",
@@ -206,7 +216,7 @@
         });
         log::info!(event = "stream_resumed", request = request.request_id.as_str(),
             resumes = request.resumes.as_deref().unwrap_or_default(), source = findings.source,
-            answers = findings.answers as u64, is_ambiguous = findings.is_ambiguous,
+            answers = findings.versions.len() as u64, is_ambiguous = findings.is_ambiguous,
             service = origin.as_ref().map_or("", |origin| &origin.service),
             version = origin.as_ref().map_or("", |origin| &origin.version);
             "the caller continues a stream");
