Refuse batch items that would smuggle a request to an upstream

Cause: parts of items were written to the upstream's connection as they came, among them header fields that set the framing.

--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -16,7 +16,7 @@
     StreamRequest, Upstream,
 };
 use crate::http::{BufferLease, Headers};
-use crate::ledger::command;
+use crate::ledger::{check_item, command};
 use crate::schema::ledger::{command::Command as Kind, FinishItems, FinishedItem};
 use crate::schema::peer::{
     call, ItemAssignment, ItemReturn, ItemStop, ReturnItem, RunningItem, StopReason,
@@ -430,6 +430,8 @@
 /// The request of an item; `None` if the assignment has no content.
 fn item_request(assignment: &ItemAssignment) -> Option<StreamRequest> {
     let content = assignment.content.as_ref()?;
+    // An earlier build may have accepted an item that no request can carry.
+    check_item(&content.item_id, &content.path, &content.headers).ok()?;
     let mut headers = Headers::default();
     for header in &content.headers {
         headers.push(header.name.clone(), header.value.clone());
@@ -439,7 +441,7 @@
         host: assignment.host.clone(),
         method: "POST".to_owned(),
         target: content.path.clone(),
-        headers,
+        headers: headers.end_to_end(),
         body: content.body.clone(),
         caller_timeout: None,
         last_event_id: None,
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -66,7 +66,7 @@
         let mut headers = headers.clone();
         headers.remove("content-length");
         headers.push("Content-Length", body.len().to_string());
-        self.write_head(status, headers);
+        self.write_head(status, headers)?;
         self.buffer.extend_from_slice(body);
         self.flush().await?;
         Ok(self.connection_status())
@@ -80,7 +80,7 @@
         let mut headers = headers.clone();
         headers.remove("content-length");
         headers.push("Transfer-Encoding", "chunked");
-        self.write_head(status, headers);
+        self.write_head(status, headers)?;
         // The buffered head is sent together with the first chunk.
         Ok(())
     }
@@ -116,14 +116,15 @@
         }
     }
 
-    fn write_head(&mut self, status: u16, mut headers: Headers) {
+    fn write_head(&mut self, status: u16, mut headers: Headers) -> Result<(), HttpError> {
         if self.connection_status() == ConnectionStatus::Close {
             headers.push("Connection", "close");
         }
         let line = format!("HTTP/1.1 {status} {}\r\n", reason_phrase(status));
         self.buffer.extend_from_slice(line.as_bytes());
-        headers.write_to(&mut self.buffer);
+        headers.write_to(&mut self.buffer)?;
         self.buffer.extend_from_slice(b"\r\n");
+        Ok(())
     }
 
     async fn flush(&mut self) -> Result<(), HttpError> {
--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -1,3 +1,5 @@
+use crate::http::{is_field_value, is_token, HttpError};
+
 /// Header fields in order of arrival; names compare case-insensitively.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Headers {
@@ -73,12 +75,19 @@
     }
 
     /// Appends the encoded fields to `target`.
-    pub fn write_to(&self, target: &mut Vec<u8>) {
+    ///
+    /// # Errors
+    /// [`HttpError::Malformed`] if a field could end the head early; `target` is then incomplete.
+    pub fn write_to(&self, target: &mut Vec<u8>) -> Result<(), HttpError> {
         for (name, value) in &self.fields {
+            if !is_token(name) || !is_field_value(value) {
+                return Err(HttpError::Malformed("a header field"));
+            }
             target.extend_from_slice(name.as_bytes());
             target.extend_from_slice(b": ");
             target.extend_from_slice(value.as_bytes());
             target.extend_from_slice(b"\r\n");
         }
+        Ok(())
     }
 }
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -4,6 +4,7 @@
 //! result of an item is kept, and a job is accepted as a whole or not at all.
 
 mod command;
+mod item_check;
 mod job;
 mod job_head;
 mod job_signals;
@@ -14,6 +15,7 @@
 mod tables;
 
 pub use command::command;
+pub use item_check::check_item;
 pub use job::Job;
 pub use job_head::JobHead;
 pub use replicated_ledger::Ledger;
