Compare the states of replicas only when they are settled

Cause, from the code: a replica answers a command in apply() and publishes its index afterwards, so the test could compare states by a status from before the last command. The states are now compared until they are equal; replicas that have diverged stay different.

The same lag let a_replica_that_joins_again_has_the_state_of_the_group pass on in some runs: a host that was cut off before it had applied the last command kept a state in which the fault does not show. The test now waits for equal states before it cuts a host off.

--- a/tests/replica_rejoin.rs
+++ b/tests/replica_rejoin.rs
@@ -13,7 +13,7 @@
 use damaskhoist::ledger::{command, Ledger};
 use damaskhoist::peer::{CallError, PeerCaller, TrafficClass};
 use damaskhoist::raft::{GroupOptions, Priority, StateMachine};
-use damaskhoist::replication::{ReplicaManager, ReplicaManagerOptions};
+use damaskhoist::replication::{ReplicaManager, ReplicaManagerOptions, RunningReplica};
 use damaskhoist::schema::ledger::command::Command as Kind;
 use damaskhoist::schema::ledger::{
     outcome, FinishItems, FinishedItem, InstallRoutes, NewItem, Outcome, SubmitJob,
@@ -166,23 +166,28 @@
         self.wait_for("the replica to be dropped", is_dropped).await;
     }
 
-    /// Waits until all replicas have applied what the leader has; returns the state of each.
-    async fn states(&self) -> Vec<Vec<u8>> {
-        let is_even = || {
-            let Some(leader) = self.leader() else { return false };
-            let commit_index = self.managers[leader].status().unwrap().commit_index;
-            let statuses = self.managers.iter().filter_map(|manager| manager.status());
-            let members: Vec<_> = statuses.collect();
-            members.len() >= 3 && members.iter().all(|it| it.applied_index == commit_index)
-        };
-        self.wait_for("all replicas to have the same log", is_even).await;
-        let machines = self.managers.iter().filter_map(|manager| manager.running());
+    /// Waits until all replicas have applied what the leader has and hold the same state. A replica
+    /// answers a command a moment before it publishes its index, so the states are compared until they
+    /// are equal; replicas that have diverged stay different.
+    async fn wait_for_equal_states(&self) {
         let state = |ledger: &Ledger| {
             let mut state = Vec::new();
             ledger.save(&mut state).unwrap();
             state
         };
-        machines.map(|running| state(&running.machine)).collect()
+        let are_equal = || {
+            let Some(leader) = self.leader() else { return false };
+            let commit_index = self.managers[leader].status().unwrap().commit_index;
+            let running: Vec<_> =
+                self.managers.iter().filter_map(|manager| manager.running()).collect();
+            let is_even =
+                |it: &RunningReplica<Ledger>| it.group.status().applied_index == commit_index;
+            let states: Vec<_> = running.iter().map(|it| state(&it.machine)).collect();
+            running.len() >= 3
+                && running.iter().all(|it| is_even(it))
+                && states.iter().all(|state| *state == states[0])
+        };
+        self.wait_for("all replicas to have the same state", are_equal).await;
     }
 }
 
@@ -257,13 +262,13 @@
             for job_id in open.drain(..) {
                 hosts.propose(finish(&job_id)).await;
             }
+            hosts.wait_for_equal_states().await;
             let members = (0..hosts.managers.len()).filter(|host| {
                 hosts.managers[*host].status().is_some() && hosts.leader() != Some(*host)
             });
             let members: Vec<usize> = members.collect();
             hosts.replace(members[random.random_range(0..members.len())]).await;
-            let states = hosts.states().await;
-            assert!(states.iter().all(|state| *state == states[0]), "replicas differ");
+            hosts.wait_for_equal_states().await;
         }
         assert!(refused > 0 && refused < number, "{refused} of {number} jobs were refused");
     });
@@ -286,7 +291,6 @@
         hosts.propose(routes()).await;
         hosts.wait_for("the first replica", || hosts.managers[0].status().is_some()).await;
         assert_eq!(hosts.managers[0].status().unwrap().replica_id, 1);
-        let states = hosts.states().await;
-        assert!(states.iter().all(|state| *state == states[0]));
+        hosts.wait_for_equal_states().await;
     });
 }
