Leave records of unknown services out before addresses are compared

Cause: of the live records with one address the one that started last was kept, also where no route could use it.

Change: once there are routes, records of services that they do not name are left out first. New routes have the records compared again.

--- a/src/directory/directory_source.rs
+++ b/src/directory/directory_source.rs
@@ -1,8 +1,9 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use crate::directory::{Phase, UpstreamRecord};
 use crate::schema::peer::UpstreamEntry;
+use crate::schema::routes::RouteTable;
 
 /// Time for which the directory of a control host that no longer replies stays in use. The control
 /// host may be partitioned from this host together with upstreams that still send their heartbeats
@@ -102,11 +103,16 @@
     records
 }
 
-/// The live upstreams among the newest records, sorted by id.
-pub fn list_live(newest: &[UpstreamRecord]) -> Vec<UpstreamRecord> {
+/// The live upstreams among the newest records, sorted by id. Once there are routes, a record of a service
+/// that they do not name is left out: it may come from another writer, and must not take the place of an
+/// upstream at the same address.
+pub fn list_live(newest: &[UpstreamRecord], routes: &RouteTable) -> Vec<UpstreamRecord> {
+    let services: HashSet<&str> =
+        routes.services.iter().map(|service| service.name.as_str()).collect();
+    let is_known = |service: &str| routes.version == 0 || services.contains(service);
     let mut by_address: HashMap<&str, &UpstreamRecord> = HashMap::new();
     let is_live = |record: &&UpstreamRecord| matches!(record.phase, Phase::Ready | Phase::Draining);
-    for record in newest.iter().filter(is_live) {
+    for record in newest.iter().filter(is_live).filter(|record| is_known(&record.service)) {
         let known = by_address.entry(&record.address).or_insert(record);
         // The address may have been reassigned, so only the upstream that started last is
         // reachable.
@@ -126,7 +132,7 @@
     timeout: Duration,
     now: Instant,
 ) -> Vec<UpstreamRecord> {
-    list_live(&newest_records(sources, timeout, now))
+    list_live(&newest_records(sources, timeout, now), &RouteTable::default())
 }
 
 /// Of two records of the same heartbeat, the one that is silent or gone replaces a live one.
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -245,7 +245,15 @@
         let now = Instant::now();
         let current = self.view.load();
         let mut next = FleetView::clone(&current);
-        if affected.upstreams {
+        let routes = reply.and_then(|reply| reply.routes);
+        let new_routes = routes.filter(|table| table.version > next.routes.version);
+        let has_new_routes = new_routes.is_some();
+        if let Some(routes) = new_routes {
+            log::info!(event = "routes_in_force", version = routes.version,
+                before = next.routes.version; "new routes applied");
+            next.routes = Arc::new(routes);
+        }
+        if affected.upstreams || has_new_routes {
             self.merge_upstreams(inner, &mut next, now);
         }
         if affected.entries {
@@ -261,12 +269,6 @@
         next.control_addresses = Arc::new(self.addresses(inner));
         next.near_replicas = Arc::new(self.near_replicas(inner));
         next.origin_keepers = Arc::new(self.origin_keepers(inner, &next.control_addresses));
-        let routes = reply.and_then(|reply| reply.routes);
-        if let Some(routes) = routes.filter(|table| table.version > next.routes.version) {
-            log::info!(event = "routes_in_force", version = routes.version,
-                before = next.routes.version; "new routes applied");
-            next.routes = Arc::new(routes);
-        }
         drop(current);
         self.view.store(Arc::new(next));
         self.changed.notify();
@@ -286,7 +288,7 @@
             log::info!(event = "service_versions"; "{versions:?}");
             next.service_versions = Arc::new(versions);
         }
-        let upstreams = list_live(&known);
+        let upstreams = list_live(&known, &next.routes);
         if *next.upstreams != upstreams {
             log_changes(&next.upstreams, &upstreams);
             next.upstreams = Arc::new(upstreams);
--- a/tests/upstream_directory.rs
+++ b/tests/upstream_directory.rs
@@ -4,8 +4,10 @@
 use std::time::{Duration, Instant};
 
 use damaskhoist::directory::{
-    merge_directories, Directory, DirectorySource, HeartbeatOutcome, Phase, UpstreamRecord,
+    list_live, merge_directories, Directory, DirectorySource, HeartbeatOutcome, Phase,
+    UpstreamRecord,
 };
+use damaskhoist::schema::routes::{RouteTable, RoutedService};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(4);
@@ -200,3 +202,24 @@
     let live = merge_directories(sources.iter(), HEARTBEAT_TIMEOUT, now);
     assert_eq!(live.len(), 1, "the upstream is not used");
 }
+
+/// Guards against heartbeats of another writer that name the address of an upstream and a service that no route
+/// uses: the record that started last took the place of the upstream, which got no more requests.
+#[test]
+fn a_record_of_an_unknown_service_hides_no_upstream() {
+    let upstream = record("a", 1, 1, Phase::Ready);
+    let foreign = UpstreamRecord {
+        upstream_id: "foreign".into(),
+        service: "unknown".into(),
+        started_at_unix_ms: 9,
+        ..upstream.clone()
+    };
+    let service = RoutedService { name: "engraver".into(), ..RoutedService::default() };
+    let routes = RouteTable { version: 1, services: vec![service], ..RouteTable::default() };
+    for records in [[upstream.clone(), foreign.clone()], [foreign.clone(), upstream.clone()]] {
+        assert_eq!(list_live(&records, &routes), std::slice::from_ref(&upstream));
+    }
+    // An upstream of a known service at a reassigned address still replaces the one before.
+    let successor = UpstreamRecord { service: "engraver".into(), ..foreign };
+    assert_eq!(list_live(&[upstream, successor.clone()], &routes), [successor]);
+}
