--- a/tests/batch_worker.rs
+++ b/tests/batch_worker.rs
@@ -160,7 +160,11 @@
         item: assignment_id as u32,
         upstream_id: "a".into(),
         host: "shop.example".into(),
-        content: Some(NewItem { item_id: format!("i{assignment_id}"), ..NewItem::default() }),
+        content: Some(NewItem {
+            item_id: format!("i{assignment_id}"),
+            path: "/sheets/1".into(),
+            ..NewItem::default()
+        }),
         ..ItemAssignment::default()
     }
 }
