--- a/src/raft/storage_thread.rs
+++ b/src/raft/storage_thread.rs
@@ -55,7 +55,7 @@
         /// The entries; empty if they are no longer on the disk.
         entries: Vec<Entry>,
     },
-    /// The storage failed; no further jobs run.
+    /// The storage failed; this thread runs no further jobs.
     Failed(String),
 }
 
@@ -86,7 +86,8 @@
     fn run(&mut self) {
         while let Some(job) = self.next.take().or_else(|| self.jobs.recv().ok()) {
             if let Err(error) = self.run_job(job) {
-                // After a failed sync the content of the disk is unknown, so the error is final.
+                // After a failed sync the content of the disk is unknown, so nothing may be written
+                // before the driver has opened the storage again.
                 (self.on_event)(StorageEvent::Failed(error.to_string()));
                 return;
             }
