Audit the scheduler against the ledger, and say where overdue items are

Cause: the record of the incident cannot tell an item that no table of the scheduler holds from one that waits or one that is believed to run; there were only the counts of waiting and running items. Change: once a second the leader compares its tables with the open jobs of the ledger. An item that neither waits nor is assigned is queued again and logged (item_missing, gauge items_missing). Items without an event for 5 s are named with the reason why they wait, or with their assignment (item_overdue), unless the fleet is busy; the gauge items_longest_idle_ms has the longest time.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -12,7 +13,7 @@
 use crate::coordinator::fleet_relay::FleetRelay;
 use crate::coordinator::operator::call_failure;
 use crate::coordinator::stored_state::{store_routes, store_upstreams, StoredState};
-use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, Scheduler};
+use crate::coordinator::{ItemEnd, ItemPlace, LeaderClient, LeaderHint, OverdueItem, Scheduler};
 use crate::directory::{
     CrashExchange, Directory, EntryTable, FleetWatch, FleetWatchOptions, HeartbeatOutcome,
     LeavingTable, OriginTable, SyncHandler, UpstreamRecord,
@@ -82,6 +83,10 @@
     /// Wakes the pending sync call of one entry host, by host id.
     pub(super) entry_host_signals: Mutex<HashMap<String, Arc<Signal>>>,
     pub(super) started: Instant,
+    /// Longest time without an event of the items that the last audit compared.
+    longest_idle_ms: AtomicU64,
+    /// Items that audits found in no table of the scheduler.
+    missing_items: AtomicU64,
     tasks: Mutex<Vec<JoinHandle<()>>>,
 }
 
@@ -165,6 +170,8 @@
             entries_changed: Signal::default(),
             entry_host_signals: Mutex::default(),
             started: Instant::now(),
+            longest_idle_ms: AtomicU64::new(0),
+            missing_items: AtomicU64::new(0),
             tasks: Mutex::default(),
         });
         let observer = Observer { crash_exchange: CrashExchange::open(crashes) };
@@ -238,6 +245,8 @@
         let (waiting, running) = lock(&self.scheduler).item_counts();
         counters.gauge("items_waiting", waiting as u64);
         counters.gauge("items_running", running as u64);
+        counters.gauge("items_longest_idle_ms", self.longest_idle_ms.load(Ordering::Relaxed));
+        counters.gauge("items_missing", self.missing_items.load(Ordering::Relaxed));
         counters.gauge("routes_version", self.routes().version);
         counters.gauge("entry_hosts", self.relay.entry_host_count() as u64);
         counters.gauge("upstreams", self.upstreams().len() as u64);
@@ -479,6 +488,40 @@
         let open = self.ledger().open_jobs();
         lock(&self.scheduler).reconcile(&open, Instant::now());
     }
+
+    /// Compares the scheduler with the ledger, and logs items that it did not hold and those that make no
+    /// progress.
+    fn audit_scheduler(&self) {
+        let mut scheduler = lock(&self.scheduler);
+        if !self.leads() || !scheduler.is_leading() {
+            return;
+        }
+        let open = self.ledger().open_jobs();
+        let audit =
+            self.with_scheduler_input(Instant::now(), |input| scheduler.audit(&open, input));
+        drop(scheduler);
+        self.longest_idle_ms.store(audit.longest_idle_time.as_millis() as u64, Ordering::Relaxed);
+        self.missing_items.fetch_add(audit.missing.len() as u64, Ordering::Relaxed);
+        for (job_id, item) in &audit.missing {
+            log::error!(event = "item_missing", job = &**job_id, item = *item;
+                "the scheduler did not hold the item; queued again");
+        }
+        for OverdueItem { job_id, item, idle_time, place } in &audit.overdue {
+            let (job, idle_ms) = (&**job_id, idle_time.as_millis() as u64);
+            match place {
+                ItemPlace::Waits(reason) => {
+                    log::warn!(event = "item_overdue", job = job, item = *item, idle_ms = idle_ms;
+                        "waits: {reason}");
+                }
+                ItemPlace::Runs { assignment_id, host_id, upstream_id, run_time } => {
+                    log::warn!(event = "item_overdue", job = job, item = *item, idle_ms = idle_ms,
+                        assignment = *assignment_id, host = host_id.as_str(),
+                        upstream = upstream_id.as_str(), run_ms = run_time.as_millis() as u64;
+                        "assigned without an end");
+                }
+            }
+        }
+    }
 }
 
 async fn tick(coordinator: Arc<Coordinator>) {
@@ -491,6 +534,7 @@
         if ticks % 20 == 1 {
             coordinator.merge_own_directory();
             coordinator.reconcile_scheduler();
+            coordinator.audit_scheduler();
         }
         task::sleep(TICK_INTERVAL).await;
     }
--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -111,7 +111,7 @@
     }
 
     /// Calls `decide` with the current inputs of the scheduler.
-    fn with_scheduler_input<T>(
+    pub(super) fn with_scheduler_input<T>(
         &self,
         now: Instant,
         decide: impl FnOnce(&SchedulerInput<'_>) -> T,
--- a/src/coordinator/pending_items.rs
+++ b/src/coordinator/pending_items.rs
@@ -14,6 +14,8 @@
     pub(super) content: Arc<NewItem>,
     pub(super) progress: Progress,
     pub(super) not_before: Instant,
+    /// Time since which the item is owed without any further event; carried over its runs and waits.
+    pub(super) idle_since: Instant,
 }
 
 impl PendingItem {
@@ -105,6 +107,16 @@
         self.len = self.jobs.values().map(|job| job.items.len()).sum();
     }
 
+    /// The plan of a job with waiting items, by the current routes.
+    pub(super) fn plan(
+        &mut self,
+        job_id: &str,
+        input: &SchedulerInput<'_>,
+    ) -> Option<Arc<JobPlan>> {
+        let (job_id, submitted) = self.submitted.get_key_value(job_id)?;
+        Some(self.jobs.get_mut(&(*submitted, job_id.clone()))?.plan(input))
+    }
+
     pub(super) fn len(&self) -> usize {
         self.len
     }
--- a/src/coordinator/running_items.rs
+++ b/src/coordinator/running_items.rs
@@ -66,6 +66,8 @@
     pub(super) host_id: String,
     pub(super) upstream_id: String,
     pub(super) progress: Progress,
+    /// Time since which the item is owed without any further event; carried over its runs and waits.
+    pub(super) idle_since: Instant,
     pub(super) started: Instant,
     /// Why the entry host must stop the item; `None` while it may run.
     pub(super) stop: Option<StopReason>,
--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -19,10 +19,10 @@
 /// itself stops them somewhat earlier.
 const ENTRY_HOST_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Maximum number of batch items on one entry host; bounds the host's CPU time and memory.
-const MAX_ITEMS_PER_ENTRY_HOST: usize = 24;
+pub(super) const MAX_ITEMS_PER_ENTRY_HOST: usize = 24;
 /// Time after the start of a term during which no item is assigned. Entry hosts report the items
 /// that they already run in this time, so that no item is started twice.
-const TERM_START_DELAY: Duration = Duration::from_millis(700);
+pub(super) const TERM_START_DELAY: Duration = Duration::from_millis(700);
 /// Initial backoff of an upstream that did not run an item or broke its stream; doubles with each
 /// consecutive failure.
 const UPSTREAM_BACKOFF: Duration = Duration::from_millis(300);
@@ -45,15 +45,15 @@
 #[derive(Debug, Default)]
 pub struct Scheduler {
     /// Start of the current term; `None` on a follower.
-    leader_since: Option<Instant>,
+    pub(super) leader_since: Option<Instant>,
     /// Last assignment id or revision that was issued.
     last_issued_id: u64,
     /// Items that wait for a slot.
-    pending: PendingItems,
+    pub(super) pending: PendingItems,
     /// Open jobs whose items were queued.
-    queued_jobs: HashSet<Arc<str>>,
-    running: RunningItems,
-    load: OnlineLoad,
+    pub(super) queued_jobs: HashSet<Arc<str>>,
+    pub(super) running: RunningItems,
+    pub(super) load: OnlineLoad,
     /// Limits that upstreams name; `None` on a follower.
     rates: Option<RateShares>,
     /// Upstreams whose online load has grown, or where adopted items run, since the last
@@ -62,6 +62,8 @@
     upstream_backoffs: HashMap<String, UpstreamBackoff>,
     /// Ended assignments; entry hosts may still report them for a short time.
     ended_assignments: HashSet<u64>,
+    /// Job at which the next audit goes on; `None` for the oldest one.
+    pub(super) audited_job: Option<Arc<str>>,
 }
 
 #[derive(Debug)]
@@ -87,6 +89,11 @@
         leads
     }
 
+    /// True during a term.
+    pub fn is_leading(&self) -> bool {
+        self.leader_since.is_some()
+    }
+
     /// Reconciles the scheduler with the open jobs of the ledger: queues the items of new jobs, drops
     /// pending items of jobs that are no longer open and marks their running items to be stopped.
     pub fn reconcile(&mut self, open_jobs: &[Arc<Job>], now: Instant) {
@@ -104,8 +111,12 @@
             }
             for item in job.unfinished() {
                 let content = job.items[item as usize].clone();
-                let waiting =
-                    PendingItem { content, progress: Progress::default(), not_before: now };
+                let waiting = PendingItem {
+                    content,
+                    progress: Progress::default(),
+                    not_before: now,
+                    idle_since: now,
+                };
                 self.pending.insert(&job.head, item, waiting);
             }
         }
@@ -187,6 +198,7 @@
                 host_id: host_id.to_owned(),
                 upstream_id: item.upstream_id.clone(),
                 progress: waiting.progress,
+                idle_since: waiting.idle_since,
                 started: now,
                 stop: None,
                 stop_sent_at: None,
@@ -225,6 +237,9 @@
         let upstream_id = running.upstream_id.clone();
         let yielded = running.stop.is_some();
         if !item.text.is_empty() || item.last_event_id > 0 {
+            if item.last_event_id > running.progress.last_event_id {
+                running.idle_since = now;
+            }
             running.progress.replace_events(item, now - running.started);
         }
         match item.reason() {
@@ -275,16 +290,17 @@
     fn requeue(&mut self, id: u64, now: Instant) {
         let Some(running) = self.running.remove(id) else { return };
         self.record_ended(id);
-        let AssignedItem { job, item, content, progress, stop, .. } = running;
+        let AssignedItem { job, item, content, progress, idle_since, stop, .. } = running;
         if stop == Some(StopReason::Cancelled) {
             return;
         }
         let not_before = if progress.failures > 0 { now + RETRY_DELAY } else { now };
-        self.pending.insert(&job, item, PendingItem { content, progress, not_before });
+        let waiting = PendingItem { content, progress, not_before, idle_since };
+        self.pending.insert(&job, item, waiting);
     }
 
     /// Slots of an upstream, and how many of them online requests and batch items use.
-    fn share(&self, upstream: &UpstreamRecord) -> UpstreamShare {
+    pub(super) fn share(&self, upstream: &UpstreamRecord) -> UpstreamShare {
         let id = &upstream.upstream_id;
         let batch = self.running.on_upstream(id).count() as u32;
         UpstreamShare { slots: upstream.slots, online: self.load.total(id), batch }
@@ -418,7 +434,7 @@
     }
 
     /// True if the limit that an upstream names leaves room for a batch item.
-    fn has_rate_room(&self, upstream_id: &str, now: Instant) -> bool {
+    pub(super) fn has_rate_room(&self, upstream_id: &str, now: Instant) -> bool {
         self.rates.as_ref().is_some_and(|rates| rates.has_batch_room(upstream_id, now))
     }
 
@@ -486,27 +502,31 @@
         host: &EntryHost,
         input: &SchedulerInput<'a>,
     ) -> Vec<(&'a UpstreamRecord, UpstreamShare)> {
-        let ready = self.load.values().filter(|entry| takes_items(&entry.host));
-        let zones: HashSet<&str> = ready.map(|entry| entry.host.zone.as_str()).collect();
-        let ready = self.load.values().filter(|entry| takes_items(&entry.host));
-        let regions: HashSet<&str> = ready.map(|entry| entry.host.region.as_str()).collect();
-        let is_near = |record: &UpstreamRecord| {
-            if record.zone == host.zone {
-                return true;
-            }
-            let has_zone = zones.contains(record.zone.as_str());
-            let has_region = regions.contains(record.region.as_str());
-            !has_zone && (record.region == host.region || !has_region)
-        };
-        let is_backing_off = |id: &str| {
-            self.upstream_backoffs.get(id).is_some_and(|backoff| backoff.until > input.now)
-        };
+        let (zones, regions) = self.served_places();
         let usable = input.upstreams.iter().filter(|record| {
-            record.phase == Phase::Ready && is_near(record) && !is_backing_off(&record.upstream_id)
+            record.phase == Phase::Ready
+                && is_near(host, record, &zones, &regions)
+                && !self.is_backing_off(&record.upstream_id, input.now)
         });
         usable.map(|record| (record, self.share(record))).collect()
     }
 
+    /// Availability zones and regions with an entry host that takes items.
+    fn served_places(&self) -> (HashSet<&str>, HashSet<&str>) {
+        let hosts = self.load.values().map(|entry| &entry.host).filter(|host| takes_items(host));
+        hosts.map(|host| (host.zone.as_str(), host.region.as_str())).unzip()
+    }
+
+    /// True if no other ready entry host is nearer to the upstream.
+    pub(super) fn is_near(&self, host: &EntryHost, record: &UpstreamRecord) -> bool {
+        let (zones, regions) = self.served_places();
+        is_near(host, record, &zones, &regions)
+    }
+
+    pub(super) fn is_backing_off(&self, upstream_id: &str, now: Instant) -> bool {
+        self.upstream_backoffs.get(upstream_id).is_some_and(|backoff| backoff.until > now)
+    }
+
     /// Moves a pending item to the running items and builds its assignment.
     fn start(
         &mut self,
@@ -518,7 +538,7 @@
         let StartableItem { job_id, item, .. } = startable;
         let (job, pending) =
             self.pending.remove(job_id, *item).expect("only pending items are started");
-        let PendingItem { content, mut progress, .. } = pending;
+        let PendingItem { content, mut progress, idle_since, .. } = pending;
         if !progress.may_continue_at(upstream) {
             log::info!(event = "item_starts_anew", job = &*job.job_id, item = *item,
                 upstream = upstream.upstream_id.as_str(), last_event = progress.last_event_id;
@@ -549,6 +569,7 @@
             host_id: host_id.to_owned(),
             upstream_id,
             progress,
+            idle_since,
             started: now,
             stop: None,
             stop_sent_at: None,
@@ -564,6 +585,21 @@
 }
 
 /// True if batch items are assigned to an entry host. One that has lost its links reaches no upstream.
-fn takes_items(host: &EntryHost) -> bool {
+pub(super) fn takes_items(host: &EntryHost) -> bool {
     host.ready && !host.links_lost
 }
+
+/// True if no host in `zones` or `regions`, where hosts take items, is nearer to the upstream.
+fn is_near(
+    host: &EntryHost,
+    record: &UpstreamRecord,
+    zones: &HashSet<&str>,
+    regions: &HashSet<&str>,
+) -> bool {
+    if record.zone == host.zone {
+        return true;
+    }
+    let has_zone = zones.contains(record.zone.as_str());
+    let has_region = regions.contains(record.region.as_str());
+    !has_zone && (record.region == host.region || !has_region)
+}
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -1,5 +1,7 @@
 //! Guards against batch items that run twice, are lost, or take slots from online requests.
 
+mod scheduler_support;
+
 use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -7,109 +9,16 @@
 
 use bytes::Bytes;
 use damaskhoist::coordinator::{ItemEnd, JobPlan, Scheduler, SchedulerInput, UpstreamShare};
-use damaskhoist::directory::{Phase, UpstreamRecord};
+use damaskhoist::directory::UpstreamRecord;
 use damaskhoist::ledger::{Job, JobHead};
-use damaskhoist::schema::ledger::{FinishedItem, NewItem};
+use damaskhoist::schema::ledger::FinishedItem;
 use damaskhoist::schema::peer::{
-    EntryHost, EntrySync, ItemAssignment, ItemReturn, ReturnItem, RunningItem, SlotPressure,
-    StreamOrigin, UpstreamUse,
+    ItemAssignment, ItemReturn, ReturnItem, RunningItem, SlotPressure, UpstreamUse,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-/// Time after the start of a term at which the leader assigns items.
-const AFTER_START_DELAY: Duration = Duration::from_millis(800);
-
-fn job(id: &str, items: usize) -> Arc<Job> {
-    job_submitted_at(id, items, 1)
-}
-
-fn job_submitted_at(id: &str, items: usize, submitted_at_unix_ms: u64) -> Arc<Job> {
-    let items = (0..items).map(|n| NewItem { item_id: format!("{id}-{n}"), ..NewItem::default() });
-    let (host, path) = ("engraver.example".to_owned(), "/sheets/".to_owned());
-    let (job_id, route) = (id.into(), "sheets".to_owned());
-    let head = JobHead { job_id, route, host, path, submitted_at_unix_ms };
-    Arc::new(Job::new(head, items.collect()))
-}
-
-fn upstream(id: &str) -> UpstreamRecord {
-    UpstreamRecord {
-        upstream_id: id.into(),
-        service: "engraver".into(),
-        address: "10.0.0.1:80".into(),
-        zone: "santander".into(),
-        region: "cantabria".into(),
-        version: "v1".into(),
-        slots: 8,
-        phase: Phase::Ready,
-        started_at_unix_ms: 1,
-        sequence: 1,
-    }
-}
-
-fn upstream_of_version(id: &str, version: &str) -> UpstreamRecord {
-    UpstreamRecord { version: version.into(), ..upstream(id) }
-}
-
-fn origin(version: &str) -> StreamOrigin {
-    StreamOrigin { service: "engraver".into(), version: version.into() }
-}
-
-fn entry_host(id: &str) -> EntryHost {
-    EntryHost {
-        host_id: id.into(),
-        caller_address: "10.0.0.2:80".into(),
-        zone: "santander".into(),
-        region: "cantabria".into(),
-        ready: true,
-        ..EntryHost::default()
-    }
-}
-
-fn sync_with(running: &[RunningItem], online: u32) -> EntrySync {
-    let uses = vec![UpstreamUse { upstream_id: "a".into(), online, batch: 0 }];
-    EntrySync { has_report: true, running: running.to_vec(), uses, ..EntrySync::default() }
-}
-
-fn running_item(assignment: &ItemAssignment) -> RunningItem {
-    RunningItem {
-        assignment_id: assignment.assignment_id,
-        job_id: assignment.job_id.clone(),
-        item: assignment.item,
-        upstream_id: assignment.upstream_id.clone(),
-    }
-}
-
-fn assign(
-    scheduler: &mut Scheduler,
-    host: &str,
-    upstreams: &[UpstreamRecord],
-    now: Instant,
-) -> Vec<ItemAssignment> {
-    with_scheduler_input(upstreams, 0, now, |input| scheduler.assign(host, input))
-}
-
-/// Calls `decide` with one service and jobs that are due 18 s after their submission.
-fn with_scheduler_input<T>(
-    upstreams: &[UpstreamRecord],
-    now_unix_ms: u64,
-    now: Instant,
-    decide: impl FnOnce(&SchedulerInput<'_>) -> T,
-) -> T {
-    let plan = |job: &JobHead| JobPlan {
-        services: vec!["engraver".to_owned()],
-        due_unix_ms: job.submitted_at_unix_ms + 18_000,
-    };
-    decide(&SchedulerInput { upstreams, routes_version: 1, plan: &plan, now_unix_ms, now })
-}
-
-fn leading_scheduler(start: Instant, jobs: &[Arc<Job>]) -> Scheduler {
-    let mut scheduler = Scheduler::default();
-    scheduler.set_leading(true, 100, start);
-    scheduler.reconcile(jobs, start);
-    scheduler.apply_report(&entry_host("e1"), &sync_with(&[], 0), start + AFTER_START_DELAY);
-    scheduler
-}
+use scheduler_support::*;
 
 /// Guards against batch items that occupy slots needed by the next online requests.
 #[test]
