Show two waits of batch items that have no end

Both tests fail on the scheduler as it was on: - an_item_that_is_refused_without_end_starts_anew_elsewhere: assigned only where it is refused for 20 s; - items_without_a_place_hold_up_no_others: 0 items assigned where 1 could be. Neither is proved to be the cause of the incident; they are of its class, a wait without an end.

--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -468,3 +468,58 @@
     assert_eq!(scheduler.handle_return(&failed, &|_| 1, now), ItemEnd::Unknown);
     assert_eq!(scheduler.item_counts(), (0, 0));
 }
+
+/// Guards against an item that its entry host refuses each time, and whose wait begins anew with each refusal.
+#[test]
+fn an_item_that_is_refused_without_end_starts_anew_elsewhere() {
+    let start = Instant::now();
+    let mut now = start + AFTER_START_DELAY;
+    let mut scheduler = leading_scheduler(start, &[job("j", 1)]);
+    let upstreams = [upstream("a"), upstream_of_version("b", "v2")];
+    let first = assign(&mut scheduler, "e1", &upstreams[..1], now).remove(0);
+    now += Duration::from_secs(8);
+    return_after_nine_events(&mut scheduler, &first, "v1", now);
+    let until = now + Duration::from_secs(20);
+    while now < until {
+        scheduler.apply_report(&entry_host("e1"), &sync_with(&[], 0), now);
+        let assigned = assign(&mut scheduler, "e1", &upstreams, now);
+        if assigned.iter().any(|assignment| assignment.upstream_id == "b") {
+            return;
+        }
+        for assignment in &assigned {
+            // The host knows another version of the upstream, so the upstream never has the item.
+            let refused = ReturnItem {
+                assignment_id: assignment.assignment_id,
+                job_id: "j".into(),
+                reason: ItemReturn::NotRun.into(),
+                text: assignment.text.clone(),
+                last_event_id: assignment.last_event_id,
+                origin: assignment.origin.clone(),
+                ..ReturnItem::default()
+            };
+            scheduler.handle_return(&refused, &|_| 3, now);
+        }
+        now += Duration::from_millis(100);
+    }
+    panic!("for 20 s the item was assigned only where it is refused");
+}
+
+/// Guards against items that no upstream can run now, whose job is older, and that keep all others from
+/// free slots.
+#[test]
+fn items_without_a_place_hold_up_no_others() {
+    let start = Instant::now();
+    let now = start + AFTER_START_DELAY;
+    let jobs = [job_submitted_at("stock", 30, 1), job_submitted_at("sheets", 1, 2)];
+    let mut scheduler = leading_scheduler(start, &jobs);
+    let plan = |job: &JobHead| JobPlan {
+        services: vec![if &*job.job_id == "stock" { "stock" } else { "engraver" }.to_owned()],
+        due_unix_ms: 18_000,
+    };
+    let upstreams = [upstream("a")];
+    let (routes_version, now_unix_ms) = (1, 0);
+    let input =
+        SchedulerInput { upstreams: &upstreams, routes_version, plan: &plan, now_unix_ms, now };
+    let assigned = scheduler.assign("e1", &input);
+    assert_eq!(assigned.len(), 1, "the upstream has seven free slots and one item for them");
+}
