Count the wait for a version from the last event of an item

Callers saw an accepted item without a result for as long as its entry host refused it where the leader placed it. Cause: an item may leave the version that began it once it has waited for as long as it has run, but each return, also a refusal, began that wait anew; upstream backoffs end after 4 s, so an item that had run for longer never left. Class: a wait whose start is reset by its own failures. Change: the wait counts from the last event, which scheduler and assignment carry along. Evidence: an_item_that_is_refused_without_end_starts_anew_elsewhere failed before and passes.

--- a/src/coordinator/pending_items.rs
+++ b/src/coordinator/pending_items.rs
@@ -27,7 +27,8 @@
             return true;
         }
         let mut ready = input.upstreams.iter().filter(|record| record.phase == Phase::Ready);
-        input.now.saturating_duration_since(self.not_before) > self.progress.run_time
+        // Counted from the last event, so that refusals of its version do not begin the wait anew.
+        input.now.saturating_duration_since(self.idle_since) > self.progress.run_time
             || !ready.any(|record| self.progress.may_continue_at(record))
     }
 }
