Choose batch items only among those that an upstream has a place for

Callers saw accepted items without a result beside free slots. Cause: a pass over the waiting items takes as many as an entry host may hold, oldest first, and asked of items without events neither for a service with a free slot nor for the room that a named limit leaves. Items that can't be placed used up the pass, and those behind them waited at every host. Class: the head of a queue blocks what could run. Change: FreePlaces holds the upstreams with a free slot and room, and decides for choice and placement alike; jobs whose services have none are passed over as a whole.

--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -4,6 +4,7 @@
 mod control_role;
 mod entry_sync;
 mod fleet_relay;
+mod free_places;
 mod item_end;
 mod job_plan;
 mod leader_client;
--- a/src/coordinator/pending_items.rs
+++ b/src/coordinator/pending_items.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use crate::coordinator::free_places::FreePlaces;
 use crate::coordinator::running_items::Progress;
 use crate::coordinator::{JobPlan, SchedulerInput};
 use crate::directory::{Phase, UpstreamRecord};
@@ -122,29 +123,32 @@
         self.len
     }
 
-    /// Up to `limit` items that may be started now and for which `has_place` is true: those that can still
-    /// meet their completion target, then the late ones, each group by age.
+    /// Up to `limit` items that may be started now in one of `places`: those that can still meet their
+    /// completion target, then the late ones, each group by age.
     pub(super) fn startable(
         &mut self,
         input: &SchedulerInput<'_>,
         limit: usize,
-        has_place: &dyn Fn(&PendingItem) -> bool,
+        places: &FreePlaces<'_, '_>,
     ) -> Vec<StartableItem> {
         let mut late = Vec::new();
         let mut chosen = Vec::new();
         for job in self.jobs.values_mut() {
             let plan = job.plan(input);
+            if !places.serve(&plan) {
+                continue;
+            }
             if !input.can_meet_target(&plan) {
                 late.push((&*job, plan));
                 continue;
             }
-            job.add_startable(&plan, input.now, limit, has_place, &mut chosen);
+            job.add_startable(&plan, input.now, limit, places, &mut chosen);
             if chosen.len() >= limit {
                 return chosen;
             }
         }
         for (job, plan) in late {
-            job.add_startable(&plan, input.now, limit, has_place, &mut chosen);
+            job.add_startable(&plan, input.now, limit, places, &mut chosen);
         }
         chosen
     }
@@ -168,13 +172,13 @@
         plan: &Arc<JobPlan>,
         now: Instant,
         limit: usize,
-        has_place: &dyn Fn(&PendingItem) -> bool,
+        places: &FreePlaces<'_, '_>,
         chosen: &mut Vec<StartableItem>,
     ) {
         let ready = self
             .items
             .iter()
-            .filter(|(_, pending)| pending.not_before <= now && has_place(pending));
+            .filter(|(_, pending)| pending.not_before <= now && places.fit(plan, pending));
         let ready = ready.take(limit.saturating_sub(chosen.len()));
         chosen.extend(ready.map(|(item, _)| StartableItem {
             job_id: self.head.job_id.clone(),
--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::coordinator::free_places::FreePlaces;
 use crate::coordinator::online_load::OnlineLoad;
 use crate::coordinator::pending_items::{PendingItem, PendingItems, StartableItem};
 use crate::coordinator::running_items::{AssignedItem, Progress, RunningItems};
@@ -456,40 +457,21 @@
         };
         let held = self.running.on_host(host_id).count();
         let capacity = MAX_ITEMS_PER_ENTRY_HOST.saturating_sub(held);
-        let mut nearby = self.near_upstreams(&entry.host, input);
-        let has_free_slot = |nearby: &[(&UpstreamRecord, UpstreamShare)]| {
-            nearby.iter().any(|(_, share)| share.free_batch_slots() > 0)
-        };
-        if !has_free_slot(&nearby) {
-            return Vec::new();
-        }
+        let mut upstreams = self.near_upstreams(&entry.host, input);
+        upstreams.retain(|(record, _)| self.has_rate_room(&record.upstream_id, input.now));
+        let mut places = FreePlaces::new(input, upstreams);
         let mut assigned = Vec::new();
-        let has_place = |pending: &PendingItem| {
-            // Most items have no events yet, and any upstream may run them.
-            pending.progress.origin.is_none()
-                || nearby.iter().any(|(record, share)| {
-                    share.free_batch_slots() > 0 && pending.may_run_at(record, input)
-                })
-        };
-        for startable in self.pending.startable(input, capacity, &has_place) {
-            if !has_free_slot(&nearby) {
-                break;
-            }
-            let StartableItem { job_id, item, .. } = &startable;
-            let pending = self.pending.get(job_id, *item);
-            let candidates = nearby.iter_mut().filter(|(record, share)| {
-                share.free_batch_slots() > 0
-                    && pending.is_some_and(|pending| pending.may_run_at(record, input))
-                    && startable.plan.services.contains(&record.service)
-                    && self.has_rate_room(&record.upstream_id, input.now)
-            });
-            let Some((record, share)) =
-                candidates.max_by_key(|(_, share)| share.free_batch_slots())
-            else {
-                continue;
-            };
-            share.batch += 1;
+        if places.is_empty() {
+            return assigned;
+        }
+        for startable in self.pending.startable(input, capacity, &places) {
+            let StartableItem { job_id, item, plan } = &startable;
+            let Some(pending) = self.pending.get(job_id, *item) else { continue };
+            let Some(record) = places.take(plan, pending) else { continue };
             assigned.push(self.start(&startable, host_id, record, input.now));
+            if !self.has_rate_room(&record.upstream_id, input.now) {
+                places.remove(&record.upstream_id);
+            }
         }
         assigned
     }
