Read the open jobs under the lock of the scheduler

Two tasks reconcile the scheduler. Each read the open jobs first and locked it then, so that an older list could be applied after a newer one: it dropped the waiting items of a job that had just been accepted and marked its running ones as cancelled until the next pass. Class: a decision on a state that was read before the lock. Change: the list is read under the lock. Found by reading; no test reaches the order of two tasks.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -485,8 +485,10 @@
         if !self.leads() {
             return;
         }
+        let mut scheduler = lock(&self.scheduler);
+        // Read under the lock: an older list that is applied after a newer one would drop new jobs.
         let open = self.ledger().open_jobs();
-        lock(&self.scheduler).reconcile(&open, Instant::now());
+        scheduler.reconcile(&open, Instant::now());
     }
 
     /// Compares the scheduler with the ledger, and logs items that it did not hold and those that make no
