--- a/tests/batch_worker.rs
+++ b/tests/batch_worker.rs
@@ -25,19 +25,36 @@
 use damaskhoist::telemetry::Counters;
 
 const SLOTS: u32 = 2;
+/// Shorter than the interval at which an item's stream is read.
+const DRIP_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Sends `event_count` events as fast as they are read, then ends the stream or leaves it open and
-/// idle.
+/// What a scripted upstream does after its events.
+#[derive(Clone, Copy, PartialEq)]
+enum Ending {
+    /// Ends the stream.
+    End,
+    /// Leaves the stream open and idle.
+    Idle,
+    /// Sends an event without end, one byte at each read.
+    Flood,
+    /// Sends an event without end, one byte each [`DRIP_INTERVAL`].
+    Drip,
+    /// The code that reads the stream panics.
+    Panic,
+}
+
+/// Sends `event_count` events as fast as they are read, and then acts as `ending` says.
 struct ScriptedUpstream {
     event_count: u64,
-    ends_stream: bool,
+    ending: Ending,
 }
 
 struct ScriptedAnswer {
     head: UpstreamHead,
     sent: u64,
     event_count: u64,
-    ends_stream: bool,
+    ending: Ending,
+    last_chunk_at: Instant,
 }
 
 #[async_trait]
@@ -47,11 +64,19 @@
     }
 
     async fn next_chunk(&mut self) -> Result<BodyChunk, SendError> {
-        if self.sent == self.event_count && !self.ends_stream {
-            return futures::future::pending().await;
-        }
         if self.sent == self.event_count {
-            return Ok(None);
+            return match self.ending {
+                Ending::End => Ok(None),
+                Ending::Idle => futures::future::pending().await,
+                Ending::Flood => Ok(Some(Bytes::from_static(b"x"))),
+                Ending::Drip => {
+                    let due = self.last_chunk_at + DRIP_INTERVAL;
+                    task::sleep(due.saturating_duration_since(Instant::now())).await;
+                    self.last_chunk_at = Instant::now();
+                    Ok(Some(Bytes::from_static(b"x")))
+                }
+                Ending::Panic => panic!("the scripted stream panics"),
+            };
         }
         self.sent += 1;
         Ok(Some(Bytes::from(format!("id: {}\ndata: x\n\n", self.sent))))
@@ -76,7 +101,8 @@
             head,
             sent: 0,
             event_count: self.event_count,
-            ends_stream: self.ends_stream,
+            ending: self.ending,
+            last_chunk_at: Instant::now(),
         }))
     }
 
@@ -181,7 +207,8 @@
 /// upstream had ended long before the item was read in full, and the item ran again.
 #[async_std::test]
 async fn a_stream_is_read_as_fast_as_it_is_produced() {
-    let (worker, _fleet, leader) = spawn(ScriptedUpstream { event_count: 400, ends_stream: true });
+    let (worker, _fleet, leader) =
+        spawn(ScriptedUpstream { event_count: 400, ending: Ending::End });
     worker.start(&[assignment(1)]);
     wait_until("the item to finish", || !leader.finished.lock().unwrap().is_empty()).await;
     let finished = leader.finished.lock().unwrap();
@@ -192,7 +219,7 @@
 /// the slot. The newest item, and only that one, must be stopped at once and keep its events.
 #[async_std::test]
 async fn the_newest_item_yields_its_slot_to_an_online_request() {
-    let (worker, fleet, leader) = spawn(ScriptedUpstream { event_count: 3, ends_stream: false });
+    let (worker, fleet, leader) = spawn(ScriptedUpstream { event_count: 3, ending: Ending::Idle });
     worker.start(&[assignment(1), assignment(2)]);
     let upstream = fleet.get("a").unwrap();
     wait_until("both items to run", || upstream.in_use() == SLOTS).await;
@@ -215,7 +242,7 @@
 /// back with another version between the assignment of an item and its start.
 #[async_std::test]
 async fn an_item_of_another_version_is_not_sent() {
-    let (worker, _fleet, leader) = spawn(ScriptedUpstream { event_count: 3, ends_stream: true });
+    let (worker, _fleet, leader) = spawn(ScriptedUpstream { event_count: 3, ending: Ending::End });
     let origin = StreamOrigin { service: "engraver".into(), version: "v0".into() };
     worker.start(&[ItemAssignment {
         text: "half".into(),
@@ -228,3 +255,62 @@
     assert_eq!(returned[0].reason(), ItemReturn::NotRun);
     assert_eq!((&returned[0].text[..], &returned[0].origin), (&b"half"[..], &Some(origin)));
 }
+
+/// Guards against an item whose run panics and that stays listed for good: the leader takes it for running
+/// and never assigns it again.
+#[async_std::test]
+async fn an_item_whose_run_panics_is_returned_and_unlisted() {
+    let (worker, fleet, leader) = spawn(ScriptedUpstream { event_count: 3, ending: Ending::Panic });
+    worker.start(&[assignment(1)]);
+    wait_until("the item to be unlisted", || worker.running().is_empty()).await;
+    let returned = leader.returned.lock().unwrap();
+    assert_eq!((returned.len(), returned[0].assignment_id), (1, 1));
+    // A failed attempt is counted, so an item that panics everywhere is given up.
+    assert_eq!(returned[0].reason(), ItemReturn::FailedAttempt);
+    assert_eq!(fleet.get("a").unwrap().in_use(), 0, "its slot is free");
+}
+
+/// Guards against a second assignment with the id of one that still runs: it replaced the entry of the
+/// first, which was then dropped as cancelled, and the second ran unlisted, so the leader assigned the item
+/// elsewhere as well.
+#[async_std::test]
+async fn an_assignment_that_comes_twice_runs_once_and_stays_listed() {
+    let (worker, fleet, leader) = spawn(ScriptedUpstream { event_count: 3, ending: Ending::Idle });
+    worker.start(&[assignment(1)]);
+    let upstream = fleet.get("a").unwrap();
+    wait_until("the item to run", || upstream.in_use() == 1).await;
+    worker.start(&[assignment(1)]);
+    task::sleep(Duration::from_millis(200)).await;
+    assert_eq!((worker.running().len(), upstream.in_use()), (1, 1));
+    worker.stop_all();
+    wait_until("the item to come back", || worker.running().is_empty()).await;
+    let returned = leader.returned.lock().unwrap();
+    assert_eq!((returned.len(), returned[0].last_event_id), (1, 3));
+    assert_eq!(upstream.in_use(), 0);
+}
+
+/// Guards against a stream that always has bytes and so keeps its task from seeing that it must stop.
+#[async_std::test]
+async fn an_item_is_stopped_while_its_upstream_sends_bytes_without_pause() {
+    let upstream = ScriptedUpstream { event_count: 3, ending: Ending::Flood };
+    let (worker, _fleet, leader) = spawn(upstream);
+    worker.start(&[assignment(1)]);
+    task::sleep(Duration::from_millis(100)).await;
+    worker.stop_all();
+    let started = Instant::now();
+    wait_until("the item to come back", || worker.running().is_empty()).await;
+    assert!(started.elapsed() < Duration::from_millis(500), "{:?}", started.elapsed());
+    let returned = leader.returned.lock().unwrap();
+    assert_eq!((returned[0].reason(), returned[0].last_event_id), (ItemReturn::Yielded, 3));
+}
+
+/// Guards against a stall limit that bytes without a whole event keep from running out: the item occupied its
+/// slot without progress for a minute.
+#[async_std::test]
+async fn bytes_without_a_whole_event_do_not_extend_the_stall_limit() {
+    let (worker, _fleet, leader) = spawn(ScriptedUpstream { event_count: 3, ending: Ending::Drip });
+    worker.start(&[assignment(1)]);
+    wait_until("the item to come back", || worker.running().is_empty()).await;
+    let returned = leader.returned.lock().unwrap();
+    assert_eq!((returned[0].reason(), returned[0].last_event_id), (ItemReturn::Interrupted, 3));
+}
