Decide only on reports that the current term has applied

Callers saw batch items stopped half way when the leader changed, and started again from their first event.

A control host took a report as a follower, which applies none, waited for changes, and woke because it had become the leader. It then answered with the decisions of the new term's scheduler, which had not adopted the reported items and so cancelled all of them; the entry host drops a cancelled item with its events. A second way to the same end: the leadership was compared as a flag, so a host that lost and won it between two ticks went on with the scheduler of the earlier term, and a status read before the lock could take the scheduler back to a term that had ended.

A report now carries the term that applied it, and an answer holds decisions only if the scheduler still serves that term. The term is read under the scheduler's lock, and a new term of the same host starts with an empty scheduler.

The lost and regained leadership has no test.

a_new_leader_behind_the_log_stops_nothing now sends its calls without waiting, so that it meets the time before the first commit of the term: with calls that wait it passed with this change although its fault remains.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -11,6 +11,7 @@
 use crate::control::unix_ms;
 use crate::coordinator::fleet_relay::FleetRelay;
 use crate::coordinator::operator::call_failure;
+use crate::coordinator::report_log::ReportLog;
 use crate::coordinator::stored_state::{store_routes, store_upstreams, StoredState};
 use crate::coordinator::{ItemEnd, LeaderClient, LeaderHint, Scheduler};
 use crate::directory::{
@@ -63,6 +64,9 @@
     pub(super) directory: Mutex<Directory>,
     pub(super) entries: Mutex<EntryTable>,
     pub(super) scheduler: Mutex<Scheduler>,
+    /// Reports that the scheduler has applied. Locked while the scheduler is locked, never the other way
+    /// round.
+    pub(super) reports: Mutex<ReportLog>,
     /// Crash records, which entry hosts send to every control host and receive from any.
     pub(super) crashes: Arc<CrashTable>,
     /// Upstreams that said that they leave, as entry hosts and other control hosts report.
@@ -153,6 +157,7 @@
             directory: Mutex::new(directory),
             entries: Mutex::default(),
             scheduler: Mutex::default(),
+            reports: Mutex::default(),
             crashes: crashes.clone(),
             leaving,
             origins: Mutex::default(),
@@ -438,21 +443,31 @@
         watch.update_local_directory(known, changes, self.started.elapsed());
     }
 
-    /// Starts or ends the scheduler's term if the leadership has changed.
-    pub(super) fn update_leadership(&self, leads: bool) {
-        let (base_id, now) = (unix_ms() << 12, Instant::now());
+    /// Locks the scheduler, after it has started or ended its term if the leadership has changed.
+    pub(super) fn current_scheduler(&self) -> MutexGuard<'_, Scheduler> {
         let mut scheduler = lock(&self.scheduler);
-        if scheduler.set_leading(leads, base_id, now) {
+        // Read under the lock: an older status would take the scheduler back to a term that has ended.
+        let status = self.replica.status().filter(|status| status.is_leader);
+        let term = status.map(|status| status.term);
+        if !lock(&self.reports).begin(term) {
+            return scheduler;
+        }
+        let (base_id, now) = (unix_ms() << 12, Instant::now());
+        // A replica that lost and won the leadership between two calls starts anew: another leader may
+        // have assigned and finished items meanwhile.
+        scheduler.set_leading(false, base_id, now);
+        if scheduler.set_leading(term.is_some(), base_id, now) {
             scheduler.reconcile(&self.ledger().open_jobs(), now);
             log::info!(event = "term_started", waiting = scheduler.item_counts().0;
                 "this host is now the leader");
         }
+        scheduler
     }
 
     fn tick_once(&self) {
         let now = Instant::now();
         let leads = self.leads();
-        self.update_leadership(leads);
+        drop(self.current_scheduler());
         let expired = lock(&self.directory).expire(now);
         for upstream in &expired {
             log::warn!(event = "upstream_silent", upstream = upstream.as_str();
--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -6,6 +6,7 @@
 use crate::control::unix_ms;
 use crate::coordinator::control_role::lock;
 use crate::coordinator::fleet_relay::set_entries;
+use crate::coordinator::report_log::AppliedReport;
 use crate::coordinator::{Coordinator, JobPlan, Scheduler, SchedulerInput};
 use crate::ledger::{find_route, JobHead};
 use crate::schema::peer::{ControlSync, EntryHost, EntrySync, ItemAssignment, SlotPressure};
@@ -27,9 +28,7 @@
     /// Answers a sync call once there are changes or its waiting time is over.
     pub(super) async fn handle_sync(self: &Arc<Self>, sync: EntrySync) -> ControlSync {
         let leads = self.leads();
-        if let Some(entry) = &sync.entry {
-            self.apply_report(entry, &sync, leads);
-        }
+        let report = sync.entry.as_ref().and_then(|entry| self.apply_report(entry, &sync));
         self.record_leaving(&sync);
         let leader_address = self.leader_address();
         self.crashes.merge(&sync.crashes);
@@ -46,9 +45,9 @@
             Signal::wait(select(changed, own), left).await;
         }
         // A leader that does not know yet that it was replaced must not assign items.
-        let may_assign = leads && sync.has_report && lock(&self.scheduler).has_pending_items();
+        let may_assign = report.is_some() && lock(&self.scheduler).has_pending_items();
         let confirmed = may_assign && self.is_confirmed_leader().await;
-        self.build_answer(&sync, confirmed)
+        self.build_answer(&sync, report, confirmed)
     }
 
     /// Time for which a sync call may wait for changes.
@@ -60,23 +59,26 @@
         requested.min(leader_wait(lock(&self.entries).list().len()))
     }
 
-    fn apply_report(&self, entry: &EntryHost, sync: &EntrySync, leads: bool) {
+    /// Records the entry host and, on the leader, applies its report to the scheduler. Returns the report if
+    /// it was applied.
+    fn apply_report(&self, entry: &EntryHost, sync: &EntrySync) -> Option<AppliedReport> {
         let now = Instant::now();
         if lock(&self.entries).upsert(entry, now) {
             log::info!(event = "entry_host_changed", host = entry.host_id.as_str(),
                 ready = entry.ready; "entry host reported a change");
             self.entries_changed.notify();
         }
-        if !leads || !sync.has_report {
-            return;
+        if !sync.has_report {
+            return None;
         }
-        self.update_leadership(true);
-        let mut scheduler = lock(&self.scheduler);
+        let mut scheduler = self.current_scheduler();
+        let report = lock(&self.reports).record()?;
         scheduler.apply_report(entry, sync, now);
         if scheduler.has_unknown_assignments(&sync.running) {
             scheduler.adopt(&entry.host_id, &sync.running, &self.ledger().open_jobs(), now);
         }
         self.yield_slots(scheduler, now);
+        Some(report)
     }
 
     /// Makes batch items yield their slots and wakes the pending sync calls of their entry hosts.
@@ -105,7 +107,7 @@
             return;
         }
         let now = Instant::now();
-        let mut scheduler = lock(&self.scheduler);
+        let mut scheduler = self.current_scheduler();
         scheduler.apply_pressure(pressure, now);
         self.yield_slots(scheduler, now);
     }
@@ -151,7 +153,13 @@
         has_new_routes || has_due_stops
     }
 
-    fn build_answer(&self, sync: &EntrySync, may_assign: bool) -> ControlSync {
+    /// Answers a sync call; with decisions of the scheduler only if the current term has applied `report`.
+    fn build_answer(
+        &self,
+        sync: &EntrySync,
+        report: Option<AppliedReport>,
+        may_assign: bool,
+    ) -> ControlSync {
         let leads = self.leads();
         let routes = self.routes();
         let control_hosts = self.relay.control_hosts();
@@ -173,10 +181,14 @@
             true => self.relay.fill_answer(sync, &mut answer),
             false => self.fill_own_directory(sync, &mut answer),
         }
-        let reports = leads && sync.has_report;
-        let Some(entry) = sync.entry.as_ref().filter(|_| reports) else { return answer };
+        let (Some(entry), Some(report)) = (&sync.entry, report.filter(|_| leads)) else {
+            return answer;
+        };
         let now = Instant::now();
-        let mut scheduler = lock(&self.scheduler);
+        let mut scheduler = self.current_scheduler();
+        if !lock(&self.reports).may_decide(report) {
+            return answer;
+        }
         answer.stops = scheduler.take_due_stops(&entry.host_id, now);
         answer.stops.extend(scheduler.stops_for_stale_assignments(&entry.host_id, &sync.running));
         if may_assign {
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -13,6 +13,7 @@
 mod pending_items;
 mod rate_shares;
 mod reads;
+mod report_log;
 mod running_items;
 mod scheduler;
 mod scheduler_input;
--- /dev/null
+++ b/src/coordinator/report_log.rs
@@ -0,0 +1,36 @@
+/// A report of an entry host that the scheduler of one term has applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct AppliedReport {
+    term: u64,
+}
+
+/// Which reports the scheduler of the current term has applied. The scheduler's decisions on a host are only
+/// valid as the answer to a report that the same term has applied: to another term, all reported items are
+/// unknown.
+#[derive(Debug, Default)]
+pub(super) struct ReportLog {
+    /// Term of the scheduler; `None` on a follower.
+    term: Option<u64>,
+}
+
+impl ReportLog {
+    /// Starts the log of another term, or of a follower; false if the term is still the same.
+    pub(super) fn begin(&mut self, term: Option<u64>) -> bool {
+        if self.term == term {
+            return false;
+        }
+        *self = Self { term };
+        true
+    }
+
+    /// Records that the scheduler applies a report now; `None` on a follower, which applies none.
+    pub(super) fn record(&mut self) -> Option<AppliedReport> {
+        let term = self.term?;
+        Some(AppliedReport { term })
+    }
+
+    /// True if the answer to this report may contain decisions of the scheduler.
+    pub(super) fn may_decide(&self, report: AppliedReport) -> bool {
+        self.term == Some(report.term)
+    }
+}
--- a/tests/sync_terms.rs
+++ b/tests/sync_terms.rs
@@ -294,7 +294,7 @@
 #[async_std::test]
 async fn a_report_taken_before_the_term_began_stops_nothing() {
     let fleet = Fleet::start().await;
-    assert_new_leader_stops_nothing(&fleet).await;
+    assert_new_leader_stops_nothing(&fleet, 1_000).await;
     fleet.close().await;
 }
 
@@ -303,12 +303,14 @@
 #[async_std::test]
 async fn a_new_leader_behind_the_log_stops_nothing() {
     let fleet = Fleet::start_without_wait().await;
-    assert_new_leader_stops_nothing(&fleet).await;
+    // Calls one after the other, so that some fall between the start of the term and its first commit.
+    assert_new_leader_stops_nothing(&fleet, 0).await;
     fleet.close().await;
 }
 
-/// Cuts the leader off while an entry host reports two running items to the others.
-async fn assert_new_leader_stops_nothing(fleet: &Fleet) {
+/// Cuts the leader off while an entry host reports two running items to the others, in calls that wait up to
+/// `wait_ms`.
+async fn assert_new_leader_stops_nothing(fleet: &Fleet, wait_ms: u32) {
     let old = fleet.leader(&[]).await;
     fleet.cut(old);
     let others: Vec<usize> = (0..HOSTS).filter(|host| *host != old).collect();
@@ -318,12 +320,15 @@
             let started = Instant::now();
             // Until some calls after the change were answered.
             let mut as_leader = 0;
-            let mut waits = EntrySync { wait_ms: 1_000, ..report("e1", &[(7, 0), (8, 1)]) };
+            let mut waits = EntrySync { wait_ms, ..report("e1", &[(7, 0), (8, 1)]) };
             while as_leader < 20 && started.elapsed() < Duration::from_secs(5) {
                 let answer = sync(&host, waits.clone()).await;
                 fill_known(&mut waits, &answer);
                 assert_eq!(stopped(&answer), [0; 0], "answer {as_leader} as the leader");
                 as_leader += u32::from(answer.leads);
+                if wait_ms == 0 {
+                    task::sleep(Duration::from_millis(1)).await;
+                }
             }
             as_leader
         }
