Cancel reported items only with a quorum

An entry host that reached both a leader and its successor lost items over and over: it reported the items of the successor to both, and the old leader, which did not know them and did not know yet that it was replaced, cancelled them. A cancelled item is dropped with its events.

Assignments already waited for a quorum to confirm the leader; cancellations of reported items did not. They now wait for the same confirmation, which is asked for only when there is something to assign or to cancel.

a_leader_without_a_quorum_stops_no_items_of_others failed in three runs out of three on (stopped [9] with "leads: true") and passes with this change; it also checks that a leader with a quorum still stops the second run of an item.

--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -44,12 +44,21 @@
             }
             Signal::wait(select(changed, own), left).await;
         }
-        // A leader that does not know yet that it was replaced must not assign items.
-        let may_assign = report.is_some() && lock(&self.scheduler).has_pending_items();
-        let confirmed = may_assign && self.is_confirmed_leader().await;
+        // A leader that does not know yet that it was replaced must neither assign items nor cancel those
+        // that its successor has assigned.
+        let needs_quorum = report.is_some() && self.needs_quorum(&sync);
+        let confirmed = needs_quorum && self.is_confirmed_leader().await;
         self.build_answer(&sync, report, confirmed)
     }
 
+    /// True if the answer may contain assignments or cancellations.
+    fn needs_quorum(&self, sync: &EntrySync) -> bool {
+        let Some(entry) = &sync.entry else { return false };
+        let scheduler = lock(&self.scheduler);
+        scheduler.has_pending_items()
+            || !scheduler.stops_for_stale_assignments(&entry.host_id, &sync.running).is_empty()
+    }
+
     /// Time for which a sync call may wait for changes.
     fn wait_limit(&self, sync: &EntrySync, leads: bool) -> Duration {
         let requested = Duration::from_millis(sync.wait_ms.into()).min(MAX_WAIT);
@@ -158,7 +167,7 @@
         &self,
         sync: &EntrySync,
         report: Option<AppliedReport>,
-        may_assign: bool,
+        is_confirmed: bool,
     ) -> ControlSync {
         let leads = self.leads();
         let routes = self.routes();
@@ -190,8 +199,9 @@
             return answer;
         }
         answer.stops = scheduler.take_due_stops(&entry.host_id, now);
-        answer.stops.extend(scheduler.stops_for_stale_assignments(&entry.host_id, &sync.running));
-        if may_assign {
+        if is_confirmed {
+            let stale = scheduler.stops_for_stale_assignments(&entry.host_id, &sync.running);
+            answer.stops.extend(stale);
             answer.assignments = self.assign(&mut scheduler, &entry.host_id, now);
         }
         let update = self.with_scheduler_input(now, |input| {
