Adopt reported items again once the ledger is current

A new leader may take a report before it has applied the log up to the submission of a job. It adopted none of the job's items, waited, and then cancelled them as unknown, so they were stopped half way and started again from their first event.

Before an answer cancels anything, a quorum has confirmed the leader, and the ledger is then current. The scheduler now takes up the open jobs and adopts the reported items at that point, and cancels only what is still unknown.

a_new_leader_behind_the_log_stops_nothing now uses forty entry hosts with one item each, so that some calls begin before the first commit of the term and are answered after it.

only_the_newest_call_of_a_host_is_assigned_items now lets both calls wait: its first call used to be answered before the second one was sent, so the test could not pass.

--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -200,6 +200,12 @@
         }
         answer.stops = scheduler.take_due_stops(&entry.host_id, now);
         if is_confirmed {
+            // The ledger is current now; when the report came, it may have lacked the jobs of the items.
+            if scheduler.has_unknown_assignments(&sync.running) {
+                let open_jobs = self.ledger().open_jobs();
+                scheduler.reconcile(&open_jobs, now);
+                scheduler.adopt(&entry.host_id, &sync.running, &open_jobs, now);
+            }
             let stale = scheduler.stops_for_stale_assignments(&entry.host_id, &sync.running);
             answer.stops.extend(stale);
             answer.assignments = self.assign(&mut scheduler, &entry.host_id, now);
--- a/tests/sync_terms.rs
+++ b/tests/sync_terms.rs
@@ -106,7 +106,7 @@
 impl Fleet {
     /// Starts three control hosts, submits job `j` with two items and waits until all of them know it.
     async fn start() -> Self {
-        let fleet = Self::start_without_wait().await;
+        let fleet = Self::start_without_wait(2).await;
         let started = Instant::now();
         while (0..HOSTS).any(|host| fleet.host(host).ledger().open_jobs().is_empty()) {
             assert!(started.elapsed() < STEP_TIMEOUT, "waited {STEP_TIMEOUT:?} for the job");
@@ -119,7 +119,7 @@
 
     /// The same, but returns once a quorum has the job in its log: the followers do not know yet that they
     /// may apply it.
-    async fn start_without_wait() -> Self {
+    async fn start_without_wait(items: u32) -> Self {
         let folder = tempfile::tempdir().expect("a folder for the test");
         let network = Arc::<Network>::default();
         for host in 0..HOSTS {
@@ -130,8 +130,8 @@
         let fleet = Self { network, _folder: folder };
         let leader = fleet.leader(&[]).await;
         let _ = fleet.host(leader).install_routes(routes(), Bytes::from_static(b"{}")).await;
-        let item = |id: &str| NewItem {
-            item_id: id.into(),
+        let item = |number: u32| NewItem {
+            item_id: format!("i{number}"),
             path: "/sheets/1".into(),
             ..NewItem::default()
         };
@@ -139,7 +139,7 @@
             job_id: "j".into(),
             host: "shop.example".into(),
             path: "/sheets/".into(),
-            items: vec![item("i0"), item("i1")],
+            items: (0..items).map(item).collect(),
         };
         let call = call::Call::LedgerCommand(command(Kind::SubmitJob(job)));
         let submitted = fleet.host(leader).handle(call).await;
@@ -294,7 +294,8 @@
 #[async_std::test]
 async fn a_report_taken_before_the_term_began_stops_nothing() {
     let fleet = Fleet::start().await;
-    assert_new_leader_stops_nothing(&fleet, 1_000).await;
+    let waits = EntrySync { wait_ms: 1_000, ..report("e1", &[(7, 0), (8, 1)]) };
+    assert_new_leader_stops_nothing(&fleet, &[waits]).await;
     fleet.close().await;
 }
 
@@ -302,37 +303,45 @@
 /// the submission of the job.
 #[async_std::test]
 async fn a_new_leader_behind_the_log_stops_nothing() {
-    let fleet = Fleet::start_without_wait().await;
-    // Calls one after the other, so that some fall between the start of the term and its first commit.
-    assert_new_leader_stops_nothing(&fleet, 0).await;
-    fleet.close().await;
+    const ENTRY_HOSTS: u32 = 40;
+    // Each entry host runs one item. With so many calls, some begin before the first commit of the term and
+    // are answered after it, and some are answered before it.
+    for wait_ms in [0, 20] {
+        let fleet = Fleet::start_without_wait(ENTRY_HOSTS).await;
+        let reports = (0..ENTRY_HOSTS).map(|item| EntrySync {
+            wait_ms,
+            ..report(&format!("e{item}"), &[(100 + u64::from(item), item)])
+        });
+        assert_new_leader_stops_nothing(&fleet, &reports.collect::<Vec<_>>()).await;
+        fleet.close().await;
+    }
 }
 
-/// Cuts the leader off while an entry host reports two running items to the others, in calls that wait up to
-/// `wait_ms`.
-async fn assert_new_leader_stops_nothing(fleet: &Fleet, wait_ms: u32) {
+/// Cuts the leader off while entry hosts report their running items to the others.
+async fn assert_new_leader_stops_nothing(fleet: &Fleet, reports: &[EntrySync]) {
     let old = fleet.leader(&[]).await;
     fleet.cut(old);
-    let others: Vec<usize> = (0..HOSTS).filter(|host| *host != old).collect();
-    let calls = others.iter().map(|host| {
-        let host = fleet.host(*host).clone();
-        async move {
+    let others = (0..HOSTS).filter(|host| *host != old);
+    let pairs = others.flat_map(|host| reports.iter().map(move |report| (host, report.clone())));
+    let calls = pairs.map(|(host, mut report)| {
+        let host = fleet.host(host).clone();
+        task::spawn(async move {
             let started = Instant::now();
             // Until some calls after the change were answered.
             let mut as_leader = 0;
-            let mut waits = EntrySync { wait_ms, ..report("e1", &[(7, 0), (8, 1)]) };
             while as_leader < 20 && started.elapsed() < Duration::from_secs(5) {
-                let answer = sync(&host, waits.clone()).await;
-                fill_known(&mut waits, &answer);
+                let answer = sync(&host, report.clone()).await;
+                fill_known(&mut report, &answer);
                 assert_eq!(stopped(&answer), [0; 0], "answer {as_leader} as the leader");
                 as_leader += u32::from(answer.leads);
-                if wait_ms == 0 {
+                if report.wait_ms == 0 {
                     task::sleep(Duration::from_millis(1)).await;
                 }
             }
             as_leader
-        }
+        })
     });
+    let calls: Vec<_> = calls.collect();
     let answers: u32 = futures::future::join_all(calls).await.into_iter().sum();
     assert!(answers >= 20, "no new leader answered");
 }
@@ -388,18 +397,19 @@
     let leader = fleet.leader(&[]).await;
     let host = fleet.host(leader).clone();
     host.record_upstream_heartbeat(upstream());
+    let mut waits = EntrySync { wait_ms: 60, ..report("e1", &[]) };
     let started = Instant::now();
     while started.elapsed() < TERM_START {
-        let answer = sync(&host, EntrySync { wait_ms: 10, ..report("e1", &[]) }).await;
-        // An assignment that is not listed by the next report was lost on the way.
-        drop(answer);
+        // Items that are assigned here and not listed by the next report are queued again.
+        let answer = sync(&host, waits.clone()).await;
+        fill_known(&mut waits, &answer);
     }
     let first = task::spawn({
-        let host = host.clone();
-        async move { sync(&host, EntrySync { wait_ms: 60, ..report("e1", &[]) }).await }
+        let (host, waits) = (host.clone(), waits.clone());
+        async move { sync(&host, waits).await }
     });
     task::sleep(Duration::from_millis(20)).await;
-    let second = sync(&host, EntrySync { wait_ms: 60, ..report("e1", &[]) }).await;
+    let second = sync(&host, waits).await;
     let first = first.await;
     assert_eq!(first.assignments.len(), 0, "the first call was given up");
     assert_eq!(second.assignments.len(), 2);
