Acknowledge returned items only with a quorum

Events that an item had received were lost when the leader changed: the entry host returned the item to a leader that did not know that it was replaced, or to one whose scheduler had not begun its term. Both acknowledged it, the entry host forgot the item, and the new leader never heard of its events.

A returned item is now taken once a quorum has confirmed the leader and by the scheduler of the current term. Otherwise the call is refused, and the entry host asks another control host, as for any other refusal.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -385,15 +385,24 @@
     }
 
     async fn return_item(&self, item: ReturnItem) -> reply::Reply {
-        if !self.leads() {
-            return self.not_leader_failure();
+        let Some(group) = self.replica.group() else { return self.not_leader_failure() };
+        // The entry host forgets the item once it is acknowledged, so a leader that was replaced must not
+        // do so.
+        if let Err(refusal) = self.confirm_leadership(&group).await {
+            return refusal;
         }
         let routes = self.ledger().routes();
         let max_attempts = |job: &JobHead| {
             let route = find_route(&routes.routes, &job.host, &job.path);
             route.map_or(1, |route| route.max_attempts.max(1))
         };
-        let end = lock(&self.scheduler).handle_return(&item, &max_attempts, Instant::now());
+        let end = {
+            let mut scheduler = self.current_scheduler();
+            if !lock(&self.reports).has_term() {
+                return self.not_leader_failure();
+            }
+            scheduler.handle_return(&item, &max_attempts, Instant::now())
+        };
         log::info!(event = "item_returned", job = item.job_id.as_str(), item = item.item,
             assignment = item.assignment_id, last_event = item.last_event_id; "{:?}, {end:?}",
             item.reason());
--- a/src/coordinator/report_log.rs
+++ b/src/coordinator/report_log.rs
@@ -23,6 +23,11 @@
         true
     }
 
+    /// True if the scheduler is that of a leader.
+    pub(super) fn has_term(&self) -> bool {
+        self.term.is_some()
+    }
+
     /// Records that the scheduler applies a report now; `None` on a follower, which applies none.
     pub(super) fn record(&mut self) -> Option<AppliedReport> {
         let term = self.term?;
