Assign items only in the answer to a host's newest call

An overloaded leader could assign an item again and again without it ever starting. An entry host gives up a call after its wait and 400 ms and sends another one; the leader still answered the first and put assignments and stops into an answer that nobody reads. The next report did not list the items, so they were queued again and went into the next late answer.

The leader now numbers the reports that it applies. The answer to a call whose host has sent a newer report holds no decisions.

A late call that no newer one has followed yet is still answered with decisions.

--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -81,7 +81,7 @@
             return None;
         }
         let mut scheduler = self.current_scheduler();
-        let report = lock(&self.reports).record()?;
+        let report = lock(&self.reports).record(&entry.host_id)?;
         scheduler.apply_report(entry, sync, now);
         if scheduler.has_unknown_assignments(&sync.running) {
             scheduler.adopt(&entry.host_id, &sync.running, &self.ledger().open_jobs(), now);
@@ -162,7 +162,8 @@
         has_new_routes || has_due_stops
     }
 
-    /// Answers a sync call; with decisions of the scheduler only if the current term has applied `report`.
+    /// Answers a sync call; with decisions of the scheduler only if `report` is the newest one that the
+    /// current term has applied from its host.
     fn build_answer(
         &self,
         sync: &EntrySync,
@@ -195,7 +196,7 @@
         };
         let now = Instant::now();
         let mut scheduler = self.current_scheduler();
-        if !lock(&self.reports).may_decide(report) {
+        if !lock(&self.reports).may_decide(&entry.host_id, report) {
             return answer;
         }
         answer.stops = scheduler.take_due_stops(&entry.host_id, now);
