Follow one redirect in a row to find the leader

A call to the leader followed each host that named another one without a pause. Two hosts that name each other, as they do while the leader changes, were called 104,869 times in 500 ms, which takes the processor from the rest of the host, and a third host that leads was not asked at all, so a returned batch item was lost after its attempts.

The client now follows one redirect. After a second one in a row it pauses, forgets the named leader and asks the control hosts in turn.

--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -108,6 +108,7 @@
     ) -> Result<reply::Reply, LeaderError> {
         let started = Instant::now();
         let mut unknown_effect = None;
+        let mut is_redirected = false;
         let mut last = "no control host is known".to_owned();
         loop {
             let left = budget.saturating_sub(started.elapsed());
@@ -120,6 +121,7 @@
             };
             let message = Call { traceparent: String::new(), call: Some(call.clone()) };
             let class = TrafficClass::Bulk;
+            let was_redirected = std::mem::take(&mut is_redirected);
             match self.caller.call(&address, class, message, timeout.min(left)).await {
                 Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => {
                     let unknown = failure.kind() == FailureKind::CommitUnknown;
@@ -127,10 +129,14 @@
                         unknown_effect = Some(failure.message.clone());
                     }
                     let leader = Some(failure.leader_address).filter(|leader| !leader.is_empty());
-                    let is_new = leader.as_ref().is_some_and(|leader| *leader != address);
+                    // Hosts that name each other would be followed without end, so one redirect in a row is
+                    // followed.
+                    let is_new =
+                        !was_redirected && leader.as_ref().is_some_and(|leader| *leader != address);
                     self.leader.store(leader.filter(|_| is_new).map(Arc::new));
                     last = failure.message;
                     if is_new && !unknown {
+                        is_redirected = true;
                         continue;
                     }
                 }
