Bound each call to the leader in the client itself

The budget of a call held only if the connection below ended each call in time. A connection that does not end one kept the caller waiting for good; a batch item whose end is being reported then stays listed, and the leader takes it for running.

The client now gives up a call 100 ms after its timeout. The margin lets a connection end the call itself, since it then learns that it may be broken. No such hang of PeerPool was found: this is a bound, not the fix of a seen fault.

a_call_ends_though_its_connection_does_not failed on (no end after 2 s with a budget of 300 ms) and passes with the whole series (one run).

--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -16,6 +16,10 @@
 /// Delay before the next control host is tried.
 const RETRY_DELAY: Duration = Duration::from_millis(25);
 
+/// Time after its timeout at which a call is given up if the connection has not ended it. The connection
+/// normally ends it in time, and then knows that it may be broken.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(100);
+
 /// Locates the likely leader and the control hosts.
 pub trait LeaderHint: Send + Sync {
     /// Peer address of the likely leader, if one is known.
@@ -121,8 +125,11 @@
             };
             let message = Call { traceparent: String::new(), call: Some(call.clone()) };
             let class = TrafficClass::Bulk;
+            let timeout = timeout.min(left);
+            let called = self.caller.call(&address, class, message, timeout);
+            let called = async_std::future::timeout(timeout + GIVE_UP_MARGIN, called).await;
             let was_redirected = std::mem::take(&mut is_redirected);
-            match self.caller.call(&address, class, message, timeout.min(left)).await {
+            match called.unwrap_or_else(|_| Err(CallError::Lost("no end of the call".to_owned()))) {
                 Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => {
                     let unknown = failure.kind() == FailureKind::CommitUnknown;
                     if unknown {
