Unlist a batch item however its run ends

An item stayed listed for good if the code that runs it panicked: the process and its other tasks go on, but the entry was removed only by the last line of the task. The leader takes a listed item for running and assigns it to no other host. The same held for a run or a report that never ends.

The entry is now removed when the task's guard is dropped, also by a panic. A panic of the run is caught and reported as a failed attempt, which is counted, so an item that panics everywhere is given up. A run ends after 64 s and its report after 17 s, so no entry is older than 81 s, and no item is listed for more than 17 s after its upstream has ended.

--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::panic::AssertUnwindSafe;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -43,6 +44,11 @@
 const REPORT_BUDGET: Duration = Duration::from_millis(2_000);
 /// Attempts to report the end of an item; if all fail, the leader assigns the item again.
 const REPORT_ATTEMPTS: u32 = 8;
+/// Time after which an item is no longer listed though its end could not be reported: all attempts and a
+/// margin for their pauses.
+const REPORT_LIMIT: Duration = Duration::from_millis(2_000 * 8 + 1_000);
+/// Time after which a run is given up: the item's deadline, and the stall limit for its start and its last read.
+const RUN_LIMIT: Duration = Duration::from_secs(60 + 2 * 2);
 
 /// Largest text of an item; pages of results hold no more.
 const TEXT_LIMIT_BYTES: usize = 1 << 20;
@@ -120,7 +126,8 @@
             };
             let running = RunningEntry { item, stop: Some(stop) };
             self.inner().running.insert(assignment.assignment_id, running);
-            task::spawn(run_assignment(self.clone(), assignment.clone(), stopped));
+            let listing = Listing { worker: self.clone(), assignment_id: assignment.assignment_id };
+            task::spawn(run_assignment(listing, assignment.clone(), stopped));
         }
     }
 
@@ -183,15 +190,30 @@
     ) -> RunEnd {
         let mut progress = ItemProgress::of(assignment);
         let end = {
-            let run = Box::pin(self.run_on_upstream(assignment, &mut progress));
+            let run = self.run_on_upstream(assignment, &mut progress);
+            // A panic must not end the task before the leader is told.
+            let run = Box::pin(AssertUnwindSafe(timeout(RUN_LIMIT, run)).catch_unwind());
             match select(run, stopped).await {
-                Either::Left((end, _)) => Ok(end),
+                Either::Left((Ok(Ok(end)), _)) => Ok(end),
+                Either::Left((Ok(Err(_)), _)) => {
+                    log_failed_attempt(assignment, "the run exceeded its time limit");
+                    Ok(Err(RunError::Returned(ItemReturn::Interrupted)))
+                }
+                Either::Left((Err(_), _)) => {
+                    log_failed_attempt(assignment, "the run panicked");
+                    Ok(Err(RunError::Panicked))
+                }
                 Either::Right((reason, _)) => Err(reason.unwrap_or(StopReason::Cancelled)),
             }
         };
         match end {
             Ok(Ok(())) => RunEnd::Finished(progress.text.freeze()),
             Ok(Err(RunError::Unprocessable)) => RunEnd::Unprocessable,
+            // What was received may be incomplete. A failed attempt is counted, so an item that panics
+            // everywhere is given up.
+            Ok(Err(RunError::Panicked)) => {
+                RunEnd::Returned(ItemReturn::FailedAttempt, ItemProgress::of(assignment))
+            }
             Ok(Err(RunError::Returned(reason))) => RunEnd::Returned(reason, progress),
             Err(StopReason::Cancelled) => RunEnd::Cancelled,
             Err(_) => RunEnd::Returned(ItemReturn::Yielded, progress),
@@ -400,20 +422,38 @@
 
 enum RunError {
     Unprocessable,
+    Panicked,
     Returned(ItemReturn),
 }
 
-async fn run_assignment(
+/// The entry of a run in the list of running items. Dropping it removes the entry, so that the leader assigns
+/// the item again however the run ends.
+struct Listing {
     worker: Arc<BatchWorker>,
+    assignment_id: u64,
+}
+
+impl Drop for Listing {
+    fn drop(&mut self) {
+        self.worker.inner().running.remove(&self.assignment_id);
+    }
+}
+
+async fn run_assignment(
+    listing: Listing,
     assignment: ItemAssignment,
     stopped: oneshot::Receiver<StopReason>,
 ) {
     log::info!(event = "item_started", job = assignment.job_id.as_str(), item = assignment.item,
         assignment = assignment.assignment_id, upstream = assignment.upstream_id.as_str(),
         after_event = assignment.last_event_id; "starting the batch item");
+    let worker = &listing.worker;
     let end = worker.run_item(&assignment, stopped).await;
-    worker.report_end(&assignment, end).await;
-    worker.inner().running.remove(&assignment.assignment_id);
+    if timeout(REPORT_LIMIT, worker.report_end(&assignment, end)).await.is_err() {
+        log::warn!(event = "leader_not_told", job = assignment.job_id.as_str(),
+            item = assignment.item, assignment = assignment.assignment_id;
+            "the report took longer than its limit");
+    }
 }
 
 /// Stops all items when the leader has not answered for [`LEADER_TIMEOUT`].
--- a/tests/batch_worker.rs
+++ b/tests/batch_worker.rs
@@ -3,6 +3,7 @@
 //! requests.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -116,6 +117,8 @@
 /// Accepts and records all commands and returned items.
 #[derive(Default)]
 struct RecordingLeader {
+    /// Calls have no end, not even at their time limit.
+    is_silent: AtomicBool,
     finished: Mutex<Vec<FinishItems>>,
     returned: Mutex<Vec<ReturnItem>>,
 }
@@ -129,6 +132,9 @@
         call: Call,
         _timeout: Duration,
     ) -> Result<Reply, CallError> {
+        if self.is_silent.load(Ordering::SeqCst) {
+            return futures::future::pending().await;
+        }
         match call.call {
             Some(call::Call::LedgerCommand(command)) => {
                 if let Some(command::Command::FinishItems(finish)) = command.command {
@@ -314,3 +320,19 @@
     let returned = leader.returned.lock().unwrap();
     assert_eq!((returned[0].reason(), returned[0].last_event_id), (ItemReturn::Interrupted, 3));
 }
+
+/// Guards against an item that stays listed for good because no leader takes its end: the leader takes it for
+/// running, and no other host runs it.
+#[async_std::test]
+async fn an_item_whose_end_cannot_be_reported_is_unlisted_within_the_bound() {
+    let (worker, _fleet, leader) = spawn(ScriptedUpstream { event_count: 3, ending: Ending::End });
+    leader.is_silent.store(true, Ordering::SeqCst);
+    worker.start(&[assignment(1)]);
+    // Eight attempts of two seconds, and a margin.
+    let bound = Duration::from_millis(18_000);
+    let started = Instant::now();
+    while !worker.running().is_empty() {
+        assert!(started.elapsed() < bound, "listed for {:?}", started.elapsed());
+        task::sleep(Duration::from_millis(50)).await;
+    }
+}
