Run an assignment that comes twice only once

A second assignment with the id of a running one replaced its entry and with it the sender of its stop channel. The first run took that for a cancellation, dropped its events and removed the entry of the second, which then ran unlisted, so the leader assigned the item to another host as well. Ids are above those of earlier terms only if the clocks of the control hosts agree, so an id may come twice.

The host now leaves the running assignment alone and logs the second one.

--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::hash_map::{Entry, HashMap};
 use std::panic::AssertUnwindSafe;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -125,7 +125,15 @@
                 upstream_id: assignment.upstream_id.clone(),
             };
             let running = RunningEntry { item, stop: Some(stop) };
-            self.inner().running.insert(assignment.assignment_id, running);
+            match self.inner().running.entry(assignment.assignment_id) {
+                Entry::Vacant(entry) => entry.insert(running),
+                Entry::Occupied(_) => {
+                    log::warn!(event = "assignment_repeated", job = assignment.job_id.as_str(),
+                        item = assignment.item, assignment = assignment.assignment_id;
+                        "the assignment already runs");
+                    continue;
+                }
+            };
             let listing = Listing { worker: self.clone(), assignment_id: assignment.assignment_id };
             task::spawn(run_assignment(listing, assignment.clone(), stopped));
         }
