Hold the limits of an item while its stream always has bytes

A stream that always had bytes to read kept the task of its item from seeing that it must stop, since the task never waited. Bytes that complete no event also passed the stall limit, which was checked only while waiting, so such an item kept its slot for up to a minute.

The task now lets others run after 32 chunks in a row, and checks the stall limit after each chunk.

an_item_is_stopped_while_its_upstream_sends_bytes_without_pause and bytes_without_a_whole_event_do_not_extend_the_stall_limit failed on and pass with this change.

--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -49,6 +49,8 @@
 const REPORT_LIMIT: Duration = Duration::from_millis(2_000 * 8 + 1_000);
 /// Time after which a run is given up: the item's deadline, and the stall limit for its start and its last read.
 const RUN_LIMIT: Duration = Duration::from_secs(60 + 2 * 2);
+/// Chunks that are read in a row before the task lets others run and looks whether it must stop.
+const CHUNKS_IN_A_ROW: u32 = 32;
 
 /// Largest text of an item; pages of results hold no more.
 const TEXT_LIMIT_BYTES: usize = 1 << 20;
@@ -292,9 +294,17 @@
         let (has_framing, mut has_event) = (answer.head().has_framing, false);
         let deadline = Instant::now() + ITEM_DEADLINE;
         let mut last_event_at = Instant::now();
+        let mut chunks_in_a_row = 0;
         while Instant::now() < deadline {
+            if chunks_in_a_row == CHUNKS_IN_A_ROW {
+                chunks_in_a_row = 0;
+                task::yield_now().await;
+            }
             let next = match answer.next_chunk().now_or_never() {
-                Some(next) => Ok(next),
+                Some(next) => {
+                    chunks_in_a_row += 1;
+                    Ok(next)
+                }
                 None => {
                     task::sleep(READ_INTERVAL).await;
                     let until_stall = STALL_LIMIT.saturating_sub(last_event_at.elapsed());
@@ -331,6 +341,10 @@
             }
             let may_hold_text =
                 progress.text.len() <= TEXT_LIMIT_BYTES && text_lease.resize(progress.text.len());
+            if last_event_at.elapsed() > STALL_LIMIT {
+                log_failed_attempt(assignment, "the upstream sent no whole event in time");
+                break;
+            }
             if !splitter.may_hold_rest() || !may_hold_text {
                 log_failed_attempt(assignment, "the answer is larger than the limit");
                 *progress = ItemProgress::of(assignment);
