--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -16,6 +16,10 @@
 /// Delay before the next control host is tried.
 const RETRY_DELAY: Duration = Duration::from_millis(25);
 
+/// Time after its timeout at which a call is given up if the connection has not ended it. The connection
+/// normally ends it in time, and then knows that it may be broken.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(100);
+
 /// Locates the likely leader and the control hosts.
 pub trait LeaderHint: Send + Sync {
     /// Peer address of the likely leader, if one is known.
@@ -108,6 +112,7 @@
     ) -> Result<reply::Reply, LeaderError> {
         let started = Instant::now();
         let mut unknown_effect = None;
+        let mut is_redirected = false;
         let mut last = "no control host is known".to_owned();
         loop {
             let left = budget.saturating_sub(started.elapsed());
@@ -120,17 +125,25 @@
             };
             let message = Call { traceparent: String::new(), call: Some(call.clone()) };
             let class = TrafficClass::Bulk;
-            match self.caller.call(&address, class, message, timeout.min(left)).await {
+            let timeout = timeout.min(left);
+            let called = self.caller.call(&address, class, message, timeout);
+            let called = async_std::future::timeout(timeout + GIVE_UP_MARGIN, called).await;
+            let was_redirected = std::mem::take(&mut is_redirected);
+            match called.unwrap_or_else(|_| Err(CallError::Lost("no end of the call".to_owned()))) {
                 Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => {
                     let unknown = failure.kind() == FailureKind::CommitUnknown;
                     if unknown {
                         unknown_effect = Some(failure.message.clone());
                     }
                     let leader = Some(failure.leader_address).filter(|leader| !leader.is_empty());
-                    let is_new = leader.as_ref().is_some_and(|leader| *leader != address);
+                    // Hosts that name each other would be followed without end, so one redirect in a row is
+                    // followed.
+                    let is_new =
+                        !was_redirected && leader.as_ref().is_some_and(|leader| *leader != address);
                     self.leader.store(leader.filter(|_| is_new).map(Arc::new));
                     last = failure.message;
                     if is_new && !unknown {
+                        is_redirected = true;
                         continue;
                     }
                 }
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -15,6 +15,7 @@
 mod pending_items;
 mod rate_shares;
 mod reads;
+mod report_log;
 mod running_items;
 mod scheduler;
 mod scheduler_audit;
--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -1,4 +1,5 @@
-use std::collections::HashMap;
+use std::collections::hash_map::{Entry, HashMap};
+use std::panic::AssertUnwindSafe;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -43,6 +44,13 @@
 const REPORT_BUDGET: Duration = Duration::from_millis(2_000);
 /// Attempts to report the end of an item; if all fail, the leader assigns the item again.
 const REPORT_ATTEMPTS: u32 = 8;
+/// Time after which an item is no longer listed though its end could not be reported: all attempts and a
+/// margin for their pauses.
+const REPORT_LIMIT: Duration = Duration::from_millis(2_000 * 8 + 1_000);
+/// Time after which a run is given up: the item's deadline, and the stall limit for its start and its last read.
+const RUN_LIMIT: Duration = Duration::from_secs(60 + 2 * 2);
+/// Chunks that are read in a row before the task lets others run and looks whether it must stop.
+const CHUNKS_IN_A_ROW: u32 = 32;
 
 /// Largest text of an item; pages of results hold no more.
 const TEXT_LIMIT_BYTES: usize = 1 << 20;
@@ -119,8 +127,17 @@
                 upstream_id: assignment.upstream_id.clone(),
             };
             let running = RunningEntry { item, stop: Some(stop) };
-            self.inner().running.insert(assignment.assignment_id, running);
-            task::spawn(run_assignment(self.clone(), assignment.clone(), stopped));
+            match self.inner().running.entry(assignment.assignment_id) {
+                Entry::Vacant(entry) => entry.insert(running),
+                Entry::Occupied(_) => {
+                    log::warn!(event = "assignment_repeated", job = assignment.job_id.as_str(),
+                        item = assignment.item, assignment = assignment.assignment_id;
+                        "the assignment already runs");
+                    continue;
+                }
+            };
+            let listing = Listing { worker: self.clone(), assignment_id: assignment.assignment_id };
+            task::spawn(run_assignment(listing, assignment.clone(), stopped));
         }
     }
 
@@ -183,15 +200,30 @@
     ) -> RunEnd {
         let mut progress = ItemProgress::of(assignment);
         let end = {
-            let run = Box::pin(self.run_on_upstream(assignment, &mut progress));
+            let run = self.run_on_upstream(assignment, &mut progress);
+            // A panic must not end the task before the leader is told.
+            let run = Box::pin(AssertUnwindSafe(timeout(RUN_LIMIT, run)).catch_unwind());
             match select(run, stopped).await {
-                Either::Left((end, _)) => Ok(end),
+                Either::Left((Ok(Ok(end)), _)) => Ok(end),
+                Either::Left((Ok(Err(_)), _)) => {
+                    log_failed_attempt(assignment, "the run exceeded its time limit");
+                    Ok(Err(RunError::Returned(ItemReturn::Interrupted)))
+                }
+                Either::Left((Err(_), _)) => {
+                    log_failed_attempt(assignment, "the run panicked");
+                    Ok(Err(RunError::Panicked))
+                }
                 Either::Right((reason, _)) => Err(reason.unwrap_or(StopReason::Cancelled)),
             }
         };
         match end {
             Ok(Ok(())) => RunEnd::Finished(progress.text.freeze()),
             Ok(Err(RunError::Unprocessable)) => RunEnd::Unprocessable,
+            // What was received may be incomplete. A failed attempt is counted, so an item that panics
+            // everywhere is given up.
+            Ok(Err(RunError::Panicked)) => {
+                RunEnd::Returned(ItemReturn::FailedAttempt, ItemProgress::of(assignment))
+            }
             Ok(Err(RunError::Returned(reason))) => RunEnd::Returned(reason, progress),
             Err(StopReason::Cancelled) => RunEnd::Cancelled,
             Err(_) => RunEnd::Returned(ItemReturn::Yielded, progress),
@@ -262,9 +294,17 @@
         let (has_framing, mut has_event) = (answer.head().has_framing, false);
         let deadline = Instant::now() + ITEM_DEADLINE;
         let mut last_event_at = Instant::now();
+        let mut chunks_in_a_row = 0;
         while Instant::now() < deadline {
+            if chunks_in_a_row == CHUNKS_IN_A_ROW {
+                chunks_in_a_row = 0;
+                task::yield_now().await;
+            }
             let next = match answer.next_chunk().now_or_never() {
-                Some(next) => Ok(next),
+                Some(next) => {
+                    chunks_in_a_row += 1;
+                    Ok(next)
+                }
                 None => {
                     task::sleep(READ_INTERVAL).await;
                     let until_stall = STALL_LIMIT.saturating_sub(last_event_at.elapsed());
@@ -301,6 +341,10 @@
             }
             let may_hold_text =
                 progress.text.len() <= TEXT_LIMIT_BYTES && text_lease.resize(progress.text.len());
+            if last_event_at.elapsed() > STALL_LIMIT {
+                log_failed_attempt(assignment, "the upstream sent no whole event in time");
+                break;
+            }
             if !splitter.may_hold_rest() || !may_hold_text {
                 log_failed_attempt(assignment, "the answer is larger than the limit");
                 *progress = ItemProgress::of(assignment);
@@ -400,20 +444,38 @@
 
 enum RunError {
     Unprocessable,
+    Panicked,
     Returned(ItemReturn),
 }
 
-async fn run_assignment(
+/// The entry of a run in the list of running items. Dropping it removes the entry, so that the leader assigns
+/// the item again however the run ends.
+struct Listing {
     worker: Arc<BatchWorker>,
+    assignment_id: u64,
+}
+
+impl Drop for Listing {
+    fn drop(&mut self) {
+        self.worker.inner().running.remove(&self.assignment_id);
+    }
+}
+
+async fn run_assignment(
+    listing: Listing,
     assignment: ItemAssignment,
     stopped: oneshot::Receiver<StopReason>,
 ) {
     log::info!(event = "item_started", job = assignment.job_id.as_str(), item = assignment.item,
         assignment = assignment.assignment_id, upstream = assignment.upstream_id.as_str(),
         after_event = assignment.last_event_id; "starting the batch item");
+    let worker = &listing.worker;
     let end = worker.run_item(&assignment, stopped).await;
-    worker.report_end(&assignment, end).await;
-    worker.inner().running.remove(&assignment.assignment_id);
+    if timeout(REPORT_LIMIT, worker.report_end(&assignment, end)).await.is_err() {
+        log::warn!(event = "leader_not_told", job = assignment.job_id.as_str(),
+            item = assignment.item, assignment = assignment.assignment_id;
+            "the report took longer than its limit");
+    }
 }
 
 /// Stops all items when the leader has not answered for [`LEADER_TIMEOUT`].
