--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -509,7 +509,7 @@
         if !self.leads() {
             return;
         }
-        let mut scheduler = lock(&self.scheduler);
+        let mut scheduler = self.current_scheduler();
         // Read under the lock: an older list that is applied after a newer one would drop new jobs.
         let open = self.ledger().open_jobs();
         scheduler.reconcile(&open, Instant::now());
@@ -518,8 +518,8 @@
     /// Compares the scheduler with the ledger, and logs items that it did not hold and those that make no
     /// progress.
     fn audit_scheduler(&self) {
-        let mut scheduler = lock(&self.scheduler);
-        if !self.leads() || !scheduler.is_leading() {
+        let mut scheduler = self.current_scheduler();
+        if !scheduler.is_leading() {
             return;
         }
         let open = self.ledger().open_jobs();
