Add a test of a re-leased batch item as known red

What callers saw: an item of a batch job could run three times at once or one after the other, and fail with "the lease of the last attempt ran out" although its last attempt was running. Cause: when a host leases an item again while its earlier attempt still runs there (its renewals failed for the length of a lease), both attempts share one entry of the runner's table. The end of the earlier one removes the entry, so the later one is no longer renewed and loses its lease. The tests bring a replicated state whose calls and clock they control.

--- /dev/null
+++ b/tests/batch_runner.rs
@@ -0,0 +1,53 @@
+//! Tests of the batch runner of the daemon against calls to the control hosts that fail, leases that
+//! expire and tasks that end in other ways than expected. They guard against items that the state
+//! has as leased although no host runs them, and against attempts that are counted without a run.
+
+mod batch_support;
+
+use std::time::Duration;
+
+use async_std::channel::bounded;
+use async_std::task;
+use batch_support::{
+    all_ended, lines, spawn_runner, CommandKind, ControlledState, ControlledUpstreams, Fault, Step,
+    PLAIN_PATH,
+};
+use damaskhoist::schema::state::ItemState;
+
+/// Time within which an item must be run or reported while the control hosts answer and slots are
+/// free. Half of the length of a lease, so that no test passes because a lease expired.
+const CALM_LIMIT: Duration = Duration::from_secs(5);
+/// Above the length of a lease.
+const LEASE_EXPIRES: Duration = Duration::from_millis(10_500);
+
+/// Guards against an older attempt of an item that ends on the host that already runs the next one,
+/// and with it ends the renewal of the newer lease.
+#[async_std::test]
+async fn the_end_of_an_old_attempt_does_not_end_the_lease_of_the_next() {
+    let (state, upstreams) = (ControlledState::open(), ControlledUpstreams::default());
+    let (release_first, first) = bounded(1);
+    let (release_second, second) = bounded(1);
+    upstreams.set_step("job-0-1", Step::AnswerAfter(first));
+    upstreams.set_step("job-0-2", Step::AnswerAfter(second));
+    state.create_job(lines(1, "m"), PLAIN_PATH, 5);
+    let runner = spawn_runner(&state, &upstreams, "host-1", 4);
+    upstreams.wait_for_call("job-0-1", CALM_LIMIT).await;
+    state.fail_next(CommandKind::Renew, 1_000, Fault::NotSubmitted);
+    state.advance(LEASE_EXPIRES);
+    upstreams.wait_for_call("job-0-2", CALM_LIMIT).await;
+    release_first.close();
+    task::sleep(Duration::from_millis(500)).await;
+    state.heal();
+    // Two renewals fit into each pause, so the lease of a running item never expires.
+    for _ in 0..2 {
+        task::sleep(Duration::from_millis(2_200)).await;
+        state.advance(Duration::from_secs(6));
+    }
+    task::sleep(Duration::from_millis(500)).await;
+    assert_eq!(upstreams.calls(), ["job-0-1", "job-0-2"]);
+    release_second.close();
+    let items = state.wait_for(CALM_LIMIT, all_ended).await;
+    assert_eq!(items[0].state(), ItemState::ItemSucceeded);
+    assert_eq!(items[0].body, "answer of job-0-2");
+    runner.close().await;
+}
