Renew each attempt of a batch item on its own

What callers saw: items ran again while an attempt was running, up to max_attempts, and could then fail with "the lease of the last attempt ran out". Cause: the runner's table of running items had one entry for an item, so the end of an attempt whose lease was lost removed the entry of the next attempt on the same host. An answer to a renewal that named the old attempt as lost also stopped the new one. Why it works: the table's key is the attempt, as in the ledger. Each attempt is renewed, stopped and removed by itself, and renewals now also tell an older attempt that its lease is lost. Messages are unchanged.

--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -61,7 +61,9 @@
     configuration: ConfigurationWatch,
     counters: Counters,
     tracer: Tracer,
-    running: Mutex<HashMap<(String, u32), RunningItem>>,
+    /// Items by attempt: a host may lease an item again while an attempt with a lost lease still
+    /// runs there.
+    running: Mutex<HashMap<ItemAttempt, RunningItem>>,
     finished: Sender<ItemFinish>,
     stopping: AtomicBool,
     /// Channel of capacity 1 that signals the end of an item.
@@ -69,7 +71,6 @@
 }
 
 struct RunningItem {
-    attempt: u32,
     /// Closing this channel stops the item.
     stop: Sender<()>,
 }
@@ -133,7 +134,7 @@
 }
 
 impl Shared {
-    fn running(&self) -> std::sync::MutexGuard<'_, HashMap<(String, u32), RunningItem>> {
+    fn running(&self) -> std::sync::MutexGuard<'_, HashMap<ItemAttempt, RunningItem>> {
         self.running.lock().expect("lock is not poisoned")
     }
 
@@ -219,14 +220,12 @@
 fn start_item(shared: &Arc<Shared>, item: LeasedItem) {
     let Some(attempt) = item.attempt.clone() else { return };
     let (stop, stopped) = bounded(1);
-    let key = (attempt.job_id, attempt.item);
-    let running = RunningItem { attempt: attempt.attempt, stop: stop.clone() };
-    shared.running().insert(key.clone(), running);
+    shared.running().insert(attempt.clone(), RunningItem { stop: stop.clone() });
     shared.counters.count("batch.item_started");
     let shared = shared.clone();
     task::spawn(async move {
         run_item(&shared, &item, stop, stopped).await;
-        shared.running().remove(&key);
+        shared.running().remove(&attempt);
         // If the channel is full, the leasing task is already due to check for capacity.
         let _ = shared.item_ended.0.try_send(());
     });
@@ -362,15 +361,7 @@
 async fn renew_leases(shared: Arc<Shared>) {
     loop {
         task::sleep(RENEW_INTERVAL).await;
-        let items: Vec<ItemAttempt> = shared
-            .running()
-            .iter()
-            .map(|((job_id, item), running)| ItemAttempt {
-                job_id: job_id.clone(),
-                item: *item,
-                attempt: running.attempt,
-            })
-            .collect();
+        let items: Vec<ItemAttempt> = shared.running().keys().cloned().collect();
         if items.is_empty() {
             continue;
         }
@@ -384,7 +375,7 @@
         let Some(outcome::Outcome::ItemsRenewed(renewed)) = renewed else { continue };
         for lost in renewed.lost {
             shared.counters.count("batch.lease_lost");
-            if let Some(item) = shared.running().get(&(lost.job_id, lost.item)) {
+            if let Some(item) = shared.running().get(&lost) {
                 item.stop.close();
             }
         }
