Add a test of a panicking batch item as known red

What callers saw: a batch job that never completes, with one item leased. Cause: a panic in the task of an item leaves its entry in the runner's table. No report is sent, and the lease is renewed until the host stops.

--- a/tests/batch_runner.rs
+++ b/tests/batch_runner.rs
@@ -51,3 +51,22 @@
     assert_eq!(items[0].body, "answer of job-0-2");
     runner.close().await;
 }
+
+/// Guards against an item whose task ended without a report and whose lease is renewed for ever.
+#[async_std::test]
+async fn an_item_whose_task_panics_is_run_again() {
+    let (state, upstreams) = (ControlledState::open(), ControlledUpstreams::default());
+    upstreams.set_step("job-0-1", Step::Panic);
+    state.create_job(lines(2, "m"), PLAIN_PATH, 3);
+    let runner = spawn_runner(&state, &upstreams, "host-1", 4);
+    upstreams.wait_for_call("job-0-1", CALM_LIMIT).await;
+    // Enough renewals to let a lease expire that is not renewed.
+    for _ in 0..3 {
+        task::sleep(Duration::from_millis(1_200)).await;
+        state.advance(Duration::from_secs(6));
+    }
+    let items = state.wait_for(CALM_LIMIT, all_ended).await;
+    assert!(items.iter().all(|item| item.state() == ItemState::ItemSucceeded), "{items:#?}");
+    assert_eq!(runner.running(), 0);
+    runner.close().await;
+}
