Count a panic of a batch item as a failed attempt

What callers saw: a batch job that never completes, with one item leased by a host that does not run it. Cause: a panic in the task of an item left its entry in the runner's table, so the lease was renewed although nothing could report the item. Why it works: the panic is caught at the task's border and reported as a failed attempt, with a log line and the counter batch.item_panicked. The item is tried again and ends as failed after max_attempts, so that an item that always causes a panic also ends.

--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -6,7 +7,7 @@
 use async_std::channel::{bounded, unbounded, Receiver, Sender};
 use async_std::task::{self, JoinHandle};
 use futures::future::{select, Either};
-use futures::{pin_mut, StreamExt};
+use futures::{pin_mut, FutureExt, StreamExt};
 
 use crate::admission::{Fingerprint, Refusal, RefusalKind, RequestFingerprints, RunOutcome};
 use crate::batch::ItemInput;
@@ -34,6 +35,8 @@
 /// Pause before an item whose upstream was lost is returned to its job, so that it is not leased again
 /// in a fast loop.
 const LOST_UPSTREAM_PAUSE: Duration = Duration::from_millis(300);
+/// Result body of an item whose last attempt ended in a panic.
+const PANIC_REASON: &[u8] = b"the last attempt ended with an internal error of the host";
 /// Maximum number of items in one command.
 const MAX_COMMAND_ITEMS: usize = 128;
 
@@ -224,7 +227,14 @@
     shared.counters.count("batch.item_started");
     let shared = shared.clone();
     task::spawn(async move {
-        run_item(&shared, &item, stop, stopped).await;
+        let run = AssertUnwindSafe(run_item(&shared, &item, stop, stopped)).catch_unwind();
+        // Without a report, the lease would be renewed until this host stops.
+        if run.await.is_err() {
+            let ItemAttempt { job_id, item: index, attempt } = &attempt;
+            log::error!("attempt {attempt} of item {index} of job {job_id} panicked");
+            shared.counters.count("batch.item_panicked");
+            shared.report(&item, ItemEnd::AttemptFailed, 0, PANIC_REASON.to_vec());
+        }
         shared.running().remove(&attempt);
         // If the channel is full, the leasing task is already due to check for capacity.
         let _ = shared.item_ended.0.try_send(());
