Add a test of large batch results as known red

What callers saw: items with large answers run again and again, and fail with "the lease of the last attempt ran out" although each run succeeded. Cause: the runner puts up to 128 results into one command and does not look at their size. A command over 16 MiB does not fit into a frame; the connection for bulk calls is closed and the results are dropped.

--- a/tests/batch_runner.rs
+++ b/tests/batch_runner.rs
@@ -4,6 +4,7 @@
 
 mod batch_support;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_std::channel::bounded;
@@ -70,3 +71,24 @@
     assert_eq!(runner.running(), 0);
     runner.close().await;
 }
+
+/// Guards against results that are each within the limits, but together exceed a frame between
+/// hosts: the report broke the connection, and the items ran again after their leases expired.
+#[async_std::test]
+async fn large_results_that_end_together_are_all_reported() {
+    let (state, upstreams) = (ControlledState::open(), ControlledUpstreams::default());
+    let (release, gate) = bounded(1);
+    upstreams.answer_bytes.store(3 << 20, Ordering::SeqCst);
+    for item in 0..8 {
+        upstreams.set_step(&format!("job-{item}-1"), Step::AnswerAfter(gate.clone()));
+    }
+    state.create_job(lines(8, "m"), PLAIN_PATH, 1);
+    let runner = spawn_runner(&state, &upstreams, "host-1", 8);
+    for item in 0..8 {
+        upstreams.wait_for_call(&format!("job-{item}-1"), CALM_LIMIT).await;
+    }
+    release.close();
+    state.wait_for_success(CALM_LIMIT).await;
+    assert_eq!(upstreams.calls().len(), 8);
+    runner.close().await;
+}
--- a/tests/batch_support/mod.rs
+++ b/tests/batch_support/mod.rs
@@ -4,22 +4,27 @@
 #![allow(dead_code)]
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_std::channel::Receiver;
 use async_std::task;
 use async_trait::async_trait;
+use bytes::BytesMut;
 use damaskhoist::admission::{
     AdmissionPolicy, CrashRecord, CrashRecords, Fingerprint, SlotQueue, TrialClaim, TrialLeases,
 };
 use damaskhoist::batch::{BatchOptions, BatchRunner};
 use damaskhoist::configuration::ConfigurationWatch;
 use damaskhoist::membership::{UpstreamModel, UpstreamRecord};
+use damaskhoist::peer::FrameCodec;
 use damaskhoist::raft::StateMachine;
 use damaskhoist::routing::{Fleet, WeightedScore};
-use damaskhoist::schema::peer::{ChangeReplicas, ConfigurationNotice};
+use damaskhoist::schema::peer::frame::Body;
+use damaskhoist::schema::peer::{
+    call, reply, Call, ChangeReplicas, ConfigurationNotice, Frame, Reply,
+};
 use damaskhoist::schema::state::command::Command as Kind;
 use damaskhoist::schema::state::query::Query as Read;
 use damaskhoist::schema::state::query_answer::Answer as Found;
@@ -29,6 +34,7 @@
 use damaskhoist::telemetry::{Counters, Tracer};
 use damaskhoist::upstream::{UpstreamCall, UpstreamConnector, UpstreamError, UpstreamResponse};
 use prost::Message;
+use tokio_util::codec::Encoder;
 
 /// Service, customer and only job of the tests.
 pub const SERVICE: &str = "engraving";
@@ -58,7 +64,7 @@
 
 type FaultSource = Box<dyn Fn(CommandKind) -> Option<Fault> + Send + Sync>;
 
-/// A replicated state whose leader's clock runs with real time and can be advanced.
+/// A replicated state whose calls pass through frames of the limited size, and whose leader's clock runs with real time and can be advanced.
 pub struct ControlledState {
     state: ReplicatedState,
     started: Instant,
@@ -126,6 +132,24 @@
         }
     }
 
+    /// The job without its items.
+    pub fn job(&self) -> Job {
+        let get = GetJob { customer: CUSTOMER.to_owned(), job_id: JOB.to_owned() };
+        match self.state.query(&Query { query: Some(Read::GetJob(get)) }).answer {
+            Some(Found::Job(job)) => job,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Waits until all items have succeeded; panics with the job after `limit`.
+    pub async fn wait_for_success(&self, limit: Duration) {
+        let started = Instant::now();
+        while self.job().succeeded < self.job().items {
+            assert!(started.elapsed() < limit, "after {limit:?}: {:#?}", self.job());
+            task::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Waits until `is_done` accepts the items; panics with the items after `limit`.
     pub async fn wait_for(&self, limit: Duration, is_done: impl Fn(&[Item]) -> bool) -> Vec<Item> {
         let started = Instant::now();
@@ -163,6 +187,12 @@
     }
 }
 
+/// Whether a message can be sent between hosts. A larger one closes the connection.
+fn fits_into_frame(body: Body) -> bool {
+    let frame = Frame { body: Some(body), ..Frame::default() };
+    FrameCodec::new().encode(&frame, &mut BytesMut::new()).is_ok()
+}
+
 /// Whether all items have ended.
 pub fn all_ended(items: &[Item]) -> bool {
     items
@@ -174,8 +204,19 @@
 impl StateClient for ControlledState {
     async fn submit(&self, command: Command) -> Result<Outcome, StateError> {
         task::sleep(Duration::from_millis(5)).await;
+        let call = Call { call: Some(call::Call::Command(command.clone())), ..Call::default() };
+        if !fits_into_frame(Body::Call(call)) {
+            return Err(StateError::Unknown("the connection was closed".to_owned()));
+        }
         match self.next_fault(&command) {
-            None => Ok(self.apply_command(command)),
+            None => {
+                let outcome = self.apply_command(command);
+                let reply = Reply { reply: Some(reply::Reply::Outcome(outcome.clone())) };
+                if !fits_into_frame(Body::Reply(reply)) {
+                    return Err(StateError::Unknown("the connection was closed".to_owned()));
+                }
+                Ok(outcome)
+            }
             Some(Fault::NotSubmitted) => Err(StateError::NotSubmitted("no leader".to_owned())),
             Some(Fault::CommandLost) => Err(StateError::Unknown("leader lost".to_owned())),
             Some(Fault::OutcomeLost) => {
@@ -217,6 +258,8 @@
 pub struct ControlledUpstreams {
     pub steps: Arc<Mutex<HashMap<String, Step>>>,
     pub calls: Arc<Mutex<Vec<String>>>,
+    /// Length to which answers of the plain service are padded.
+    pub answer_bytes: Arc<AtomicUsize>,
 }
 
 impl ControlledUpstreams {
@@ -255,7 +298,12 @@
             Step::Panic => panic!("panic of a test in call {id}"),
         }
         let text = match call.path {
-            PLAIN_PATH => format!("answer of {id}"),
+            PLAIN_PATH => {
+                let padded_bytes = self.answer_bytes.load(Ordering::SeqCst);
+                let answer = format!("answer of {id}");
+                let padding = " ".repeat(padded_bytes.saturating_sub(answer.len()));
+                answer + &padding
+            }
             _ => "data: {\"position\":0,\"choices\":[{\"text\":\"t\"}]}\n\n\
                   data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n\
                   data: [DONE]\n\n"
@@ -368,7 +416,8 @@
 ) -> BatchRunner {
     let counters = Counters::open(host_id, None);
     let client: Arc<dyn StateClient> = state.clone();
-    let options = BatchOptions { host_id: host_id.to_owned(), incarnation: 1, in_flight_limit: 64 };
+    let options =
+        BatchOptions { host_id: host_id.to_owned(), incarnation: 1, in_flight_limit: 256 };
     BatchRunner::spawn(
         options,
         dispatcher(upstreams.clone(), slots, &counters),
