Bound the size of a report of batch results

What callers saw: items with large answers ran again and again, and failed with "the lease of the last attempt ran out" although each run succeeded. Cause: up to 128 results went into one command whatever their size. Over 16 MiB the command does not fit into a frame, so the connection for bulk calls was closed and all results of the command were dropped. Why it works: a command takes further results only up to 4 MiB, so one with several results always fits into a frame. A single result of a plain service is at most 4 MiB. Messages are unchanged.

--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -7,7 +7,7 @@
 use async_std::channel::{bounded, unbounded, Receiver, Sender};
 use async_std::task::{self, JoinHandle};
 use futures::future::{select, Either};
-use futures::{pin_mut, FutureExt, StreamExt};
+use futures::{pin_mut, FutureExt};
 
 use crate::admission::{Fingerprint, Refusal, RefusalKind, RequestFingerprints, RunOutcome};
 use crate::batch::ItemInput;
@@ -39,6 +39,8 @@
 const PANIC_REASON: &[u8] = b"the last attempt ended with an internal error of the host";
 /// Maximum number of items in one command.
 const MAX_COMMAND_ITEMS: usize = 128;
+/// Maximum size of the results in one command with several. A frame between hosts holds 16 MiB.
+const MAX_COMMAND_BYTES: usize = 4 << 20;
 
 /// Identity and limits of a runner.
 #[derive(Clone, Debug)]
@@ -394,8 +396,17 @@
 
 /// Reports the results of items, several per command.
 async fn report_results(shared: Arc<Shared>, results: Receiver<ItemFinish>) {
-    let mut results = results.ready_chunks(MAX_COMMAND_ITEMS);
-    while let Some(items) = results.next().await {
+    let mut next = None;
+    loop {
+        let first = match next.take() {
+            Some(first) => first,
+            None => match results.recv().await {
+                Ok(first) => first,
+                Err(_) => return,
+            },
+        };
+        let (items, rest) = take_ready(first, &results);
+        next = rest;
         let count = items.len() as u64;
         let finish = FinishItems { holder: shared.options.host_id.clone(), items };
         // Items whose result could not be reported run again after their lease expires.
@@ -404,3 +415,22 @@
         }
     }
 }
+
+/// Takes the results that are ready, up to the limits of one command. Also returns the result that
+/// was taken but did not fit.
+fn take_ready(
+    first: ItemFinish,
+    results: &Receiver<ItemFinish>,
+) -> (Vec<ItemFinish>, Option<ItemFinish>) {
+    let mut body_bytes = first.body.len();
+    let mut items = vec![first];
+    while items.len() < MAX_COMMAND_ITEMS {
+        let Ok(next) = results.try_recv() else { break };
+        body_bytes += next.body.len();
+        if body_bytes > MAX_COMMAND_BYTES {
+            return (items, Some(next));
+        }
+        items.push(next);
+    }
+    (items, None)
+}
