Add a test of a lost report of batch results as known red

What callers saw: items lay still for up to 10 s after a change of leader, were run again although they had an answer, and failed with "the lease of the last attempt ran out" when it was their last attempt. Yielded items were counted as failed attempts. Cause: a report that no control host took within 6 s was dropped, and the lease of an item that waits for its report was not renewed.

--- a/tests/batch_runner.rs
+++ b/tests/batch_runner.rs
@@ -92,3 +92,17 @@
     assert_eq!(upstreams.calls().len(), 8);
     runner.close().await;
 }
+
+/// Guards against a result that is dropped because no leader took its report: the item was left
+/// leased without a run until its lease expired, and was then run again as a counted attempt.
+#[async_std::test]
+async fn a_result_is_reported_again_until_the_control_hosts_take_it() {
+    let (state, upstreams) = (ControlledState::open(), ControlledUpstreams::default());
+    state.fail_next(CommandKind::Finish, 3, Fault::NotSubmitted);
+    state.create_job(lines(3, "m"), PLAIN_PATH, 1);
+    let runner = spawn_runner(&state, &upstreams, "host-1", 4);
+    let items = state.wait_for(CALM_LIMIT, all_ended).await;
+    assert!(items.iter().all(|item| item.state() == ItemState::ItemSucceeded), "{items:#?}");
+    assert_eq!(upstreams.calls().len(), 3);
+    runner.close().await;
+}
