Repeat a report of batch results until it is taken

What callers saw: after a change of leader or an overload of more than 6 s, items lay still for up to 10 s although slots were free, were run again although they had an answer, and failed with "the lease of the last attempt ran out" when it was their last attempt. Cause: a report that no control host took was dropped. The item was in no table of the host from the end of its run on, so its lease was not renewed while the report waited, either. Why it works: a report is repeated under the same command id, which takes effect once, and an item stays in the runner's table, where its lease is renewed and it counts as in flight, until its report is taken. Reports end after 60 s, so that one which no command can carry does not hold up the others. Counters batch.report_repeated and batch.report_dropped show it.

--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -19,7 +19,7 @@
     LeasedItem, RenewItems,
 };
 use crate::serving::{Answer, AnswerFormat, Dispatcher, EngineRequest, PlainCall};
-use crate::state::StateClient;
+use crate::state::{StateClient, StateError};
 use crate::telemetry::{Counters, Tracer};
 
 /// Delay before the next attempt when no item could be leased or no slot was idle.
@@ -35,6 +35,11 @@
 /// Pause before an item whose upstream was lost is returned to its job, so that it is not leased again
 /// in a fast loop.
 const LOST_UPSTREAM_PAUSE: Duration = Duration::from_millis(300);
+/// Time for which a report is repeated. A report that no command can carry must not hold up those
+/// behind it for ever; without a leader, the leases of its items expire long before.
+const REPORT_LIMIT: Duration = Duration::from_secs(60);
+/// Pause before a report is repeated.
+const REPORT_PAUSE: Duration = Duration::from_millis(100);
 /// Result body of an item whose last attempt ended in a panic.
 const PANIC_REASON: &[u8] = b"the last attempt ended with an internal error of the host";
 /// Maximum number of items in one command.
@@ -66,8 +71,8 @@
     configuration: ConfigurationWatch,
     counters: Counters,
     tracer: Tracer,
-    /// Items by attempt: a host may lease an item again while an attempt with a lost lease still
-    /// runs there.
+    /// Items until their reports are taken, by attempt: a host may lease an item again while an
+    /// attempt with a lost lease still runs there.
     running: Mutex<HashMap<ItemAttempt, RunningItem>>,
     finished: Sender<ItemFinish>,
     stopping: AtomicBool,
@@ -111,13 +116,13 @@
         Self { shared, tasks }
     }
 
-    /// Number of items in flight.
+    /// Number of items in flight: running, or with a report that is not yet taken.
     pub fn running(&self) -> usize {
         self.shared.running().len()
     }
 
     /// Stops leasing items and returns the running ones as yielded. Waits up to 2 s for them to
-    /// stop and up to 2 s for the reports.
+    /// stop and be reported, and up to 2 s more for the reports.
     pub async fn close(self) {
         self.shared.stopping.store(true, Ordering::Release);
         self.shared.running().values().for_each(|item| {
@@ -129,8 +134,11 @@
         }
         self.shared.finished.close();
         let mut tasks = self.tasks.into_iter().rev();
-        if let Some(reporting) = tasks.next() {
-            let _ = async_std::future::timeout(Duration::from_secs(2), reporting).await;
+        if let Some(mut reporting) = tasks.next() {
+            let ended = async_std::future::timeout(Duration::from_secs(2), &mut reporting).await;
+            if ended.is_err() {
+                reporting.cancel().await;
+            }
         }
         for task in tasks {
             task.cancel().await;
@@ -166,16 +174,24 @@
         let _ = async_std::future::timeout(IDLE_PAUSE, self.item_ended.1.recv()).await;
     }
 
-    async fn submit(&self, command: command::Command) -> Option<outcome::Outcome> {
+    /// Signals that an item has freed its slot or its place among the items in flight.
+    fn signal_item_ended(&self) {
+        // If the channel is full, the leasing task is already due to check for capacity.
+        let _ = self.item_ended.0.try_send(());
+    }
+
+    /// Creates a command with an id of its own.
+    fn command(&self, command: command::Command) -> Command {
         let command_id = format!("{}-{:x}", self.options.host_id, rand::random::<u128>());
-        let command = Command { command_id, proposed_at_unix_ms: 0, command: Some(command) };
-        match self.state.submit(command).await {
-            Ok(outcome) => outcome.outcome,
-            Err(_) => {
-                self.counters.count("batch.command_failed");
-                None
-            }
+        Command { command_id, proposed_at_unix_ms: 0, command: Some(command) }
+    }
+
+    async fn submit(&self, command: Command) -> Result<Option<outcome::Outcome>, StateError> {
+        let submitted = self.state.submit(command).await;
+        if submitted.is_err() {
+            self.counters.count("batch.command_failed");
         }
+        Ok(submitted?.outcome)
     }
 
     /// Yields an item: returns it to its job with the part of its answer received so far.
@@ -207,8 +223,8 @@
             lease_ms: LEASE_MS,
             services: Vec::new(),
         };
-        let leased = shared.submit(command::Command::LeaseItems(lease)).await;
-        let Some(outcome::Outcome::ItemsLeased(leased)) = leased else {
+        let command = shared.command(command::Command::LeaseItems(lease));
+        let Ok(Some(outcome::Outcome::ItemsLeased(leased))) = shared.submit(command).await else {
             task::sleep(IDLE_PAUSE).await;
             continue;
         };
@@ -237,9 +253,7 @@
             shared.counters.count("batch.item_panicked");
             shared.report(&item, ItemEnd::AttemptFailed, 0, PANIC_REASON.to_vec());
         }
-        shared.running().remove(&attempt);
-        // If the channel is full, the leasing task is already due to check for capacity.
-        let _ = shared.item_ended.0.try_send(());
+        shared.signal_item_ended();
     });
 }
 
@@ -369,7 +383,7 @@
     Instant::now() + Duration::from_millis(remaining_ms)
 }
 
-/// Renews the leases of running items and stops the items whose lease was lost.
+/// Renews the leases of the items in flight, and stops the items whose lease was lost.
 async fn renew_leases(shared: Arc<Shared>) {
     loop {
         task::sleep(RENEW_INTERVAL).await;
@@ -383,8 +397,9 @@
             lease_ms: LEASE_MS,
             items,
         };
-        let renewed = shared.submit(command::Command::RenewItems(renew)).await;
-        let Some(outcome::Outcome::ItemsRenewed(renewed)) = renewed else { continue };
+        let command = shared.command(command::Command::RenewItems(renew));
+        let renewed = shared.submit(command).await;
+        let Ok(Some(outcome::Outcome::ItemsRenewed(renewed))) = renewed else { continue };
         for lost in renewed.lost {
             shared.counters.count("batch.lease_lost");
             if let Some(item) = shared.running().get(&lost) {
@@ -407,13 +422,34 @@
         };
         let (items, rest) = take_ready(first, &results);
         next = rest;
-        let count = items.len() as u64;
-        let finish = FinishItems { holder: shared.options.host_id.clone(), items };
-        // Items whose result could not be reported run again after their lease expires.
-        if shared.submit(command::Command::FinishItems(finish)).await.is_some() {
-            shared.counters.add("batch.item_ended", count);
-        }
+        report_items(&shared, items).await;
+    }
+}
+
+/// Reports results until the control hosts take them or [`REPORT_LIMIT`] has passed.
+async fn report_items(shared: &Shared, items: Vec<ItemFinish>) {
+    let attempts: Vec<_> = items.iter().filter_map(|item| item.attempt.clone()).collect();
+    let finish = FinishItems { holder: shared.options.host_id.clone(), items };
+    let command = shared.command(command::Command::FinishItems(finish));
+    let started = Instant::now();
+    // The command keeps its id, so a report that took effect without a reply does so only once.
+    let mut taken = shared.submit(command.clone()).await.is_ok();
+    while !taken && started.elapsed() < REPORT_LIMIT {
+        shared.counters.count("batch.report_repeated");
+        task::sleep(REPORT_PAUSE).await;
+        taken = shared.submit(command.clone()).await.is_ok();
+    }
+    match taken {
+        true => shared.counters.add("batch.item_ended", attempts.len() as u64),
+        // The items run again after their leases expire.
+        false => shared.counters.add("batch.report_dropped", attempts.len() as u64),
+    }
+    let mut running = shared.running();
+    for attempt in &attempts {
+        running.remove(attempt);
     }
+    drop(running);
+    shared.signal_item_ended();
 }
 
 /// Takes the results that are ready, up to the limits of one command. Also returns the result that
