Add a test of a lease with a lost outcome as known red

What callers saw: items that no upstream had for 10 s although slots were free, and that failed with "the lease of the last attempt ran out" without a run after max_attempts such waits. Cause: when the outcome of a lease command is unknown, the runner forgets the command. If it took effect, its items are leased to a host that does not know of them until the leases expire, which counts as an attempt.

--- a/tests/batch_runner.rs
+++ b/tests/batch_runner.rs
@@ -68,6 +68,7 @@
     }
     let items = state.wait_for(CALM_LIMIT, all_ended).await;
     assert!(items.iter().all(|item| item.state() == ItemState::ItemSucceeded), "{items:#?}");
+    task::sleep(Duration::from_millis(200)).await;
     assert_eq!(runner.running(), 0);
     runner.close().await;
 }
@@ -106,3 +107,17 @@
     assert_eq!(upstreams.calls().len(), 3);
     runner.close().await;
 }
+
+/// Guards against items that the state leased to this host although the host never learnt of it:
+/// they waited until their leases expired, and two such waits used up their attempts.
+#[async_std::test]
+async fn items_of_a_lease_with_a_lost_outcome_are_run() {
+    let (state, upstreams) = (ControlledState::open(), ControlledUpstreams::default());
+    state.fail_next(CommandKind::Lease, 2, Fault::OutcomeLost);
+    state.create_job(lines(3, "m"), PLAIN_PATH, 1);
+    let runner = spawn_runner(&state, &upstreams, "host-1", 4);
+    let items = state.wait_for(CALM_LIMIT, all_ended).await;
+    assert!(items.iter().all(|item| item.state() == ItemState::ItemSucceeded), "{items:#?}");
+    assert_eq!(upstreams.calls().len(), 3);
+    runner.close().await;
+}
