Repeat a lease of batch items while its outcome is unknown

What callers saw: after a loss of the leader, items that no upstream had for 10 s although slots were free; after max_attempts such waits an item failed with "the lease of the last attempt ran out" without a run. Cause: the runner forgot a lease command whose outcome was unknown. If it took effect, the state had its items leased to a host that did not know of them. Why it works: the command is submitted again under its id, for at most the length of a lease. If it took effect, the host gets its items; if it did not, it takes effect now. An attempt whose lease has expired meanwhile is stopped by the next renewal. Counter batch.lease_repeated shows it.

--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -194,6 +194,22 @@
         Ok(submitted?.outcome)
     }
 
+    /// Submits a lease, again while its outcome is unknown: if it took effect, its items wait for
+    /// this host until their leases expire.
+    async fn lease(&self, lease: LeaseItems) -> Result<Option<outcome::Outcome>, StateError> {
+        let command = self.command(command::Command::LeaseItems(lease));
+        let started = Instant::now();
+        loop {
+            let submitted = self.submit(command.clone()).await;
+            let is_unknown = matches!(submitted, Err(StateError::Unknown(_)));
+            if !is_unknown || started.elapsed() >= Duration::from_millis(LEASE_MS.into()) {
+                return submitted;
+            }
+            self.counters.count("batch.lease_repeated");
+            task::sleep(IDLE_PAUSE).await;
+        }
+    }
+
     /// Yields an item: returns it to its job with the part of its answer received so far.
     fn yield_item(&self, item: &LeasedItem, answer: &Answer) {
         self.counters.count("batch.item_yielded");
@@ -223,8 +239,8 @@
             lease_ms: LEASE_MS,
             services: Vec::new(),
         };
-        let command = shared.command(command::Command::LeaseItems(lease));
-        let Ok(Some(outcome::Outcome::ItemsLeased(leased))) = shared.submit(command).await else {
+        let outcome = shared.lease(lease).await;
+        let Ok(Some(outcome::Outcome::ItemsLeased(leased))) = outcome else {
             task::sleep(IDLE_PAUSE).await;
             continue;
         };
