Add a test of a host that stops while it leases items as known red

What callers saw: at a planned stop of a host, some items lay still for 10 s and lost one of their attempts without a run. Cause: the runner cancels its leasing task when it stops. The items of a lease whose reply is on its way stay leased to the stopped host. Evidence: the test fails (debug build): after the stop, all three items are leased to the host.

--- a/tests/batch_runner.rs
+++ b/tests/batch_runner.rs
@@ -13,7 +13,7 @@
     all_ended, lines, spawn_runner, CommandKind, ControlledState, ControlledUpstreams, Fault, Step,
     PLAIN_PATH,
 };
-use damaskhoist::schema::state::ItemState;
+use damaskhoist::schema::state::{Item, ItemState};
 
 /// Time within which an item must be run or reported while the control hosts answer and slots are
 /// free. Half of the length of a lease, so that no test passes because a lease expired.
@@ -121,3 +121,23 @@
     assert_eq!(upstreams.calls().len(), 3);
     runner.close().await;
 }
+
+/// Guards against items that a stopping host was just leasing: they were leased to it until the
+/// leases expired, and were counted as failed attempts.
+#[async_std::test]
+async fn a_host_that_stops_returns_the_items_that_it_is_leasing() {
+    let (state, upstreams) = (ControlledState::open(), ControlledUpstreams::default());
+    state.lease_reply_ms.store(500, Ordering::SeqCst);
+    state.create_job(lines(3, "m"), PLAIN_PATH, 1);
+    let runner = spawn_runner(&state, &upstreams, "host-1", 4);
+    let is_leased = |item: &Item| item.state() == ItemState::ItemLeased;
+    state.wait_for(CALM_LIMIT, |items| items.iter().all(is_leased)).await;
+    runner.close().await;
+    let items = state.items();
+    assert!(!items.iter().any(is_leased), "{items:#?}");
+    state.lease_reply_ms.store(0, Ordering::SeqCst);
+    let other = spawn_runner(&state, &upstreams, "host-2", 4);
+    let items = state.wait_for(CALM_LIMIT, all_ended).await;
+    assert!(items.iter().all(|item| item.state() == ItemState::ItemSucceeded), "{items:#?}");
+    other.close().await;
+}
--- a/tests/batch_support/mod.rs
+++ b/tests/batch_support/mod.rs
@@ -69,6 +69,8 @@
     state: ReplicatedState,
     started: Instant,
     skipped_ms: AtomicU64,
+    /// Time between the effect of a lease and its reply.
+    pub lease_reply_ms: AtomicU64,
     faults: Mutex<HashMap<CommandKind, VecDeque<Fault>>>,
     fault_source: Mutex<Option<FaultSource>>,
 }
@@ -79,6 +81,7 @@
             state: ReplicatedState::open(Arc::new(MemoryBodies::open())),
             started: Instant::now(),
             skipped_ms: AtomicU64::new(1_000_000),
+            lease_reply_ms: AtomicU64::new(0),
             faults: Mutex::default(),
             fault_source: Mutex::default(),
         })
@@ -210,7 +213,12 @@
         }
         match self.next_fault(&command) {
             None => {
+                let is_lease = matches!(command.command, Some(Kind::LeaseItems(_)));
                 let outcome = self.apply_command(command);
+                if is_lease {
+                    let reply_ms = self.lease_reply_ms.load(Ordering::SeqCst);
+                    task::sleep(Duration::from_millis(reply_ms)).await;
+                }
                 let reply = Reply { reply: Some(reply::Reply::Outcome(outcome.clone())) };
                 if !fits_into_frame(Body::Reply(reply)) {
                     return Err(StateError::Unknown("the connection was closed".to_owned()));
