Return the items that a stopping host is just leasing

What callers saw: at a planned stop of a host, some items lay still for 10 s and lost one of their attempts without a run. Cause: close cancelled the leasing task, so the items of a lease whose reply was on its way stayed leased to the stopped host. An item that the task started during the stop was not stopped, either. Why it works: close waits up to 2 s for the leasing task, which returns the items of its last lease as yielded without a run, and stops the running items once more afterwards. The reports go out before close ends.

--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -40,6 +40,8 @@
 const REPORT_LIMIT: Duration = Duration::from_secs(60);
 /// Pause before a report is repeated.
 const REPORT_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait in each step of closing a runner.
+const CLOSE_STEP_LIMIT: Duration = Duration::from_secs(2);
 /// Result body of an item whose last attempt ended in a panic.
 const PANIC_REASON: &[u8] = b"the last attempt ended with an internal error of the host";
 /// Maximum number of items in one command.
@@ -61,7 +63,9 @@
 /// Leases items of batch jobs, runs them on idle slots and reports their results.
 pub struct BatchRunner {
     shared: Arc<Shared>,
-    tasks: Vec<JoinHandle<()>>,
+    leasing: JoinHandle<()>,
+    renewing: JoinHandle<()>,
+    reporting: JoinHandle<()>,
 }
 
 struct Shared {
@@ -108,12 +112,10 @@
             stopping: AtomicBool::new(false),
             item_ended: bounded(1),
         });
-        let tasks = vec![
-            task::spawn(lease_items(shared.clone())),
-            task::spawn(renew_leases(shared.clone())),
-            task::spawn(report_results(shared.clone(), results)),
-        ];
-        Self { shared, tasks }
+        let leasing = task::spawn(lease_items(shared.clone()));
+        let renewing = task::spawn(renew_leases(shared.clone()));
+        let reporting = task::spawn(report_results(shared.clone(), results));
+        Self { shared, leasing, renewing, reporting }
     }
 
     /// Number of items in flight: running, or with a report that is not yet taken.
@@ -121,28 +123,30 @@
         self.shared.running().len()
     }
 
-    /// Stops leasing items and returns the running ones as yielded. Waits up to 2 s for them to
-    /// stop and be reported, and up to 2 s more for the reports.
+    /// Stops leasing items and returns the running ones as yielded, with those of a lease whose
+    /// reply is on its way. Waits up to 2 s for them to stop and be reported, and up to 2 s more for
+    /// the reports.
     pub async fn close(self) {
-        self.shared.stopping.store(true, Ordering::Release);
-        self.shared.running().values().for_each(|item| {
-            item.stop.close();
-        });
+        let Self { shared, leasing, renewing, reporting } = self;
+        shared.stopping.store(true, Ordering::Release);
+        shared.stop_items();
         let started = Instant::now();
-        while !self.shared.running().is_empty() && started.elapsed() < Duration::from_secs(2) {
+        end_within(CLOSE_STEP_LIMIT, leasing).await;
+        // The leasing task may have started items after the others were stopped.
+        shared.stop_items();
+        while !shared.running().is_empty() && started.elapsed() < CLOSE_STEP_LIMIT {
             task::sleep(Duration::from_millis(20)).await;
         }
-        self.shared.finished.close();
-        let mut tasks = self.tasks.into_iter().rev();
-        if let Some(mut reporting) = tasks.next() {
-            let ended = async_std::future::timeout(Duration::from_secs(2), &mut reporting).await;
-            if ended.is_err() {
-                reporting.cancel().await;
-            }
-        }
-        for task in tasks {
-            task.cancel().await;
-        }
+        shared.finished.close();
+        end_within(CLOSE_STEP_LIMIT, reporting).await;
+        renewing.cancel().await;
+    }
+}
+
+/// Waits until a task has ended, and cancels it after `limit`.
+async fn end_within(limit: Duration, mut task: JoinHandle<()>) {
+    if async_std::future::timeout(limit, &mut task).await.is_err() {
+        task.cancel().await;
     }
 }
 
@@ -151,6 +155,13 @@
         self.running.lock().expect("lock is not poisoned")
     }
 
+    /// Stops all running items, which are then returned as yielded.
+    fn stop_items(&self) {
+        for item in self.running().values() {
+            item.stop.close();
+        }
+    }
+
     /// Number of items to lease: one for each idle slot, plus a few that are queued for the next
     /// free slots so that no slot is idle while further items are leased.
     fn lease_capacity(&self) -> u32 {
@@ -249,6 +260,10 @@
             continue;
         }
         for item in leased.items {
+            if shared.stopping.load(Ordering::Acquire) {
+                shared.report(&item, ItemEnd::Yielded, 0, Vec::new());
+                continue;
+            }
             start_item(&shared, item);
         }
     }
