--- a/tests/batch_support/mod.rs
+++ b/tests/batch_support/mod.rs
@@ -256,6 +256,8 @@
 #[derive(Clone)]
 pub enum Step {
     Answer,
+    /// Answers after a time.
+    AnswerIn(Duration),
     /// Answers once the channel is closed.
     AnswerAfter(Receiver<()>),
     Panic,
@@ -300,6 +302,7 @@
         let step = self.steps.lock().unwrap().get(&id).cloned().unwrap_or(Step::Answer);
         match step {
             Step::Answer => task::sleep(Duration::from_millis(5)).await,
+            Step::AnswerIn(time) => task::sleep(time).await,
             Step::AnswerAfter(released) => {
                 let _ = released.recv().await;
             }
@@ -421,11 +424,21 @@
     upstreams: &ControlledUpstreams,
     host_id: &str,
     slots: u32,
+) -> BatchRunner {
+    spawn_incarnation(state, upstreams, host_id, 1, slots)
+}
+
+/// Starts a runner as the given incarnation of its host.
+pub fn spawn_incarnation(
+    state: &Arc<ControlledState>,
+    upstreams: &ControlledUpstreams,
+    host_id: &str,
+    incarnation: u64,
+    slots: u32,
 ) -> BatchRunner {
     let counters = Counters::open(host_id, None);
     let client: Arc<dyn StateClient> = state.clone();
-    let options =
-        BatchOptions { host_id: host_id.to_owned(), incarnation: 1, in_flight_limit: 256 };
+    let options = BatchOptions { host_id: host_id.to_owned(), incarnation, in_flight_limit: 256 };
     BatchRunner::spawn(
         options,
         dispatcher(upstreams.clone(), slots, &counters),
