--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -6,7 +7,7 @@
 use async_std::channel::{bounded, unbounded, Receiver, Sender};
 use async_std::task::{self, JoinHandle};
 use futures::future::{select, Either};
-use futures::{pin_mut, StreamExt};
+use futures::{pin_mut, FutureExt};
 
 use crate::admission::{Fingerprint, Refusal, RefusalKind, RequestFingerprints, RunOutcome};
 use crate::batch::ItemInput;
@@ -18,7 +19,7 @@
     LeasedItem, RenewItems,
 };
 use crate::serving::{Answer, AnswerFormat, Dispatcher, EngineRequest, PlainCall};
-use crate::state::StateClient;
+use crate::state::{StateClient, StateError};
 use crate::telemetry::{Counters, Tracer};
 
 /// Delay before the next attempt when no item could be leased or no slot was idle.
@@ -31,11 +32,22 @@
 /// items of 300 ms end at about the rate at which a commit of 10 ms in the other region replaces
 /// them.
 const PREFETCH_DIVISOR: u32 = 8;
-/// Pause before an item whose upstream was lost is returned to its job, so that it is not leased again
-/// in a fast loop.
-const LOST_UPSTREAM_PAUSE: Duration = Duration::from_millis(300);
+/// Pause before an item that was refused or lost its upstream is returned to its job. Returned items
+/// are leased first, so without it an item that no upstream can run is leased in a fast loop.
+const RETURN_PAUSE: Duration = Duration::from_millis(300);
+/// Time for which a report is repeated. A report that no command can carry must not hold up those
+/// behind it for ever; without a leader, the leases of its items expire long before.
+const REPORT_LIMIT: Duration = Duration::from_secs(60);
+/// Pause before a report is repeated.
+const REPORT_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait in each step of closing a runner.
+const CLOSE_STEP_LIMIT: Duration = Duration::from_secs(2);
+/// Result body of an item whose last attempt ended in a panic.
+const PANIC_REASON: &[u8] = b"the last attempt ended with an internal error of the host";
 /// Maximum number of items in one command.
 const MAX_COMMAND_ITEMS: usize = 128;
+/// Maximum size of the results in one command with several. A frame between hosts holds 16 MiB.
+const MAX_COMMAND_BYTES: usize = 4 << 20;
 
 /// Identity and limits of a runner.
 #[derive(Clone, Debug)]
@@ -51,7 +63,9 @@
 /// Leases items of batch jobs, runs them on idle slots and reports their results.
 pub struct BatchRunner {
     shared: Arc<Shared>,
-    tasks: Vec<JoinHandle<()>>,
+    leasing: JoinHandle<()>,
+    renewing: JoinHandle<()>,
+    reporting: JoinHandle<()>,
 }
 
 struct Shared {
@@ -61,7 +75,9 @@
     configuration: ConfigurationWatch,
     counters: Counters,
     tracer: Tracer,
-    running: Mutex<HashMap<(String, u32), RunningItem>>,
+    /// Items until their reports are taken, by attempt: a host may lease an item again while an
+    /// attempt with a lost lease still runs there.
+    running: Mutex<HashMap<ItemAttempt, RunningItem>>,
     finished: Sender<ItemFinish>,
     stopping: AtomicBool,
     /// Channel of capacity 1 that signals the end of an item.
@@ -69,7 +85,6 @@
 }
 
 struct RunningItem {
-    attempt: u32,
     /// Closing this channel stops the item.
     stop: Sender<()>,
 }
@@ -97,46 +112,56 @@
             stopping: AtomicBool::new(false),
             item_ended: bounded(1),
         });
-        let tasks = vec![
-            task::spawn(lease_items(shared.clone())),
-            task::spawn(renew_leases(shared.clone())),
-            task::spawn(report_results(shared.clone(), results)),
-        ];
-        Self { shared, tasks }
+        let leasing = task::spawn(lease_items(shared.clone()));
+        let renewing = task::spawn(renew_leases(shared.clone()));
+        let reporting = task::spawn(report_results(shared.clone(), results));
+        Self { shared, leasing, renewing, reporting }
     }
 
-    /// Number of items in flight.
+    /// Number of items in flight: running, or with a report that is not yet taken.
     pub fn running(&self) -> usize {
         self.shared.running().len()
     }
 
-    /// Stops leasing items and returns the running ones as yielded. Waits up to 2 s for them to
-    /// stop and up to 2 s for the reports.
+    /// Stops leasing items and returns the running ones as yielded, with those of a lease whose
+    /// reply is on its way. Waits up to 2 s for them to stop and be reported, and up to 2 s more for
+    /// the reports.
     pub async fn close(self) {
-        self.shared.stopping.store(true, Ordering::Release);
-        self.shared.running().values().for_each(|item| {
-            item.stop.close();
-        });
+        let Self { shared, leasing, renewing, reporting } = self;
+        shared.stopping.store(true, Ordering::Release);
+        shared.stop_items();
         let started = Instant::now();
-        while !self.shared.running().is_empty() && started.elapsed() < Duration::from_secs(2) {
+        end_within(CLOSE_STEP_LIMIT, leasing).await;
+        // The leasing task may have started items after the others were stopped.
+        shared.stop_items();
+        while !shared.running().is_empty() && started.elapsed() < CLOSE_STEP_LIMIT {
             task::sleep(Duration::from_millis(20)).await;
         }
-        self.shared.finished.close();
-        let mut tasks = self.tasks.into_iter().rev();
-        if let Some(reporting) = tasks.next() {
-            let _ = async_std::future::timeout(Duration::from_secs(2), reporting).await;
-        }
-        for task in tasks {
-            task.cancel().await;
-        }
+        shared.finished.close();
+        end_within(CLOSE_STEP_LIMIT, reporting).await;
+        renewing.cancel().await;
+    }
+}
+
+/// Waits until a task has ended, and cancels it after `limit`.
+async fn end_within(limit: Duration, mut task: JoinHandle<()>) {
+    if async_std::future::timeout(limit, &mut task).await.is_err() {
+        task.cancel().await;
     }
 }
 
 impl Shared {
-    fn running(&self) -> std::sync::MutexGuard<'_, HashMap<(String, u32), RunningItem>> {
+    fn running(&self) -> std::sync::MutexGuard<'_, HashMap<ItemAttempt, RunningItem>> {
         self.running.lock().expect("lock is not poisoned")
     }
 
+    /// Stops all running items, which are then returned as yielded.
+    fn stop_items(&self) {
+        for item in self.running().values() {
+            item.stop.close();
+        }
+    }
+
     /// Number of items to lease: one for each idle slot, plus a few that are queued for the next
     /// free slots so that no slot is idle while further items are leased.
     fn lease_capacity(&self) -> u32 {
@@ -160,27 +185,50 @@
         let _ = async_std::future::timeout(IDLE_PAUSE, self.item_ended.1.recv()).await;
     }
 
-    async fn submit(&self, command: command::Command) -> Option<outcome::Outcome> {
+    /// Signals that an item has freed its slot or its place among the items in flight.
+    fn signal_item_ended(&self) {
+        // If the channel is full, the leasing task is already due to check for capacity.
+        let _ = self.item_ended.0.try_send(());
+    }
+
+    /// Creates a command with an id of its own.
+    fn command(&self, command: command::Command) -> Command {
         let command_id = format!("{}-{:x}", self.options.host_id, rand::random::<u128>());
-        let command = Command { command_id, proposed_at_unix_ms: 0, command: Some(command) };
-        match self.state.submit(command).await {
-            Ok(outcome) => outcome.outcome,
-            Err(_) => {
-                self.counters.count("batch.command_failed");
-                None
+        Command { command_id, proposed_at_unix_ms: 0, command: Some(command) }
+    }
+
+    async fn submit(&self, command: Command) -> Result<Option<outcome::Outcome>, StateError> {
+        let submitted = self.state.submit(command).await;
+        if submitted.is_err() {
+            self.counters.count("batch.command_failed");
+        }
+        Ok(submitted?.outcome)
+    }
+
+    /// Submits a lease, again while its outcome is unknown: if it took effect, its items wait for
+    /// this host until their leases expire.
+    async fn lease(&self, lease: LeaseItems) -> Result<Option<outcome::Outcome>, StateError> {
+        let command = self.command(command::Command::LeaseItems(lease));
+        let started = Instant::now();
+        loop {
+            let submitted = self.submit(command.clone()).await;
+            let is_unknown = matches!(submitted, Err(StateError::Unknown(_)));
+            if !is_unknown || started.elapsed() >= Duration::from_millis(LEASE_MS.into()) {
+                return submitted;
             }
+            self.counters.count("batch.lease_repeated");
+            task::sleep(IDLE_PAUSE).await;
         }
     }
 
     /// Yields an item: returns it to its job with the part of its answer received so far.
     fn yield_item(&self, item: &LeasedItem, answer: &Answer) {
         self.counters.count("batch.item_yielded");
-        self.report(item, ItemEnd::Yielded, 0, answer.to_progress());
+        self.report(item.attempt.clone(), ItemEnd::Yielded, 0, answer.to_progress());
     }
 
     /// Queues the result of an item for the next report.
-    fn report(&self, item: &LeasedItem, end: ItemEnd, status: u32, body: Vec<u8>) {
-        let attempt = item.attempt.clone();
+    fn report(&self, attempt: Option<ItemAttempt>, end: ItemEnd, status: u32, body: Vec<u8>) {
         let finish = ItemFinish { attempt, end: end.into(), status, body: body.into() };
         let _ = self.finished.try_send(finish);
     }
@@ -201,16 +249,23 @@
             lease_ms: LEASE_MS,
             services: Vec::new(),
         };
-        let leased = shared.submit(command::Command::LeaseItems(lease)).await;
-        let Some(outcome::Outcome::ItemsLeased(leased)) = leased else {
+        let outcome = shared.lease(lease).await;
+        let Ok(Some(outcome::Outcome::ItemsLeased(leased))) = outcome else {
             task::sleep(IDLE_PAUSE).await;
             continue;
         };
+        for attempt in leased.omitted {
+            shared.report(Some(attempt), ItemEnd::Yielded, 0, Vec::new());
+        }
         if leased.items.is_empty() {
             task::sleep(IDLE_PAUSE).await;
             continue;
         }
         for item in leased.items {
+            if shared.stopping.load(Ordering::Acquire) {
+                shared.report(item.attempt, ItemEnd::Yielded, 0, Vec::new());
+                continue;
+            }
             start_item(&shared, item);
         }
     }
@@ -219,16 +274,19 @@
 fn start_item(shared: &Arc<Shared>, item: LeasedItem) {
     let Some(attempt) = item.attempt.clone() else { return };
     let (stop, stopped) = bounded(1);
-    let key = (attempt.job_id, attempt.item);
-    let running = RunningItem { attempt: attempt.attempt, stop: stop.clone() };
-    shared.running().insert(key.clone(), running);
+    shared.running().insert(attempt.clone(), RunningItem { stop: stop.clone() });
     shared.counters.count("batch.item_started");
     let shared = shared.clone();
     task::spawn(async move {
-        run_item(&shared, &item, stop, stopped).await;
-        shared.running().remove(&key);
-        // If the channel is full, the leasing task is already due to check for capacity.
-        let _ = shared.item_ended.0.try_send(());
+        let run = AssertUnwindSafe(run_item(&shared, &item, stop, stopped)).catch_unwind();
+        // Without a report, the lease would be renewed until this host stops.
+        if run.await.is_err() {
+            let ItemAttempt { job_id, item: index, attempt: number } = &attempt;
+            log::error!("attempt {number} of item {index} of job {job_id} panicked");
+            shared.counters.count("batch.item_panicked");
+            shared.report(Some(attempt), ItemEnd::AttemptFailed, 0, PANIC_REASON.to_vec());
+        }
+        shared.signal_item_ended();
     });
 }
 
@@ -236,7 +294,9 @@
 async fn run_item(shared: &Shared, item: &LeasedItem, stop: Sender<()>, stopped: Receiver<()>) {
     let input = match ItemInput::try_from(&*item.body) {
         Ok(input) => input,
-        Err(reason) => return shared.report(item, ItemEnd::Failed, 400, reason.into_bytes()),
+        Err(reason) => {
+            return shared.report(item.attempt.clone(), ItemEnd::Failed, 400, reason.into_bytes())
+        }
     };
     let mut answer = Answer::from_progress(&item.progress);
     let result = {
@@ -255,15 +315,23 @@
         }
     };
     match result {
-        Some(Ok((status, body))) => shared.report(item, ItemEnd::Succeeded, status.into(), body),
+        Some(Ok((status, body))) => {
+            shared.report(item.attempt.clone(), ItemEnd::Succeeded, status.into(), body)
+        }
         Some(Err(refusal)) if item_end(&refusal) == ItemEnd::Yielded => {
-            if refusal.kind == RefusalKind::UpstreamLost {
-                task::sleep(LOST_UPSTREAM_PAUSE).await;
+            if matches!(refusal.kind, RefusalKind::UnknownModel | RefusalKind::UnknownService) {
+                shared.counters.count("batch.item_without_upstream");
             }
+            task::sleep(RETURN_PAUSE).await;
             shared.yield_item(item, &answer)
         }
         Some(Err(refusal)) => {
-            shared.report(item, item_end(&refusal), 0, refusal.to_string().into_bytes());
+            shared.report(
+                item.attempt.clone(),
+                item_end(&refusal),
+                0,
+                refusal.to_string().into_bytes(),
+            );
         }
         None => shared.yield_item(item, &answer),
     }
@@ -358,19 +426,11 @@
     Instant::now() + Duration::from_millis(remaining_ms)
 }
 
-/// Renews the leases of running items and stops the items whose lease was lost.
+/// Renews the leases of the items in flight, and stops the items whose lease was lost.
 async fn renew_leases(shared: Arc<Shared>) {
     loop {
         task::sleep(RENEW_INTERVAL).await;
-        let items: Vec<ItemAttempt> = shared
-            .running()
-            .iter()
-            .map(|((job_id, item), running)| ItemAttempt {
-                job_id: job_id.clone(),
-                item: *item,
-                attempt: running.attempt,
-            })
-            .collect();
+        let items: Vec<ItemAttempt> = shared.running().keys().cloned().collect();
         if items.is_empty() {
             continue;
         }
@@ -380,11 +440,12 @@
             lease_ms: LEASE_MS,
             items,
         };
-        let renewed = shared.submit(command::Command::RenewItems(renew)).await;
-        let Some(outcome::Outcome::ItemsRenewed(renewed)) = renewed else { continue };
+        let command = shared.command(command::Command::RenewItems(renew));
+        let renewed = shared.submit(command).await;
+        let Ok(Some(outcome::Outcome::ItemsRenewed(renewed))) = renewed else { continue };
         for lost in renewed.lost {
             shared.counters.count("batch.lease_lost");
-            if let Some(item) = shared.running().get(&(lost.job_id, lost.item)) {
+            if let Some(item) = shared.running().get(&lost) {
                 item.stop.close();
             }
         }
@@ -393,13 +454,62 @@
 
 /// Reports the results of items, several per command.
 async fn report_results(shared: Arc<Shared>, results: Receiver<ItemFinish>) {
-    let mut results = results.ready_chunks(MAX_COMMAND_ITEMS);
-    while let Some(items) = results.next().await {
-        let count = items.len() as u64;
-        let finish = FinishItems { holder: shared.options.host_id.clone(), items };
-        // Items whose result could not be reported run again after their lease expires.
-        if shared.submit(command::Command::FinishItems(finish)).await.is_some() {
-            shared.counters.add("batch.item_ended", count);
+    let mut next = None;
+    loop {
+        let first = match next.take() {
+            Some(first) => first,
+            None => match results.recv().await {
+                Ok(first) => first,
+                Err(_) => return,
+            },
+        };
+        let (items, rest) = take_ready(first, &results);
+        next = rest;
+        report_items(&shared, items).await;
+    }
+}
+
+/// Reports results until the control hosts take them or [`REPORT_LIMIT`] has passed.
+async fn report_items(shared: &Shared, items: Vec<ItemFinish>) {
+    let attempts: Vec<_> = items.iter().filter_map(|item| item.attempt.clone()).collect();
+    let finish = FinishItems { holder: shared.options.host_id.clone(), items };
+    let command = shared.command(command::Command::FinishItems(finish));
+    let started = Instant::now();
+    // The command keeps its id, so a report that took effect without a reply does so only once.
+    let mut taken = shared.submit(command.clone()).await.is_ok();
+    while !taken && started.elapsed() < REPORT_LIMIT {
+        shared.counters.count("batch.report_repeated");
+        task::sleep(REPORT_PAUSE).await;
+        taken = shared.submit(command.clone()).await.is_ok();
+    }
+    match taken {
+        true => shared.counters.add("batch.item_ended", attempts.len() as u64),
+        // The items run again after their leases expire.
+        false => shared.counters.add("batch.report_dropped", attempts.len() as u64),
+    }
+    let mut running = shared.running();
+    for attempt in &attempts {
+        running.remove(attempt);
+    }
+    drop(running);
+    shared.signal_item_ended();
+}
+
+/// Takes the results that are ready, up to the limits of one command. Also returns the result that
+/// was taken but did not fit.
+fn take_ready(
+    first: ItemFinish,
+    results: &Receiver<ItemFinish>,
+) -> (Vec<ItemFinish>, Option<ItemFinish>) {
+    let mut body_bytes = first.body.len();
+    let mut items = vec![first];
+    while items.len() < MAX_COMMAND_ITEMS {
+        let Ok(next) = results.try_recv() else { break };
+        body_bytes += next.body.len();
+        if body_bytes > MAX_COMMAND_BYTES {
+            return (items, Some(next));
         }
+        items.push(next);
     }
+    (items, None)
 }
