--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -557,6 +557,12 @@
         assignment
     }
 
+    /// Where an item is: whether it is pending, and the assignments under which it runs. An item that has no
+    /// result is in exactly one of these places.
+    pub fn find_item(&self, job_id: &str, item: u32) -> (bool, Vec<u64>) {
+        (self.pending.get(job_id, item).is_some(), self.running.of_item(job_id, item))
+    }
+
     /// Numbers of pending and running items.
     pub fn item_counts(&self) -> (usize, usize) {
         (self.pending.len(), self.running.len())
