--- a/tests/scheduler_sim/sim.rs
+++ b/tests/scheduler_sim/sim.rs
@@ -1229,7 +1229,6 @@
             upstream.record.phase = Phase::Ready;
             upstream.limit_millis = upstream.limit_millis.map(|limit| limit.max(4_000));
         }
-        self.publish_upstreams();
         for host in 0..self.entries.len() {
             if !self.entries[host].is_alive || !self.entries[host].host.ready {
                 let incarnation = self.entries[host].incarnation;
@@ -1258,6 +1257,8 @@
             for index in 0..self.upstreams.len() {
                 let upstream = &mut self.upstreams[index];
                 if upstream.record.version != version {
+                    // Room for all items.
+                    upstream.record.slots = 50;
                     continue;
                 }
                 upstream.behaviour = behaviour;
@@ -1267,6 +1268,7 @@
                 }
             }
         }
+        self.publish_upstreams();
         for control in &mut self.controls {
             control.overloaded_until_ms = 0;
         }
