--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -523,3 +523,24 @@
     let assigned = scheduler.assign("e1", &input);
     assert_eq!(assigned.len(), 1, "the upstream has seven free slots and one item for them");
 }
+
+/// Guards against an item that falls out of the scheduler because a new assignment gets the id of an adopted
+/// one: ids of a new term are above those of earlier terms only if the clocks of the control hosts agree.
+#[test]
+fn a_new_assignment_never_replaces_an_adopted_one() {
+    let start = Instant::now();
+    let now = start + AFTER_START_DELAY;
+    let jobs = [job("j", 3)];
+    let mut scheduler = leading_scheduler(start, &jobs);
+    let adopted = RunningItem {
+        assignment_id: 102,
+        job_id: "j".into(),
+        item: 0,
+        upstream_id: "a".into(),
+        ..RunningItem::default()
+    };
+    scheduler.apply_report(&entry_host("e1"), &sync_with(std::slice::from_ref(&adopted), 0), now);
+    scheduler.adopt("e1", &[adopted], &jobs, now);
+    assert_eq!(assign(&mut scheduler, "e1", &[upstream("a")], now).len(), 2);
+    assert_eq!(scheduler.item_counts(), (0, 3));
+}
