Add a test of leases with large lines as known red

What callers saw: a job with large input lines whose items fail with "the lease of the last attempt ran out" without a run. Cause: the reply to a lease holds the lines of up to 128 items whatever their size. Over 16 MiB the reply does not fit into a frame, the connection is closed, and a repetition gets the same reply.

--- a/tests/batch_runner.rs
+++ b/tests/batch_runner.rs
@@ -141,3 +141,20 @@
     assert!(items.iter().all(|item| item.state() == ItemState::ItemSucceeded), "{items:#?}");
     other.close().await;
 }
+
+/// Guards against input lines that are each within the limits, but together exceed a frame between
+/// hosts: the reply to the lease broke the connection, and each such lease counted as an attempt.
+#[async_std::test]
+async fn items_with_large_lines_are_leased_in_replies_that_fit_into_a_frame() {
+    let (state, upstreams) = (ControlledState::open(), ControlledUpstreams::default());
+    let mut input = lines(96, "m");
+    for line in &mut input {
+        line.truncate(line.len() - 1);
+        *line += &format!(r#","padding":"{}"}}"#, "x".repeat(200 << 10));
+    }
+    state.create_job(input, PLAIN_PATH, 1);
+    let runner = spawn_runner(&state, &upstreams, "host-1", 96);
+    state.wait_for_success(CALM_LIMIT).await;
+    assert_eq!(upstreams.calls().len(), 96);
+    runner.close().await;
+}
