Bound the size of a reply that leases batch items

What callers saw: a job with large input lines whose items fail with "the lease of the last attempt ran out" without a run. Cause: the reply to a lease held the lines of up to 128 items. Over 16 MiB it does not fit into a frame, so the connection was closed, and each repetition of the command got the same reply. Each expired lease counted as an attempt. Why it works: the reply holds items up to 8 MiB, at least one, and names the others in a new field; the runner returns those as yielded, which counts no attempt. The state and stored outcomes are unchanged. An older runner ignores the field and those items wait for the end of their leases, as all did before; an older leader sends no such field.

--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -224,12 +224,11 @@
     /// Yields an item: returns it to its job with the part of its answer received so far.
     fn yield_item(&self, item: &LeasedItem, answer: &Answer) {
         self.counters.count("batch.item_yielded");
-        self.report(item, ItemEnd::Yielded, 0, answer.to_progress());
+        self.report(item.attempt.clone(), ItemEnd::Yielded, 0, answer.to_progress());
     }
 
     /// Queues the result of an item for the next report.
-    fn report(&self, item: &LeasedItem, end: ItemEnd, status: u32, body: Vec<u8>) {
-        let attempt = item.attempt.clone();
+    fn report(&self, attempt: Option<ItemAttempt>, end: ItemEnd, status: u32, body: Vec<u8>) {
         let finish = ItemFinish { attempt, end: end.into(), status, body: body.into() };
         let _ = self.finished.try_send(finish);
     }
@@ -255,13 +254,16 @@
             task::sleep(IDLE_PAUSE).await;
             continue;
         };
+        for attempt in leased.omitted {
+            shared.report(Some(attempt), ItemEnd::Yielded, 0, Vec::new());
+        }
         if leased.items.is_empty() {
             task::sleep(IDLE_PAUSE).await;
             continue;
         }
         for item in leased.items {
             if shared.stopping.load(Ordering::Acquire) {
-                shared.report(&item, ItemEnd::Yielded, 0, Vec::new());
+                shared.report(item.attempt, ItemEnd::Yielded, 0, Vec::new());
                 continue;
             }
             start_item(&shared, item);
@@ -279,10 +281,10 @@
         let run = AssertUnwindSafe(run_item(&shared, &item, stop, stopped)).catch_unwind();
         // Without a report, the lease would be renewed until this host stops.
         if run.await.is_err() {
-            let ItemAttempt { job_id, item: index, attempt } = &attempt;
-            log::error!("attempt {attempt} of item {index} of job {job_id} panicked");
+            let ItemAttempt { job_id, item: index, attempt: number } = &attempt;
+            log::error!("attempt {number} of item {index} of job {job_id} panicked");
             shared.counters.count("batch.item_panicked");
-            shared.report(&item, ItemEnd::AttemptFailed, 0, PANIC_REASON.to_vec());
+            shared.report(Some(attempt), ItemEnd::AttemptFailed, 0, PANIC_REASON.to_vec());
         }
         shared.signal_item_ended();
     });
@@ -292,7 +294,9 @@
 async fn run_item(shared: &Shared, item: &LeasedItem, stop: Sender<()>, stopped: Receiver<()>) {
     let input = match ItemInput::try_from(&*item.body) {
         Ok(input) => input,
-        Err(reason) => return shared.report(item, ItemEnd::Failed, 400, reason.into_bytes()),
+        Err(reason) => {
+            return shared.report(item.attempt.clone(), ItemEnd::Failed, 400, reason.into_bytes())
+        }
     };
     let mut answer = Answer::from_progress(&item.progress);
     let result = {
@@ -311,7 +315,9 @@
         }
     };
     match result {
-        Some(Ok((status, body))) => shared.report(item, ItemEnd::Succeeded, status.into(), body),
+        Some(Ok((status, body))) => {
+            shared.report(item.attempt.clone(), ItemEnd::Succeeded, status.into(), body)
+        }
         Some(Err(refusal)) if item_end(&refusal) == ItemEnd::Yielded => {
             if refusal.kind == RefusalKind::UpstreamLost {
                 task::sleep(LOST_UPSTREAM_PAUSE).await;
@@ -319,7 +325,12 @@
             shared.yield_item(item, &answer)
         }
         Some(Err(refusal)) => {
-            shared.report(item, item_end(&refusal), 0, refusal.to_string().into_bytes());
+            shared.report(
+                item.attempt.clone(),
+                item_end(&refusal),
+                0,
+                refusal.to_string().into_bytes(),
+            );
         }
         None => shared.yield_item(item, &answer),
     }
--- a/src/state/render.rs
+++ b/src/state/render.rs
@@ -14,6 +14,10 @@
 use crate::state::outcome::{ClaimStatus, ClaimTaken, FinishVerdict, Outcome};
 use crate::state::tables::Tables;
 
+/// Maximum size of the lines and partial answers in a reply with several leased items. A frame
+/// between hosts holds 16 MiB.
+const LEASE_REPLY_BYTES: usize = 8 << 20;
+
 /// The part of an item's input line that is decoded: the caller's id of the item.
 #[derive(Deserialize)]
 struct LineId<'a> {
@@ -24,11 +28,7 @@
 pub(crate) fn encode_outcome(outcome: &Outcome, tables: &Tables, bodies: &Bodies) -> wire::Outcome {
     let outcome = match outcome {
         Outcome::ItemsLeased(attempts) => {
-            let items = attempts
-                .iter()
-                .filter_map(|attempt| encode_leased_item(attempt, tables, bodies))
-                .collect();
-            WireOutcome::ItemsLeased(wire::ItemsLeased { items })
+            WireOutcome::ItemsLeased(encode_leased_items(attempts, tables, bodies))
         }
         Outcome::ClaimTaken(taken) => {
             let claim = tables.claims.get(taken.answer_number);
@@ -67,6 +67,7 @@
             };
             WireOutcome::ItemsLeased(wire::ItemsLeased {
                 items: attempts.iter().map(item).collect(),
+                omitted: Vec::new(),
             })
         }
         Outcome::ItemsRenewed { lost } => WireOutcome::ItemsRenewed(wire::ItemsRenewed {
@@ -97,6 +98,30 @@
     wire::Outcome { outcome: Some(outcome) }
 }
 
+/// Leased items with their input lines, as many as fit into one reply, at least one.
+fn encode_leased_items(
+    attempts: &[ItemAttempt],
+    tables: &Tables,
+    bodies: &Bodies,
+) -> wire::ItemsLeased {
+    let mut leased = wire::ItemsLeased::default();
+    let mut reply_bytes = 0;
+    for attempt in attempts {
+        if reply_bytes >= LEASE_REPLY_BYTES {
+            leased.omitted.push(attempt.into());
+            continue;
+        }
+        let Some(item) = encode_leased_item(attempt, tables, bodies) else { continue };
+        reply_bytes += item.body.len() + item.progress.len();
+        if reply_bytes > LEASE_REPLY_BYTES && !leased.items.is_empty() {
+            leased.omitted.push(attempt.into());
+            continue;
+        }
+        leased.items.push(item);
+    }
+    leased
+}
+
 /// A leased item with its input line. `None` if the job is gone or the line cannot be read.
 fn encode_leased_item(
     attempt: &ItemAttempt,
--- a/tests/state_model/jobs.rs
+++ b/tests/state_model/jobs.rs
@@ -202,7 +202,7 @@
             };
             items.push(item);
         }
-        Outcome::ItemsLeased(ItemsLeased { items })
+        Outcome::ItemsLeased(ItemsLeased { items, omitted: Vec::new() })
     }
 
     fn lease_one(&mut self, lease: &LeaseItems, service: &str) -> Option<LeasedItem> {
