Add a test of batch items without an upstream as known red

What callers saw: nothing but a job that does not end; operators saw the log of the control hosts grow by hundreds of commands a second. Cause: an item whose model or service no upstream has is refused at once and returned without a pause, and returned items are leased first. Evidence: the test fails (debug build): 2,497 attempts of 12 items in 3 s.

--- a/tests/batch_runner.rs
+++ b/tests/batch_runner.rs
@@ -158,3 +158,22 @@
     assert_eq!(upstreams.calls().len(), 96);
     runner.close().await;
 }
+
+/// Guards against items that no upstream can run and that are leased again and again without a
+/// pause: each round is two commands in the replicated log.
+#[async_std::test]
+async fn items_for_a_missing_model_are_not_leased_in_a_fast_loop() {
+    let (state, upstreams) = (ControlledState::open(), ControlledUpstreams::default());
+    let mut input = lines(12, "missing");
+    input.extend(lines(3, "m"));
+    state.create_job(input, "/v1/completions", 3);
+    let runner = spawn_runner(&state, &upstreams, "host-1", 4);
+    let items = state.wait_for(CALM_LIMIT, |items| all_ended(&items[12..])).await;
+    assert!(items[12..].iter().all(|item| item.state() == ItemState::ItemSucceeded), "{items:#?}");
+    let reported_before = state.reported.load(Ordering::SeqCst);
+    task::sleep(Duration::from_secs(3)).await;
+    let reported = state.reported.load(Ordering::SeqCst) - reported_before;
+    // The runner pauses for 300 ms before it returns an item that it could not run.
+    assert!(reported <= 12 * (3_000 / 300 + 1), "{reported} attempts were reported in 3 s");
+    runner.close().await;
+}
--- a/tests/batch_support/mod.rs
+++ b/tests/batch_support/mod.rs
@@ -71,6 +71,8 @@
     skipped_ms: AtomicU64,
     /// Time between the effect of a lease and its reply.
     pub lease_reply_ms: AtomicU64,
+    /// Number of attempts in all reports.
+    pub reported: AtomicUsize,
     faults: Mutex<HashMap<CommandKind, VecDeque<Fault>>>,
     fault_source: Mutex<Option<FaultSource>>,
 }
@@ -82,6 +84,7 @@
             started: Instant::now(),
             skipped_ms: AtomicU64::new(1_000_000),
             lease_reply_ms: AtomicU64::new(0),
+            reported: AtomicUsize::new(0),
             faults: Mutex::default(),
             fault_source: Mutex::default(),
         })
@@ -207,6 +210,9 @@
 impl StateClient for ControlledState {
     async fn submit(&self, command: Command) -> Result<Outcome, StateError> {
         task::sleep(Duration::from_millis(5)).await;
+        if let Some(Kind::FinishItems(finish)) = &command.command {
+            self.reported.fetch_add(finish.items.len(), Ordering::SeqCst);
+        }
         let call = Call { call: Some(call::Call::Command(command.clone())), ..Call::default() };
         if !fits_into_frame(Body::Call(call)) {
             return Err(StateError::Unknown("the connection was closed".to_owned()));
