Pause before a refused batch item is returned

What callers saw: a job with items for a missing model does not end, and operators saw the log of the control hosts grow by hundreds of commands a second while it lasted. Cause: the runner paused only for items that lost their upstream. An item that is refused at once was returned at once, and returned items are leased first. Why it works: each refused item is returned after the same 300 ms. It holds no slot meanwhile, so other items are leased. The counter batch.item_without_upstream says that items wait for a model or service that no upstream has.

--- a/src/batch/runner.rs
+++ b/src/batch/runner.rs
@@ -32,9 +32,9 @@
 /// items of 300 ms end at about the rate at which a commit of 10 ms in the other region replaces
 /// them.
 const PREFETCH_DIVISOR: u32 = 8;
-/// Pause before an item whose upstream was lost is returned to its job, so that it is not leased again
-/// in a fast loop.
-const LOST_UPSTREAM_PAUSE: Duration = Duration::from_millis(300);
+/// Pause before an item that was refused or lost its upstream is returned to its job. Returned items
+/// are leased first, so without it an item that no upstream can run is leased in a fast loop.
+const RETURN_PAUSE: Duration = Duration::from_millis(300);
 /// Time for which a report is repeated. A report that no command can carry must not hold up those
 /// behind it for ever; without a leader, the leases of its items expire long before.
 const REPORT_LIMIT: Duration = Duration::from_secs(60);
@@ -319,9 +319,10 @@
             shared.report(item.attempt.clone(), ItemEnd::Succeeded, status.into(), body)
         }
         Some(Err(refusal)) if item_end(&refusal) == ItemEnd::Yielded => {
-            if refusal.kind == RefusalKind::UpstreamLost {
-                task::sleep(LOST_UPSTREAM_PAUSE).await;
+            if matches!(refusal.kind, RefusalKind::UnknownModel | RefusalKind::UnknownService) {
+                shared.counters.count("batch.item_without_upstream");
             }
+            task::sleep(RETURN_PAUSE).await;
             shared.yield_item(item, &answer)
         }
         Some(Err(refusal)) => {
