Add a test of many batch items without an upstream as known red

What callers saw: items of a job that could run wait without an end while slots are free, because many other items of the job name a model that no upstream has. Cause: returned items are leased before items that were never leased. With more items that no upstream can run than the runner returns at a time, the others are never reached.

--- a/tests/batch_runner.rs
+++ b/tests/batch_runner.rs
@@ -5,7 +5,7 @@
 mod batch_support;
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::channel::bounded;
 use async_std::task;
@@ -177,3 +177,20 @@
     assert!(reported <= 12 * (3_000 / 300 + 1), "{reported} attempts were reported in 3 s");
     runner.close().await;
 }
+
+/// Guards against many items that no upstream can run: they are leased before items that were never
+/// leased, which wait although slots are free.
+#[async_std::test]
+async fn many_items_for_a_missing_model_do_not_hold_up_others() {
+    let (state, upstreams) = (ControlledState::open(), ControlledUpstreams::default());
+    let mut input = lines(2_000, "missing");
+    input.extend(lines(3, "m"));
+    state.create_job(input, "/v1/completions", 3);
+    let runner = spawn_runner(&state, &upstreams, "host-1", 4);
+    let started = Instant::now();
+    while state.job().succeeded < 3 {
+        assert!(started.elapsed() < 2 * CALM_LIMIT, "{:#?}", state.job());
+        task::sleep(Duration::from_millis(20)).await;
+    }
+    runner.close().await;
+}
