Issue assignment ids above those that entry hosts report

Callers saw an accepted item that nobody ran until the next leader. Cause: a leader numbers its assignments from its clock, and adopts running items under the ids of earlier leaders. If its clock is behind, a new assignment could get the id of an adopted one and replaced it in the table; the adopted item was then neither waiting nor assigned. Class: an identity that rests on clocks which nothing holds together. Change: reported ids raise the last issued one. Evidence: a_new_assignment_never_replaces_an_adopted_one failed before (2 of 3 items held) and passes. The clocks of the incident's record agree, so this is not proved to be its cause.

--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -184,6 +184,8 @@
             if self.is_known_assignment(id) {
                 continue;
             }
+            // Clocks of control hosts differ, so ids of earlier terms may be above those of this one.
+            self.last_issued_id = self.last_issued_id.max(id);
             let job = jobs.iter().find(|job| *job.head.job_id == *item.job_id);
             if job.is_none_or(|job| job.is_finished(item.item)) {
                 continue;
