Leave running items where they are when their job is queued again

After a list of open jobs that lacked a running item's job, the next list queued the item though it was still assigned and marked as cancelled: it lost its events and could run twice. Class: an item in two tables. Change: items of a new job that are assigned already stay so, and their cancellation is taken back.

--- a/src/coordinator/running_items.rs
+++ b/src/coordinator/running_items.rs
@@ -123,6 +123,19 @@
         ids.filter(|id| self.items.get(id).is_some_and(|running| running.item == item)).collect()
     }
 
+    /// Takes back the cancellation of an item. True if the item is assigned: a host that was told of the
+    /// cancellation no longer reports it, and the item is then queued again.
+    pub(super) fn resume(&mut self, job_id: &str, item: u32) -> bool {
+        let ids = self.of_item(job_id, item);
+        for id in &ids {
+            let Some(running) = self.items.get_mut(id) else { continue };
+            if running.stop == Some(StopReason::Cancelled) {
+                (running.stop, running.stop_sent_at) = (None, None);
+            }
+        }
+        !ids.is_empty()
+    }
+
     /// Assignment ids of jobs that are not in `open`.
     pub(super) fn of_closed_jobs(&self, open: &HashSet<&str>) -> Vec<u64> {
         let closed = self.by_job.iter().filter(|(job_id, _)| !open.contains(&***job_id));
--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -96,7 +96,8 @@
     }
 
     /// Reconciles the scheduler with the open jobs of the ledger: queues the items of new jobs, drops
-    /// pending items of jobs that are no longer open and marks their running items to be stopped.
+    /// pending items of jobs that are no longer open and marks their running items to be stopped. Items of new
+    /// jobs that run already stay where they are.
     pub fn reconcile(&mut self, open_jobs: &[Arc<Job>], now: Instant) {
         let open: HashSet<&str> = open_jobs.iter().map(|job| &*job.head.job_id).collect();
         self.pending.retain_jobs(&open);
@@ -111,6 +112,9 @@
                 continue;
             }
             for item in job.unfinished() {
+                if self.running.resume(&job.head.job_id, item) {
+                    continue;
+                }
                 let content = job.items[item as usize].clone();
                 let waiting = PendingItem {
                     content,
