Bound the wait of an item for the version that began it

Callers saw accepted items without a result beside free slots. Cause: an item waits for its version as long as it has run, and the leader counts as run time all until the return of the item arrives. With two returns that came 16 s late an item that had run for 2 s waited 34.02 s. Class: a wait whose length rests on a delay. Change: the wait is at most 10 s; the leader can't see when a run ends.

--- a/src/coordinator/pending_items.rs
+++ b/src/coordinator/pending_items.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::coordinator::free_places::FreePlaces;
 use crate::coordinator::running_items::Progress;
@@ -9,6 +9,10 @@
 use crate::ledger::JobHead;
 use crate::schema::ledger::NewItem;
 
+/// Longest time for which an item waits for the version that began it. The time until a late return arrives
+/// counts as run time, since the leader does not see when a run ends.
+const MAX_VERSION_WAIT: Duration = Duration::from_secs(10);
+
 /// A batch item that waits for a slot.
 #[derive(Debug)]
 pub(super) struct PendingItem {
@@ -29,7 +33,8 @@
         }
         let mut ready = input.upstreams.iter().filter(|record| record.phase == Phase::Ready);
         // Counted from the last event, so that refusals of its version do not begin the wait anew.
-        input.now.saturating_duration_since(self.idle_since) > self.progress.run_time
+        let wait = self.progress.run_time.min(MAX_VERSION_WAIT);
+        input.now.saturating_duration_since(self.idle_since) > wait
             || !ready.any(|record| self.progress.may_continue_at(record))
     }
 }
