Return an item whose run panics as interrupted, not as failed

A panic of the entry host counted as a failed attempt, so that three of them would have given up an item that no upstream refused.

--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -219,10 +219,10 @@
         match end {
             Ok(Ok(())) => RunEnd::Finished(progress.text.freeze()),
             Ok(Err(RunError::Unprocessable)) => RunEnd::Unprocessable,
-            // What was received may be incomplete. A failed attempt is counted, so an item that panics
-            // everywhere is given up.
+            // What was received may be incomplete. A failure of this host is no attempt of the item: only the
+            // answers of upstreams may give it up.
             Ok(Err(RunError::Panicked)) => {
-                RunEnd::Returned(ItemReturn::FailedAttempt, ItemProgress::of(assignment))
+                RunEnd::Returned(ItemReturn::Interrupted, ItemProgress::of(assignment))
             }
             Ok(Err(RunError::Returned(reason))) => RunEnd::Returned(reason, progress),
             Err(StopReason::Cancelled) => RunEnd::Cancelled,
