--- a/tests/batch_support/mod.rs
+++ b/tests/batch_support/mod.rs
@@ -254,7 +254,7 @@
     }
 
     async fn change_replicas(&self, _change: ChangeReplicas) -> Result<(), StateError> {
-        unimplemented!("the batch runner does not change replicas")
+        panic!("the batch runner does not change replicas")
     }
 }
 
