Read the replies of control hosts while reports go out

Cause: FleetWatch::sync_now dropped the pending call to each control host and sent a new one. Called more often than a reply takes, by crash records, upstreams that leave or lost links, no reply was read.

Evidence: routes_arrive_while_reports_are_sent_faster_than_replies_come, before: "version 1 is not in force" after 2.5 s, with replies after 40 ms and a report each 10 ms.

Why it works: a report is a call of its own that does not wait, sent beside the long poll. Its reply comes after one round trip, whatever the rate of reports. There are two calls at most to each control host. Only the reply to the newest call brings decisions of the leader and acknowledges crash records; a reply that a newer one overtook does not change the copy of the directory.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -124,6 +124,10 @@
     fn handle_reply(&self, from_address: &str, answer: &ControlSync) {
         self.crash_exchange.handle_reply(from_address, answer);
     }
+
+    fn handle_superseded_reply(&self, _from_address: &str, answer: &ControlSync) {
+        self.crash_exchange.handle_superseded_reply(answer);
+    }
 }
 
 impl Coordinator {
--- a/src/directory/crash_exchange.rs
+++ b/src/directory/crash_exchange.rs
@@ -52,6 +52,12 @@
         self.table.merge(&reply.crashes)
     }
 
+    /// Merges the records in a reply to an earlier call than the last one. The control host may not have
+    /// received yet what the last one covers.
+    pub fn handle_superseded_reply(&self, reply: &ControlSync) -> Vec<Arc<CrashRecord>> {
+        self.table.merge(&reply.crashes)
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<String, Revisions>> {
         self.control_hosts.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -5,9 +5,11 @@
 use arc_swap::ArcSwap;
 use async_std::task;
 use futures::future::{select, Either};
+use futures::stream::{FuturesUnordered, StreamExt};
 
 use crate::admission::rendezvous_rank;
 use crate::directory::control_host::ControlHost;
+use crate::directory::sync_calls::{ReplyOrder, SyncCall, SyncCalls};
 use crate::directory::{
     choose_polled, list_live, newest_records, Distance, FleetView, LeavingTable, OriginKeeper,
     Phase, PollCandidate, SyncHandler, UpstreamRecord,
@@ -126,8 +128,8 @@
         &self.changed
     }
 
-    /// Sends a new sync request to every polled control host at once, because the report of this host
-    /// has changed.
+    /// Sends a sync request to every polled control host without waiting for the pending long polls, because
+    /// the report of this host has changed.
     pub fn sync_now(&self) {
         self.sync_requested.notify();
     }
@@ -189,9 +191,12 @@
         sync
     }
 
-    async fn poll(&self, address: &str) -> Option<ControlSync> {
-        let sync = self.sync_request(address);
+    async fn poll(&self, address: &str, waits: bool) -> Option<ControlSync> {
+        let mut sync = self.sync_request(address);
         let timeout = Duration::from_millis(sync.wait_ms.into()) + REPLY_MARGIN;
+        if !waits {
+            sync.wait_ms = 0;
+        }
         let call = Call { traceparent: String::new(), call: Some(call::Call::EntrySync(sync)) };
         match self.caller.call(address, TrafficClass::Online, call, timeout).await {
             Ok(Reply { reply: Some(reply::Reply::ControlSync(reply)) }) => Some(reply),
@@ -214,11 +219,14 @@
         }
     }
 
-    fn apply_reply(&self, address: &str, task: u64, mut reply: ControlSync) {
+    fn apply_reply(&self, address: &str, task: u64, order: ReplyOrder, mut reply: ControlSync) {
         if self.lock().polling_tasks.get(address) != Some(&task) {
             return;
         }
-        self.sync_handler.handle_reply(address, &reply);
+        match order {
+            ReplyOrder::Newest => self.sync_handler.handle_reply(address, &reply),
+            _ => self.sync_handler.handle_superseded_reply(address, &reply),
+        }
         let now = Instant::now();
         let mut inner = self.lock();
         let control_host = inner.control_hosts.entry(address.to_owned()).or_default();
@@ -228,13 +236,16 @@
                 "control host replies again");
             affected.other = true;
         }
-        let version = (reply.directory_epoch, reply.directory_revision);
-        let uptime = Duration::from_millis(reply.uptime_ms);
-        affected.entries = control_host.apply_entries(&mut reply);
-        let changes = std::mem::take(&mut reply.upstreams);
-        affected.upstreams = control_host.source.update(version, changes, uptime, now);
-        affected.other |= control_host.apply_leader(&mut reply);
-        affected.other |= control_host.apply_control_hosts(&mut reply);
+        // A late reply would take the copy of the directory back to an earlier revision.
+        if order != ReplyOrder::Late {
+            let version = (reply.directory_epoch, reply.directory_revision);
+            let uptime = Duration::from_millis(reply.uptime_ms);
+            affected.entries = control_host.apply_entries(&mut reply);
+            let changes = std::mem::take(&mut reply.upstreams);
+            affected.upstreams = control_host.source.update(version, changes, uptime, now);
+            affected.other |= control_host.apply_leader(&mut reply);
+            affected.other |= control_host.apply_control_hosts(&mut reply);
+        }
         affected.other |= reply.routes.is_some();
         if affected.any() {
             self.publish(&inner, affected, Some(reply));
@@ -501,25 +512,47 @@
     }
 }
 
-/// Polls one control host, with one pending request at a time, for as long as its task is listed.
+/// Polls one control host for as long as its task is listed.
 async fn poll_control_host(watch: Arc<FleetWatch>, address: String, task: u64) {
+    let mut sync_requested = watch.sync_requested.listen();
+    let (mut calls, mut replies) = (SyncCalls::default(), FuturesUnordered::new());
     while watch.lock().polling_tasks.get(&address) == Some(&task) {
-        let sync_requested = watch.sync_requested.listen();
-        let reply = {
-            let reply = Box::pin(watch.poll(&address));
-            match select(reply, sync_requested).await {
-                Either::Left((reply, _)) => reply,
-                // The next request replaces the pending one.
-                Either::Right(_) => continue,
+        if let Some(call) = calls.begin() {
+            replies.push(poll_once(&watch, &address, call));
+        }
+        match select(sync_requested, replies.next()).await {
+            Either::Left(_) => {
+                sync_requested = watch.sync_requested.listen();
+                calls.request_report();
+            }
+            Either::Right((reply, listener)) => {
+                sync_requested = listener;
+                match reply {
+                    Some((number, Some(reply))) => {
+                        let order = calls.end_with_reply(number);
+                        watch.apply_reply(&address, task, order, reply);
+                    }
+                    Some((number, None)) => calls.end(number),
+                    None => {}
+                }
             }
-        };
-        match reply {
-            Some(reply) => watch.apply_reply(&address, task, reply),
-            None => task::sleep(RETRY_DELAY).await,
         }
     }
 }
 
+/// Sends a sync call. Returns its number and the reply, or, a while after a failure, none.
+async fn poll_once(
+    watch: &FleetWatch,
+    address: &str,
+    call: SyncCall,
+) -> (u64, Option<ControlSync>) {
+    let reply = watch.poll(address, call.waits).await;
+    if reply.is_none() {
+        task::sleep(RETRY_DELAY).await;
+    }
+    (call.number, reply)
+}
+
 fn log_changes(before: &[UpstreamRecord], after: &[UpstreamRecord]) {
     let previous: HashMap<&str, _> =
         before.iter().map(|record| (record.upstream_id.as_str(), record)).collect();
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -24,6 +24,7 @@
 mod poll_set;
 mod relay_directory;
 mod stream_origin;
+mod sync_calls;
 mod sync_handler;
 mod upstream_directory;
 mod upstream_record;
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -169,6 +169,10 @@
             worker.start(&answer.assignments);
         }
     }
+
+    fn handle_superseded_reply(&self, _from_address: &str, answer: &ControlSync) {
+        self.crashes.handle_changes(&self.crash_exchange.handle_superseded_reply(answer));
+    }
 }
 
 /// Looks up the leader in the answers of the control hosts.
--- a/tests/fleet_polls.rs
+++ b/tests/fleet_polls.rs
@@ -6,11 +6,13 @@
 
 use async_std::task;
 use async_trait::async_trait;
-use damaskhoist::directory::{FleetWatch, FleetWatchOptions, LeavingTable, SyncHandler};
+use damaskhoist::directory::{FleetWatch, FleetWatchOptions, LeavingTable, Phase, SyncHandler};
 use damaskhoist::peer::{CallError, PeerCaller, TrafficClass};
 use damaskhoist::schema::peer::frame::Body;
-use damaskhoist::schema::peer::{call, reply, Call, ControlSync, EntrySync, Reply};
-use damaskhoist::schema::routes::RouteTable;
+use damaskhoist::schema::peer::{
+    call, reply, Call, ControlSync, EntrySync, Reply, UpstreamEntry, UpstreamPhase,
+};
+use damaskhoist::schema::routes::{RouteTable, RoutedService};
 
 /// Time that each reply takes, as between regions.
 const REPLY_TIME: Duration = Duration::from_millis(40);
@@ -75,7 +77,7 @@
     fn handle_reply(&self, _from_address: &str, _reply: &ControlSync) {}
 }
 
-fn watch(caller: &Arc<SlowControlHost>) -> Arc<FleetWatch> {
+fn watch(caller: Arc<dyn PeerCaller>, handler: Arc<dyn SyncHandler>) -> Arc<FleetWatch> {
     let options = FleetWatchOptions {
         host_id: "entry-1".into(),
         zone: "santander".into(),
@@ -86,14 +88,14 @@
         polls_all: false,
         leaving: Arc::<LeavingTable>::default(),
     };
-    FleetWatch::spawn(options, caller.clone(), Arc::new(NoSync))
+    FleetWatch::spawn(options, caller, handler)
 }
 
 /// Guards against routes that never reach a host because each report drops the call whose reply brings them.
 #[async_std::test]
 async fn routes_arrive_while_reports_are_sent_faster_than_replies_come() {
     let control_host = Arc::<SlowControlHost>::default();
-    let watch = watch(&control_host);
+    let watch = watch(control_host.clone(), Arc::new(NoSync));
     for version in 1..=2 {
         control_host.routes_version.store(version as usize, Ordering::SeqCst);
         let acknowledged = Instant::now();
@@ -111,7 +113,7 @@
 #[async_std::test]
 async fn a_report_goes_out_while_a_long_poll_is_pending() {
     let control_host = Arc::<SlowControlHost>::default();
-    let watch = watch(&control_host);
+    let watch = watch(control_host.clone(), Arc::new(NoSync));
     // By now the first call waits for changes.
     task::sleep(REPLY_TIME * 5).await;
     let requested = Instant::now();
@@ -120,3 +122,88 @@
     let calls = control_host.calls.lock().unwrap();
     assert!(calls.last().is_some_and(|call| *call >= requested), "no call after the change");
 }
+
+/// Answers the first long poll after the report that follows it, with an older state.
+#[derive(Default)]
+struct ReorderingControlHost {
+    calls: AtomicUsize,
+}
+
+#[async_trait]
+impl PeerCaller for ReorderingControlHost {
+    async fn call(
+        &self,
+        _to: &str,
+        _class: TrafficClass,
+        _call: Call,
+        _timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        let call = self.calls.fetch_add(1, Ordering::SeqCst);
+        let (delay, revision, phase) = match call {
+            0 => (REPLY_TIME * 3, 1, UpstreamPhase::Ready),
+            1 => (REPLY_TIME / 4, 2, UpstreamPhase::Draining),
+            _ => (IN_FORCE_TIME, 2, UpstreamPhase::Draining),
+        };
+        task::sleep(delay).await;
+        let upstream = UpstreamEntry {
+            upstream_id: "a".into(),
+            service: "engraver".into(),
+            address: "10.0.0.2:80".into(),
+            phase: phase.into(),
+            sequence: 1,
+            ..UpstreamEntry::default()
+        };
+        let reply = ControlSync {
+            directory_epoch: 1,
+            directory_revision: revision,
+            upstreams: vec![upstream],
+            routes: (call == 0).then(|| RouteTable {
+                version: 1,
+                services: vec![RoutedService { name: "engraver".into(), ..Default::default() }],
+                ..RouteTable::default()
+            }),
+            ..ControlSync::default()
+        };
+        Ok(Reply { reply: Some(reply::Reply::ControlSync(reply)) })
+    }
+
+    fn send(&self, _to: &str, _class: TrafficClass, _body: Body) {}
+}
+
+/// Records the replies that are passed on as those to the last call, and the others.
+#[derive(Default)]
+struct RecordedReplies {
+    newest: Mutex<Vec<u64>>,
+    superseded: Mutex<Vec<u64>>,
+}
+
+impl SyncHandler for RecordedReplies {
+    fn fill_request(&self, _to_address: &str, _sync: &mut EntrySync) {}
+
+    fn handle_reply(&self, _from_address: &str, reply: &ControlSync) {
+        self.newest.lock().unwrap().push(reply.directory_revision);
+    }
+
+    fn handle_superseded_reply(&self, _from_address: &str, reply: &ControlSync) {
+        self.superseded.lock().unwrap().push(reply.directory_revision);
+    }
+}
+
+/// Guards against a late reply that takes a draining upstream back to ready, or whose decisions rest on a report
+/// that a newer one has replaced.
+#[async_std::test]
+async fn a_reply_that_a_newer_one_overtook_takes_nothing_back() {
+    let replies = Arc::<RecordedReplies>::default();
+    let watch = watch(Arc::new(ReorderingControlHost::default()), replies.clone());
+    task::sleep(REPLY_TIME).await;
+    watch.sync_now();
+    let started = Instant::now();
+    while watch.view().routes.version < 1 {
+        assert!(started.elapsed() < IN_FORCE_TIME, "the late reply was not read");
+        task::sleep(REPLY_TIME / 4).await;
+    }
+    let phases: Vec<Phase> = watch.view().upstreams.iter().map(|upstream| upstream.phase).collect();
+    assert_eq!(phases, [Phase::Draining]);
+    let seen = (replies.newest.lock().unwrap().clone(), replies.superseded.lock().unwrap().clone());
+    assert_eq!(seen, (vec![2], vec![1]));
+}
