Tell how long ago the routes of a host were the newest

Hosts of the routed fleet knew the version of their routes and not how current they were, so a 404 by outdated routes could not be told from a right one.

Each answer to a sync call carries the last confirmation that the answering host has: version, age, and the time for which the call was held. The asking host counts it from before its call was sent. Only a leader with a quorum can confirm; a follower may follow a leader that was replaced, and routes read from a disk confirm nothing. Builds that send no confirmation leave routes unconfirmed.

LastConfirmation holds it for both front ends; ConfigurationWatch of the daemon now uses it for its lease.

request_refused without a route names routes_age_ms and routes_source, routes_in_force as well. Gauges of entry hosts: entry_routes_version, entry_routes_confirmed_version, entry_routes_age_ms; of control hosts: entry_routes_version_min.

--- a/src/configuration/configuration_watch.rs
+++ b/src/configuration/configuration_watch.rs
@@ -1,11 +1,10 @@
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, Guard};
 use async_std::task::{self, JoinHandle};
 
-use crate::configuration::ConfigurationView;
+use crate::configuration::{ConfigurationView, Confirmation, LastConfirmation};
 use crate::state::StateClient;
 use crate::telemetry::Counters;
 
@@ -25,9 +24,7 @@
 
 struct Shared {
     view: ArcSwap<ConfigurationView>,
-    started: Instant,
-    /// Time of the last confirmation in milliseconds after `started`; 0 before the first one.
-    confirmed_ms: AtomicU64,
+    confirmation: LastConfirmation,
     lease_ms: u64,
     watch_task: std::sync::Mutex<Option<JoinHandle<()>>>,
 }
@@ -42,8 +39,7 @@
     ) -> Self {
         let shared = Arc::new(Shared {
             view: ArcSwap::default(),
-            started: Instant::now(),
-            confirmed_ms: AtomicU64::new(0),
+            confirmation: LastConfirmation::default(),
             lease_ms,
             watch_task: Default::default(),
         });
@@ -66,11 +62,10 @@
     /// Time in milliseconds since the configuration was last confirmed; `None` before the first
     /// confirmation.
     pub fn confirmed_age_ms(&self) -> Option<u64> {
-        let confirmed_ms = self.shared.confirmed_ms.load(Ordering::Acquire);
-        if confirmed_ms == 0 {
-            return None;
-        }
-        Some(self.shared.elapsed_ms(Instant::now()).saturating_sub(confirmed_ms))
+        // The confirmation is read first: it never names a newer version than the one in force then.
+        let confirmation = self.shared.confirmation.load()?;
+        let is_in_force = confirmation.version <= self.load().version();
+        is_in_force.then(|| confirmation.confirmed_at.elapsed().as_millis() as u64)
     }
 
     /// True while the last confirmation is younger than the lease, so that a newer configuration
@@ -88,12 +83,6 @@
     }
 }
 
-impl Shared {
-    fn elapsed_ms(&self, now: Instant) -> u64 {
-        now.duration_since(self.started).as_millis() as u64
-    }
-}
-
 async fn follow_configuration(
     shared: Arc<Shared>,
     client: Arc<dyn StateClient>,
@@ -105,7 +94,7 @@
     loop {
         // The control host confirms the configuration after the request was sent, so the time of
         // the request is a safe lower bound.
-        let requested_ms = shared.elapsed_ms(Instant::now()).max(1);
+        let confirmed_at = Instant::now();
         let known_version = shared.view.load().version();
         let notice = match client.watch_configuration(known_version, wait).await {
             Ok(notice) => notice,
@@ -127,6 +116,8 @@
                 on_change(&view);
             }
         }
-        shared.confirmed_ms.store(requested_ms, Ordering::Release);
+        let source = "state".to_owned();
+        let confirmation = Confirmation { version: notice.version, confirmed_at, source };
+        shared.confirmation.record(confirmation);
     }
 }
--- /dev/null
+++ b/src/configuration/last_confirmation.rs
@@ -0,0 +1,35 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwapOption;
+
+use crate::configuration::Confirmation;
+
+/// The latest confirmation that a host has received. Read on the path of a request.
+#[derive(Debug, Default)]
+pub struct LastConfirmation {
+    latest: ArcSwapOption<Confirmation>,
+}
+
+impl LastConfirmation {
+    /// Records a confirmation, unless a later one was received, as another control host may have been faster.
+    pub fn record(&self, confirmation: Confirmation) {
+        let confirmation = Arc::new(confirmation);
+        self.latest.rcu(|latest| match latest {
+            Some(latest) if latest.confirmed_at > confirmation.confirmed_at => Some(latest.clone()),
+            _ => Some(confirmation.clone()),
+        });
+    }
+
+    /// The latest confirmation.
+    pub fn load(&self) -> Option<Arc<Confirmation>> {
+        self.latest.load_full()
+    }
+
+    /// Time since `version` was last known to be the newest; `None` if it never was or a newer one is known.
+    pub fn age(&self, version: u64, now: Instant) -> Option<Duration> {
+        let latest = self.latest.load();
+        let latest = latest.as_ref().filter(|latest| latest.version <= version)?;
+        Some(now.saturating_duration_since(latest.confirmed_at))
+    }
+}
--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -13,6 +13,7 @@
 use crate::coordinator::fleet_relay::FleetRelay;
 use crate::coordinator::operator::call_failure;
 use crate::coordinator::report_log::ReportLog;
+use crate::coordinator::routes_confirmation::confirm_routes;
 use crate::coordinator::stored_state::{store_routes, store_upstreams, StoredState};
 use crate::coordinator::{ItemEnd, ItemPlace, LeaderClient, LeaderHint, OverdueItem, Scheduler};
 use crate::directory::{
@@ -192,6 +193,7 @@
             task::spawn(expire_jobs(coordinator.clone())),
             task::spawn(watch_ledger(coordinator.clone())),
             task::spawn(relay_changes(coordinator.clone())),
+            task::spawn(confirm_routes(coordinator.clone())),
             task::spawn(store_routes(coordinator.clone())),
             task::spawn(store_upstreams(coordinator.clone())),
         ];
@@ -219,6 +221,11 @@
         &self.leader_client
     }
 
+    /// Peer address of this host.
+    pub(super) fn peer_address(&self) -> String {
+        self.settings.peer_address.to_string()
+    }
+
     /// Region of an availability zone; empty for an unknown zone.
     pub fn region_of(&self, zone: &str) -> &str {
         self.settings.region_of(zone)
@@ -257,6 +264,8 @@
         counters.gauge("items_longest_idle_ms", self.longest_idle_ms.load(Ordering::Relaxed));
         counters.gauge("items_missing", self.missing_items.load(Ordering::Relaxed));
         counters.gauge("routes_version", self.routes().version);
+        let oldest = lock(&self.entries).oldest_routes_version();
+        counters.gauge("entry_routes_version_min", oldest.unwrap_or(self.routes().version));
         counters.gauge("entry_hosts", self.relay.entry_host_count() as u64);
         counters.gauge("upstreams", self.upstreams().len() as u64);
         let Some(status) = self.replica.status() else { return };
--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -27,7 +27,7 @@
 impl Coordinator {
     /// Answers a sync call once there are changes or its waiting time is over.
     pub(super) async fn handle_sync(self: &Arc<Self>, sync: EntrySync) -> ControlSync {
-        let leads = self.leads();
+        let (arrived, leads) = (Instant::now(), self.leads());
         let report = sync.entry.as_ref().and_then(|entry| self.apply_report(entry, &sync));
         self.record_leaving(&sync);
         let leader_address = self.leader_address();
@@ -48,7 +48,9 @@
         // that its successor has assigned.
         let needs_quorum = report.is_some() && self.needs_quorum(&sync);
         let confirmed = needs_quorum && self.is_confirmed_leader().await;
-        self.build_answer(&sync, report, confirmed)
+        let mut answer = self.build_answer(&sync, report, confirmed);
+        answer.routes_confirmation = self.routes_confirmation(arrived);
+        answer
     }
 
     /// True if the answer may contain assignments or cancellations.
@@ -72,7 +74,11 @@
     /// it was applied.
     fn apply_report(&self, entry: &EntryHost, sync: &EntrySync) -> Option<AppliedReport> {
         let now = Instant::now();
-        if lock(&self.entries).upsert(entry, now) {
+        let mut entries = lock(&self.entries);
+        entries.record_routes_version(&entry.host_id, sync.routes_version);
+        let is_changed = entries.upsert(entry, now);
+        drop(entries);
+        if is_changed {
             log::info!(event = "entry_host_changed", host = entry.host_id.as_str(),
                 ready = entry.ready; "entry host reported a change");
             self.entries_changed.notify();
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -16,6 +16,7 @@
 mod rate_shares;
 mod reads;
 mod report_log;
+mod routes_confirmation;
 mod running_items;
 mod scheduler;
 mod scheduler_audit;
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -8,6 +8,7 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 
 use crate::admission::rendezvous_rank;
+use crate::configuration::{Confirmation, LastConfirmation};
 use crate::directory::control_host::ControlHost;
 use crate::directory::sync_calls::{ReplyOrder, SyncCall, SyncCalls};
 use crate::directory::{
@@ -16,8 +17,9 @@
 };
 use crate::peer::{PeerCaller, TrafficClass};
 use crate::schema::peer::{
-    call, reply, Call, ControlSync, EntryHost, EntrySync, Reply, UpstreamEntry,
+    call, reply, Call, ControlSync, EntryHost, EntrySync, Reply, RoutesConfirmation, UpstreamEntry,
 };
+use crate::schema::routes::RouteTable;
 use crate::signal::Signal;
 
 /// Longest time that a control host may delay its reply until something changes (long polling).
@@ -67,6 +69,8 @@
     caller: Arc<dyn PeerCaller>,
     sync_handler: Arc<dyn SyncHandler>,
     view: ArcSwap<FleetView>,
+    /// How current the routes of the view are.
+    routes_confirmation: LastConfirmation,
     inner: Mutex<Inner>,
     /// Notified after each new view.
     changed: Signal,
@@ -109,6 +113,7 @@
             caller,
             sync_handler,
             view: ArcSwap::from_pointee(FleetView::default()),
+            routes_confirmation: LastConfirmation::default(),
             inner: Mutex::default(),
             changed: Signal::default(),
             sync_requested: Signal::default(),
@@ -123,6 +128,11 @@
         self.view.load_full()
     }
 
+    /// The last confirmation of the newest routes, by this host or another one.
+    pub fn routes_confirmation(&self) -> &LastConfirmation {
+        &self.routes_confirmation
+    }
+
     /// Notified after each new view.
     pub fn changed(&self) -> &Signal {
         &self.changed
@@ -192,6 +202,7 @@
     }
 
     async fn poll(&self, address: &str, waits: bool) -> Option<ControlSync> {
+        let sent_at = Instant::now();
         let mut sync = self.sync_request(address);
         let timeout = Duration::from_millis(sync.wait_ms.into()) + REPLY_MARGIN;
         if !waits {
@@ -199,7 +210,10 @@
         }
         let call = Call { traceparent: String::new(), call: Some(call::Call::EntrySync(sync)) };
         match self.caller.call(address, TrafficClass::Online, call, timeout).await {
-            Ok(Reply { reply: Some(reply::Reply::ControlSync(reply)) }) => Some(reply),
+            Ok(Reply { reply: Some(reply::Reply::ControlSync(reply)) }) => {
+                self.record_confirmation(address, sent_at, &reply);
+                Some(reply)
+            }
             Ok(_) => None,
             Err(error) => {
                 self.record_failure(address, &error.to_string());
@@ -208,6 +222,18 @@
         }
     }
 
+    /// Records the confirmation of the routes in a reply to a call that was sent at `sent_at`.
+    fn record_confirmation(&self, address: &str, sent_at: Instant, reply: &ControlSync) {
+        let Some(confirmation) = &reply.routes_confirmation else { return };
+        let RoutesConfirmation { version, age_ms, held_ms } = *confirmation;
+        // The call arrived after it was sent, so this is no later than the confirmation.
+        let answered_at = (sent_at + Duration::from_millis(held_ms)).min(Instant::now());
+        let confirmed_at = answered_at.checked_sub(Duration::from_millis(age_ms));
+        let Some(confirmed_at) = confirmed_at else { return };
+        let source = address.to_owned();
+        self.routes_confirmation.record(Confirmation { version, confirmed_at, source });
+    }
+
     fn record_failure(&self, address: &str, reason: &str) {
         let mut inner = self.lock();
         let control_host = inner.control_hosts.entry(address.to_owned()).or_default();
@@ -248,20 +274,22 @@
         }
         affected.other |= reply.routes.is_some();
         if affected.any() {
-            self.publish(&inner, affected, Some(reply));
+            self.publish(&inner, affected, reply.routes.map(|routes| (address, routes)));
         }
     }
 
-    fn publish(&self, inner: &Inner, affected: Affected, reply: Option<ControlSync>) {
+    /// Publishes a new view. `routes` are those that a reply brought, with the address of its control host.
+    fn publish(&self, inner: &Inner, affected: Affected, routes: Option<(&str, RouteTable)>) {
         let now = Instant::now();
         let current = self.view.load();
         let mut next = FleetView::clone(&current);
-        let routes = reply.and_then(|reply| reply.routes);
-        let new_routes = routes.filter(|table| table.version > next.routes.version);
+        let new_routes = routes.filter(|(_, table)| table.version > next.routes.version);
         let has_new_routes = new_routes.is_some();
-        if let Some(routes) = new_routes {
+        if let Some((source, routes)) = new_routes {
+            let age = self.routes_confirmation.age(routes.version, now);
             log::info!(event = "routes_in_force", version = routes.version,
-                before = next.routes.version; "new routes applied");
+                before = next.routes.version, source = source,
+                routes_age_ms = age.map(|age| age.as_millis() as u64); "new routes applied");
             next.routes = Arc::new(routes);
         }
         if affected.upstreams || has_new_routes {
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -18,7 +18,7 @@
 use crate::gateway::link_setup::LinkSetup;
 use crate::gateway::{
     AnswerSink, CrashGuard, FleetOrigins, ForwardOutcome, Forwarder, GatewayFleet, Refusal,
-    RouteIndex, StreamConnector, StreamRequest,
+    RouteIndex, RoutesState, StreamConnector, StreamRequest,
 };
 use crate::http::HttpError;
 use crate::ledger::command;
@@ -65,6 +65,7 @@
     relay_server: Arc<RelayServer>,
     probe: ConnectorProbe,
     sync_state: Arc<EntrySyncState>,
+    started: Instant,
 }
 
 /// State of this host that is reported to the control hosts and updated from their answers.
@@ -270,6 +271,7 @@
             relay_server,
             probe: ConnectorProbe { connector: connector.clone() },
             sync_state,
+            started: Instant::now(),
         });
         task::spawn(yield_batch_slots(gateway.clone(), fleet.clone(), caller));
         task::spawn(send_crash_records(gateway.clone()));
@@ -283,6 +285,27 @@
         self.routes.load_full()
     }
 
+    /// How current these routes are.
+    pub fn routes_state(&self, routes: &RouteIndex) -> RoutesState {
+        let confirmation = self.watch.routes_confirmation();
+        RoutesState {
+            version: routes.version(),
+            age: confirmation.age(routes.version(), Instant::now()),
+            source: confirmation.load().map_or_else(String::new, |last| last.source.clone()),
+        }
+    }
+
+    /// Publishes the version of the routes and the time since the control hosts last confirmed the newest
+    /// version, or since the start if they have not yet.
+    pub fn publish_gauges(&self, counters: &Counters) {
+        let confirmation = self.watch.routes_confirmation().load();
+        let known_at = confirmation.as_ref().map_or(self.started, |last| last.confirmed_at);
+        let confirmed_version = confirmation.map_or(0, |last| last.version);
+        counters.gauge("entry_routes_version", self.routes.load().version());
+        counters.gauge("entry_routes_confirmed_version", confirmed_version);
+        counters.gauge("entry_routes_age_ms", known_at.elapsed().as_millis() as u64);
+    }
+
     /// The current view of the fleet.
     pub fn view(&self) -> Arc<FleetView> {
         self.watch.view()
@@ -333,9 +356,11 @@
         request: &StreamRequest,
         sink: &mut dyn AnswerSink,
     ) -> Result<ForwardOutcome, HttpError> {
-        let route = routes.find(&request.host, request.path());
-        let has_time = |route| self.sync_state.stop.leaves_time_until(request.deadline(route));
-        if !route.is_none_or(has_time) {
+        let Some(route) = routes.find(&request.host, request.path()) else {
+            let state = self.routes_state(routes);
+            return self.forwarder.refuse_unmatched(request, &state, sink).await;
+        };
+        if !self.sync_state.stop.leaves_time_until(request.deadline(route)) {
             // Another host can take the request at once.
             let reason = "the host stops before the time limit of the request";
             let refusal = Refusal::not_run(reason, Duration::ZERO);
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -8,8 +8,8 @@
 use crate::gateway::upstream::monotonic_ms;
 use crate::gateway::{
     choose_upstream, AnswerSink, CallTarget, ChoiceInput, CrashGuard, EventSplitter, GatewayFleet,
-    Refusal, RefusalKind, SendError, StreamConnector, StreamOrigins, StreamRequest, Upstream,
-    UpstreamAnswer,
+    Refusal, RefusalKind, RoutesState, SendError, StreamConnector, StreamOrigins, StreamRequest,
+    Upstream, UpstreamAnswer,
 };
 use crate::http::{BufferLease, HttpError};
 use crate::schema::routes::{Route, RouteKind};
@@ -71,25 +71,18 @@
         Self { zone, region, fleet, connector, crashes, origins, counters }
     }
 
-    /// Forwards a request by its route and writes the answer to `sink`. `route` is `None` if no route
-    /// matches the request; `version` is the version of the routes, or 0 if there are none yet.
+    /// Forwards a request by its route and writes the answer to `sink`. `version` is the version of the
+    /// routes.
     ///
     /// # Errors
     /// If the caller has disconnected.
     pub async fn forward(
         &self,
-        route: Option<&Route>,
+        route: &Route,
         version: u64,
         request: &StreamRequest,
         sink: &mut dyn AnswerSink,
     ) -> Result<ForwardOutcome, HttpError> {
-        let Some(route) = route else {
-            let refusal = match version {
-                0 => Refusal::not_run("no routes received yet", RETRY_AFTER_STARTUP),
-                _ => Refusal::of_kind(RefusalKind::NoRoute, "no route matches the request"),
-            };
-            return self.refuse(request, version, refusal, sink).await;
-        };
         if route.kind() == RouteKind::Batch {
             // A batch route accepts only job submissions, which are not forwarded.
             let refusal = Refusal::not_run("the route accepts only batch jobs", RETRY_AFTER);
@@ -150,8 +143,33 @@
             routes_version = version, kind = format!("{:?}", refusal.kind).as_str(),
             retry_after_ms = refusal.retry_after.map_or(0, |delay| delay.as_millis() as u64),
             ms = request.arrived.elapsed().as_millis() as u64; "{}", refusal.reason);
+        self.send_refusal(&refusal, sink).await
+    }
+
+    /// Refuses a request that no route matches.
+    pub(super) async fn refuse_unmatched(
+        &self,
+        request: &StreamRequest,
+        routes: &RoutesState,
+        sink: &mut dyn AnswerSink,
+    ) -> Result<ForwardOutcome, HttpError> {
+        let refusal = routes.missing_route();
+        log::info!(event = "request_refused", request = request.request_id.as_str(),
+            host = request.host.as_str(), path = request.path(), routes_version = routes.version,
+            routes_age_ms = routes.age.map(|age| age.as_millis() as u64),
+            routes_source = routes.source.as_str(), kind = format!("{:?}", refusal.kind).as_str(),
+            retry_after_ms = refusal.retry_after.map_or(0, |delay| delay.as_millis() as u64),
+            ms = request.arrived.elapsed().as_millis() as u64; "{}", refusal.reason);
+        self.send_refusal(&refusal, sink).await
+    }
+
+    async fn send_refusal(
+        &self,
+        refusal: &Refusal,
+        sink: &mut dyn AnswerSink,
+    ) -> Result<ForwardOutcome, HttpError> {
         self.counters.count(outcome_counter(ForwardOutcome::Refused));
-        sink.refuse(&refusal).await?;
+        sink.refuse(refusal).await?;
         Ok(ForwardOutcome::Refused)
     }
 
--- a/tests/sync_terms.rs
+++ b/tests/sync_terms.rs
@@ -415,3 +415,26 @@
     assert_eq!(second.assignments.len(), 2);
     fleet.close().await;
 }
+
+/// Guards against routes that count as current because a leader without a quorum, or a host that follows it,
+/// says so.
+#[async_std::test]
+async fn a_leader_without_a_quorum_confirms_no_routes() {
+    let fleet = Fleet::start().await;
+    let leader = fleet.leader(&[]).await;
+    let cut_off_time = Duration::from_millis(1_500);
+    for is_cut in [false, true] {
+        task::sleep(cut_off_time).await;
+        for host in 0..HOSTS {
+            let answer =
+                sync(fleet.host(host), EntrySync { wait_ms: 0, ..report("e1", &[]) }).await;
+            let confirmed = answer.routes_confirmation.expect("the routes were confirmed before");
+            let age = Duration::from_millis(confirmed.age_ms);
+            assert_eq!(confirmed.version, 1);
+            let is_old = is_cut && host == leader;
+            assert_eq!(age > cut_off_time / 2, is_old, "{age:?} at host {host}, cut: {is_cut}");
+        }
+        fleet.cut(leader);
+    }
+    fleet.close().await;
+}
