Answer 404 only by routes that were confirmed lately

Callers got 404 for routes that had been added (DENIED, CONFIG), from hosts that were cut off from the control hosts or had the routes that a control host stored before its restart.

Cause: a host took its routes as current whatever their age.

Requests on routes that the host has are served by routes of any age, since the loss of the control hosts must not stop callers.

--- a/src/gateway/routes_state.rs
+++ b/src/gateway/routes_state.rs
@@ -2,9 +2,12 @@
 
 use crate::gateway::{Refusal, RefusalKind};
 
-/// Retry delay of a request while the host has no routes yet. After a restart of all
+/// Age of the last confirmation up to which routes count as current. A route that they lack was then acknowledged
+/// less than 2.5 s ago, in which time a platform may expect it to be in force; the rest is a margin.
+const ROUTES_LEASE: Duration = Duration::from_millis(2_000);
+/// Retry delay of a request that no route matches while the routes are not current. After a restart of all
 /// hosts, the election and the first heartbeats take about a second, and callers retry only once.
-const RETRY_AFTER_STARTUP: Duration = Duration::from_millis(1_000);
+const RETRY_AFTER_UNCONFIRMED: Duration = Duration::from_millis(1_000);
 
 /// How current the routes are by which a request is handled.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,11 +21,21 @@
 }
 
 impl RoutesState {
-    /// The refusal of a request that no route matches.
+    /// True if callers may be told what the routes don't allow.
+    pub fn is_current(&self) -> bool {
+        self.version > 0 && self.age.is_some_and(|age| age < ROUTES_LEASE)
+    }
+
+    /// The refusal of a request that no route matches. Requests that a route matches are served by routes of any
+    /// age: the loss of the control hosts must not stop callers.
     pub fn missing_route(&self) -> Refusal {
-        match self.version {
-            0 => Refusal::not_run("no routes received yet", RETRY_AFTER_STARTUP),
-            _ => Refusal::of_kind(RefusalKind::NoRoute, "no route matches the request"),
+        if self.is_current() {
+            return Refusal::of_kind(RefusalKind::NoRoute, "no route matches the request");
         }
+        let reason = match self.version {
+            0 => "no routes received yet",
+            _ => "no route matches the request, and newer routes may be in force",
+        };
+        Refusal::not_run(reason, RETRY_AFTER_UNCONFIRMED)
     }
 }
--- a/tests/confirmations.rs
+++ b/tests/confirmations.rs
@@ -3,6 +3,8 @@
 use std::time::{Duration, Instant};
 
 use damaskhoist::configuration::{Confirmation, LastConfirmation};
+use damaskhoist::gateway::{RefusalKind, RoutesState};
+use rstest::rstest;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -22,3 +24,20 @@
     assert_eq!(last.age(1, now + SECOND), None);
     assert_eq!(last.age(2, now + 2 * SECOND), Some(SECOND));
 }
+
+/// Guards against a 404 by routes that may lack what was acknowledged over 2.5 s ago.
+#[rstest]
+#[case::none_yet(0, Some(0), RefusalKind::NotRun)]
+#[case::current(7, Some(1_500), RefusalKind::NoRoute)]
+#[case::too_old(7, Some(2_500), RefusalKind::NotRun)]
+#[case::never_confirmed(7, None, RefusalKind::NotRun)]
+fn only_current_routes_show_that_a_route_is_missing(
+    #[case] version: u64,
+    #[case] age_ms: Option<u64>,
+    #[case] expected: RefusalKind,
+) {
+    let age = age_ms.map(Duration::from_millis);
+    let refusal = RoutesState { version, age, source: String::new() }.missing_route();
+    assert_eq!(refusal.kind, expected);
+    assert_eq!(refusal.retry_after.is_some(), expected == RefusalKind::NotRun);
+}
