--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -5,17 +5,21 @@
 use arc_swap::ArcSwap;
 use async_std::task;
 use futures::future::{select, Either};
+use futures::stream::{FuturesUnordered, StreamExt};
 
 use crate::admission::rendezvous_rank;
+use crate::configuration::{Confirmation, LastConfirmation};
 use crate::directory::control_host::ControlHost;
+use crate::directory::sync_calls::{ReplyOrder, SyncCall, SyncCalls};
 use crate::directory::{
     choose_polled, list_live, newest_records, Distance, FleetView, LeavingTable, OriginKeeper,
     Phase, PollCandidate, SyncHandler, UpstreamRecord,
 };
 use crate::peer::{PeerCaller, TrafficClass};
 use crate::schema::peer::{
-    call, reply, Call, ControlSync, EntryHost, EntrySync, Reply, UpstreamEntry,
+    call, reply, Call, ControlSync, EntryHost, EntrySync, Reply, RoutesConfirmation, UpstreamEntry,
 };
+use crate::schema::routes::RouteTable;
 use crate::signal::Signal;
 
 /// Longest time that a control host may delay its reply until something changes (long polling).
@@ -65,6 +69,8 @@
     caller: Arc<dyn PeerCaller>,
     sync_handler: Arc<dyn SyncHandler>,
     view: ArcSwap<FleetView>,
+    /// How current the routes of the view are.
+    routes_confirmation: LastConfirmation,
     inner: Mutex<Inner>,
     /// Notified after each new view.
     changed: Signal,
@@ -107,6 +113,7 @@
             caller,
             sync_handler,
             view: ArcSwap::from_pointee(FleetView::default()),
+            routes_confirmation: LastConfirmation::default(),
             inner: Mutex::default(),
             changed: Signal::default(),
             sync_requested: Signal::default(),
@@ -121,13 +128,18 @@
         self.view.load_full()
     }
 
+    /// The last confirmation of the newest routes, by this host or another one.
+    pub fn routes_confirmation(&self) -> &LastConfirmation {
+        &self.routes_confirmation
+    }
+
     /// Notified after each new view.
     pub fn changed(&self) -> &Signal {
         &self.changed
     }
 
-    /// Sends a new sync request to every polled control host at once, because the report of this host
-    /// has changed.
+    /// Sends a sync request to every polled control host without waiting for the pending long polls, because
+    /// the report of this host has changed.
     pub fn sync_now(&self) {
         self.sync_requested.notify();
     }
@@ -189,12 +201,19 @@
         sync
     }
 
-    async fn poll(&self, address: &str) -> Option<ControlSync> {
-        let sync = self.sync_request(address);
+    async fn poll(&self, address: &str, waits: bool) -> Option<ControlSync> {
+        let sent_at = Instant::now();
+        let mut sync = self.sync_request(address);
         let timeout = Duration::from_millis(sync.wait_ms.into()) + REPLY_MARGIN;
+        if !waits {
+            sync.wait_ms = 0;
+        }
         let call = Call { traceparent: String::new(), call: Some(call::Call::EntrySync(sync)) };
         match self.caller.call(address, TrafficClass::Online, call, timeout).await {
-            Ok(Reply { reply: Some(reply::Reply::ControlSync(reply)) }) => Some(reply),
+            Ok(Reply { reply: Some(reply::Reply::ControlSync(reply)) }) => {
+                self.record_confirmation(address, sent_at, &reply);
+                Some(reply)
+            }
             Ok(_) => None,
             Err(error) => {
                 self.record_failure(address, &error.to_string());
@@ -203,6 +222,18 @@
         }
     }
 
+    /// Records the confirmation of the routes in a reply to a call that was sent at `sent_at`.
+    fn record_confirmation(&self, address: &str, sent_at: Instant, reply: &ControlSync) {
+        let Some(confirmation) = &reply.routes_confirmation else { return };
+        let RoutesConfirmation { version, age_ms, held_ms } = *confirmation;
+        // The call arrived after it was sent, so this is no later than the confirmation.
+        let answered_at = (sent_at + Duration::from_millis(held_ms)).min(Instant::now());
+        let confirmed_at = answered_at.checked_sub(Duration::from_millis(age_ms));
+        let Some(confirmed_at) = confirmed_at else { return };
+        let source = address.to_owned();
+        self.routes_confirmation.record(Confirmation { version, confirmed_at, source });
+    }
+
     fn record_failure(&self, address: &str, reason: &str) {
         let mut inner = self.lock();
         let control_host = inner.control_hosts.entry(address.to_owned()).or_default();
@@ -214,11 +245,14 @@
         }
     }
 
-    fn apply_reply(&self, address: &str, task: u64, mut reply: ControlSync) {
+    fn apply_reply(&self, address: &str, task: u64, order: ReplyOrder, mut reply: ControlSync) {
         if self.lock().polling_tasks.get(address) != Some(&task) {
             return;
         }
-        self.sync_handler.handle_reply(address, &reply);
+        match order {
+            ReplyOrder::Newest => self.sync_handler.handle_reply(address, &reply),
+            _ => self.sync_handler.handle_superseded_reply(address, &reply),
+        }
         let now = Instant::now();
         let mut inner = self.lock();
         let control_host = inner.control_hosts.entry(address.to_owned()).or_default();
@@ -228,29 +262,34 @@
                 "control host replies again");
             affected.other = true;
         }
-        let version = (reply.directory_epoch, reply.directory_revision);
-        let uptime = Duration::from_millis(reply.uptime_ms);
-        affected.entries = control_host.apply_entries(&mut reply);
-        let changes = std::mem::take(&mut reply.upstreams);
-        affected.upstreams = control_host.source.update(version, changes, uptime, now);
-        affected.other |= control_host.apply_leader(&mut reply);
-        affected.other |= control_host.apply_control_hosts(&mut reply);
+        // A late reply would take the copy of the directory back to an earlier revision.
+        if order != ReplyOrder::Late {
+            let version = (reply.directory_epoch, reply.directory_revision);
+            let uptime = Duration::from_millis(reply.uptime_ms);
+            affected.entries = control_host.apply_entries(&mut reply);
+            let changes = std::mem::take(&mut reply.upstreams);
+            affected.upstreams = control_host.source.update(version, changes, uptime, now);
+            affected.other |= control_host.apply_leader(&mut reply);
+            affected.other |= control_host.apply_control_hosts(&mut reply);
+        }
         affected.other |= reply.routes.is_some();
         if affected.any() {
-            self.publish(&inner, affected, Some(reply));
+            self.publish(&inner, affected, reply.routes.map(|routes| (address, routes)));
         }
     }
 
-    fn publish(&self, inner: &Inner, affected: Affected, reply: Option<ControlSync>) {
+    /// Publishes a new view. `routes` are those that a reply brought, with the address of its control host.
+    fn publish(&self, inner: &Inner, affected: Affected, routes: Option<(&str, RouteTable)>) {
         let now = Instant::now();
         let current = self.view.load();
         let mut next = FleetView::clone(&current);
-        let routes = reply.and_then(|reply| reply.routes);
-        let new_routes = routes.filter(|table| table.version > next.routes.version);
+        let new_routes = routes.filter(|(_, table)| table.version > next.routes.version);
         let has_new_routes = new_routes.is_some();
-        if let Some(routes) = new_routes {
+        if let Some((source, routes)) = new_routes {
+            let age = self.routes_confirmation.age(routes.version, now);
             log::info!(event = "routes_in_force", version = routes.version,
-                before = next.routes.version; "new routes applied");
+                before = next.routes.version, source = source,
+                routes_age_ms = age.map(|age| age.as_millis() as u64); "new routes applied");
             next.routes = Arc::new(routes);
         }
         if affected.upstreams || has_new_routes {
@@ -501,25 +540,47 @@
     }
 }
 
-/// Polls one control host, with one pending request at a time, for as long as its task is listed.
+/// Polls one control host for as long as its task is listed.
 async fn poll_control_host(watch: Arc<FleetWatch>, address: String, task: u64) {
+    let mut sync_requested = watch.sync_requested.listen();
+    let (mut calls, mut replies) = (SyncCalls::default(), FuturesUnordered::new());
     while watch.lock().polling_tasks.get(&address) == Some(&task) {
-        let sync_requested = watch.sync_requested.listen();
-        let reply = {
-            let reply = Box::pin(watch.poll(&address));
-            match select(reply, sync_requested).await {
-                Either::Left((reply, _)) => reply,
-                // The next request replaces the pending one.
-                Either::Right(_) => continue,
+        if let Some(call) = calls.begin() {
+            replies.push(poll_once(&watch, &address, call));
+        }
+        match select(sync_requested, replies.next()).await {
+            Either::Left(_) => {
+                sync_requested = watch.sync_requested.listen();
+                calls.request_report();
+            }
+            Either::Right((reply, listener)) => {
+                sync_requested = listener;
+                match reply {
+                    Some((number, Some(reply))) => {
+                        let order = calls.end_with_reply(number);
+                        watch.apply_reply(&address, task, order, reply);
+                    }
+                    Some((number, None)) => calls.end(number),
+                    None => {}
+                }
             }
-        };
-        match reply {
-            Some(reply) => watch.apply_reply(&address, task, reply),
-            None => task::sleep(RETRY_DELAY).await,
         }
     }
 }
 
+/// Sends a sync call. Returns its number and the reply, or, a while after a failure, none.
+async fn poll_once(
+    watch: &FleetWatch,
+    address: &str,
+    call: SyncCall,
+) -> (u64, Option<ControlSync>) {
+    let reply = watch.poll(address, call.waits).await;
+    if reply.is_none() {
+        task::sleep(RETRY_DELAY).await;
+    }
+    (call.number, reply)
+}
+
 fn log_changes(before: &[UpstreamRecord], after: &[UpstreamRecord]) {
     let previous: HashMap<&str, _> =
         before.iter().map(|record| (record.upstream_id.as_str(), record)).collect();
