--- a/tests/raft_scenarios.rs
+++ b/tests/raft_scenarios.rs
@@ -131,6 +131,34 @@
     assert!(slowest_ms < 2_000, "{slowest_ms} ms without a leader");
 }
 
+// Guards against candidates whose campaign ends before their own vote, or that of a voter, is synced.
+#[test]
+fn a_lost_leader_is_replaced_although_a_sync_takes_long() {
+    let mut too_late = Vec::new();
+    for sync_ms in [50, 100, 200, 500, 1_000] {
+        // Two rounds, each with a timer, the sync of the candidate and two syncs of a voter.
+        let bound_ms = 2 * (900 + 3 * sync_ms) + 1_000;
+        for seed in SEEDS {
+            let mut sim = Sim::with_timeout(3, seed, false, 600);
+            let leader = sim.wait_for_leader();
+            propose_many(&mut sim, 3);
+            for id in 1..=3 {
+                sim.slow_disk(id, sync_ms);
+            }
+            sim.crash(leader, 0);
+            let lost_ms = sim.now_ms();
+            while sim.leader().is_none() && sim.now_ms() < lost_ms + 30_000 {
+                sim.run(10);
+            }
+            let took_ms = sim.now_ms() - lost_ms;
+            if took_ms > bound_ms {
+                too_late.push((sync_ms, seed, took_ms));
+            }
+        }
+    }
+    assert!(too_late.is_empty(), "sync, seed and time without a leader in ms: {too_late:?}");
+}
+
 // Guards against a follower that is never sent anything again, because its window was full when the
 // entries after it were compacted.
 #[test]
--- a/tests/raft_sim/mod.rs
+++ b/tests/raft_sim/mod.rs
@@ -33,6 +33,10 @@
     Isolate { node: u8 },
     Heal,
     Loss { percent: u8 },
+    SlowDisk { node: u8, sync_ms: u16 },
+    HangDisk { node: u8 },
+    Pause { node: u8 },
+    Calm,
     Crash { node: u8, jobs_done: u8 },
     Restart { node: u8 },
     FailStorage { node: u8, jobs_done: u8 },
@@ -72,6 +76,14 @@
     reads: BTreeMap<u64, u64>,
     incoming: Vec<u8>,
     standing: Standing,
+    /// Time of one sync, if the disk is slow.
+    sync_ms: Option<u64>,
+    /// Start and end of the newest sync of a slow disk.
+    newest_sync: (u64, u64),
+    /// Writes that ended in name while the disk hung; `None` while it doesn't hang.
+    hung_writes: Option<usize>,
+    /// Events that arrived during a pause; `None` while the host isn't paused.
+    backlog: Option<Vec<Event>>,
 }
 
 pub struct Sim {
@@ -143,6 +155,10 @@
             reads: BTreeMap::new(),
             incoming: Vec::new(),
             standing,
+            sync_ms: None,
+            newest_sync: (0, 0),
+            hung_writes: None,
+            backlog: None,
         };
         self.hosts.insert(id, host);
         self.restart(id);
@@ -164,6 +180,10 @@
             Step::Isolate { node } => self.isolate(self.pick(node)),
             Step::Heal => self.heal(),
             Step::Loss { percent } => self.loss_percent = percent,
+            Step::SlowDisk { node, sync_ms } => self.slow_disk(self.pick(node), sync_ms.into()),
+            Step::HangDisk { node } => self.hang_disk(self.pick(node)),
+            Step::Pause { node } => self.pause(self.pick(node)),
+            Step::Calm => self.calm(),
             Step::Crash { node, jobs_done } => self.crash(self.pick(node), jobs_done.into()),
             Step::Restart { node } => self.restart(self.pick(node)),
             Step::FailStorage { node, jobs_done } => {
@@ -211,12 +231,42 @@
         }
     }
 
-    /// Heals everything, and checks that the group works and holds all that it acknowledged.
-    pub fn finish(&mut self) {
+    /// Each sync of the host takes `sync_ms`; writes that arrive meanwhile share the next one.
+    pub fn slow_disk(&mut self, id: u64, sync_ms: u64) {
+        self.hosts.get_mut(&id).unwrap().sync_ms = Some(sync_ms);
+    }
+
+    /// Writes of the host don't end until [`Sim::calm`].
+    pub fn hang_disk(&mut self, id: u64) {
+        self.hosts.get_mut(&id).unwrap().hung_writes.get_or_insert(0);
+    }
+
+    /// The process of the host gets no processor time until [`Sim::calm`]; its messages wait.
+    pub fn pause(&mut self, id: u64) {
+        self.hosts.get_mut(&id).unwrap().backlog.get_or_insert_default();
+    }
+
+    /// Ends cuts, losses, slow and hung disks and pauses, and restarts hosts that are down.
+    pub fn calm(&mut self) {
         self.heal();
         for id in self.hosts.keys().copied().collect::<Vec<_>>() {
+            let host = self.hosts.get_mut(&id).unwrap();
+            (host.sync_ms, host.newest_sync) = (None, (0, 0));
+            let backlog = host.backlog.take().unwrap_or_default();
+            let (life, hung_writes) = (host.life, host.hung_writes.take().unwrap_or(0));
+            for event in backlog {
+                self.handle(event);
+            }
+            for _ in 0..hung_writes {
+                self.handle(Event::JobDone { id, life });
+            }
             self.restart(id);
         }
+    }
+
+    /// Heals everything, and checks that the group works and holds all that it acknowledged.
+    pub fn finish(&mut self) {
+        self.calm();
         self.run(10 * self.election_timeout_ms);
         let leader = self.wait_for_leader();
         let last_command = self.propose(leader).expect("a leader that nobody disturbs accepts");
@@ -339,6 +389,9 @@
         host.waiting.clear();
         host.reads.clear();
         host.life += 1;
+        // The process of a paused host ends with its events; a hung disk stays hung.
+        host.backlog = None;
+        host.hung_writes = host.hung_writes.map(|_| 0);
         (host.applied_index, host.state) = (0, Vec::new());
     }
 
@@ -424,7 +477,8 @@
     pub fn run(&mut self, ms: u64) {
         let end_ms = self.now_ms + ms;
         loop {
-            let nodes = self.hosts.iter().filter_map(|(id, host)| Some((*id, host.node.as_ref()?)));
+            let awake = self.hosts.iter().filter(|(_, host)| host.backlog.is_none());
+            let nodes = awake.filter_map(|(id, host)| Some((*id, host.node.as_ref()?)));
             let due = nodes.filter_map(|(id, node)| Some((node.due_ms()?, id))).min();
             let event_ms = self.events.keys().next().map(|key| key.0);
             let next_ms = due.map(|due| due.0).into_iter().chain(event_ms).min();
@@ -448,6 +502,11 @@
 
     fn handle(&mut self, event: Event) {
         let now_ms = self.now_ms;
+        let host = self.hosts.get_mut(&event.host());
+        if let Some(backlog) = host.and_then(|host| host.backlog.as_mut()) {
+            backlog.push(event);
+            return;
+        }
         match event {
             Event::Deliver(message) if self.hosts.contains_key(&message.to) => {
                 self.with_node(message.to, |node| node.step(now_ms, message));
@@ -472,6 +531,10 @@
         if host.life != life {
             return;
         }
+        if let Some(hung_writes) = &mut host.hung_writes {
+            *hung_writes += 1;
+            return;
+        }
         let job = host.jobs.pop_front().expect("the job is under way");
         let hard_state = job.hard_state;
         let standing = job.standing;
@@ -519,7 +582,15 @@
         let host = self.hosts.get_mut(&id).unwrap();
         host.jobs.push_back(job);
         let life = host.life;
-        let delay_ms = self.random.random_range(1..20);
+        let mut delay_ms = self.random.random_range(1..20);
+        if let Some(sync_ms) = host.sync_ms {
+            let (started_ms, ended_ms) = host.newest_sync;
+            if self.now_ms >= started_ms {
+                let start_ms = self.now_ms.max(ended_ms);
+                host.newest_sync = (start_ms, start_ms + sync_ms);
+            }
+            delay_ms += host.newest_sync.1 - self.now_ms;
+        }
         self.schedule(delay_ms, Event::JobDone { id, life });
     }
 
@@ -625,6 +696,19 @@
     }
 }
 
+impl Event {
+    /// The host that handles the event.
+    fn host(&self) -> u64 {
+        match self {
+            Self::Deliver(message) => message.to,
+            Self::JobDone { id, .. }
+            | Self::Fetched { id, .. }
+            | Self::ChunkRead { id, .. }
+            | Self::ChunkStored { id, .. } => *id,
+        }
+    }
+}
+
 impl Job {
     fn empty() -> Self {
         Self { hard_state: None, standing: None, clear: false, entries: Vec::new() }
