Show that a leader whose disk or capture hangs keeps leading

Commands that wait for a hung sync, or for a state that is being captured, have no outcome after 10 s, while heartbeats keep the followers from an election.

--- a/tests/raft_support/mod.rs
+++ b/tests/raft_support/mod.rs
@@ -23,6 +23,8 @@
     commands: Mutex<Vec<Bytes>>,
     /// A save goes on after its first write only while this is not locked.
     pub save_gate: async_std::sync::Mutex<()>,
+    /// A save captures the commands only while this is not locked.
+    pub capture_gate: async_std::sync::Mutex<()>,
 }
 
 impl ListMachine {
@@ -39,7 +41,11 @@
     }
 
     fn save(&self, target: &mut dyn io::Write) -> io::Result<()> {
-        for command in self.commands() {
+        let commands = {
+            let _gate = task::block_on(self.capture_gate.lock());
+            self.commands()
+        };
+        for command in commands {
             target.write_all(&(command.len() as u32).to_le_bytes())?;
             let _gate = task::block_on(self.save_gate.lock());
             target.write_all(&command)?;
