--- a/src/raft/snapshot_file.rs
+++ b/src/raft/snapshot_file.rs
@@ -47,7 +47,7 @@
     }
 
     /// Writes and syncs a snapshot under a temporary name. Calls `on_captured` at the state
-    /// machine's first write.
+    /// machine's first write or flush, before the disk is used.
     pub fn save(
         &self,
         meta: &SnapshotMeta,
@@ -60,7 +60,7 @@
             replicas: Some((&meta.replicas).into()),
         };
         let header = header.encode_to_vec();
-        let file = File::create(self.folder.join(SAVING))?;
+        let file = LazyFile { path: self.folder.join(SAVING), file: None };
         let mut target = ChecksumWriter { inner: BufWriter::new(file), hasher: Default::default() };
         target.write_all(MAGIC)?;
         target.write_all(&(header.len() as u32).to_le_bytes())?;
@@ -74,7 +74,7 @@
         let checksum = target.hasher.finalize();
         let mut file = target.inner;
         file.write_all(&checksum.to_le_bytes())?;
-        file.into_inner().map_err(io::IntoInnerError::into_error)?.sync_all()
+        file.into_inner().map_err(io::IntoInnerError::into_error)?.open()?.sync_all()
     }
 
     /// Replaces the newest snapshot with the saved one.
@@ -235,21 +235,54 @@
     }
 }
 
-/// Calls `on_captured` before the first write.
+/// A file that is created when it is first written to.
+struct LazyFile {
+    path: PathBuf,
+    file: Option<File>,
+}
+
+impl LazyFile {
+    fn open(&mut self) -> io::Result<&mut File> {
+        let file = match self.file.take() {
+            Some(file) => file,
+            None => File::create(&self.path)?,
+        };
+        Ok(self.file.insert(file))
+    }
+}
+
+impl Write for LazyFile {
+    fn write(&mut self, buffer: &[u8]) -> io::Result<usize> {
+        self.open()?.write(buffer)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.open()?.flush()
+    }
+}
+
+/// Calls `on_captured` before the first write or flush.
 struct NotifyingWriter<'a> {
     inner: &'a mut dyn Write,
     on_captured: Option<&'a dyn Fn()>,
 }
 
-impl Write for NotifyingWriter<'_> {
-    fn write(&mut self, buffer: &[u8]) -> io::Result<usize> {
+impl NotifyingWriter<'_> {
+    fn notify(&mut self) {
         if let Some(on_captured) = self.on_captured.take() {
             on_captured();
         }
+    }
+}
+
+impl Write for NotifyingWriter<'_> {
+    fn write(&mut self, buffer: &[u8]) -> io::Result<usize> {
+        self.notify();
         self.inner.write(buffer)
     }
 
     fn flush(&mut self) -> io::Result<()> {
+        self.notify();
         self.inner.flush()
     }
 }
--- a/src/raft/state_machine.rs
+++ b/src/raft/state_machine.rs
@@ -12,8 +12,8 @@
     /// Writes a snapshot of the whole state, as of the last applied command.
     ///
     /// Runs on a separate thread. No command is applied between the call and the first write to
-    /// `target`; from then on commands are applied again. Implementations therefore capture the
-    /// state before the first write, and should do so quickly.
+    /// `target`, or its first flush; from then on commands are applied again. Implementations
+    /// therefore capture the state before, and should do so quickly and without the disk.
     fn save(&self, target: &mut dyn io::Write) -> io::Result<()>;
 
     /// Replaces the whole state with one written by [`StateMachine::save`].
--- a/src/state/snapshot.rs
+++ b/src/state/snapshot.rs
@@ -29,6 +29,8 @@
     segments: &dyn SegmentSnapshot,
     target: &mut dyn Write,
 ) -> io::Result<()> {
+    // The state is captured, so commands may be applied again while the segments are synced.
+    target.flush()?;
     // A restart may rely on finding the segments that a snapshot lists, so they must be durable
     // first.
     segments.sync()?;
