Count only a new heartbeat round as contact to the leader

Callers saw: a group without a leader for longer than two election timeouts after its leader was gone.

Cause: each message of the leader restarted the election timer of a follower and kept it from voting, also one that had been on its way for long.

Evidence: a_late_message_of_an_earlier_round_is_no_contact_to_the_leader failed (timer at 1276 ms instead of 846 ms).

A message of a round that is not newer than the newest one seen in its term is still handled and answered, but is no contact.

--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -29,6 +29,8 @@
     pub(super) leader_id: Option<u64>,
     /// Time of the last message from a leader.
     pub(super) last_leader_contact_ms: u64,
+    /// Term and heartbeat round of the newest message from a leader.
+    pub(super) leader_round: (u64, u64),
     /// When the election timer expires.
     pub(super) election_due_ms: u64,
     /// Newest snapshot on the disk.
@@ -102,6 +104,7 @@
             // The replica may have been in contact with a leader just before it restarted, so it
             // grants no votes for one election timeout.
             last_leader_contact_ms: now_ms,
+            leader_round: (0, 0),
             election_due_ms: 0,
             snapshot,
             incoming: None,
@@ -175,11 +178,11 @@
         match body {
             Body::VoteReply { pre_vote: false, granted: true } => self.step_vote(now_ms, from),
             Body::AppendRequest(request) => {
-                self.record_leader_contact(now_ms, from);
+                self.record_leader_contact(now_ms, from, Some(request.round));
                 self.step_append(from, request);
             }
             Body::SnapshotChunk(chunk) => {
-                self.record_leader_contact(now_ms, from);
+                self.record_leader_contact(now_ms, from, None);
                 self.step_chunk(from, chunk);
             }
             Body::AppendReply { accepted, index, round, settled } => {
--- a/src/raft/node_follower.rs
+++ b/src/raft/node_follower.rs
@@ -5,8 +5,17 @@
 
 /// Handling of append requests and snapshots by a follower.
 impl RaftNode {
-    /// Records a message from the leader of the current term, and follows it.
-    pub(super) fn record_leader_contact(&mut self, now_ms: u64, from: u64) {
+    /// Records a message from the leader of the current term, and follows it. A message of a
+    /// heartbeat round that is not new may have been on its way for long, so it does not show that
+    /// the leader still leads.
+    pub(super) fn record_leader_contact(&mut self, now_ms: u64, from: u64, round: Option<u64>) {
+        if let Some(round) = round {
+            let newest = (self.hard_state.term, round);
+            if newest <= self.leader_round && !matches!(self.role, Role::Candidate(_)) {
+                return;
+            }
+            self.leader_round = newest;
+        }
         self.last_leader_contact_ms = now_ms;
         if self.leader_id == Some(from) && matches!(self.role, Role::Follower) {
             self.reset_election(now_ms);
--- a/tests/raft_node.rs
+++ b/tests/raft_node.rs
@@ -186,3 +186,19 @@
     node.transfer_leadership(now_ms, 2).unwrap();
     assert!(!confirms(&mut node, 2));
 }
+
+// Guards against elections that late messages of a leader that is gone put off again and again.
+#[test]
+fn a_late_message_of_an_earlier_round_is_no_contact_to_the_leader() {
+    let mut node = node(Standing::Member, &[1]);
+    node.step(100, append(&[1], 1, 2));
+    persist(&mut node, 101);
+    let due_ms = node.due_ms();
+    node.step(600, append(&[1], 1, 2));
+    assert_eq!(node.due_ms(), due_ms);
+    let body = Body::VoteRequest { pre_vote: true, last_index: 1, last_term: 1, transfer: false };
+    node.step(750, message(3, 3, body));
+    let reply = Body::VoteReply { pre_vote: true, granted: true };
+    let expected = Action::Send(Message { from: 1, to: 3, term: 3, body: reply });
+    assert!(persist(&mut node, 750).contains(&expected), "the leader is silent for 650 ms");
+}
