Work out Deadline-Ms when the request is written

Callers saw upstreams at work beyond their time: the time limit was a duration taken when the upstream was chosen, so a wait for the connection, or of the task, was handed to the upstream on top.

CallTarget::deadline is a point in time now. The connector and the relay client turn it into a duration when they write the request, and send nothing if no time is left.

--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -255,7 +255,7 @@
         let target = CallTarget {
             upstream_id: &upstream.upstream_id,
             address: upstream.address,
-            deadline: ITEM_DEADLINE,
+            deadline: Instant::now() + ITEM_DEADLINE,
             last_event_id,
             is_repeatable: true,
         };
--- a/src/gateway/connector.rs
+++ b/src/gateway/connector.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -16,8 +16,8 @@
     pub upstream_id: &'a str,
     /// Address of the upstream.
     pub address: SocketAddr,
-    /// Remaining time of the request, after which the upstream stops working on it.
-    pub deadline: Duration,
+    /// End of the request's time, at which the upstream stops working on it.
+    pub deadline: Instant,
     /// Id of the event after which a resumed stream continues.
     pub last_event_id: Option<u64>,
     /// Whether the request may run more than once. If so, it may be sent on a connection that has been
@@ -25,6 +25,21 @@
     pub is_repeatable: bool,
 }
 
+impl CallTarget<'_> {
+    /// Time that is left now, for the message that is about to be written.
+    ///
+    /// # Errors
+    /// [`SendError::NotSent`] if none is left.
+    pub fn time_left(&self) -> Result<Duration, SendError> {
+        match self.deadline.saturating_duration_since(Instant::now()) {
+            Duration::ZERO => {
+                Err(SendError::NotSent("the time limit of the request has passed".to_owned()))
+            }
+            left => Ok(left),
+        }
+    }
+}
+
 /// Status and header fields of an upstream's answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamHead {
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -192,7 +192,7 @@
         let target = CallTarget {
             upstream_id: &upstream.upstream_id,
             address: upstream.address,
-            deadline: remaining,
+            deadline,
             last_event_id: progress.last_event_id,
             is_repeatable: may_repeat,
         };
--- a/src/relay/relay_client.rs
+++ b/src/relay/relay_client.rs
@@ -106,11 +106,12 @@
         target: &CallTarget<'_>,
         request: &StreamRequest,
     ) -> Result<Box<dyn UpstreamAnswer>, SendError> {
-        let mut exchange = RelayedExchange::begin(self, address, target.deadline + RELAY_MARGIN);
+        let left = target.time_left()?;
+        let mut exchange = RelayedExchange::begin(self, address, left + RELAY_MARGIN);
         let wire = RelayedRequest {
             relay_id: exchange.relay_id,
             upstream_id: target.upstream_id.to_owned(),
-            deadline_ms: u32::try_from(target.deadline.as_millis()).unwrap_or(u32::MAX),
+            deadline_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
             last_event_id: target.last_event_id,
             is_repeatable: target.is_repeatable,
             request_id: request.request_id.clone(),
--- a/src/relay/relay_server.rs
+++ b/src/relay/relay_server.rs
@@ -120,8 +120,9 @@
         let Some(upstream) = upstream.filter(|upstream| upstream.accepts_work) else {
             return Err(SendError::NotSent("the relay does not know the upstream".to_owned()));
         };
-        let deadline = Duration::from_millis(wire.deadline_ms.into());
-        if !self.stop.leaves_time_until(Instant::now() + deadline) {
+        let left = Duration::from_millis(wire.deadline_ms.into());
+        let deadline = Instant::now() + left;
+        if !self.stop.leaves_time_until(deadline) {
             return Err(SendError::NotSent("the relay stops before the request ends".to_owned()));
         }
         let closed = Arc::<Signal>::default();
@@ -149,14 +150,14 @@
             target: wire.target,
             headers: headers_from_wire(wire.headers),
             body: wire.body,
-            caller_timeout: Some(deadline),
+            caller_timeout: Some(left),
             last_event_id: wire.last_event_id,
             resumes: None,
             prompt: Prompt::default(),
             arrived: Instant::now(),
         };
         let send = self.unless_closed(wire.relay_id, &closed, async {
-            let sent = timeout(deadline, self.connector.send(target, &request)).await;
+            let sent = timeout(left, self.connector.send(target, &request)).await;
             sent.unwrap_or_else(|_| {
                 Err(SendError::Lost("the upstream sent no answer in time".to_owned()))
             })
--- a/tests/relay_times.rs
+++ b/tests/relay_times.rs
@@ -33,7 +33,7 @@
         target: CallTarget<'_>,
         _request: &StreamRequest,
     ) -> Result<Box<dyn UpstreamAnswer>, SendError> {
-        self.left.lock().unwrap().push(target.deadline);
+        self.left.lock().unwrap().push(target.time_left().unwrap_or_default());
         Err(SendError::Lost("reset".into()))
     }
 
@@ -124,7 +124,7 @@
         let target = CallTarget {
             upstream_id: "a",
             address: "10.0.0.1:80".parse().unwrap(),
-            deadline: left,
+            deadline: Instant::now() + left,
             last_event_id: None,
             is_repeatable: false,
         };
