Keep the close of a relayed request that has not been opened yet

Upstreams ran relayed requests that nobody waited for: a relay handles a close when it reads it, but a request in a task of its own, so a close that arrives right behind its request, or on another connection, found nothing and was forgotten. The request was then sent and ran until its time limit.

The relay keeps the ids of closes that it can't match for 5 s, up to 1,024, and refuses such a request as not sent. Failing before: a_request_that_was_closed_before_the_relay_opened_it_is_not_sent, "it was sent".

--- a/src/relay/relay_server.rs
+++ b/src/relay/relay_server.rs
@@ -22,6 +22,11 @@
 const RELAY_LIMIT: usize = 128;
 /// Time without a read after which a relayed answer is dropped: the host that has the caller is gone.
 const UNREAD_LIMIT: Duration = Duration::from_secs(5);
+/// Time for which the close of an unknown request is kept. The close overtakes its request by what it takes to run
+/// a task, or to read another connection.
+const EARLY_CLOSE_LIMIT: Duration = Duration::from_secs(5);
+/// Most closes of unknown requests that are kept. All requests that a host relays may be closed at once.
+const EARLY_CLOSES: usize = 8 * RELAY_LIMIT;
 /// Interval at which answers that nobody reads are looked for.
 const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -32,6 +37,8 @@
     counters: Counters,
     stop: Arc<PlannedStop>,
     relayed: Mutex<HashMap<u64, Relayed>>,
+    /// Requests that were closed before they were opened, with the time of the close.
+    early_closes: Mutex<HashMap<u64, Instant>>,
 }
 
 /// A request that is being relayed. Dropping it ends the upstream's work on it.
@@ -51,8 +58,8 @@
         counters: Counters,
         stop: Arc<PlannedStop>,
     ) -> Arc<Self> {
-        let relayed = Mutex::default();
-        let server = Arc::new(Self { fleet, connector, counters, stop, relayed });
+        let (relayed, early_closes) = Default::default();
+        let server = Arc::new(Self { fleet, connector, counters, stop, relayed, early_closes });
         task::spawn(drop_unread(server.clone()));
         server
     }
@@ -73,7 +80,7 @@
                 reply::Reply::RelayedHead(head)
             }
             Err(error) => {
-                self.close_request(relay_id);
+                self.end_request(relay_id);
                 failure(&error)
             }
         }
@@ -98,21 +105,32 @@
         match chunk {
             Ok(Some(data)) => reply::Reply::RelayedChunk(RelayedChunk { data }),
             Ok(None) => {
-                self.close_request(relay_id);
+                self.end_request(relay_id);
                 reply::Reply::RelayedChunk(RelayedChunk::default())
             }
             Err(error) => {
-                self.close_request(relay_id);
+                self.end_request(relay_id);
                 failure(&error)
             }
         }
     }
 
-    /// Ends a request before the end of its answer.
+    /// Ends a request of another host before the end of its answer. The request may still be on its way.
     pub fn close_request(&self, relay_id: u64) {
-        if let Some(relayed) = self.relayed().remove(&relay_id) {
+        // Held while the request is looked up, so that it is not opened in between.
+        let mut early_closes = self.early_closes();
+        if !self.end_request(relay_id) && early_closes.len() < EARLY_CLOSES {
+            early_closes.insert(relay_id, Instant::now());
+        }
+    }
+
+    /// Ends a request; `false` if it is not known.
+    fn end_request(&self, relay_id: u64) -> bool {
+        let relayed = self.relayed().remove(&relay_id);
+        if let Some(relayed) = &relayed {
             relayed.closed.notify();
         }
+        relayed.is_some()
     }
 
     async fn send(&self, wire: RelayedRequest) -> Result<Box<dyn UpstreamAnswer>, SendError> {
@@ -127,6 +145,11 @@
         }
         let closed = Arc::<Signal>::default();
         {
+            let mut early_closes = self.early_closes();
+            if early_closes.remove(&wire.relay_id).is_some() {
+                self.counters.count("relay_closed_early");
+                return Err(SendError::NotSent("the request was closed".to_owned()));
+            }
             let mut relayed = self.relayed();
             if relayed.len() >= RELAY_LIMIT {
                 self.counters.count("relay_refused");
@@ -191,6 +214,10 @@
         }
     }
 
+    fn early_closes(&self) -> MutexGuard<'_, HashMap<u64, Instant>> {
+        self.early_closes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn relayed(&self) -> MutexGuard<'_, HashMap<u64, Relayed>> {
         self.relayed.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -205,6 +232,7 @@
     loop {
         task::sleep(UNREAD_CHECK_INTERVAL).await;
         let now = Instant::now();
+        server.early_closes().retain(|_, closed_at| now - *closed_at < EARLY_CLOSE_LIMIT);
         server.relayed().retain(|_, relayed| {
             // A read that waits for the upstream holds a reference to the answer.
             let is_read = relayed.answer.as_ref().is_none_or(|it| Arc::strong_count(it) > 1);
