Count the time on the way to a relay against the time limit

Upstreams got more time than was left, and requests whose callers had left: a relay counted the time limit from the arrival of the request, so the time in which the request waited for a connection, in a queue, or for a relay that stood still did not count.

Relayed requests and link checks bear the time of the sender's monotonic clock. The relay takes the smallest difference to its own clock for the fastest way; a larger one is time for which the message was held up. No clocks need to agree, and drift counts for 60 s at most. A request without time left, and one that may run again elsewhere and was held up longer than its host waits for an upstream, are refused as not sent. Hosts of earlier builds send no time; nothing changes for them.

--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -344,6 +344,10 @@
     pub async fn handle(&self, call: call::Call) -> Option<reply::Reply> {
         Some(match call {
             call::Call::CheckUpstreams(check) => {
+                // Checks come before relayed requests, so the relay knows the clock by then.
+                if let Some(sent_at) = &check.sent_at {
+                    self.relay_server.record_delay(sent_at);
+                }
                 let upstreams = self.sync_state.fleet.load();
                 let is_known = |address: &str| {
                     upstreams.iter().any(|upstream| upstream.address.to_string() == address)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,6 +47,8 @@
 pub use prompt::Prompt;
 pub use refusal::{Refusal, RefusalKind};
 pub use route_index::RouteIndex;
+pub(crate) use stall_limit::MIN_STALL_LIMIT;
 pub use stream_origins::StreamOrigins;
 pub use stream_request::StreamRequest;
+pub(crate) use upstream::monotonic_ms;
 pub use upstream::Upstream;
--- a/src/gateway/stall_limit.rs
+++ b/src/gateway/stall_limit.rs
@@ -4,7 +4,7 @@
 
 /// Shortest stall limit. Upstreams that queue a request or run many of them pause for up to a quarter of a
 /// second.
-const MIN_STALL_LIMIT: Duration = Duration::from_millis(700);
+pub(crate) const MIN_STALL_LIMIT: Duration = Duration::from_millis(700);
 /// Multiple of a route's own target after which an upstream counts as stalled. An answer that is late by
 /// less is worth more than one that starts again elsewhere.
 const TARGET_FACTOR: u32 = 2;
--- a/src/links/link_check.rs
+++ b/src/links/link_check.rs
@@ -7,7 +7,7 @@
 use crate::links::upstream_probe::reached_of;
 use crate::links::UpstreamProbe;
 use crate::peer::{PeerCaller, TrafficClass};
-use crate::schema::peer::{call, reply, Call, CheckUpstreams, ReachedUpstreams, Reply};
+use crate::schema::peer::{call, reply, Call, CheckUpstreams, ReachedUpstreams, Reply, SentAt};
 
 /// Longest time to wait for what another host reaches: its attempts to connect and a round trip between
 /// regions.
@@ -33,7 +33,8 @@
         upstreams: &[String],
     ) -> Vec<HashSet<String>> {
         let asked = peer_addresses.iter().map(|peer| {
-            let check = CheckUpstreams { addresses: upstreams.to_vec() };
+            let sent_at = Some(SentAt::now());
+            let check = CheckUpstreams { addresses: upstreams.to_vec(), sent_at };
             let check = call::Call::CheckUpstreams(check);
             let call = Call { traceparent: String::new(), call: Some(check) };
             self.caller.call(peer, TrafficClass::Online, call, CHECK_TIMEOUT)
--- a/src/relay/relay_client.rs
+++ b/src/relay/relay_client.rs
@@ -12,7 +12,7 @@
 use crate::relay::relay_messages::headers_to_wire;
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{
-    call, reply, Call, CloseRelayed, EntryHost, ReadRelayed, RelayedRequest, Reply,
+    call, reply, Call, CloseRelayed, EntryHost, ReadRelayed, RelayedRequest, Reply, SentAt,
 };
 
 /// Weight of a host of this availability zone against one of another zone of the region. The hosts of the zone
@@ -120,6 +120,7 @@
             target: request.target.clone(),
             headers: headers_to_wire(&request.headers),
             body: request.body.clone(),
+            sent_at: Some(SentAt::now()),
         };
         log::info!(event = "request_sent_through", request = request.request_id.as_str(),
             host = address, upstream = target.upstream_id; "sending the request through another host");
--- a/src/relay/relay_server.rs
+++ b/src/relay/relay_server.rs
@@ -10,10 +10,12 @@
 
 use crate::admission::PlannedStop;
 use crate::gateway::{
-    CallTarget, GatewayFleet, Prompt, SendError, StreamConnector, StreamRequest, UpstreamAnswer,
+    monotonic_ms, CallTarget, GatewayFleet, Prompt, SendError, StreamConnector, StreamRequest,
+    UpstreamAnswer, MIN_STALL_LIMIT,
 };
 use crate::relay::relay_messages::headers_from_wire;
-use crate::schema::peer::{reply, RelayedChunk, RelayedRequest};
+use crate::relay::TransitDelays;
+use crate::schema::peer::{reply, RelayedChunk, RelayedRequest, SentAt};
 use crate::signal::Signal;
 use crate::telemetry::Counters;
 
@@ -39,6 +41,7 @@
     relayed: Mutex<HashMap<u64, Relayed>>,
     /// Requests that were closed before they were opened, with the time of the close.
     early_closes: Mutex<HashMap<u64, Instant>>,
+    delays: Mutex<TransitDelays>,
 }
 
 /// A request that is being relayed. Dropping it ends the upstream's work on it.
@@ -58,12 +61,19 @@
         counters: Counters,
         stop: Arc<PlannedStop>,
     ) -> Arc<Self> {
-        let (relayed, early_closes) = Default::default();
-        let server = Arc::new(Self { fleet, connector, counters, stop, relayed, early_closes });
+        let (relayed, early_closes, delays) = Default::default();
+        let server =
+            Arc::new(Self { fleet, connector, counters, stop, relayed, early_closes, delays });
         task::spawn(drop_unread(server.clone()));
         server
     }
 
+    /// Records when a message of another host was sent, and returns for how long it was held up.
+    pub fn record_delay(&self, sent_at: &SentAt) -> Duration {
+        let mut delays = self.delays.lock().unwrap_or_else(PoisonError::into_inner);
+        delays.record(sent_at, monotonic_ms())
+    }
+
     /// Sends a request to its upstream and returns the head of the answer.
     pub async fn open_request(&self, wire: RelayedRequest) -> reply::Reply {
         let relay_id = wire.relay_id;
@@ -138,7 +148,15 @@
         let Some(upstream) = upstream.filter(|upstream| upstream.accepts_work) else {
             return Err(SendError::NotSent("the relay does not know the upstream".to_owned()));
         };
-        let left = Duration::from_millis(wire.deadline_ms.into());
+        let held_up = wire.sent_at.as_ref().map_or(Duration::ZERO, |it| self.record_delay(it));
+        let left = Duration::from_millis(wire.deadline_ms.into()).saturating_sub(held_up);
+        if left.is_zero() || wire.is_repeatable && held_up >= MIN_STALL_LIMIT {
+            log::warn!(event = "relayed_request_late", request = wire.request_id.as_str(),
+                held_up_ms = held_up.as_millis() as u64, left_ms = left.as_millis() as u64;
+                "the asking host may not wait any more; the request is not sent");
+            self.counters.count("relay_late");
+            return Err(SendError::NotSent("the request was held up on the way".to_owned()));
+        }
         let deadline = Instant::now() + left;
         if !self.stop.leaves_time_until(deadline) {
             return Err(SendError::NotSent("the relay stops before the request ends".to_owned()));
--- /dev/null
+++ b/src/relay/transit_delays.rs
@@ -0,0 +1,50 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::schema::peer::SentAt;
+
+/// Time for which the smallest offset of a clock counts at least. Two clocks drift apart by some milliseconds in it.
+const WINDOW_MS: u64 = 60_000;
+/// Most clocks that are known, above the number of hosts of a large fleet and their restarts in two windows.
+const CLOCK_LIMIT: usize = 1_024;
+
+/// Measures how long messages of other hosts were on the way beyond the fastest one, without clocks that agree.
+///
+/// Each message bears the time of its sender's monotonic clock. The difference to the own clock is an unknown offset
+/// plus the time on the way, so a message whose difference exceeds the smallest one was held up by the excess.
+#[derive(Debug, Default)]
+pub struct TransitDelays {
+    clocks: HashMap<u64, SmallestOffset>,
+}
+
+#[derive(Debug)]
+struct SmallestOffset {
+    window_began_ms: u64,
+    in_window: i64,
+    in_last_window: i64,
+}
+
+impl TransitDelays {
+    /// Time for which a message was held up that arrives at `now_ms`; zero if nothing is known of its clock.
+    pub fn record(&mut self, sent_at: &SentAt, now_ms: u64) -> Duration {
+        let offset = (now_ms as i64).wrapping_sub(sent_at.clock_ms as i64);
+        if self.clocks.len() >= CLOCK_LIMIT && !self.clocks.contains_key(&sent_at.clock_id) {
+            self.clocks.retain(|_, clock| now_ms < clock.window_began_ms + 2 * WINDOW_MS);
+            if self.clocks.len() >= CLOCK_LIMIT {
+                return Duration::ZERO;
+            }
+        }
+        let clock = self.clocks.entry(sent_at.clock_id).or_insert(SmallestOffset {
+            window_began_ms: now_ms,
+            in_window: offset,
+            in_last_window: offset,
+        });
+        if now_ms >= clock.window_began_ms + WINDOW_MS {
+            clock.in_last_window = clock.in_window;
+            (clock.window_began_ms, clock.in_window) = (now_ms, offset);
+        }
+        clock.in_window = clock.in_window.min(offset);
+        let smallest = clock.in_window.min(clock.in_last_window);
+        Duration::from_millis(u64::try_from(offset.saturating_sub(smallest)).unwrap_or(0))
+    }
+}
--- a/tests/relay_times.rs
+++ b/tests/relay_times.rs
@@ -15,9 +15,9 @@
 };
 use damaskhoist::http::Headers;
 use damaskhoist::peer::{CallError, PeerCaller, TrafficClass};
-use damaskhoist::relay::{RelayClient, RelayServer};
+use damaskhoist::relay::{RelayClient, RelayServer, TransitDelays};
 use damaskhoist::schema::peer::frame::Body;
-use damaskhoist::schema::peer::{call, reply, Call, EntryHost, RelayedRequest, Reply};
+use damaskhoist::schema::peer::{call, reply, Call, EntryHost, RelayedRequest, Reply, SentAt};
 use damaskhoist::telemetry::Counters;
 
 /// Records the time that is left of each request when it would be written to its upstream.
@@ -175,3 +175,17 @@
     assert!(connector.left.lock().unwrap().is_empty(), "it was sent");
     assert!(matches!(reply, reply::Reply::RelayFailure(_)), "{reply:?}");
 }
+
+/// Guards against sound requests that are refused because the clocks of two hosts drift apart.
+#[test]
+fn clocks_that_drift_apart_do_not_look_like_a_delay() {
+    let mut delays = TransitDelays::default();
+    for second in 0..3_600 {
+        // Two quartz clocks of servers differ by up to 100 parts in a million.
+        let (sent_ms, now_ms) = (second * 1_000, 5_000_000 + second * 1_000 + second / 10);
+        let sent_at = SentAt { clock_id: 1, clock_ms: sent_ms };
+        assert!(delays.record(&sent_at, now_ms) < Duration::from_millis(15));
+    }
+    let held_up = delays.record(&SentAt { clock_id: 1, clock_ms: 3_600_000 }, 8_600_860);
+    assert!(held_up >= Duration::from_millis(500), "{held_up:?}");
+}
