--- /dev/null
+++ b/tests/silent_upstreams.rs
@@ -0,0 +1,271 @@
+//! Plays requests against upstreams that fall silent or fail, in real time. The upstreams are scripted: each has a
+//! few slots, and runs what it was sent also if the answer is no longer awaited.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_std::channel::{bounded, Receiver, Sender};
+use async_std::task;
+use async_trait::async_trait;
+use bytes::Bytes;
+use damaskhoist::directory::{Phase, StreamOrigin, UpstreamRecord};
+use damaskhoist::gateway::{
+    AnswerSink, BodyChunk, CallTarget, CrashGuard, ForwardOutcome, Forwarder, GatewayFleet, Prompt,
+    Refusal, SendError, StreamConnector, StreamOrigins, StreamRequest, UpstreamAnswer,
+    UpstreamHead, UpstreamNotice,
+};
+use damaskhoist::http::{Headers, HttpError};
+use damaskhoist::schema::routes::{Route, RouteKind, ServiceShare};
+use damaskhoist::telemetry::Counters;
+use futures::future::join_all;
+use rstest::rstest;
+
+const SLOTS: usize = 8;
+const RUN_TIME: Duration = Duration::from_millis(60);
+const TIME_LIMIT: Duration = Duration::from_secs(4);
+
+/// What an upstream does until the given time.
+#[derive(Clone, Copy)]
+enum Fault {
+    Silent(Instant),
+    Resets,
+}
+
+struct Engine {
+    fault: Option<Fault>,
+    slots: (Sender<()>, Receiver<()>),
+}
+
+#[derive(Default)]
+struct Engines {
+    engines: Mutex<HashMap<String, Arc<Engine>>>,
+    sends: AtomicUsize,
+}
+
+struct OneEvent {
+    head: UpstreamHead,
+    event: Option<Bytes>,
+}
+
+#[async_trait]
+impl UpstreamAnswer for OneEvent {
+    fn head(&self) -> &UpstreamHead {
+        &self.head
+    }
+
+    async fn next_chunk(&mut self) -> Result<BodyChunk, SendError> {
+        Ok(self.event.take())
+    }
+}
+
+#[async_trait]
+impl StreamConnector for Engines {
+    async fn send(
+        &self,
+        target: CallTarget<'_>,
+        _request: &StreamRequest,
+    ) -> Result<Box<dyn UpstreamAnswer>, SendError> {
+        self.sends.fetch_add(1, Ordering::SeqCst);
+        let engine = self.engines.lock().unwrap()[target.upstream_id].clone();
+        let (answer, answered) = bounded(1);
+        task::spawn(async move {
+            match engine.fault {
+                Some(Fault::Resets) => return,
+                Some(Fault::Silent(until)) => {
+                    task::sleep(until.saturating_duration_since(Instant::now())).await;
+                }
+                None => {}
+            }
+            let _ = engine.slots.0.send(()).await;
+            task::sleep(RUN_TIME).await;
+            let _ = engine.slots.1.recv().await;
+            let _ = answer.send(()).await;
+        });
+        answered.recv().await.map_err(|_| SendError::Lost("reset".into()))?;
+        let head = UpstreamHead {
+            status: 200,
+            headers: Headers::default(),
+            is_event_stream: true,
+            has_framing: true,
+            notice: UpstreamNotice::default(),
+        };
+        Ok(Box::new(OneEvent { head, event: Some(Bytes::from_static(b"id: 1\ndata: a\n\n")) }))
+    }
+
+    async fn is_reachable(&self, _address: SocketAddr) -> bool {
+        true
+    }
+
+    fn retain_upstreams(&self, _is_known: &dyn Fn(&str) -> bool) {}
+}
+
+struct NoOrigins;
+
+#[async_trait]
+impl StreamOrigins for NoOrigins {
+    fn record(&self, _request: &StreamRequest, _origin: &StreamOrigin) {}
+
+    async fn find(&self, _request: &StreamRequest, _route: &Route) -> Option<StreamOrigin> {
+        None
+    }
+}
+
+struct Caller;
+
+#[async_trait]
+impl AnswerSink for Caller {
+    async fn start(&mut self, _head: &UpstreamHead) -> Result<(), HttpError> {
+        Ok(())
+    }
+
+    async fn send(&mut self, _bytes: &[u8]) -> Result<(), HttpError> {
+        Ok(())
+    }
+
+    async fn finish(&mut self) -> Result<(), HttpError> {
+        Ok(())
+    }
+
+    async fn refuse(&mut self, _refusal: &Refusal) -> Result<(), HttpError> {
+        Ok(())
+    }
+}
+
+/// What the callers got, and how often the upstreams were sent a request.
+#[derive(Debug)]
+struct Outcome {
+    answered: usize,
+    /// Answered later than the stall limit.
+    late: usize,
+    slowest: Duration,
+    sends: usize,
+}
+
+/// Sends `count` requests, one each `interval`, to upstreams with these faults.
+fn play(faults: &[Option<Fault>], count: usize, interval: Duration) -> Outcome {
+    let engines = Arc::<Engines>::default();
+    let mut records = Vec::new();
+    for (number, fault) in faults.iter().enumerate() {
+        let upstream_id = format!("u{number}");
+        records.push(UpstreamRecord {
+            upstream_id: upstream_id.clone(),
+            service: "engraver".into(),
+            address: "10.0.0.1:80".into(),
+            zone: "santander".into(),
+            region: "cantabria".into(),
+            version: "v1".into(),
+            slots: SLOTS as u32,
+            phase: Phase::Ready,
+            started_at_unix_ms: 1,
+            sequence: 1,
+        });
+        let engine = Arc::new(Engine { fault: *fault, slots: bounded(SLOTS) });
+        engines.engines.lock().unwrap().insert(upstream_id, engine);
+    }
+    let fleet = Arc::new(GatewayFleet::default());
+    fleet.replace(&records);
+    let forwarder = Forwarder::open(
+        "santander",
+        "cantabria",
+        fleet,
+        engines.clone(),
+        Arc::new(CrashGuard::open("entry-1")),
+        Arc::new(NoOrigins),
+        Counters::open("test", None),
+    );
+    let route = Route {
+        name: "r".into(),
+        kind: RouteKind::Stream.into(),
+        timeout_ms: TIME_LIMIT.as_millis() as u32,
+        shares: vec![ServiceShare { service: "engraver".into(), weight: 1 }],
+        max_attempts: 3,
+        resumable: true,
+        ..Route::default()
+    };
+    let send = async |number: usize| {
+        task::sleep(interval * number as u32).await;
+        let request = StreamRequest {
+            request_id: format!("r{number}"),
+            host: "shop.example".into(),
+            method: "POST".into(),
+            target: "/x".into(),
+            headers: Headers::default(),
+            body: Bytes::new(),
+            caller_timeout: None,
+            last_event_id: None,
+            resumes: None,
+            prompt: Prompt::default(),
+            arrived: Instant::now(),
+        };
+        let outcome = forwarder.forward(Some(&route), 1, &request, &mut Caller).await.unwrap();
+        (outcome == ForwardOutcome::Answered).then(|| request.arrived.elapsed())
+    };
+    let times: Vec<Duration> =
+        task::block_on(join_all((0..count).map(send))).into_iter().flatten().collect();
+    let late = times.iter().filter(|time| **time > Duration::from_millis(700)).count();
+    let sends = engines.sends.load(Ordering::SeqCst);
+    let slowest = times.iter().max().copied().unwrap_or_default();
+    Outcome { answered: times.len(), late, slowest, sends }
+}
+
+fn silent_for(ms: u64) -> Option<Fault> {
+    Some(Fault::Silent(Instant::now() + Duration::from_millis(ms)))
+}
+
+/// Guards against requests that are sent again into a silence that befalls most upstreams at once, and run twice.
+#[rstest]
+#[case::all(8, 0)]
+#[case::most(6, 2)]
+fn requests_are_not_resent_into_a_silence_of_most_upstreams(
+    #[case] silent: usize,
+    #[case] sound: usize,
+) {
+    let mut faults = vec![silent_for(1_200); silent];
+    faults.extend(vec![None; sound]);
+    let outcome = play(&faults, 150, Duration::from_millis(16));
+    println!("{silent} of {} upstreams silent for 1.2 s: {outcome:?}", silent + sound);
+    assert_eq!(outcome.answered, 150, "{outcome:?}");
+    assert!(outcome.sends <= 153, "{outcome:?}");
+    // Those of the first 500 ms wait for more than 700 ms, and some behind them for a slot.
+    assert!(outcome.late <= 45, "{outcome:?}");
+}
+
+/// Guards against requests that stay with a single upstream that has fallen silent.
+#[test]
+fn a_single_silent_upstream_is_left_at_once() {
+    let mut faults = vec![None; 8];
+    faults[0] = silent_for(10_000);
+    let outcome = play(&faults, 200, Duration::from_millis(5));
+    println!("1 of 8 upstreams silent: {outcome:?}");
+    assert_eq!(outcome.answered, 200, "{outcome:?}");
+    assert!(outcome.slowest < Duration::from_millis(1_200), "{outcome:?}");
+}
+
+/// Guards against requests that stay with upstreams that are gone for good, because most are.
+#[test]
+fn requests_leave_upstreams_that_stay_silent_while_others_answer() {
+    let mut faults = vec![silent_for(10_000); 5];
+    faults.extend(vec![None; 3]);
+    let outcome = play(&faults, 100, Duration::from_millis(10));
+    println!("5 of 8 upstreams silent for good: {outcome:?}");
+    assert_eq!(outcome.answered, 100, "{outcome:?}");
+}
+
+/// Guards against an answer that is given up for silence though no other upstream could give it.
+#[test]
+fn a_request_stays_with_a_silent_upstream_if_there_is_no_other() {
+    let outcome = play(&[silent_for(1_200)], 4, Duration::from_millis(10));
+    assert_eq!((outcome.answered, outcome.sends), (4, 4), "{outcome:?}");
+}
+
+/// Guards against a load on the upstreams that grows several times over while they fail.
+#[test]
+fn failing_upstreams_get_only_a_share_of_the_requests_again() {
+    let outcome = play(&[Some(Fault::Resets); 8], 400, Duration::from_millis(2));
+    println!("all upstreams reset connections: {outcome:?}");
+    // A retry for each fifth request, ten of the first balance and one a second.
+    assert!(outcome.sends <= 400 + 80 + 10 + 2, "{outcome:?}");
+}
