Log which leader was asked, its term, source and age

The lines results_not_read, replica_avoided and control_host_lost named neither the leader that was asked nor its term, nor since when and from whom it was believed to lead, so that "no leader", "a leader that can't confirm" and "the wrong host" look the same in a record.

A belief about the leader is now one type, LeaderBelief: address, term, source and the time it was heard. ControlSync and CallFailure carry leader_term (0 from earlier builds). What is decided does not change.

--- a/src/control/control_role.rs
+++ b/src/control/control_role.rs
@@ -134,14 +134,14 @@
         match proposed.map(|outcome: Bytes| Outcome::decode(outcome)) {
             Ok(Ok(outcome)) => reply::Reply::Outcome(outcome),
             Ok(Err(error)) => failure(FailureKind::CommitUnknown, &error.to_string()),
-            Err(error) => propose_failure(error),
+            Err(error) => self.propose_failure(error),
         }
     }
 
     async fn query(&self, query: &Query) -> reply::Reply {
         match self.group.read_barrier().await {
             Ok(_) => reply::Reply::QueryAnswer(self.state.query(query)),
-            Err(error) => read_failure(error),
+            Err(error) => self.read_failure(error),
         }
     }
 
@@ -154,7 +154,7 @@
             let _ = async_std::future::timeout(wait, changed).await;
         }
         if let Err(error) = self.group.read_barrier().await {
-            return read_failure(error);
+            return self.read_failure(error);
         }
         let current = self.state.configuration();
         let configuration =
@@ -179,7 +179,7 @@
         };
         match self.group.change_replicas(ReplicaChange::from(change)).await {
             Ok(()) => reply::Reply::Done(Default::default()),
-            Err(ChangeError::NotLeader { leader_address }) => not_leader(leader_address),
+            Err(ChangeError::NotLeader { .. }) => self.not_leader(),
             Err(ChangeError::Refused(reason)) => failure(FailureKind::Refused, &reason),
             Err(error @ ChangeError::Unknown) => {
                 failure(FailureKind::CommitUnknown, &error.to_string())
@@ -193,6 +193,36 @@
     }
 }
 
+/// Replies for calls that could not be served.
+impl Shared {
+    fn propose_failure(&self, error: ProposeError) -> reply::Reply {
+        let message = error.to_string();
+        match error {
+            ProposeError::NotLeader { .. } => self.not_leader(),
+            ProposeError::Unknown => failure(FailureKind::CommitUnknown, &message),
+            ProposeError::Storage(_) => failure(FailureKind::Storage, &message),
+            ProposeError::Overloaded => failure(FailureKind::Overloaded, &message),
+        }
+    }
+
+    fn read_failure(&self, error: ReadError) -> reply::Reply {
+        match error {
+            ReadError::NotLeader { .. } => self.not_leader(),
+            error => failure(FailureKind::NoQuorum, &error.to_string()),
+        }
+    }
+
+    fn not_leader(&self) -> reply::Reply {
+        let status = self.group.status();
+        reply::Reply::Failure(CallFailure {
+            kind: FailureKind::NotLeader.into(),
+            message: "this replica does not lead".to_owned(),
+            leader_address: status.leader_address.clone().unwrap_or_default(),
+            leader_term: status.term,
+        })
+    }
+}
+
 /// Proposes a command that expires old state at a fixed interval while this replica is the leader.
 async fn expire_periodically(shared: Arc<Shared>) {
     loop {
@@ -231,36 +261,12 @@
     }
 }
 
-fn propose_failure(error: ProposeError) -> reply::Reply {
-    let message = error.to_string();
-    match error {
-        ProposeError::NotLeader { leader_address } => not_leader(leader_address),
-        ProposeError::Unknown => failure(FailureKind::CommitUnknown, &message),
-        ProposeError::Storage(_) => failure(FailureKind::Storage, &message),
-        ProposeError::Overloaded => failure(FailureKind::Overloaded, &message),
-    }
-}
-
-fn read_failure(error: ReadError) -> reply::Reply {
-    match error {
-        ReadError::NotLeader { leader_address } => not_leader(leader_address),
-        error => failure(FailureKind::NoQuorum, &error.to_string()),
-    }
-}
-
-fn not_leader(leader_address: Option<String>) -> reply::Reply {
-    reply::Reply::Failure(CallFailure {
-        kind: FailureKind::NotLeader.into(),
-        message: "this replica does not lead".to_owned(),
-        leader_address: leader_address.unwrap_or_default(),
-    })
-}
-
 fn failure(kind: FailureKind, message: &str) -> reply::Reply {
     reply::Reply::Failure(CallFailure {
         kind: kind.into(),
         message: message.to_owned(),
         leader_address: String::new(),
+        leader_term: 0,
     })
 }
 
--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -11,6 +11,7 @@
 use crate::admission::CrashTable;
 use crate::control::unix_ms;
 use crate::coordinator::fleet_relay::FleetRelay;
+use crate::coordinator::named_leader::NamedLeader;
 use crate::coordinator::operator::call_failure;
 use crate::coordinator::report_log::ReportLog;
 use crate::coordinator::stored_state::{store_routes, store_upstreams, StoredState};
@@ -21,7 +22,7 @@
 };
 use crate::ledger::{command, find_route, JobHead, Ledger};
 use crate::peer::PeerCaller;
-use crate::raft::{Priority, ProposeError};
+use crate::raft::{LeaderBelief, Priority, ProposeError};
 use crate::replication::{KnownControlHost, ReplicaManager, ReplicaManagerOptions};
 use crate::schema::ledger::{
     command::Command as Kind, Command, Expire, FinishItems, FinishedItem, Outcome,
@@ -98,12 +99,17 @@
 struct ControlLeaderHint {
     replica: Arc<ReplicaManager<Ledger>>,
     watch: Arc<OnceLock<Arc<FleetWatch>>>,
+    own_address: String,
 }
 
 impl LeaderHint for ControlLeaderHint {
-    fn leader_address(&self) -> Option<String> {
-        let known = self.replica.status().and_then(|status| status.leader_address.clone());
-        known.or_else(|| self.watch.get()?.view().leader_address.clone())
+    fn leader(&self) -> Option<Arc<LeaderBelief>> {
+        let own = self.replica.status().and_then(|status| {
+            let address = status.leader_address.clone()?;
+            let (term, source) = (status.term, self.own_address.clone());
+            Some(Arc::new(LeaderBelief { address, term, source, heard_at: Instant::now() }))
+        });
+        own.or_else(|| self.watch.get()?.leader())
     }
 
     fn control_addresses(&self) -> Vec<String> {
@@ -138,7 +144,11 @@
         let new_ledger = Box::new(move || Arc::new(Ledger::open(changed.clone())));
         let replica = ReplicaManager::open(replica, new_ledger, caller.clone())?;
         let watch = Arc::new(OnceLock::new());
-        let hint = Arc::new(ControlLeaderHint { replica: replica.clone(), watch: watch.clone() });
+        let hint = Arc::new(ControlLeaderHint {
+            replica: replica.clone(),
+            watch: watch.clone(),
+            own_address: settings.peer_address.to_string(),
+        });
         let leaving = Arc::new(LeavingTable::default());
         let interval = Duration::from_millis(settings.upstream_heartbeat_ms);
         let directory = Directory::new(rand::random_range(1..u64::MAX), interval);
@@ -299,19 +309,28 @@
     }
 
     pub(super) fn not_leader_failure(&self) -> reply::Reply {
-        let leader = Some(self.leader_address()).filter(|address| !address.is_empty());
-        call_failure(FailureKind::NotLeader, "this replica does not lead", leader)
+        self.call_failure(FailureKind::NotLeader, "this replica does not lead")
+    }
+
+    /// Reply for a call that could not be served. Names the leader, so that the caller can turn to it.
+    pub(super) fn call_failure(&self, kind: FailureKind, message: &str) -> reply::Reply {
+        call_failure(kind, message, self.named_leader())
     }
 
-    /// Peer address of the leader as far as this host knows; empty if it does not.
-    pub(super) fn leader_address(&self) -> String {
+    /// The leader as far as this host knows.
+    pub(super) fn named_leader(&self) -> NamedLeader {
         let status = self.replica.status();
+        let term = status.as_ref().map_or(0, |status| status.term);
         if status.as_ref().is_some_and(|status| status.is_leader) {
-            return self.settings.peer_address.to_string();
+            return NamedLeader { address: self.settings.peer_address.to_string(), term };
+        }
+        if let Some(address) = status.and_then(|status| status.leader_address.clone()) {
+            return NamedLeader { address, term };
+        }
+        match self.watch.get().and_then(|watch| watch.leader()) {
+            Some(leader) => NamedLeader { address: leader.address.clone(), term: leader.term },
+            None => NamedLeader { address: String::new(), term },
         }
-        let known = status.and_then(|status| status.leader_address.clone());
-        let known = known.or_else(|| self.watch.get()?.view().leader_address.clone());
-        known.unwrap_or_default()
     }
 
     /// The view of the other control hosts; `None` only while this one is being created.
@@ -330,7 +349,7 @@
     }
 
     /// Brings what is passed on to entry hosts up to date, and wakes pending sync calls if it changed.
-    fn update_relay(&self, known_entries_revision: &mut u64, known_leader: &mut String) {
+    fn update_relay(&self, known_entries_revision: &mut u64, known_leader: &mut NamedLeader) {
         let Some(watch) = self.watch.get() else { return };
         let entries = {
             let entries = lock(&self.entries);
@@ -349,8 +368,9 @@
             ControlHostEntry { peer_address, zone, is_reached, has_replica }
         });
         changed |= self.relay.update(&watch.view(), control_hosts.collect(), Instant::now());
-        let leader = self.leader_address();
-        changed |= std::mem::replace(known_leader, leader.clone()) != leader;
+        let leader = self.named_leader();
+        changed |= !known_leader.is_same(&leader);
+        *known_leader = leader;
         if changed {
             self.changed.notify();
         }
@@ -371,19 +391,17 @@
         let outcome = match proposed.map(Outcome::decode) {
             Ok(Ok(outcome)) => outcome,
             Ok(Err(error)) => {
-                return call_failure(FailureKind::CommitUnknown, &error.to_string(), None)
-            }
-            Err(ProposeError::NotLeader { leader_address }) => {
-                return call_failure(FailureKind::NotLeader, "not the leader", leader_address);
+                return self.call_failure(FailureKind::CommitUnknown, &error.to_string())
             }
+            Err(ProposeError::NotLeader { .. }) => return self.not_leader_failure(),
             Err(error @ ProposeError::Unknown) => {
-                return call_failure(FailureKind::CommitUnknown, &error.to_string(), None);
+                return self.call_failure(FailureKind::CommitUnknown, &error.to_string());
             }
             Err(error @ ProposeError::Overloaded) => {
-                return call_failure(FailureKind::Overloaded, &error.to_string(), None);
+                return self.call_failure(FailureKind::Overloaded, &error.to_string());
             }
             Err(error @ ProposeError::Storage(_)) => {
-                return call_failure(FailureKind::Storage, &error.to_string(), None);
+                return self.call_failure(FailureKind::Storage, &error.to_string());
             }
         };
         let mut scheduler = lock(&self.scheduler);
@@ -589,7 +607,7 @@
 
 /// Passes changes of the fleet on to the entry hosts whose sync calls are pending.
 async fn relay_changes(coordinator: Arc<Coordinator>) {
-    let (mut entries_revision, mut leader) = (0, String::new());
+    let (mut entries_revision, mut leader) = (0, NamedLeader::default());
     while let Some(watch) = coordinator.watch.get() {
         let changed = select(watch.changed().listen(), coordinator.entries_changed.listen());
         coordinator.update_relay(&mut entries_revision, &mut leader);
--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -30,7 +30,7 @@
         let leads = self.leads();
         let report = sync.entry.as_ref().and_then(|entry| self.apply_report(entry, &sync));
         self.record_leaving(&sync);
-        let leader_address = self.leader_address();
+        let leader = self.named_leader();
         self.crashes.merge(&sync.crashes);
         let until = Instant::now() + self.wait_limit(&sync, leads);
         let signal = self.entry_host_signal(sync.entry.as_ref());
@@ -38,7 +38,7 @@
             let changed = select(self.changed.listen(), self.crashes.changed().listen());
             let own = signal.listen();
             let left = until.saturating_duration_since(Instant::now());
-            let has_new_leader = self.leader_address() != leader_address;
+            let has_new_leader = !self.named_leader().is_same(&leader);
             if left.is_zero() || has_new_leader || self.has_changes(&sync, leads) {
                 break;
             }
@@ -172,6 +172,7 @@
     ) -> ControlSync {
         let leads = self.leads();
         let routes = self.routes();
+        let leader = self.named_leader();
         let control_hosts = self.relay.control_hosts();
         let is_list_known = control_hosts.hash == sync.control_hosts_hash;
         // Read before the records: a record that changes in between is then sent once more.
@@ -181,7 +182,8 @@
             routes: (routes.version > sync.routes_version).then(|| (*routes).clone()),
             control_hosts_hash: control_hosts.hash,
             control_hosts: if is_list_known { Vec::new() } else { control_hosts.hosts.clone() },
-            leader_address: self.leader_address(),
+            leader_address: leader.address,
+            leader_term: leader.term,
             crashes: self.crashes.changes_since(sync.crashes_epoch, sync.crashes_revision),
             uptime_ms: self.started.elapsed().as_millis() as u64,
             ..ControlSync::default()
--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -6,9 +6,11 @@
 use arc_swap::ArcSwapOption;
 use async_std::task;
 
+use crate::coordinator::{FailedCall, FailureReason};
 use crate::peer::{CallError, PeerCaller, TrafficClass};
+use crate::raft::LeaderBelief;
 use crate::schema::ledger::{Answer, Command, Outcome, Query};
-use crate::schema::peer::{call, reply, Call, FailureKind, Reply};
+use crate::schema::peer::{call, reply, Call, CallFailure, FailureKind, Reply};
 
 /// Timeout of one call to the leader: two round trips between regions, a commit and a busy host.
 /// After it the call is retried on another control host.
@@ -22,8 +24,8 @@
 
 /// Locates the likely leader and the control hosts.
 pub trait LeaderHint: Send + Sync {
-    /// Peer address of the likely leader, if one is known.
-    fn leader_address(&self) -> Option<String>;
+    /// The likely leader, if one is known.
+    fn leader(&self) -> Option<Arc<LeaderBelief>>;
 
     /// Peer addresses of all control hosts.
     fn control_addresses(&self) -> Vec<String>;
@@ -33,9 +35,28 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaderError {
     /// No control host accepted the call, so it had no effect and will have none.
-    NotSubmitted(String),
+    NotSubmitted(Box<FailedCall>),
     /// The call was sent, but it is unknown whether it took effect.
-    Unknown(String),
+    Unknown(Box<FailedCall>),
+}
+
+impl LeaderError {
+    /// A call that was not sent to any host.
+    pub fn not_tried(message: &str) -> Self {
+        Self::NotSubmitted(Box::new(FailedCall::not_tried(message)))
+    }
+
+    pub(super) fn unexpected_reply() -> Self {
+        let failed = FailedCall::not_tried("unexpected reply");
+        Self::Unknown(Box::new(FailedCall { reason: FailureReason::Other, ..failed }))
+    }
+
+    /// How the call failed.
+    pub fn failed_call(&self) -> &FailedCall {
+        match self {
+            Self::NotSubmitted(failed) | Self::Unknown(failed) => failed,
+        }
+    }
 }
 
 impl fmt::Display for LeaderError {
@@ -58,9 +79,8 @@
 pub struct LeaderClient {
     caller: Arc<dyn PeerCaller>,
     hint: Arc<dyn LeaderHint>,
-    /// Address of the leader that answered last, or that a replica named; may be newer than the
-    /// hint.
-    leader: ArcSwapOption<String>,
+    /// The leader that answered last, or that a replica named; may be newer than the hint.
+    leader: ArcSwapOption<LeaderBelief>,
     round_robin: AtomicUsize,
 }
 
@@ -78,7 +98,7 @@
         let call = call::Call::LedgerCommand(command);
         match self.call(call, CALL_TIMEOUT, budget).await? {
             reply::Reply::LedgerOutcome(outcome) => Ok(outcome),
-            _ => Err(LeaderError::Unknown("unexpected reply".to_owned())),
+            _ => Err(LeaderError::unexpected_reply()),
         }
     }
 
@@ -95,7 +115,7 @@
         let call = call::Call::LedgerQuery(query);
         match self.call(call, max_wait + CALL_TIMEOUT, budget).await? {
             reply::Reply::LedgerAnswer(answer) => Ok(answer),
-            _ => Err(LeaderError::Unknown("unexpected reply".to_owned())),
+            _ => Err(LeaderError::unexpected_reply()),
         }
     }
 
@@ -111,9 +131,10 @@
         budget: Duration,
     ) -> Result<reply::Reply, LeaderError> {
         let started = Instant::now();
-        let mut unknown_effect = None;
         let mut is_redirected = false;
-        let mut last = "no control host is known".to_owned();
+        let mut failed = FailedCall::not_tried("no control host is known");
+        // Reason of an attempt that may have taken effect.
+        let mut unknown_effect = None;
         loop {
             let left = budget.saturating_sub(started.elapsed());
             if left.is_zero() {
@@ -123,64 +144,103 @@
                 task::sleep(RETRY_DELAY).await;
                 continue;
             };
-            let message = Call { traceparent: String::new(), call: Some(call.clone()) };
-            let class = TrafficClass::Bulk;
-            let timeout = timeout.min(left);
-            let called = self.caller.call(&address, class, message, timeout);
-            let called = async_std::future::timeout(timeout + GIVE_UP_MARGIN, called).await;
+            let asked = Instant::now();
+            let called = self.call_host(&address, call.clone(), timeout.min(left)).await;
             let was_redirected = std::mem::take(&mut is_redirected);
-            match called.unwrap_or_else(|_| Err(CallError::Lost("no end of the call".to_owned()))) {
+            let (reason, message, is_unknown) = match called {
                 Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => {
-                    let unknown = failure.kind() == FailureKind::CommitUnknown;
-                    if unknown {
-                        unknown_effect = Some(failure.message.clone());
-                    }
-                    let leader = Some(failure.leader_address).filter(|leader| !leader.is_empty());
+                    let is_unknown = failure.kind() == FailureKind::CommitUnknown;
                     // Hosts that name each other would be followed without end, so one redirect in a row is
                     // followed.
-                    let is_new =
-                        !was_redirected && leader.as_ref().is_some_and(|leader| *leader != address);
-                    self.leader.store(leader.filter(|_| is_new).map(Arc::new));
-                    last = failure.message;
-                    if is_new && !unknown {
-                        is_redirected = true;
-                        continue;
-                    }
+                    let named = named_leader(&address, &failure);
+                    let is_new = !was_redirected
+                        && named.as_ref().is_some_and(|leader| leader.address != address);
+                    self.leader.store(named.filter(|_| is_new).map(Arc::new));
+                    is_redirected = is_new && !is_unknown;
+                    (FailureReason::from(failure.kind()), failure.message, is_unknown)
                 }
                 Ok(Reply { reply: Some(reply) }) => {
-                    self.leader.store(Some(Arc::new(address)));
+                    self.record_answer(&address);
                     return Ok(reply);
                 }
-                Ok(Reply { reply: None }) => last = "empty reply".to_owned(),
+                Ok(Reply { reply: None }) => {
+                    (FailureReason::Other, "empty reply".to_owned(), false)
+                }
                 Err(error) => {
-                    if let CallError::Lost(reason) = &error {
-                        unknown_effect = Some(format!("{address}: {reason}"));
-                    }
-                    last = error.to_string();
                     self.leader.store(None);
+                    let is_unknown = matches!(error, CallError::Lost(_));
+                    (FailureReason::from(&error), error.to_string(), is_unknown)
                 }
+            };
+            failed.record(&address, reason, &message, asked.elapsed().as_millis());
+            if is_unknown {
+                unknown_effect = Some((failed.message.clone(), reason));
+            }
+            if !is_redirected {
+                task::sleep(RETRY_DELAY).await;
             }
-            task::sleep(RETRY_DELAY).await;
         }
+        failed.leader = self.leader().map(|leader| leader.as_ref().clone());
         Err(match unknown_effect {
-            Some(reason) => LeaderError::Unknown(reason),
-            None => LeaderError::NotSubmitted(last),
+            Some((message, reason)) => {
+                LeaderError::Unknown(Box::new(FailedCall { message, reason, ..failed }))
+            }
+            None => LeaderError::NotSubmitted(Box::new(failed)),
         })
     }
 
+    /// One call to one control host.
+    async fn call_host(
+        &self,
+        address: &str,
+        call: call::Call,
+        timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        let message = Call { traceparent: String::new(), call: Some(call) };
+        let called = self.caller.call(address, TrafficClass::Bulk, message, timeout);
+        let called = async_std::future::timeout(timeout + GIVE_UP_MARGIN, called).await;
+        called.unwrap_or_else(|_| Err(CallError::Lost("no end of the call".to_owned())))
+    }
+
+    /// The leader that the next call goes to, if one is known.
+    fn leader(&self) -> Option<Arc<LeaderBelief>> {
+        self.leader.load_full().or_else(|| self.hint.leader())
+    }
+
+    /// Records that a control host served a call, and so leads or follows the leader.
+    fn record_answer(&self, address: &str) {
+        let known = self.leader().filter(|leader| leader.address == address);
+        self.leader.store(Some(Arc::new(LeaderBelief {
+            address: address.to_owned(),
+            term: known.map_or(0, |leader| leader.term),
+            source: address.to_owned(),
+            heard_at: Instant::now(),
+        })));
+    }
+
     /// Address to call next: the known leader or, without one, alternately the hinted leader and
     /// the control hosts in round-robin order.
     fn next_address(&self) -> Option<String> {
         if let Some(leader) = self.leader.load_full() {
-            return Some(leader.to_string());
+            return Some(leader.address.clone());
         }
         let attempt = self.round_robin.fetch_add(1, Ordering::Relaxed);
-        let hint = self.hint.leader_address();
+        let hint = self.hint.leader();
         if let Some(leader) = hint.filter(|_| attempt.is_multiple_of(2)) {
-            return Some(leader);
+            return Some(leader.address.clone());
         }
         let addresses = self.hint.control_addresses();
         let index = (attempt / 2).checked_rem(addresses.len())?;
         addresses.get(index).cloned()
     }
 }
+
+/// The leader that a host names in a failure.
+fn named_leader(source: &str, failure: &CallFailure) -> Option<LeaderBelief> {
+    (!failure.leader_address.is_empty()).then(|| LeaderBelief {
+        address: failure.leader_address.clone(),
+        term: failure.leader_term,
+        source: source.to_owned(),
+        heard_at: Instant::now(),
+    })
+}
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -3,11 +3,14 @@
 
 mod control_role;
 mod entry_sync;
+mod failed_call;
+mod failure_reason;
 mod fleet_relay;
 mod free_places;
 mod item_end;
 mod job_plan;
 mod leader_client;
+mod named_leader;
 mod online_load;
 mod operator;
 mod origin_records;
@@ -28,6 +31,8 @@
 
 pub use control_role::{Coordinator, CoordinatorOptions};
 pub use entry_sync::leader_wait;
+pub use failed_call::FailedCall;
+pub use failure_reason::FailureReason;
 pub use item_end::ItemEnd;
 pub use job_plan::JobPlan;
 pub use leader_client::{LeaderClient, LeaderError, LeaderHint};
--- a/src/coordinator/operator.rs
+++ b/src/coordinator/operator.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 
+use crate::coordinator::named_leader::NamedLeader;
 use crate::coordinator::{Coordinator, LeaderError};
 use crate::ledger::{check_routes, command};
 use crate::replication::ReplicatedMachine;
@@ -61,7 +62,7 @@
                     in_force = installed.version; "route table acknowledged by a quorum");
                 InstallOutcome::Acknowledged { version: installed.version }
             }
-            Ok(_) => InstallOutcome::Unknown(LeaderError::Unknown("unexpected outcome".into())),
+            Ok(_) => InstallOutcome::Unknown(LeaderError::unexpected_reply()),
             Err(error) => {
                 log::warn!(event = "routes_not_acknowledged", version = version; "{error}");
                 InstallOutcome::Unknown(error)
@@ -144,14 +145,11 @@
 }
 
 /// Builds the reply for a call that could not be served.
-pub(super) fn call_failure(
-    kind: FailureKind,
-    message: &str,
-    leader: Option<String>,
-) -> reply::Reply {
+pub(super) fn call_failure(kind: FailureKind, message: &str, leader: NamedLeader) -> reply::Reply {
     reply::Reply::Failure(crate::schema::peer::CallFailure {
         kind: kind.into(),
         message: message.to_owned(),
-        leader_address: leader.unwrap_or_default(),
+        leader_address: leader.address,
+        leader_term: leader.term,
     })
 }
--- a/src/coordinator/reads.rs
+++ b/src/coordinator/reads.rs
@@ -2,7 +2,6 @@
 
 use async_std::future::timeout;
 
-use crate::coordinator::operator::call_failure;
 use crate::coordinator::Coordinator;
 use crate::ledger::Ledger;
 use crate::raft::{Group, ReadError};
@@ -69,13 +68,9 @@
     pub(super) async fn confirm_leadership(&self, group: &Group) -> Result<u64, reply::Reply> {
         match timeout(READ_BARRIER_TIMEOUT, group.read_barrier()).await {
             Ok(Ok(point)) => Ok(point.index),
-            Ok(Err(ReadError::NotLeader { leader_address })) => {
-                Err(call_failure(FailureKind::NotLeader, "not the leader", leader_address))
-            }
-            Ok(Err(error)) => Err(call_failure(FailureKind::NoQuorum, &error.to_string(), None)),
-            Err(_) => {
-                Err(call_failure(FailureKind::NoQuorum, "no quorum confirmed the read", None))
-            }
+            Ok(Err(ReadError::NotLeader { .. })) => Err(self.not_leader_failure()),
+            Ok(Err(error)) => Err(self.call_failure(FailureKind::NoQuorum, &error.to_string())),
+            Err(_) => Err(self.call_failure(FailureKind::NoQuorum, "no quorum confirmed the read")),
         }
     }
 
@@ -96,13 +91,17 @@
 
     /// Waits until this follower has applied all that was committed when the read began.
     async fn catch_up(&self, group: &Group) -> Result<(), reply::Reply> {
-        let failure = |message: &str| call_failure(FailureKind::NoQuorum, message, None);
+        let failure = |message: &str| self.call_failure(FailureKind::NoQuorum, message);
         let call = call::Call::ReadIndex(ReadIndexCall {});
         let started = Instant::now();
         let asked =
             self.leader_client().call(call, READ_BARRIER_TIMEOUT, READ_BARRIER_TIMEOUT).await;
         let Ok(reply::Reply::ReadIndex(ReadIndex { index })) = asked else {
-            return Err(failure("no leader confirmed the read"));
+            let reason = match &asked {
+                Ok(_) => "unexpected reply".to_owned(),
+                Err(error) => error.failed_call().attempts.join("; "),
+            };
+            return Err(failure(&format!("no leader confirmed the read: {reason}")));
         };
         let left = READ_BARRIER_TIMEOUT.saturating_sub(started.elapsed());
         let applied = timeout(left, group.wait_until_applied(index)).await;
--- a/src/directory/control_host.rs
+++ b/src/directory/control_host.rs
@@ -4,6 +4,7 @@
 
 use crate::directory::entry_list::recency;
 use crate::directory::DirectorySource;
+use crate::raft::LeaderBelief;
 use crate::schema::peer::{ControlHostEntry, ControlSync, EntryHost, EntrySync};
 
 /// Time without a reply after which the entry hosts that a control host listed no longer count. Entry
@@ -16,8 +17,8 @@
 pub(super) struct ControlHost {
     pub(super) source: DirectorySource,
     pub(super) is_leader: bool,
-    /// Peer address of the leader that it names; empty if it knows none.
-    pub(super) leader_address: String,
+    /// The leader that it names, if it knows one.
+    pub(super) leader: Option<LeaderBelief>,
     /// The control hosts that it listed last.
     pub(super) listed: Vec<ControlHostEntry>,
     /// Peer addresses of those that it reaches.
@@ -72,11 +73,26 @@
         self.entries = hosts.into_iter().map(|host| (host.host_id.clone(), host)).collect();
     }
 
-    /// Applies what a reply says of the leader; true if that has changed.
-    pub(super) fn apply_leader(&mut self, reply: &mut ControlSync) -> bool {
-        let leader_address = std::mem::take(&mut reply.leader_address);
-        let changed = self.is_leader != reply.leads || self.leader_address != leader_address;
-        (self.is_leader, self.leader_address) = (reply.leads, leader_address);
+    /// Applies what a reply of the control host at `source` says of the leader; true if that has changed.
+    pub(super) fn apply_leader(
+        &mut self,
+        source: &str,
+        reply: &mut ControlSync,
+        now: Instant,
+    ) -> bool {
+        let named = std::mem::take(&mut reply.leader_address);
+        let address = if reply.leads { source.to_owned() } else { named };
+        let leader = (!address.is_empty()).then(|| LeaderBelief {
+            address,
+            term: reply.leader_term,
+            source: source.to_owned(),
+            heard_at: now,
+        });
+        let name = |leader: &Option<LeaderBelief>| {
+            leader.as_ref().map(|leader| (leader.address.clone(), leader.term))
+        };
+        let changed = self.is_leader != reply.leads || name(&self.leader) != name(&leader);
+        (self.is_leader, self.leader) = (reply.leads, leader);
         changed
     }
 
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -2,7 +2,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use async_std::task;
 use futures::future::{select, Either};
 
@@ -13,6 +13,7 @@
     Phase, PollCandidate, SyncHandler, UpstreamRecord,
 };
 use crate::peer::{PeerCaller, TrafficClass};
+use crate::raft::LeaderBelief;
 use crate::schema::peer::{
     call, reply, Call, ControlSync, EntryHost, EntrySync, Reply, UpstreamEntry,
 };
@@ -65,6 +66,8 @@
     caller: Arc<dyn PeerCaller>,
     sync_handler: Arc<dyn SyncHandler>,
     view: ArcSwap<FleetView>,
+    /// The leader, with the time of the last reply that said so.
+    leader: ArcSwapOption<LeaderBelief>,
     inner: Mutex<Inner>,
     /// Notified after each new view.
     changed: Signal,
@@ -107,6 +110,7 @@
             caller,
             sync_handler,
             view: ArcSwap::from_pointee(FleetView::default()),
+            leader: ArcSwapOption::empty(),
             inner: Mutex::default(),
             changed: Signal::default(),
             sync_requested: Signal::default(),
@@ -121,6 +125,11 @@
         self.view.load_full()
     }
 
+    /// The leader, if one is known; of the same age or newer than that of the view.
+    pub fn leader(&self) -> Option<Arc<LeaderBelief>> {
+        self.leader.load_full()
+    }
+
     /// Notified after each new view.
     pub fn changed(&self) -> &Signal {
         &self.changed
@@ -209,7 +218,11 @@
         control_host.is_leader = false;
         if control_host.failing_since.is_none() {
             control_host.failing_since = Some(Instant::now());
-            log::warn!(event = "control_host_lost", address = address; "{reason}");
+            let leader = control_host.leader.as_ref();
+            log::warn!(event = "control_host_lost", address = address,
+                leader = leader.map_or("", |leader| &leader.address),
+                leader_term = leader.map_or(0, |leader| leader.term),
+                reply_age_ms = leader.map_or(0, LeaderBelief::age_ms); "{reason}");
             self.publish(&inner, Affected { other: true, ..Affected::default() }, None);
         }
     }
@@ -233,9 +246,10 @@
         affected.entries = control_host.apply_entries(&mut reply);
         let changes = std::mem::take(&mut reply.upstreams);
         affected.upstreams = control_host.source.update(version, changes, uptime, now);
-        affected.other |= control_host.apply_leader(&mut reply);
+        affected.other |= control_host.apply_leader(address, &mut reply, now);
         affected.other |= control_host.apply_control_hosts(&mut reply);
         affected.other |= reply.routes.is_some();
+        self.leader.store(leader(&inner).cloned().map(Arc::new));
         if affected.any() {
             self.publish(&inner, affected, Some(reply));
         }
@@ -260,9 +274,13 @@
             let sources: Vec<&ControlHost> = inner.control_hosts.values().collect();
             next.entries = Arc::new(ControlHost::merge_entries(&sources, now));
         }
-        let leader_address = leader_address(inner);
+        let leader = leader(inner);
+        self.leader.store(leader.cloned().map(Arc::new));
+        let leader_address = leader.map(|leader| leader.address.clone());
         if leader_address != next.leader_address {
             log::info!(event = "leader_known", address = leader_address.as_deref().unwrap_or(""),
+                term = leader.map_or(0, |leader| leader.term),
+                source = leader.map_or("", |leader| &leader.source),
                 before = next.leader_address.as_deref().unwrap_or(""); "leader changed");
             next.leader_address = leader_address;
         }
@@ -383,8 +401,9 @@
             }
         });
         let candidates: Vec<PollCandidate<'_>> = candidates.collect();
-        let leader = leader_address(inner).or_else(|| named_leader(inner));
-        let chosen = choose_polled(&candidates, leader.as_deref(), &self.options.host_id);
+        let leader = leader(inner).or_else(|| named_leader(inner));
+        let leader = leader.map(|leader| leader.address.as_str());
+        let chosen = choose_polled(&candidates, leader, &self.options.host_id);
         chosen.into_iter().map(str::to_owned).collect()
     }
 
@@ -450,7 +469,7 @@
         let affected = Affected {
             upstreams: *before != *next.upstreams,
             entries: *next.entries != entries,
-            other: leader_address(&inner) != next.leader_address,
+            other: leader(&inner).map(|leader| &leader.address) != next.leader_address.as_ref(),
         };
         if affected.any() {
             self.publish(&inner, affected, None);
@@ -458,18 +477,18 @@
     }
 }
 
-/// Peer address of the control host that says that it leads.
-fn leader_address(inner: &Inner) -> Option<String> {
-    let leader = inner.control_hosts.iter().find(|(_, control_host)| control_host.is_leader);
-    leader.map(|(address, _)| address.clone())
+/// The control host that says that it leads.
+fn leader(inner: &Inner) -> Option<&LeaderBelief> {
+    let leader = inner.control_hosts.values().find(|control_host| control_host.is_leader);
+    leader.and_then(|control_host| control_host.leader.as_ref())
 }
 
 /// Leader that a control host names, which may not be polled yet.
-fn named_leader(inner: &Inner) -> Option<String> {
+fn named_leader(inner: &Inner) -> Option<&LeaderBelief> {
     let answering =
         inner.control_hosts.values().filter(|control_host| control_host.failing_since.is_none());
-    let mut named = answering.map(|control_host| &control_host.leader_address);
-    named.find(|address| !address.is_empty()).cloned()
+    let mut named = answering.filter_map(|control_host| control_host.leader.as_ref());
+    named.next()
 }
 
 /// Starts and ends polling tasks, and publishes changes of the view that are due to timeouts instead of
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -24,6 +24,7 @@
 use crate::ledger::command;
 use crate::links::answer_link_check;
 use crate::peer::{PeerCaller, TrafficClass};
+use crate::raft::LeaderBelief;
 use crate::relay::RelayServer;
 use crate::schema::ledger::{
     answer, command::Command as Kind, outcome, query, Answer, CancelJob, Outcome, Query,
@@ -177,8 +178,8 @@
 }
 
 impl LeaderHint for WatchHint {
-    fn leader_address(&self) -> Option<String> {
-        self.watch.view().leader_address.clone()
+    fn leader(&self) -> Option<Arc<LeaderBelief>> {
+        self.watch.leader()
     }
 
     fn control_addresses(&self) -> Vec<String> {
@@ -252,10 +253,11 @@
             linked,
             crashes,
             origins,
-            counters,
+            counters.clone(),
         );
         let routes = ArcSwap::from_pointee(RouteIndex::default());
-        let job_reader = JobReader::open(caller.clone(), leader.clone(), watch.clone());
+        let job_reader =
+            JobReader::open(caller.clone(), leader.clone(), watch.clone(), counters.clone());
         let gateway = Arc::new(Self {
             settings,
             routes,
@@ -366,7 +368,7 @@
     fn check_time(&self, budget: Duration) -> Result<(), LeaderError> {
         match self.sync_state.stop.leaves_time_until(Instant::now() + budget) {
             true => Ok(()),
-            false => Err(LeaderError::NotSubmitted("this host is about to stop".to_owned())),
+            false => Err(LeaderError::not_tried("this host is about to stop")),
         }
     }
 
--- a/src/gateway/job_reader.rs
+++ b/src/gateway/job_reader.rs
@@ -7,7 +7,8 @@
 use crate::directory::FleetWatch;
 use crate::peer::{PeerCaller, TrafficClass};
 use crate::schema::ledger::{query, Answer, Query};
-use crate::schema::peer::{call, reply, Call, Reply};
+use crate::schema::peer::{call, reply, Call, CallFailure, Reply};
+use crate::telemetry::Counters;
 
 /// Time for a replica to answer, in addition to its wait for a result. What is left of the budget then
 /// suffices for the leader.
@@ -21,6 +22,7 @@
     caller: Arc<dyn PeerCaller>,
     leader: Arc<LeaderClient>,
     watch: Arc<FleetWatch>,
+    counters: Counters,
     /// The replica that failed last, and until when it is passed over.
     avoided: ArcSwapOption<(String, Instant)>,
 }
@@ -31,8 +33,9 @@
         caller: Arc<dyn PeerCaller>,
         leader: Arc<LeaderClient>,
         watch: Arc<FleetWatch>,
+        counters: Counters,
     ) -> Self {
-        Self { caller, leader, watch, avoided: ArcSwapOption::empty() }
+        Self { caller, leader, watch, counters, avoided: ArcSwapOption::empty() }
     }
 
     /// Runs a linearizable read of a job; the replica may wait up to `max_wait` before it answers.
@@ -44,6 +47,19 @@
         query: Query,
         max_wait: Duration,
         budget: Duration,
+    ) -> Result<Answer, LeaderError> {
+        let answered = self.read(query, max_wait, budget).await;
+        if let Err(error) = &answered {
+            self.counters.count(error.failed_call().reason.read_counter());
+        }
+        answered
+    }
+
+    async fn read(
+        &self,
+        query: Query,
+        max_wait: Duration,
+        budget: Duration,
     ) -> Result<Answer, LeaderError> {
         let started = Instant::now();
         let Some(address) = self.near_replica() else {
@@ -53,13 +69,17 @@
             Call { traceparent: String::new(), call: Some(call::Call::LedgerQuery(query.clone())) };
         let timeout = (max_wait + REPLICA_TIMEOUT).min(budget);
         let answer = self.caller.call(&address, TrafficClass::Bulk, message, timeout).await;
-        let reason = match answer {
+        let failure = match answer {
             Ok(Reply { reply: Some(reply::Reply::LedgerAnswer(answer)) }) => return Ok(answer),
-            Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => failure.message,
-            Ok(_) => "unexpected reply".to_owned(),
-            Err(error) => error.to_string(),
+            Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => failure,
+            Ok(_) => {
+                CallFailure { message: "unexpected reply".to_owned(), ..CallFailure::default() }
+            }
+            Err(error) => CallFailure { message: error.to_string(), ..CallFailure::default() },
         };
-        log::warn!(event = "replica_avoided", address = address.as_str(); "{reason}");
+        log::warn!(event = "replica_avoided", address = address.as_str(),
+            leader = failure.leader_address.as_str(), leader_term = failure.leader_term,
+            time_ms = started.elapsed().as_millis() as u64; "{}", failure.message);
         self.avoided.store(Some(Arc::new((address, Instant::now() + AVOID_TIME))));
         let left = budget.saturating_sub(started.elapsed());
         self.leader.query(without_wait(query), Duration::ZERO, left).await
--- a/src/host/handler.rs
+++ b/src/host/handler.rs
@@ -89,5 +89,6 @@
         kind: FailureKind::Unsupported.into(),
         message: "this host does not answer such calls".to_owned(),
         leader_address: String::new(),
+        leader_term: 0,
     })
 }
--- a/tests/batch_worker.rs
+++ b/tests/batch_worker.rs
@@ -18,6 +18,7 @@
 };
 use damaskhoist::http::Headers;
 use damaskhoist::peer::{CallError, PeerCaller, TrafficClass};
+use damaskhoist::raft::LeaderBelief;
 use damaskhoist::schema::ledger::{command, FinishItems, NewItem, Outcome};
 use damaskhoist::schema::peer::frame::Body;
 use damaskhoist::schema::peer::{
@@ -153,8 +154,9 @@
 struct FixedLeaderHint;
 
 impl LeaderHint for FixedLeaderHint {
-    fn leader_address(&self) -> Option<String> {
-        Some("leader".to_owned())
+    fn leader(&self) -> Option<Arc<LeaderBelief>> {
+        let (address, source) = ("leader".to_owned(), "leader".to_owned());
+        Some(Arc::new(LeaderBelief { address, term: 0, source, heard_at: Instant::now() }))
     }
 
     fn control_addresses(&self) -> Vec<String> {
--- a/tests/leader_calls.rs
+++ b/tests/leader_calls.rs
@@ -9,6 +9,7 @@
 use async_trait::async_trait;
 use damaskhoist::coordinator::{LeaderClient, LeaderError, LeaderHint};
 use damaskhoist::peer::{CallError, PeerCaller, TrafficClass};
+use damaskhoist::raft::LeaderBelief;
 use damaskhoist::schema::ledger::Outcome;
 use damaskhoist::schema::peer::frame::Body;
 use damaskhoist::schema::peer::{call, reply, Call, CallFailure, FailureKind, Reply, ReturnItem};
@@ -46,6 +47,7 @@
                 kind: FailureKind::NotLeader.into(),
                 message: "not the leader".into(),
                 leader_address: leader.into(),
+                leader_term: 0,
             }),
         };
         Ok(Reply { reply: Some(reply) })
@@ -55,11 +57,13 @@
 }
 
 /// Knows all control hosts and takes the first one for the leader.
-struct FirstHint(Vec<String>);
+struct FirstHint(Vec<String>, Instant);
 
 impl LeaderHint for FirstHint {
-    fn leader_address(&self) -> Option<String> {
-        self.0.first().cloned()
+    fn leader(&self) -> Option<Arc<LeaderBelief>> {
+        let address = self.0.first()?.clone();
+        let (source, heard_at) = (address.clone(), self.1);
+        Some(Arc::new(LeaderBelief { address, term: 0, source, heard_at }))
     }
 
     fn control_addresses(&self) -> Vec<String> {
@@ -72,7 +76,7 @@
     let scripted =
         ScriptedHosts { hosts: hosts.iter().copied().collect(), calls: Mutex::default() };
     let scripted = Arc::new(scripted);
-    (LeaderClient::open(scripted.clone(), Arc::new(FirstHint(addresses))), scripted)
+    (LeaderClient::open(scripted.clone(), Arc::new(FirstHint(addresses, Instant::now()))), scripted)
 }
 
 fn any_call() -> call::Call {
