--- a/tests/leader_calls.rs
+++ b/tests/leader_calls.rs
@@ -1,26 +1,35 @@
 //! Guards against calls to the leader that outlast their budget, load the control hosts without pause, or
-//! never reach the leader because other hosts name each other.
+//! never reach the leader because other hosts name each other or a leader of an older term.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
+use async_std::task;
 use async_trait::async_trait;
+use damaskhoist::control::RemoteState;
 use damaskhoist::coordinator::{LeaderClient, LeaderError, LeaderHint};
+use damaskhoist::directory::{FleetWatch, FleetWatchOptions, LeavingTable, SyncHandler};
 use damaskhoist::peer::{CallError, PeerCaller, TrafficClass};
 use damaskhoist::raft::LeaderBelief;
 use damaskhoist::schema::ledger::Outcome;
 use damaskhoist::schema::peer::frame::Body;
-use damaskhoist::schema::peer::{call, reply, Call, CallFailure, FailureKind, Reply, ReturnItem};
+use damaskhoist::schema::peer::{
+    call, reply, Call, CallFailure, ControlSync, EntrySync, FailureKind, Reply, ReturnItem,
+};
+use damaskhoist::schema::state::Command;
+use damaskhoist::state::StateClient;
 
 /// What a scripted control host does with a call.
 #[derive(Clone, Copy)]
 enum Answering {
-    /// Says that it does not lead and names another host.
-    Names(&'static str),
-    /// Leads.
-    Leads,
+    /// Says that it does not lead and names another host as the leader of a term.
+    Names(&'static str, u64),
+    /// Leads in this term.
+    Leads(u64),
+    /// Leads in this term, but can't be connected to at the calls between these numbers.
+    LeadsWithGap(u64, usize, usize),
     /// Never answers, and the call does not end at its time limit either.
     Silent,
 }
@@ -36,19 +45,28 @@
         &self,
         address: &str,
         _class: TrafficClass,
-        _call: Call,
+        call: Call,
         _timeout: Duration,
     ) -> Result<Reply, CallError> {
-        self.calls.lock().unwrap().push(address.to_owned());
-        let reply = match self.hosts[address] {
-            Answering::Silent => futures::future::pending().await,
-            Answering::Leads => reply::Reply::LedgerOutcome(Outcome::default()),
-            Answering::Names(leader) => reply::Reply::Failure(CallFailure {
+        let number = self.record(address);
+        let answering = self.hosts[address];
+        let reply = match (answering, call.call) {
+            (Answering::Silent, _) => futures::future::pending().await,
+            (Answering::LeadsWithGap(_, from, to), _) if (from..to).contains(&number) => {
+                return Err(CallError::NotSent("no connection".into()));
+            }
+            (answering, Some(call::Call::EntrySync(_))) => {
+                task::sleep(Duration::from_millis(10)).await;
+                sync_reply(answering)
+            }
+            (Answering::Names(leader, term), _) => reply::Reply::Failure(CallFailure {
                 kind: FailureKind::NotLeader.into(),
                 message: "not the leader".into(),
                 leader_address: leader.into(),
-                leader_term: 0,
+                leader_term: term,
             }),
+            (_, Some(call::Call::Command(_))) => reply::Reply::Outcome(Default::default()),
+            _ => reply::Reply::LedgerOutcome(Outcome::default()),
         };
         Ok(Reply { reply: Some(reply) })
     }
@@ -56,14 +74,41 @@
     fn send(&self, _address: &str, _class: TrafficClass, _body: Body) {}
 }
 
+impl ScriptedHosts {
+    /// Records a call; returns its number among those to the same host.
+    fn record(&self, address: &str) -> usize {
+        let mut calls = self.calls.lock().unwrap();
+        calls.push(address.to_owned());
+        calls.iter().filter(|called| *called == address).count() - 1
+    }
+
+    fn calls_to(&self, address: &str) -> usize {
+        self.calls.lock().unwrap().iter().filter(|called| *called == address).count()
+    }
+}
+
+fn sync_reply(answering: Answering) -> reply::Reply {
+    let mut sync = ControlSync { directory_epoch: 1, ..ControlSync::default() };
+    match answering {
+        Answering::Names(leader, term) => {
+            (sync.leader_address, sync.leader_term) = (leader.into(), term);
+        }
+        Answering::Leads(term) | Answering::LeadsWithGap(term, ..) => {
+            (sync.leads, sync.leader_term) = (true, term);
+        }
+        Answering::Silent => {}
+    }
+    reply::Reply::ControlSync(sync)
+}
+
 /// Knows all control hosts and takes the first one for the leader.
-struct FirstHint(Vec<String>, Instant);
+struct FirstHint(Vec<String>, Instant, u64);
 
 impl LeaderHint for FirstHint {
     fn leader(&self) -> Option<Arc<LeaderBelief>> {
         let address = self.0.first()?.clone();
-        let (source, heard_at) = (address.clone(), self.1);
-        Some(Arc::new(LeaderBelief { address, term: 0, source, heard_at }))
+        let (term, source, heard_at) = (self.2, address.clone(), self.1);
+        Some(Arc::new(LeaderBelief { address, term, source, heard_at }))
     }
 
     fn control_addresses(&self) -> Vec<String> {
@@ -71,12 +116,24 @@
     }
 }
 
+fn script(hosts: &[(&'static str, Answering)]) -> Arc<ScriptedHosts> {
+    Arc::new(ScriptedHosts { hosts: hosts.iter().copied().collect(), calls: Mutex::default() })
+}
+
+/// A client whose hint names the first host as the leader of this term.
+fn open_in_term(
+    hosts: &[(&'static str, Answering)],
+    term: u64,
+) -> (LeaderClient, Arc<ScriptedHosts>) {
+    let known = hosts.iter().map(|(address, _)| (*address).to_owned());
+    let addresses = known.filter(|address| address != "old").collect();
+    let scripted = script(hosts);
+    let hint = Arc::new(FirstHint(addresses, Instant::now(), term));
+    (LeaderClient::open(scripted.clone(), hint), scripted)
+}
+
 fn open(hosts: &[(&'static str, Answering)]) -> (LeaderClient, Arc<ScriptedHosts>) {
-    let addresses = hosts.iter().map(|(address, _)| (*address).to_owned()).collect();
-    let scripted =
-        ScriptedHosts { hosts: hosts.iter().copied().collect(), calls: Mutex::default() };
-    let scripted = Arc::new(scripted);
-    (LeaderClient::open(scripted.clone(), Arc::new(FirstHint(addresses, Instant::now()))), scripted)
+    open_in_term(hosts, 0)
 }
 
 fn any_call() -> call::Call {
@@ -87,7 +144,7 @@
 /// processor for its budget and called each of them tens of thousands of times.
 #[async_std::test]
 async fn hosts_that_name_each_other_are_asked_with_pauses() {
-    let hosts = [("a", Answering::Names("b")), ("b", Answering::Names("a"))];
+    let hosts = [("a", Answering::Names("b", 0)), ("b", Answering::Names("a", 0))];
     let (client, scripted) = open(&hosts);
     let budget = Duration::from_millis(500);
     let started = Instant::now();
@@ -102,8 +159,11 @@
 /// Guards against a call that asks only two hosts that name each other, while a third one leads.
 #[async_std::test]
 async fn the_leader_is_found_beside_hosts_that_name_each_other() {
-    let hosts =
-        [("a", Answering::Names("b")), ("b", Answering::Names("a")), ("c", Answering::Leads)];
+    let hosts = [
+        ("a", Answering::Names("b", 0)),
+        ("b", Answering::Names("a", 0)),
+        ("c", Answering::Leads(0)),
+    ];
     let (client, _scripted) = open(&hosts);
     let budget = Duration::from_millis(2_000);
     let ended = client.call(any_call(), budget, budget).await;
@@ -120,3 +180,82 @@
     let ended = ended.expect("the call ends within its budget and a margin");
     assert!(matches!(ended, Err(LeaderError::Unknown(_))), "{ended:?}");
 }
+
+/// Guards against a call that a replica which still believes in the leader of an older term sends to a host that does
+/// not answer.
+#[async_std::test]
+async fn a_leader_of_an_older_term_is_not_asked() {
+    let hosts = [
+        ("b", Answering::LeadsWithGap(6, 0, 3)),
+        ("a", Answering::Names("old", 5)),
+        ("old", Answering::Silent),
+    ];
+    let (client, scripted) = open_in_term(&hosts, 6);
+    let budget = Duration::from_millis(700);
+    let ended = client.call(any_call(), budget, budget).await;
+    assert!(ended.is_ok(), "{ended:?}");
+    assert_eq!(scripted.calls_to("old"), 0);
+}
+
+/// Guards against a budget that is used up by calls to one silent host, because its followers still name it.
+#[async_std::test]
+async fn a_silent_leader_that_others_name_does_not_use_up_the_budget() {
+    let hosts =
+        [("a", Answering::Silent), ("b", Answering::Names("a", 5)), ("c", Answering::Leads(6))];
+    let (client, scripted) = open_in_term(&hosts, 5);
+    let (timeout, budget) = (Duration::from_millis(600), Duration::from_millis(1_500));
+    let ended = client.call(any_call(), timeout, budget).await;
+    assert!(ended.is_ok(), "{ended:?}");
+    assert_eq!(scripted.calls_to("a"), 1);
+}
+
+/// Guards against the same in the client of the daemon's state.
+#[async_std::test]
+async fn the_client_of_the_state_does_not_ask_a_leader_of_an_older_term() {
+    let hosts = [
+        ("a", Answering::Names("b", 6)),
+        ("b", Answering::LeadsWithGap(6, 1, 2)),
+        ("c", Answering::Names("old", 5)),
+        ("old", Answering::Silent),
+    ];
+    let scripted = script(&hosts);
+    let addresses = ["a", "c", "b"].map(str::to_owned);
+    let state = RemoteState::open(scripted.clone(), &addresses, "entry-1");
+    for _ in 0..2 {
+        let command = Command { command_id: "1".into(), ..Command::default() };
+        let ended = timeout(Duration::from_secs(2), state.submit(command)).await;
+        assert!(matches!(ended, Ok(Ok(_))), "{ended:?}");
+    }
+    assert_eq!(scripted.calls_to("old"), 0);
+}
+
+/// Guards against calls that go to a control host which was paused, lost its leadership, and still says that it leads.
+#[async_std::test]
+async fn a_woken_control_host_of_an_older_term_is_not_the_leader() {
+    let scripted = script(&[("a", Answering::Leads(5)), ("b", Answering::Leads(6))]);
+    let options = FleetWatchOptions {
+        host_id: "entry-1".to_owned(),
+        zone: "santander".to_owned(),
+        zone_regions: [("santander".to_owned(), "cantabria".to_owned())].into(),
+        seed_addresses: vec!["a".to_owned(), "b".to_owned()],
+        own_address: "c".to_owned(),
+        directory_timeout: Duration::from_secs(60),
+        polls_all: false,
+        leaving: Arc::<LeavingTable>::default(),
+    };
+    let watch = FleetWatch::spawn(options, scripted.clone(), Arc::new(NoSync));
+    let started = Instant::now();
+    while scripted.calls_to("a") < 5 || scripted.calls_to("b") < 5 {
+        assert!(started.elapsed() < Duration::from_secs(10), "the control hosts are not polled");
+        task::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(watch.view().leader_address.as_deref(), Some("b"));
+}
+
+struct NoSync;
+
+impl SyncHandler for NoSync {
+    fn fill_request(&self, _to_address: &str, _sync: &mut EntrySync) {}
+
+    fn handle_reply(&self, _from_address: &str, _reply: &ControlSync) {}
+}
