--- a/tests/silent_upstreams.rs
+++ b/tests/silent_upstreams.rs
@@ -200,7 +200,7 @@
             prompt: Prompt::default(),
             arrived: Instant::now(),
         };
-        let outcome = forwarder.forward(Some(&route), 1, &request, &mut Caller).await.unwrap();
+        let outcome = forwarder.forward(&route, 1, &request, &mut Caller).await.unwrap();
         (outcome == ForwardOutcome::Answered).then(|| request.arrived.elapsed())
     };
     let times: Vec<Duration> =
