Let a candidate wait for the writes of votes

Callers saw: for as long as syncs took 100 ms or more, no control host confirmed a read or accepted a command, although all of them answered calls.

Cause: a candidate campaigned again after a third to two thirds of the election timeout, counted from the start of its campaign. A vote takes two writes, that of the candidate and that of the voter; a new term began before they ended and voided them. A new term and the vote in it were also written apart, which took two syncs.

No replica campaigns while its term or vote is being written, and a candidate then waits for twice as long as its own write took. Term and vote share a write. On fast disks the times stay as they were.

--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -55,6 +55,7 @@
 mod replica_set;
 mod snapshot_file;
 mod snapshot_meta;
+mod stall_clock;
 mod standing;
 mod state_machine;
 mod storage_opener;
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -4,6 +4,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::raft::leader::Leader;
+use crate::raft::stall_clock::StallClock;
 use crate::raft::{
     Action, Body, Entry, HardState, Log, Message, NodeConfig, ReplicaSet, SnapshotMeta, Standing,
 };
@@ -19,6 +20,8 @@
     pub(super) hard_state: HardState,
     /// Term and vote that are durable on the disk.
     pub(super) durable_hard_state: HardState,
+    /// Age of a write of term and vote.
+    pub(super) vote_clock: StallClock,
     /// Last index that is synced to the disk.
     pub(super) durable_index: u64,
     pub(super) commit_index: u64,
@@ -97,6 +100,7 @@
             log,
             hard_state,
             durable_hard_state: hard_state,
+            vote_clock: StallClock::default(),
             standing,
             membership_pending: false,
             role: Role::Follower,
@@ -138,11 +142,21 @@
         }
         if matches!(self.role, Role::Leader(_)) {
             self.tick_leader(now_ms);
-            return;
-        }
-        if now_ms >= self.election_due_ms && self.may_campaign() {
+        } else if now_ms >= self.election_due_ms && self.may_campaign() {
             self.start_pre_vote(now_ms);
         }
+        self.observe_progress(now_ms);
+    }
+
+    /// Updates the ages of waiting work.
+    fn observe_progress(&mut self, now_ms: u64) {
+        let is_vote_waiting = !self.is_vote_durable();
+        self.vote_clock.observe(now_ms, self.durable_hard_state.term, is_vote_waiting);
+    }
+
+    /// True if the current term and vote are on the disk.
+    pub(super) fn is_vote_durable(&self) -> bool {
+        self.durable_hard_state == self.hard_state
     }
 
     /// Handles a message from another replica.
@@ -150,6 +164,11 @@
         if self.fault || message.to != self.config.id || message.from == self.config.id {
             return;
         }
+        self.step_unchecked(now_ms, message);
+        self.observe_progress(now_ms);
+    }
+
+    fn step_unchecked(&mut self, now_ms: u64, message: Message) {
         let Message { from, term, body, .. } = message;
         match body {
             Body::VoteRequest { pre_vote, last_index, last_term, transfer } => {
@@ -214,12 +233,21 @@
         if let Some(durable) = hard_state {
             self.durable_hard_state = durable;
         }
-        if self.durable_hard_state == self.hard_state {
+        if self.is_vote_durable() {
+            if hard_state.is_some() {
+                self.vote_persisted(now_ms);
+            }
             let held = std::mem::take(&mut self.held);
             self.actions.extend(held.into_iter().map(Action::Send));
             self.count_own_vote(now_ms);
         }
-        let Some((index, term)) = last else { return };
+        if let Some((index, term)) = last {
+            self.entries_persisted(now_ms, index, term);
+        }
+        self.observe_progress(now_ms);
+    }
+
+    fn entries_persisted(&mut self, now_ms: u64, index: u64, term: u64) {
         if self.log.term(index) != Some(term) || index <= self.durable_index {
             return;
         }
@@ -304,13 +332,6 @@
         self.election_due_ms = now_ms + timeout_ms + self.random.random_range(0..timeout_ms / 2);
     }
 
-    /// Restarts the election timer for a running election: a third to two thirds of the election
-    /// timeout, so that two rounds with lost messages still end within 2 s.
-    pub(super) fn retry_election(&mut self, now_ms: u64) {
-        let third_ms = self.config.election_timeout_ms / 3;
-        self.election_due_ms = now_ms + third_ms + self.random.random_range(0..third_ms);
-    }
-
     /// Becomes a follower in `term`.
     pub(super) fn become_follower(&mut self, now_ms: u64, term: u64, leader_id: Option<u64>) {
         let was_leader = self.is_leader();
@@ -330,13 +351,22 @@
     /// Requests a write of new entries, and of term and vote if they changed.
     pub(super) fn persist(&mut self, entries: Vec<Entry>) {
         let hard_state = Some(self.hard_state).filter(|state| *state != self.durable_hard_state);
+        if let Some(Action::Persist { hard_state: queued, entries: queued_entries }) =
+            self.actions.last_mut()
+        {
+            // A new term and the vote in it need one sync, not two.
+            if queued_entries.is_empty() {
+                (*queued, *queued_entries) = (hard_state, entries);
+                return;
+            }
+        }
         self.actions.push(Action::Persist { hard_state, entries });
     }
 
     /// Sends a message once the current term and vote are durable.
     pub(super) fn send(&mut self, to: u64, body: Body) {
         let message = Message { from: self.config.id, to, term: self.hard_state.term, body };
-        if self.durable_hard_state == self.hard_state {
+        if self.is_vote_durable() {
             self.actions.push(Action::Send(message));
         } else {
             self.held.push(message);
--- a/src/raft/node_election.rs
+++ b/src/raft/node_election.rs
@@ -1,20 +1,29 @@
 use std::collections::BTreeSet;
 
+use rand::Rng;
+
 use crate::raft::node::Role;
 use crate::raft::{Body, HardState, Message, RaftNode, Standing};
 
 use super::Action;
 
+/// Longest write of a vote that candidates allow for, in election timeouts. A disk that hung for long
+/// would otherwise delay later elections.
+const MAX_VOTE_WRITE_TIMEOUTS: u64 = 2;
+
 /// Elections and votes.
 impl RaftNode {
     /// True for a voter that has every entry it ever acknowledged.
     ///
     /// A voter that is being removed may still campaign until the change is committed: its log may
     /// be the only one with the change, and then no other replica can be elected.
+    ///
+    /// No replica campaigns while a term or vote is being written: a new term would void that vote,
+    /// also one for itself.
     pub(super) fn may_campaign(&self) -> bool {
         let (newest, committed) = (self.replicas(), self.log.replicas_at(self.commit_index));
         let is_voter = newest.is_voter(self.config.id) || committed.is_voter(self.config.id);
-        self.standing == Standing::Member && is_voter
+        self.standing == Standing::Member && is_voter && self.is_vote_durable()
     }
 
     /// True if there was contact to a leader within the last election timeout; votes are not
@@ -27,6 +36,31 @@
         now_ms < contact_ms + self.config.election_timeout_ms
     }
 
+    /// Restarts the election timer for a running election: a third to two thirds of the election
+    /// timeout, so that two rounds with lost messages still end within 2 s.
+    pub(super) fn retry_election(&mut self, now_ms: u64) {
+        let third_ms = self.config.election_timeout_ms / 3;
+        self.election_due_ms = now_ms + third_ms + self.random.random_range(0..third_ms);
+    }
+
+    /// Extends the election timer once the current term and vote are durable, since the messages
+    /// that depend on them are sent only now.
+    pub(super) fn vote_persisted(&mut self, now_ms: u64) {
+        let timeout_ms = self.config.election_timeout_ms;
+        let write_ms = self.vote_clock.age_ms(now_ms).min(MAX_VOTE_WRITE_TIMEOUTS * timeout_ms);
+        match self.role {
+            Role::Candidate(_) => {
+                // The disk of a voter may be as slow, and end an earlier write before it writes the
+                // vote. Candidates that started together wait for different times.
+                let writes_ms = 2 * write_ms + self.random.random_range(0..=write_ms);
+                let trips_ms = timeout_ms / 12;
+                self.election_due_ms = self.election_due_ms.max(now_ms + writes_ms + trips_ms);
+            }
+            Role::Follower if self.hard_state.vote.is_some() => self.reset_election(now_ms),
+            Role::Follower | Role::PreCandidate(_) | Role::Leader(_) => {}
+        }
+    }
+
     /// Starts a pre-vote: asks the other voters whether they would grant a vote, without starting a
     /// new term.
     pub(super) fn start_pre_vote(&mut self, now_ms: u64) {
