Hand leadership over when the leader stands still

Callers saw: commands without an outcome, items that nothing worked on and reads that ended without an answer, while the control hosts answered calls.

Cause: a leader gave up only without a quorum of heartbeats. While its disk hung it had two writes in flight and proposed nothing more; while the capture of its state hung it applied nothing. Its heartbeats kept the followers from an election.

A leader that has neither written nor applied for two election timeouts what a quorum of the others has transfers leadership, or steps down if the transfer fails. Commands that were queued are refused as not proposed, the others end as unknown unless they are applied. The time counts from the commit by the others, so a group whose disks are all slow keeps its leader, and a leader without a quorum of others that can go on stays. A replica that stands still reports itself as not settled, grants no pre-vote and does not campaign until its disk answers.

--- a/src/raft/driver.rs
+++ b/src/raft/driver.rs
@@ -361,6 +361,11 @@
                     self.pending_replies.confirm_read(id, index, confirmed_ms);
                 }
                 Action::SteppedDown => self.pending_replies.fail_all(),
+                Action::LeadershipGivenUp { term, stall, age_ms, to } => {
+                    log::warn!(event = "leadership_given_up", group = self.options.group,
+                        replica = self.options.replica_id, term, reason:? = stall, age_ms,
+                        to = to.unwrap_or(0); "this replica stands still and the others can go on");
+                }
                 Action::Fetch { to, first_index } => {
                     let limit_bytes = self.options.node_config().append_bytes;
                     let job = StorageJob::Fetch { to, first_index, limit_bytes };
@@ -429,7 +434,7 @@
             self.applied_index = index;
             self.pending_replies.answer(index, term, outcome);
         }
-        self.node.trim_log_cache(self.applied_index);
+        self.node.record_applied(self.applied_index);
         self.pending_replies.answer_reads(self.applied_index, self.now_ms());
     }
 }
--- a/src/raft/leader.rs
+++ b/src/raft/leader.rs
@@ -27,6 +27,8 @@
     pub heartbeat_due_ms: u64,
     /// Leadership transfer in progress. No commands are accepted meanwhile.
     pub transfer: Option<Transfer>,
+    /// A handover was started because this replica stands still.
+    pub handover_tried: bool,
     /// `TimeoutNow` was sent in this term, so the lease is no longer valid.
     pub lease_ended: bool,
 }
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -6,7 +6,8 @@
 use crate::raft::leader::Leader;
 use crate::raft::stall_clock::StallClock;
 use crate::raft::{
-    Action, Body, Entry, HardState, Log, Message, NodeConfig, ReplicaSet, SnapshotMeta, Standing,
+    Action, Body, Entry, HardState, Log, Message, NodeConfig, ReplicaSet, SnapshotMeta, Stall,
+    Standing,
 };
 
 /// Raft protocol state of one replica. Its methods take events and the current time and queue
@@ -22,6 +23,16 @@
     pub(super) durable_hard_state: HardState,
     /// Age of a write of term and vote.
     pub(super) vote_clock: StallClock,
+    /// Age of entries that are not durable here.
+    pub(super) write_clock: StallClock,
+    /// Age of committed entries that are not durable here.
+    pub(super) lag_clock: StallClock,
+    /// Age of committed entries that are not applied.
+    pub(super) apply_clock: StallClock,
+    /// What stands still at present.
+    pub(super) stall: Option<Stall>,
+    /// Last index that the driver has applied.
+    pub(super) applied_index: u64,
     /// Last index that is synced to the disk.
     pub(super) durable_index: u64,
     pub(super) commit_index: u64,
@@ -101,6 +112,11 @@
             hard_state,
             durable_hard_state: hard_state,
             vote_clock: StallClock::default(),
+            write_clock: StallClock::default(),
+            lag_clock: StallClock::default(),
+            apply_clock: StallClock::default(),
+            stall: None,
+            applied_index: snapshot.last_index,
             standing,
             membership_pending: false,
             role: Role::Follower,
@@ -140,6 +156,7 @@
         if self.fault {
             return;
         }
+        self.observe_progress(now_ms);
         if matches!(self.role, Role::Leader(_)) {
             self.tick_leader(now_ms);
         } else if now_ms >= self.election_due_ms && self.may_campaign() {
@@ -148,12 +165,6 @@
         self.observe_progress(now_ms);
     }
 
-    /// Updates the ages of waiting work.
-    fn observe_progress(&mut self, now_ms: u64) {
-        let is_vote_waiting = !self.is_vote_durable();
-        self.vote_clock.observe(now_ms, self.durable_hard_state.term, is_vote_waiting);
-    }
-
     /// True if the current term and vote are on the disk.
     pub(super) fn is_vote_durable(&self) -> bool {
         self.durable_hard_state == self.hard_state
@@ -164,6 +175,7 @@
         if self.fault || message.to != self.config.id || message.from == self.config.id {
             return;
         }
+        self.observe_progress(now_ms);
         self.step_unchecked(now_ms, message);
         self.observe_progress(now_ms);
     }
@@ -316,8 +328,10 @@
         self.snapshot = meta;
     }
 
-    /// Drops applied entries from memory while the cache exceeds its size limit.
-    pub fn trim_log_cache(&mut self, applied_index: u64) {
+    /// Records the last applied entry, and drops applied entries from memory while the cache exceeds
+    /// its size limit.
+    pub fn record_applied(&mut self, applied_index: u64) {
+        self.applied_index = applied_index;
         self.log.trim_cache(applied_index.min(self.durable_index), self.config.cache_bytes);
     }
 
@@ -376,7 +390,7 @@
     /// Replies to an append request. `index` is the last index that is durable if `accepted`, else
     /// the highest index at which the logs may match.
     pub(super) fn reply_append(&mut self, to: u64, accepted: bool, index: u64, round: u64) {
-        let settled = self.standing == Standing::Member;
+        let settled = self.standing == Standing::Member && self.stall.is_none();
         self.send(to, Body::AppendReply { accepted, index, round, settled });
     }
 }
--- a/src/raft/node_election.rs
+++ b/src/raft/node_election.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use crate::raft::node::Role;
-use crate::raft::{Body, HardState, Message, RaftNode, Standing};
+use crate::raft::{Body, HardState, Message, RaftNode, Stall, Standing};
 
 use super::Action;
 
@@ -19,11 +19,14 @@
     /// be the only one with the change, and then no other replica can be elected.
     ///
     /// No replica campaigns while a term or vote is being written: a new term would void that vote,
-    /// also one for itself.
+    /// also one for itself. Nor does one that stands still: it could not lead.
     pub(super) fn may_campaign(&self) -> bool {
         let (newest, committed) = (self.replicas(), self.log.replicas_at(self.commit_index));
         let is_voter = newest.is_voter(self.config.id) || committed.is_voter(self.config.id);
-        self.standing == Standing::Member && is_voter && self.is_vote_durable()
+        self.standing == Standing::Member
+            && is_voter
+            && self.is_vote_durable()
+            && self.stall.is_none()
     }
 
     /// True if there was contact to a leader within the last election timeout; votes are not
@@ -109,6 +112,8 @@
     ) {
         let may_vote = self.standing == Standing::Member;
         if pre_vote {
+            // The vote itself would not be sent while writes stand still.
+            let may_vote = may_vote && self.stall != Some(Stall::Write);
             let granted = may_vote && log_is_up_to_date && term > self.hard_state.term;
             let term = if granted { term } else { self.hard_state.term };
             let body = Body::VoteReply { pre_vote, granted };
--- a/src/raft/node_leader.rs
+++ b/src/raft/node_leader.rs
@@ -153,6 +153,7 @@
             leader.transfer = None;
         }
         let heartbeat_is_due = now_ms >= leader.heartbeat_due_ms;
+        self.yield_if_stalled(now_ms);
         self.tick_snapshots(now_ms);
         if heartbeat_is_due {
             self.broadcast(now_ms);
--- a/src/raft/progress.rs
+++ b/src/raft/progress.rs
@@ -18,7 +18,8 @@
     pub acked_round: u64,
     /// Time of the last reply; at first, when the leader started to track the follower.
     pub last_reply_ms: u64,
-    /// The follower's standing is `Member`, so it may be promoted or become the leader.
+    /// The follower's standing is `Member` and it does not stand still, so it may be promoted or
+    /// become the leader.
     pub settled: bool,
 }
 
--- a/tests/raft_scenarios.rs
+++ b/tests/raft_scenarios.rs
@@ -159,6 +159,56 @@
     assert!(too_late.is_empty(), "sync, seed and time without a leader in ms: {too_late:?}");
 }
 
+// Guards against leadership that moves to and fro between replicas whose disks are equally slow.
+#[test]
+fn a_group_whose_disks_are_all_slow_keeps_its_leader() {
+    for seed in SEEDS {
+        let mut sim = Sim::with_timeout(3, seed, false, 600);
+        let leader = sim.wait_for_leader();
+        propose_many(&mut sim, 3);
+        let term = sim.node(leader).hard_state().term;
+        for id in 1..=3 {
+            sim.slow_disk(id, 2_500);
+        }
+        for _ in 0..600 {
+            sim.propose(leader);
+            sim.run(50);
+        }
+        assert_eq!(sim.leader(), Some(leader), "seed {seed}");
+        assert_eq!(sim.node(leader).hard_state().term, term, "seed {seed}");
+        sim.finish();
+    }
+}
+
+// Guards against a voter that keeps the others from electing, or raises terms in vain, while its disk
+// hangs, and against one that deposes the new leader when the disk answers.
+#[test]
+fn a_voter_whose_disk_hangs_disturbs_no_election() {
+    for seed in SEEDS {
+        let mut sim = Sim::with_timeout(5, seed, false, 600);
+        let leader = sim.wait_for_leader();
+        propose_many(&mut sim, 3);
+        let hung = leader % 5 + 1;
+        sim.hang_disk(hung);
+        sim.propose(leader);
+        sim.run(2_000);
+        sim.crash(leader, 0);
+        let lost_ms = sim.now_ms();
+        while sim.leader().is_none() {
+            sim.run(10);
+        }
+        assert!(sim.now_ms() - lost_ms < 2_000, "seed {seed}");
+        let next = sim.wait_for_leader();
+        let term = sim.node(next).hard_state().term;
+        sim.run(10_000);
+        sim.calm();
+        sim.run(3_000);
+        assert_eq!(sim.node(next).hard_state().term, term, "seed {seed}");
+        assert!(sim.node(next).is_leader(), "seed {seed}");
+        sim.finish();
+    }
+}
+
 // Guards against a follower that is never sent anything again, because its window was full when the
 // entries after it were compacted.
 #[test]
--- a/tests/raft_sim/mod.rs
+++ b/tests/raft_sim/mod.rs
@@ -633,6 +633,7 @@
                 host.waiting.clear();
                 host.reads.clear();
             }
+            Action::LeadershipGivenUp { .. } => {}
             Action::Fetch { to, first_index } => {
                 let entries = self.hosts[&id].disk.read(first_index);
                 self.schedule(delay_ms, Event::Fetched { id, life, to, entries });
@@ -692,7 +693,7 @@
                 self.oracle.acknowledges(command, index);
             }
         }
-        node.trim_log_cache(host.applied_index);
+        node.record_applied(host.applied_index);
     }
 }
 
