--- a/tests/raft_sim/mod.rs
+++ b/tests/raft_sim/mod.rs
@@ -95,6 +95,7 @@
     next_event: u64,
     next_command: u64,
     next_read: u64,
+    confirmed_reads: BTreeSet<u64>,
     random: SmallRng,
     lease_reads: bool,
     election_timeout_ms: u64,
@@ -129,6 +130,7 @@
             next_event: 0,
             next_command: 0,
             next_read: 0,
+            confirmed_reads: BTreeSet::new(),
             random: SmallRng::seed_from_u64(seed),
             lease_reads,
             election_timeout_ms,
@@ -267,6 +269,7 @@
     /// Heals everything, and checks that the group works and holds all that it acknowledged.
     pub fn finish(&mut self) {
         self.calm();
+        self.serve_within(20 * self.election_timeout_ms);
         self.run(10 * self.election_timeout_ms);
         let leader = self.wait_for_leader();
         let last_command = self.propose(leader).expect("a leader that nobody disturbs accepts");
@@ -284,6 +287,26 @@
         }
     }
 
+    /// Checks that in this time a leader commits a command and confirms a read.
+    fn serve_within(&mut self, limit_ms: u64) {
+        let deadline_ms = self.now_ms + limit_ms;
+        while self.now_ms < deadline_ms {
+            if let Some(leader) = self.leader() {
+                let command = self.propose(leader);
+                self.read(leader);
+                let read = self.next_read;
+                self.run(self.election_timeout_ms);
+                let is_committed =
+                    command.is_some_and(|it| self.oracle.acknowledged.contains_key(&it));
+                if is_committed && self.confirmed_reads.contains(&read) {
+                    return;
+                }
+            }
+            self.run(self.election_timeout_ms / 4);
+        }
+        panic!("no leader serves {limit_ms} ms after everything is healed");
+    }
+
     pub fn now_ms(&self) -> u64 {
         self.now_ms
     }
@@ -627,6 +650,7 @@
             Action::ReadConfirmed { id: read, index, .. } => {
                 let must_see = self.hosts.get_mut(&id).unwrap().reads.remove(&read);
                 assert!(must_see.is_none_or(|must_see| index >= must_see), "read sees the past");
+                self.confirmed_reads.insert(read);
             }
             Action::SteppedDown => {
                 let host = self.hosts.get_mut(&id).unwrap();
