Stay with a silent upstream while most of its service are silent

Callers saw requests run twice, and refusals: an upstream that sent nothing for the stall limit was taken as lost, paused, and the request was sent to another one. When all were silent for a second, each request did so, and all its runs began when the upstreams woke. A request without another upstream was refused although its own would have answered.

The silence of an upstream is now judged by what the others of its service do (admission::Silence, no I/O): if most of those that were asked are silent as well, the request stays where it is and nobody is paused. It leaves after twice the stall limit if another upstream is not known to be silent, and is never given up for silence alone. A time limit that passes during such a silence, or before the stall limit, no longer pauses the upstream. New requests go to silent upstreams less often. Why a request ran again is counted (rerun_silence, rerun_reset, rerun_error_status) and logged (reruns, attempt_stays).

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -4,6 +4,7 @@
 
 use crate::admission::rendezvous_rank;
 use crate::directory::StreamOrigin;
+use crate::gateway::stall_limit::stall_limit;
 use crate::gateway::Upstream;
 use crate::schema::routes::Route;
 
@@ -27,6 +28,10 @@
 /// and for batch items while others have free slots.
 const RATE_LIMIT_FACTOR: f32 = 0.02;
 
+/// Factor for an upstream that has sent nothing for longer than the stall limit of the route, though it has
+/// requests. A factor and no pause, so that it still takes what the others have no room for.
+const SILENT_FACTOR: f32 = 0.02;
+
 /// The inputs of a choice other than the upstreams.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceInput<'a> {
@@ -105,7 +110,11 @@
     });
     let prefix = if is_preferred { PREFIX_FACTOR } else { 1.0 };
     let limit = if upstream.has_rate_limit() { RATE_LIMIT_FACTOR } else { 1.0 };
-    slots * distance * prefix * limit
+    let is_silent = upstream
+        .silent_time(input.now_ms)
+        .is_some_and(|silent_time| silent_time >= stall_limit(input.route, false));
+    let silence = if is_silent { SILENT_FACTOR } else { 1.0 };
+    slots * distance * prefix * limit * silence
 }
 
 /// The service of this name, if the route still sends requests to it.
--- a/src/gateway/forward_progress.rs
+++ b/src/gateway/forward_progress.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use crate::directory::StreamOrigin;
+use crate::gateway::rerun_reason::RerunReason;
 
 /// How far the answer to a send came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +39,8 @@
     pub(super) broke_off: bool,
     /// Why the last send failed.
     pub(super) last_error: String,
+    /// Why it was sent again after sends that may have run it.
+    pub(super) reruns: Vec<RerunReason>,
 }
 
 impl Progress {
@@ -56,6 +59,7 @@
             stage: AnswerStage::NotBegun,
             broke_off: false,
             last_error: String::new(),
+            reruns: Vec::new(),
         }
     }
 
@@ -71,6 +75,12 @@
         self.broke_off && at_begin && self.last_event_id.is_none()
     }
 
+    /// The reasons of all reruns, for log lines.
+    pub(super) fn rerun_reasons(&self) -> String {
+        let reasons: Vec<&str> = self.reruns.iter().map(|reason| reason.as_str()).collect();
+        reasons.join(",")
+    }
+
     /// True if another upstream can continue the answer from here.
     pub(super) fn can_resume(&self) -> bool {
         !self.head_sent || self.has_event_ids
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -1,11 +1,15 @@
+use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
 
+use crate::gateway::attempt::Attempt;
 use crate::gateway::forward_progress::{AnswerStage, Progress};
-use crate::gateway::stall_limit::stall_limit;
+use crate::gateway::rerun_reason::RerunReason;
+use crate::gateway::stall_check::{StallCheck, StaysFor};
 use crate::gateway::upstream::monotonic_ms;
+use crate::gateway::wait_end::WaitEnd;
 use crate::gateway::{
     choose_upstream, AnswerSink, CallTarget, ChoiceInput, CrashGuard, EventSplitter, GatewayFleet,
     Refusal, RefusalKind, SendError, StreamConnector, StreamOrigins, StreamRequest, Upstream,
@@ -114,6 +118,7 @@
                     log::info!(event = "request_ended", request = request.request_id.as_str(),
                         route = route.name.as_str(), routes_version = version,
                         sends = progress.sends, runs = progress.runs,
+                        reruns = progress.rerun_reasons().as_str(),
                         first_event_ms = progress.first_event.map_or(0, |time| time.as_millis() as u64),
                         ms = request.arrived.elapsed().as_millis() as u64; "{end:?}");
                     self.counters.count(outcome_counter(end));
@@ -125,6 +130,7 @@
                 NextStep::GiveUp(_) if progress.head_sent => {
                     log::warn!(event = "answer_cut", request = request.request_id.as_str(),
                         route = route.name.as_str(), sends = progress.sends, runs = progress.runs,
+                        reruns = progress.rerun_reasons().as_str(),
                         last_event = progress.last_event_id.unwrap_or(0),
                         ms = request.arrived.elapsed().as_millis() as u64;
                         "{}", progress.last_error);
@@ -197,11 +203,16 @@
             is_repeatable: may_repeat,
         };
         let may_resume = may_repeat && progress.runs + 1 < route.max_attempts;
-        let wait = if may_resume { remaining.min(stall_limit(route, false)) } else { remaining };
-        let result = timeout(wait, self.connector.send(target, request)).await;
-        let result = result.unwrap_or_else(|_| {
-            Err(SendError::Lost("the upstream sent no answer in time".to_owned()))
-        });
+        let attempt = Attempt { route, request, upstream: &upstream, deadline };
+        let sent_at = Instant::now();
+        let stall = may_resume.then(|| StallCheck::new(route, false, sent_at));
+        let send = self.connector.send(target, request);
+        let waited = self.wait_for(&attempt, stall, progress, send).await;
+        let wait_end = waited.as_ref().err().copied();
+        let result = waited.unwrap_or_else(|end| Err(SendError::Lost(end.to_string())));
+        if matches!(result, Ok(_) | Err(SendError::NotRun { .. })) {
+            upstream.record_heard();
+        }
         let next = match result {
             Ok(answer) => {
                 progress.runs += 1;
@@ -211,7 +222,8 @@
                     .await?
             }
             Err(error) => {
-                self.handle_send_error(route, request, &error, &upstream, deadline, progress)
+                let mut stall = StallCheck::new(route, false, sent_at);
+                self.handle_send_error(&attempt, &error, wait_end, &mut stall, progress)
             }
         };
         drop(guard);
@@ -219,6 +231,75 @@
         Ok(next)
     }
 
+    /// Waits for `work` of an upstream until the request's time has passed, or until `stall` says that another upstream
+    /// should get the request.
+    async fn wait_for<T: Send>(
+        &self,
+        attempt: &Attempt<'_>,
+        mut stall: Option<StallCheck>,
+        progress: &mut Progress,
+        work: impl Future<Output = T> + Send,
+    ) -> Result<T, WaitEnd> {
+        let mut work = Box::pin(work);
+        let mut logged = None;
+        loop {
+            let remaining = attempt.deadline.saturating_duration_since(Instant::now());
+            if remaining.is_zero() {
+                // A stream whose next bytes are always there never lets the timeout below expire.
+                return Err(WaitEnd::TimeLimit);
+            }
+            let until_judged = stall.as_ref().map_or(remaining, StallCheck::until_judged);
+            if let Ok(done) = timeout(remaining.min(until_judged), &mut work).await {
+                return Ok(done);
+            }
+            let Some(stall) = stall.as_mut().filter(|stall| stall.has_stalled()) else { continue };
+            let Some(reason) = self.stays_for(attempt, stall, progress) else {
+                self.record_rerun(RerunReason::Silence, progress);
+                return Err(WaitEnd::Silence);
+            };
+            if logged.replace(reason) != Some(reason) {
+                log::info!(event = "attempt_stays", request = attempt.request.request_id.as_str(),
+                    upstream = attempt.upstream.upstream_id.as_str(),
+                    reason = format!("{reason:?}").as_str(),
+                    left_ms = remaining.as_millis() as u64;
+                    "waiting on for a silent upstream");
+            }
+        }
+    }
+
+    /// Why a request stays with its silent upstream; `None` if it is to leave.
+    fn stays_for(
+        &self,
+        attempt: &Attempt<'_>,
+        stall: &mut StallCheck,
+        progress: &Progress,
+    ) -> Option<StaysFor> {
+        if !stall.is_reason_to_leave(attempt.upstream, &self.fleet.load()) {
+            return Some(StaysFor::SilenceOfMost);
+        }
+        let in_time = Instant::now() + MIN_SEND_TIME < attempt.deadline;
+        let may_send = progress.sends < MAX_SENDS && in_time && progress.can_resume();
+        let other = || self.choose_upstream(attempt.route, attempt.request, progress, true);
+        if !may_send || other().is_none() {
+            return Some(StaysFor::NoOther);
+        }
+        None
+    }
+
+    /// Records a rerun of a request that may have run, if it can be sent again at all.
+    fn try_rerun(&self, reason: RerunReason, progress: &mut Progress) -> bool {
+        if !progress.can_resume() {
+            return false;
+        }
+        self.record_rerun(reason, progress);
+        true
+    }
+
+    fn record_rerun(&self, reason: RerunReason, progress: &mut Progress) {
+        progress.reruns.push(reason);
+        self.counters.count(reason.counter());
+    }
+
     /// Records a crash if the upstream is gone and may have ended when it began the answer. Called
     /// before the request is sent again, so that a request does not end one upstream after the other.
     async fn record_crash(
@@ -264,7 +345,9 @@
     ) -> Option<Arc<Upstream>> {
         let hears_of_others = self.fleet.hears_of_others();
         for _ in 0..MAX_SENDS {
-            let upstream = self.choose_upstream(route, request, progress)?;
+            // A caller that has a part of its answer goes before those that have none.
+            let allow_full = progress.runs > 0 || progress.origin.is_some();
+            let upstream = self.choose_upstream(route, request, progress, allow_full)?;
             if upstream.try_send(hears_of_others) {
                 return Some(upstream);
             }
@@ -277,6 +360,7 @@
         route: &Route,
         request: &StreamRequest,
         progress: &Progress,
+        allow_full: bool,
     ) -> Option<Arc<Upstream>> {
         let upstreams = self.fleet.load();
         let input = ChoiceInput {
@@ -287,8 +371,7 @@
             origin: progress.origin.as_ref(),
             tried: &progress.tried,
             now_ms: monotonic_ms(),
-            // A caller that has a part of its answer goes before those that have none.
-            allow_full: progress.runs > 0 || progress.origin.is_some(),
+            allow_full,
         };
         choose_upstream(&upstreams, &input)
     }
@@ -330,13 +413,13 @@
     /// Decides whether to retry after a send that brought no answer.
     fn handle_send_error(
         &self,
-        route: &Route,
-        request: &StreamRequest,
+        attempt: &Attempt<'_>,
         error: &SendError,
-        upstream: &Upstream,
-        deadline: Instant,
+        wait_end: Option<WaitEnd>,
+        stall: &mut StallCheck,
         progress: &mut Progress,
     ) -> NextStep {
+        let Attempt { route, request, upstream, deadline } = *attempt;
         let may_have_run = matches!(error, SendError::Lost(_));
         progress.runs += u32::from(may_have_run);
         progress.broke_off = may_have_run;
@@ -346,17 +429,33 @@
                 self.fleet.record_refusal_notice(upstream, notice);
                 Duration::ZERO
             }
+            // A short time limit, or a silence of most upstreams, says nothing of this one.
+            _ if wait_end == Some(WaitEnd::TimeLimit)
+                && !(stall.has_stalled()
+                    && stall.is_reason_to_leave(upstream, &self.fleet.load())) =>
+            {
+                Duration::ZERO
+            }
             _ => upstream.record_failure(monotonic_ms()),
         };
-        log::warn!(event = "attempt_failed", request = request.request_id.as_str(),
-            upstream = upstream.upstream_id.as_str(), may_have_run = may_have_run,
-            prompt = request.prompt.to_string().as_str(), pause_ms = pause.as_millis() as u64; "{error}");
-        self.counters.count("attempt_failed");
         let in_time = Instant::now() + MIN_SEND_TIME < deadline;
         let may_send = progress.sends < MAX_SENDS && in_time;
         let may_run = progress.runs < route.max_attempts;
         let nothing_ran = progress.runs == 0;
-        if may_send && (nothing_ran || is_repeatable(route) && may_run) {
+        let may_retry = may_send && (nothing_ran || is_repeatable(route) && may_run);
+        let retries = may_retry
+            && match wait_end {
+                // Already recorded.
+                Some(WaitEnd::Silence) => true,
+                _ if may_have_run => self.try_rerun(RerunReason::Reset, progress),
+                _ => true,
+            };
+        log::warn!(event = "attempt_failed", request = request.request_id.as_str(),
+            upstream = upstream.upstream_id.as_str(), may_have_run = may_have_run,
+            prompt = request.prompt.to_string().as_str(), pause_ms = pause.as_millis() as u64,
+            retries = retries; "{error}");
+        self.counters.count("attempt_failed");
+        if retries {
             return NextStep::Retry;
         }
         NextStep::GiveUp(match in_time {
@@ -388,8 +487,9 @@
             log::warn!(event = "attempt_answered", request = request.request_id.as_str(),
                 upstream = upstream.upstream_id.as_str(), status = head.status;
                 "the upstream answered with an error status");
-            if progress.head_sent || may_resume {
-                return Ok(self.retry_or_cut(progress, may_resume));
+            let reruns = may_resume && self.try_rerun(RerunReason::ErrorStatus, progress);
+            if progress.head_sent || reruns {
+                return Ok(self.retry_or_cut(progress, reruns));
             }
         }
         if is_success {
@@ -400,22 +500,16 @@
             progress.last_error = "the resumed answer is not a stream of events".to_owned();
             return Ok(self.retry_or_cut(progress, false));
         }
+        let attempt = Attempt { route, request, upstream, deadline };
         let mut splitter = EventSplitter::new(BufferLease::for_answer());
         let mut last_progress_at = Instant::now();
         // The head is sent together with the first event, so that a retry at another upstream is still
         // possible if this one fails before its first event.
         loop {
-            let remaining = deadline.saturating_duration_since(Instant::now());
-            if remaining.is_zero() {
-                // A stream whose next bytes are always there never lets the timeout below expire.
-                progress.last_error = "the time limit of the request has passed".to_owned();
-                return Ok(NextStep::GiveUp(timeout_refusal(progress)));
-            }
             let has_begun = progress.stage == AnswerStage::HasBody;
-            let until_stall =
-                stall_limit(route, has_begun).saturating_sub(last_progress_at.elapsed());
-            let wait = if may_resume { remaining.min(until_stall) } else { remaining };
-            let chunk = match timeout(wait, answer.next_chunk()).await {
+            let stall = may_resume.then(|| StallCheck::new(route, has_begun, last_progress_at));
+            let next = self.wait_for(&attempt, stall, progress, answer.next_chunk()).await;
+            let chunk = match next {
                 Ok(Ok(Some(chunk))) => chunk,
                 Ok(Ok(None))
                     if is_event_stream
@@ -423,27 +517,28 @@
                         && progress.stage != AnswerStage::HasBody =>
                 {
                     progress.last_error = "the stream ended without an event".to_owned();
-                    return Ok(self.handle_broken_stream(request, upstream, progress, may_resume));
+                    return Ok(self.handle_broken_stream(&attempt, progress, may_resume));
                 }
                 Ok(Ok(None)) if splitter.is_empty() => break,
                 Ok(Ok(None)) => {
                     progress.last_error = "the stream ended in the middle of an event".to_owned();
-                    return Ok(self.handle_broken_stream(request, upstream, progress, may_resume));
+                    return Ok(self.handle_broken_stream(&attempt, progress, may_resume));
                 }
                 Ok(Err(error)) => {
                     progress.last_error = error.to_string();
-                    return Ok(self.handle_broken_stream(request, upstream, progress, may_resume));
+                    return Ok(self.handle_broken_stream(&attempt, progress, may_resume));
                 }
-                Err(_) if remaining <= wait => {
-                    progress.last_error = "the time limit of the request has passed".to_owned();
+                Err(WaitEnd::TimeLimit) => {
+                    progress.last_error = WaitEnd::TimeLimit.to_string();
                     return Ok(NextStep::GiveUp(timeout_refusal(progress)));
                 }
-                Err(_) => {
-                    progress.last_error =
-                        "the upstream sent no event within the stall limit".to_owned();
-                    return Ok(self.handle_broken_stream(request, upstream, progress, may_resume));
+                Err(WaitEnd::Silence) => {
+                    progress.last_error = WaitEnd::Silence.to_string();
+                    self.record_break(&attempt, progress, true);
+                    return Ok(self.retry_or_cut(progress, true));
                 }
             };
+            upstream.record_heard();
             if !is_event_stream {
                 last_progress_at = Instant::now();
                 self.record_body(request, progress);
@@ -465,7 +560,7 @@
                 if !is_next {
                     progress.last_error =
                         "the event ids of the stream are not consecutive".to_owned();
-                    return Ok(self.handle_broken_stream(request, upstream, progress, false));
+                    return Ok(self.handle_broken_stream(&attempt, progress, false));
                 }
                 progress.has_event_ids &= event.id.is_some();
                 progress.last_event_id = event.id.or(progress.last_event_id);
@@ -473,7 +568,7 @@
             }
             if !splitter.may_hold_rest() {
                 progress.last_error = "an event of the stream is larger than the limit".to_owned();
-                return Ok(self.handle_broken_stream(request, upstream, progress, may_resume));
+                return Ok(self.handle_broken_stream(&attempt, progress, may_resume));
             }
             if events.is_empty() {
                 continue;
@@ -501,19 +596,25 @@
     /// Records that an upstream failed during its answer, and decides whether to resume elsewhere.
     fn handle_broken_stream(
         &self,
-        request: &StreamRequest,
-        upstream: &Upstream,
+        attempt: &Attempt<'_>,
         progress: &mut Progress,
         may_resume: bool,
     ) -> NextStep {
+        let reruns = may_resume && self.try_rerun(RerunReason::Reset, progress);
+        self.record_break(attempt, progress, reruns);
+        self.retry_or_cut(progress, reruns)
+    }
+
+    /// Records that an upstream failed during its answer.
+    fn record_break(&self, attempt: &Attempt<'_>, progress: &mut Progress, reruns: bool) {
+        let Attempt { request, upstream, .. } = *attempt;
         progress.broke_off = true;
         let pause = upstream.record_failure(monotonic_ms());
         log::warn!(event = "stream_broken", request = request.request_id.as_str(),
-            upstream = upstream.upstream_id.as_str(), may_go_on = may_resume,
+            upstream = upstream.upstream_id.as_str(), may_go_on = reruns,
             last_event = progress.last_event_id.unwrap_or(0),
             prompt = request.prompt.to_string().as_str(), pause_ms = pause.as_millis() as u64; "{}", progress.last_error);
         self.counters.count("stream_broken");
-        self.retry_or_cut(progress, may_resume)
     }
 
     /// Retries if the answer may be resumed; otherwise gives up, which cuts an answer that has begun.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! a request to one upstream, and an [`AnswerSink`] writes the answer to the caller.
 
 mod answer_sink;
+mod attempt;
 mod batch_worker;
 mod choice;
 mod connector;
@@ -23,12 +24,15 @@
 mod linked_connector;
 mod prompt;
 mod refusal;
+mod rerun_reason;
 mod route_index;
+mod stall_check;
 mod stall_limit;
 mod stream_origins;
 mod stream_request;
 mod upstream;
 mod upstream_rate;
+mod wait_end;
 
 pub use answer_sink::AnswerSink;
 pub use batch_worker::BatchWorker;
