Bound the reruns of the routed fleet by the retry budget of the daemon

Upstreams that failed got each request as often as its route allows, which multiplied the load on them: the retry budget was used by damaskhoistd alone.

Forwarder withdraws a retry for each run beyond the first, from the same RetryBudget with the same share of 20 in 100 requests. Sends that nothing ran are free. A withheld retry is counted (rerun_withheld) and logged (withheld); a request with a silent upstream waits on for it instead, others end as before when their attempts were used up.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -42,7 +42,7 @@
 pub use refusal::{Refusal, RefusalKind, RunOutcome};
 pub use rendezvous::{rendezvous_hash, rendezvous_rank, slot_owner};
 pub use request_fingerprints::RequestFingerprints;
-pub use retry_budget::RetryBudget;
+pub use retry_budget::{RetryBudget, DEFAULT_RETRY_BUDGET_PERCENT};
 pub use silence::Silence;
 pub use slot_cell::{SlotCell, SlotCounts};
 pub use slot_demand::SlotDemand;
--- a/src/admission/retry_budget.rs
+++ b/src/admission/retry_budget.rs
@@ -1,5 +1,8 @@
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 
+/// Retries allowed, as a percentage of requests, unless a setting says otherwise.
+pub const DEFAULT_RETRY_BUDGET_PERCENT: u32 = 20;
+
 /// The balance is counted in thousandths of a retry.
 const MILLIS_PER_RETRY: i64 = 1_000;
 /// Limit of the balance that traffic builds up. It covers the loss of one upstream whose slots are
--- a/src/gateway/forward_progress.rs
+++ b/src/gateway/forward_progress.rs
@@ -41,6 +41,8 @@
     pub(super) last_error: String,
     /// Why it was sent again after sends that may have run it.
     pub(super) reruns: Vec<RerunReason>,
+    /// It was not sent again for lack of a retry budget.
+    pub(super) was_withheld: bool,
 }
 
 impl Progress {
@@ -60,6 +62,7 @@
             broke_off: false,
             last_error: String::new(),
             reruns: Vec::new(),
+            was_withheld: false,
         }
     }
 
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -4,6 +4,7 @@
 
 use async_std::future::timeout;
 
+use crate::admission::{RetryBudget, DEFAULT_RETRY_BUDGET_PERCENT};
 use crate::gateway::attempt::Attempt;
 use crate::gateway::forward_progress::{AnswerStage, Progress};
 use crate::gateway::rerun_reason::RerunReason;
@@ -51,6 +52,8 @@
     crashes: Arc<CrashGuard>,
     origins: Arc<dyn StreamOrigins>,
     counters: Counters,
+    /// Bounds the runs of requests beyond their first ones.
+    retries: RetryBudget,
 }
 
 /// The next step after a send.
@@ -72,7 +75,8 @@
         counters: Counters,
     ) -> Self {
         let (zone, region) = (zone.to_owned(), region.to_owned());
-        Self { zone, region, fleet, connector, crashes, origins, counters }
+        let retries = RetryBudget::default();
+        Self { zone, region, fleet, connector, crashes, origins, counters, retries }
     }
 
     /// Forwards a request by its route and writes the answer to `sink`. `route` is `None` if no route
@@ -110,6 +114,7 @@
             let refusal = Refusal::not_run(reason, RETRY_AFTER);
             return self.refuse(request, version, refusal, sink).await;
         }
+        self.retries.record_request(DEFAULT_RETRY_BUDGET_PERCENT);
         let mut progress = Progress::new(request.last_event_id, origin);
         loop {
             let next = self.send_once(route, request, deadline, &mut progress, sink).await?;
@@ -118,7 +123,7 @@
                     log::info!(event = "request_ended", request = request.request_id.as_str(),
                         route = route.name.as_str(), routes_version = version,
                         sends = progress.sends, runs = progress.runs,
-                        reruns = progress.rerun_reasons().as_str(),
+                        reruns = progress.rerun_reasons().as_str(), withheld = progress.was_withheld,
                         first_event_ms = progress.first_event.map_or(0, |time| time.as_millis() as u64),
                         ms = request.arrived.elapsed().as_millis() as u64; "{end:?}");
                     self.counters.count(outcome_counter(end));
@@ -130,7 +135,7 @@
                 NextStep::GiveUp(_) if progress.head_sent => {
                     log::warn!(event = "answer_cut", request = request.request_id.as_str(),
                         route = route.name.as_str(), sends = progress.sends, runs = progress.runs,
-                        reruns = progress.rerun_reasons().as_str(),
+                        reruns = progress.rerun_reasons().as_str(), withheld = progress.was_withheld,
                         last_event = progress.last_event_id.unwrap_or(0),
                         ms = request.arrived.elapsed().as_millis() as u64;
                         "{}", progress.last_error);
@@ -257,6 +262,9 @@
                 self.record_rerun(RerunReason::Silence, progress);
                 return Err(WaitEnd::Silence);
             };
+            if reason == StaysFor::Budget {
+                self.record_withheld(progress);
+            }
             if logged.replace(reason) != Some(reason) {
                 log::info!(event = "attempt_stays", request = attempt.request.request_id.as_str(),
                     upstream = attempt.upstream.upstream_id.as_str(),
@@ -267,7 +275,7 @@
         }
     }
 
-    /// Why a request stays with its silent upstream; `None` if it is to leave.
+    /// Why a request stays with its silent upstream; `None` if it is to leave, for which a retry was withdrawn.
     fn stays_for(
         &self,
         attempt: &Attempt<'_>,
@@ -283,16 +291,20 @@
         if !may_send || other().is_none() {
             return Some(StaysFor::NoOther);
         }
-        None
+        (!self.retries.try_withdraw(monotonic_ms())).then_some(StaysFor::Budget)
     }
 
-    /// Records a rerun of a request that may have run, if it can be sent again at all.
+    /// Withdraws a retry for a request that may have run, if it can be sent again at all.
     fn try_rerun(&self, reason: RerunReason, progress: &mut Progress) -> bool {
         if !progress.can_resume() {
             return false;
         }
-        self.record_rerun(reason, progress);
-        true
+        let has_budget = self.retries.try_withdraw(monotonic_ms());
+        match has_budget {
+            true => self.record_rerun(reason, progress),
+            false => self.record_withheld(progress),
+        }
+        has_budget
     }
 
     fn record_rerun(&self, reason: RerunReason, progress: &mut Progress) {
@@ -300,6 +312,13 @@
         self.counters.count(reason.counter());
     }
 
+    fn record_withheld(&self, progress: &mut Progress) {
+        if !progress.was_withheld {
+            progress.was_withheld = true;
+            self.counters.count("rerun_withheld");
+        }
+    }
+
     /// Records a crash if the upstream is gone and may have ended when it began the answer. Called
     /// before the request is sent again, so that a request does not end one upstream after the other.
     async fn record_crash(
@@ -445,7 +464,7 @@
         let may_retry = may_send && (nothing_ran || is_repeatable(route) && may_run);
         let retries = may_retry
             && match wait_end {
-                // Already recorded.
+                // Already withdrawn.
                 Some(WaitEnd::Silence) => true,
                 _ if may_have_run => self.try_rerun(RerunReason::Reset, progress),
                 _ => true,
@@ -453,7 +472,7 @@
         log::warn!(event = "attempt_failed", request = request.request_id.as_str(),
             upstream = upstream.upstream_id.as_str(), may_have_run = may_have_run,
             prompt = request.prompt.to_string().as_str(), pause_ms = pause.as_millis() as u64,
-            retries = retries; "{error}");
+            retries = retries, withheld = may_retry && !retries; "{error}");
         self.counters.count("attempt_failed");
         if retries {
             return NextStep::Retry;
@@ -611,7 +630,7 @@
         progress.broke_off = true;
         let pause = upstream.record_failure(monotonic_ms());
         log::warn!(event = "stream_broken", request = request.request_id.as_str(),
-            upstream = upstream.upstream_id.as_str(), may_go_on = reruns,
+            upstream = upstream.upstream_id.as_str(), may_go_on = reruns, withheld = progress.was_withheld,
             last_event = progress.last_event_id.unwrap_or(0),
             prompt = request.prompt.to_string().as_str(), pause_ms = pause.as_millis() as u64; "{}", progress.last_error);
         self.counters.count("stream_broken");
--- a/src/gateway/stall_check.rs
+++ b/src/gateway/stall_check.rs
@@ -32,6 +32,8 @@
     SilenceOfMost,
     /// It can't be sent to another upstream.
     NoOther,
+    /// The retry budget is used up.
+    Budget,
 }
 
 impl StallCheck {
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -6,7 +6,7 @@
 
 use crate::admission::{
     CrashVerdict, CrashWatch, Refusal, RefusalKind, RequestFingerprints, RetryBudget, SlotDemand,
-    SlotQueue, TrialLeases, DEFAULT_CRASH_VERDICT_MS,
+    SlotQueue, TrialLeases, DEFAULT_CRASH_VERDICT_MS, DEFAULT_RETRY_BUDGET_PERCENT,
 };
 use crate::control::unix_ms;
 use crate::routing::{
@@ -22,8 +22,6 @@
 
 /// Time within which gossip distributes a verdict to all hosts.
 const VERDICT_GOSSIP_TIME: Duration = Duration::from_millis(1_000);
-/// Retries allowed, as a percentage of requests, unless the configuration sets another share.
-const DEFAULT_RETRY_BUDGET_PERCENT: u32 = 20;
 
 /// Losses after which a request is convicted. After the first one it runs alone on an upstream, so the
 /// second loss is its own.
