--- a/tests/silent_upstreams.rs
+++ b/tests/silent_upstreams.rs
@@ -25,6 +25,8 @@
 
 const SLOTS: usize = 8;
 const RUN_TIME: Duration = Duration::from_millis(60);
+/// Time to find out whether an upstream can be reached: its connect, and a check of the links.
+const REACH_TIME: Duration = Duration::from_millis(900);
 const TIME_LIMIT: Duration = Duration::from_secs(4);
 
 /// What is wrong with an upstream.
@@ -98,6 +100,7 @@
     }
 
     async fn is_reachable(&self, _address: SocketAddr) -> bool {
+        task::sleep(REACH_TIME).await;
         true
     }
 
@@ -143,11 +146,31 @@
     /// Answered later than the stall limit.
     late: usize,
     slowest: Duration,
+    /// Longest time to a final answer, also to a refusal.
+    last_end: Duration,
     sends: usize,
 }
 
 /// Sends `count` requests, one each `interval`, to upstreams with these faults.
 fn play(faults: &[Option<Fault>], count: usize, interval: Duration) -> Outcome {
+    let route = Route {
+        name: "r".into(),
+        kind: RouteKind::Stream.into(),
+        timeout_ms: TIME_LIMIT.as_millis() as u32,
+        shares: vec![ServiceShare { service: "engraver".into(), weight: 1 }],
+        max_attempts: 3,
+        resumable: true,
+        ..Route::default()
+    };
+    play_on_route(&route, faults, count, interval)
+}
+
+fn play_on_route(
+    route: &Route,
+    faults: &[Option<Fault>],
+    count: usize,
+    interval: Duration,
+) -> Outcome {
     let engines = Arc::<Engines>::default();
     let mut records = Vec::new();
     for (number, fault) in faults.iter().enumerate() {
@@ -178,15 +201,6 @@
         Arc::new(NoOrigins),
         Counters::open("test", None),
     );
-    let route = Route {
-        name: "r".into(),
-        kind: RouteKind::Stream.into(),
-        timeout_ms: TIME_LIMIT.as_millis() as u32,
-        shares: vec![ServiceShare { service: "engraver".into(), weight: 1 }],
-        max_attempts: 3,
-        resumable: true,
-        ..Route::default()
-    };
     let send = async |number: usize| {
         task::sleep(interval * number as u32).await;
         let request = StreamRequest {
@@ -202,15 +216,17 @@
             prompt: Prompt::default(),
             arrived: Instant::now(),
         };
-        let outcome = forwarder.forward(Some(&route), 1, &request, &mut Caller).await.unwrap();
-        (outcome == ForwardOutcome::Answered).then(|| request.arrived.elapsed())
+        let outcome = forwarder.forward(Some(route), 1, &request, &mut Caller).await.unwrap();
+        (outcome, request.arrived.elapsed())
     };
-    let times: Vec<Duration> =
-        task::block_on(join_all((0..count).map(send))).into_iter().flatten().collect();
+    let ends = task::block_on(join_all((0..count).map(send)));
+    let last_end = ends.iter().map(|(_, time)| *time).max().unwrap_or_default();
+    let answered = ends.iter().filter(|(outcome, _)| *outcome == ForwardOutcome::Answered);
+    let times: Vec<Duration> = answered.map(|(_, time)| *time).collect();
     let late = times.iter().filter(|time| **time > Duration::from_millis(700)).count();
     let sends = engines.sends.load(Ordering::SeqCst);
     let slowest = times.iter().max().copied().unwrap_or_default();
-    Outcome { answered: times.len(), late, slowest, sends }
+    Outcome { answered: times.len(), late, slowest, last_end, sends }
 }
 
 fn silent_for(ms: u64) -> Option<Fault> {
@@ -276,3 +292,20 @@
     // A retry for each fifth request, ten of the first balance and one a second.
     assert!(outcome.sends <= 400 + 80 + 10 + 2, "{outcome:?}");
 }
+
+/// Guards against callers that get no final answer at their time limit, because the host first finds out whether the
+/// upstream has crashed.
+#[test]
+fn a_request_ends_at_its_time_limit_though_its_upstream_has_to_be_checked() {
+    let route = Route {
+        name: "r".into(),
+        kind: RouteKind::NotRepeatable.into(),
+        timeout_ms: 500,
+        shares: vec![ServiceShare { service: "engraver".into(), weight: 1 }],
+        max_attempts: 1,
+        ..Route::default()
+    };
+    let outcome = play_on_route(&route, &[silent_for(10_000)], 2, Duration::ZERO);
+    assert_eq!(outcome.answered, 0, "{outcome:?}");
+    assert!(outcome.last_end < Duration::from_millis(800), "{outcome:?}");
+}
