--- /dev/null
+++ b/tests/routes_in_time.rs
@@ -0,0 +1,154 @@
+//! Time from the acknowledgement of routes until a host has them, whatever becomes of the control hosts that it polls.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use async_trait::async_trait;
+use damaskhoist::directory::{FleetWatch, FleetWatchOptions, LeavingTable, SyncHandler};
+use damaskhoist::peer::{CallError, PeerCaller, TrafficClass};
+use damaskhoist::schema::peer::frame::Body;
+use damaskhoist::schema::peer::{
+    call, reply, Call, ControlHostEntry, ControlSync, EntrySync, Reply, RoutesConfirmation,
+};
+use damaskhoist::schema::routes::RouteTable;
+use rstest::rstest;
+
+/// More than a host polls at a time.
+const CONTROL_HOSTS: usize = 7;
+const ZONES: [&str; 3] = ["santander", "torrelavega", "pamplona"];
+/// Time that each reply takes, as between regions.
+const REPLY_TIME: Duration = Duration::from_millis(40);
+/// Users allow 2.5 s from the acknowledgement of routes until they are in force.
+const IN_FORCE_TIME: Duration = Duration::from_millis(2_500);
+/// Time in which the host chooses the control hosts that it polls.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    /// It is paused.
+    Hangs,
+    /// It reaches no other control host, and says so.
+    CutOff,
+    /// It replies, but what it passes on stands still.
+    StandsStill,
+}
+
+/// Control hosts that reach each other; some have a fault.
+#[derive(Default)]
+struct ControlHosts {
+    faults: Mutex<HashMap<String, Fault>>,
+    polled: Mutex<BTreeSet<String>>,
+    /// When version 2 was acknowledged.
+    acknowledged_at: Mutex<Option<Instant>>,
+}
+
+impl ControlHosts {
+    fn address(number: usize) -> String {
+        format!("10.0.0.{number}:7")
+    }
+
+    /// The answer of a control host, without what the asking host knows.
+    fn answer(&self, address: &str, fault: Option<Fault>) -> ControlSync {
+        let acknowledged_at = *self.acknowledged_at.lock().unwrap();
+        let is_stale = fault.is_some();
+        let version = if acknowledged_at.is_some() && !is_stale { 2 } else { 1 };
+        let age = acknowledged_at.filter(|_| is_stale).map_or(Duration::ZERO, |at| at.elapsed());
+        let control_hosts = (0..CONTROL_HOSTS).map(|number| {
+            let peer_address = Self::address(number);
+            let is_reached = fault != Some(Fault::CutOff) || peer_address == address;
+            let zone = ZONES[number % 3].into();
+            ControlHostEntry { peer_address, zone, is_reached, has_replica: true }
+        });
+        ControlSync {
+            directory_epoch: 1,
+            routes: Some(RouteTable { version, ..RouteTable::default() }),
+            routes_confirmation: Some(RoutesConfirmation {
+                version,
+                age_ms: age.as_millis() as u64,
+                held_ms: 0,
+            }),
+            control_hosts: control_hosts.collect(),
+            control_hosts_hash: 1 + u64::from(fault == Some(Fault::CutOff)),
+            ..ControlSync::default()
+        }
+    }
+}
+
+#[async_trait]
+impl PeerCaller for ControlHosts {
+    async fn call(
+        &self,
+        to: &str,
+        _class: TrafficClass,
+        call: Call,
+        timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        let Some(call::Call::EntrySync(sync)) = call.call else { panic!("{call:?}") };
+        self.polled.lock().unwrap().insert(to.to_owned());
+        let until = Instant::now() + Duration::from_millis(sync.wait_ms.into());
+        loop {
+            let fault = self.faults.lock().unwrap().get(to).copied();
+            if fault == Some(Fault::Hangs) {
+                task::sleep(timeout).await;
+                return Err(CallError::Lost("no reply".into()));
+            }
+            let answer = self.answer(to, fault);
+            let has_routes =
+                answer.routes.as_ref().is_some_and(|it| it.version > sync.routes_version);
+            let is_listed = answer.control_hosts_hash == sync.control_hosts_hash;
+            if has_routes || !is_listed || Instant::now() >= until {
+                task::sleep(REPLY_TIME).await;
+                return Ok(Reply { reply: Some(reply::Reply::ControlSync(answer)) });
+            }
+            task::sleep(REPLY_TIME / 4).await;
+        }
+    }
+
+    fn send(&self, _to: &str, _class: TrafficClass, _body: Body) {}
+}
+
+struct NoSync;
+
+impl SyncHandler for NoSync {
+    fn fill_request(&self, _to_address: &str, _sync: &mut EntrySync) {}
+    fn handle_reply(&self, _from_address: &str, _reply: &ControlSync) {}
+}
+
+/// Guards against routes that reach a host too late because of the control hosts that it has chosen.
+#[rstest]
+#[case::paused(Fault::Hangs)]
+#[case::cut_off(Fault::CutOff)]
+#[case::standing_still(Fault::StandsStill)]
+#[async_std::test]
+async fn routes_arrive_in_time_though_the_polled_control_hosts_do_not_have_them(
+    #[case] fault: Fault,
+) {
+    let control_hosts = Arc::<ControlHosts>::default();
+    let options = FleetWatchOptions {
+        host_id: "entry-1".into(),
+        zone: ZONES[0].into(),
+        zone_regions: ZONES.map(|zone| (zone.to_owned(), "cantabria".to_owned())).into(),
+        seed_addresses: (0..CONTROL_HOSTS).map(ControlHosts::address).collect(),
+        own_address: "10.0.0.99:7".into(),
+        directory_timeout: Duration::from_secs(60),
+        polls_all: false,
+        leaving: Arc::<LeavingTable>::default(),
+    };
+    let watch = FleetWatch::spawn(options, control_hosts.clone(), Arc::new(NoSync));
+    task::sleep(SETTLE_TIME).await;
+    control_hosts.polled.lock().unwrap().clear();
+    task::sleep(SETTLE_TIME).await;
+    let polled = control_hosts.polled.lock().unwrap().clone();
+    assert!(polled.len() < CONTROL_HOSTS, "{polled:?}");
+    let faults = polled.into_iter().map(|address| (address, fault));
+    *control_hosts.faults.lock().unwrap() = faults.collect();
+    let acknowledged = Instant::now();
+    *control_hosts.acknowledged_at.lock().unwrap() = Some(acknowledged);
+    while watch.view().routes.version < 2 {
+        assert!(acknowledged.elapsed() < IN_FORCE_TIME, "not in force after {IN_FORCE_TIME:?}");
+        task::sleep(Duration::from_millis(10)).await;
+    }
+    println!("{fault:?}: in force after {:?}", acknowledged.elapsed());
+}
