Judge what hosts say of the leader by its term

Callers saw reads, jobs and ends of items fail, or wait out their time, on hosts that no longer led. A host that was paused or cut off still said that it leads, or named an old leader, and this was taken like news: FleetWatch took the first control host with is_leader, LeaderClient and RemoteState followed any address in a failure, and a silent host that its followers named got every attempt of a call.

LeaderTracker holds what is believed, without I/O, for LeaderClient, FleetWatch and RemoteState. An older term never replaces a newer one; in one term the word of the leader itself counts. An unknown term (0, earlier builds) counts as before: only the word of the host itself. A control host passes on only what the leader itself told it, so that hosts do not repeat each other, and does not say that it leads once it has heard of a newer term.

--- a/src/control/remote_state.rs
+++ b/src/control/remote_state.rs
@@ -2,15 +2,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::ArcSwap;
 use async_std::task;
 use async_trait::async_trait;
 
 use crate::control::CommandClass;
 use crate::peer::{CallError, PeerCaller, TrafficClass};
+use crate::raft::LeaderTracker;
 use crate::schema::peer::{
-    call, reply, Call, CallFailure, ChangeReplicas, ConfigurationNotice, FailureKind, Reply,
-    WatchConfiguration,
+    call, reply, Call, ChangeReplicas, ConfigurationNotice, FailureKind, Reply, WatchConfiguration,
 };
 use crate::schema::state::{command, query, Command, Outcome, Query, QueryAnswer};
 use crate::state::{StateClient, StateError};
@@ -31,8 +31,8 @@
 pub struct RemoteState {
     caller: Arc<dyn PeerCaller>,
     addresses: Vec<String>,
-    /// Peer address of the last known leader.
-    leader: ArcSwapOption<String>,
+    /// What replies and failures say of the leader.
+    tracker: ArcSwap<LeaderTracker>,
     /// Counter that selects the next address to try while no leader is known.
     next: AtomicUsize,
     host_id: String,
@@ -55,22 +55,16 @@
         Self {
             caller,
             addresses: addresses.to_vec(),
-            leader: ArcSwapOption::empty(),
+            tracker: ArcSwap::default(),
             next: AtomicUsize::new(0),
             host_id: host_id.to_owned(),
         }
     }
 
-    /// Address of the leader, or of the next control host in turn while the leader is unknown.
-    fn target_address(&self) -> Option<Arc<String>> {
-        if let Some(leader) = self.leader.load_full() {
-            return Some(leader);
-        }
-        if self.addresses.is_empty() {
-            return None;
-        }
-        let next = self.next.fetch_add(1, Ordering::Relaxed) % self.addresses.len();
-        Some(Arc::new(self.addresses[next].clone()))
+    /// Address of the leader or, while none can be called, of the next control host in turn.
+    fn target_address(&self) -> Option<String> {
+        let turn = self.next.fetch_add(1, Ordering::Relaxed);
+        self.tracker.load().target(&self.addresses, turn, Instant::now())
     }
 
     async fn call_once(
@@ -83,43 +77,46 @@
             return AttemptResult::Retryable("no control host is configured".to_owned());
         };
         let call = Call { traceparent: String::new(), call: Some(call) };
+        let asked = Instant::now();
         let reply = match self.caller.call(&address, class, call, timeout).await {
             Ok(Reply { reply: Some(reply) }) => reply,
             Ok(Reply { reply: None }) => return AttemptResult::Retryable("empty reply".to_owned()),
-            Err(CallError::NotSent(reason)) => {
-                self.forget_leader();
-                return AttemptResult::Retryable(reason);
-            }
-            Err(CallError::Lost(reason)) => {
-                self.forget_leader();
-                return AttemptResult::Unknown(reason);
+            Err(error) => {
+                let time = asked.elapsed();
+                self.update(|tracker, now| tracker.pass_over(&address, 0, time, now));
+                return match error {
+                    CallError::NotSent(reason) => AttemptResult::Retryable(reason),
+                    CallError::Lost(reason) => AttemptResult::Unknown(reason),
+                };
             }
         };
         match reply {
-            reply::Reply::Failure(failure) => self.handle_failure(failure),
+            reply::Reply::Failure(failure) => {
+                let time = asked.elapsed();
+                self.update(|tracker, now| {
+                    tracker.record_failure(&address, &failure, time, now);
+                });
+                match failure.kind() {
+                    FailureKind::CommitUnknown => AttemptResult::Unknown(failure.message),
+                    FailureKind::Refused => AttemptResult::Rejected(failure.message),
+                    _ => AttemptResult::Retryable(failure.message),
+                }
+            }
             reply => {
-                self.leader.store(Some(address));
+                self.update(|tracker, now| tracker.record_answer(&address, now));
                 AttemptResult::Reply(Box::new(reply))
             }
         }
     }
 
-    fn handle_failure(&self, failure: CallFailure) -> AttemptResult {
-        self.forget_leader();
-        if failure.kind() == FailureKind::CommitUnknown {
-            return AttemptResult::Unknown(failure.message);
-        }
-        if failure.kind() == FailureKind::Refused {
-            return AttemptResult::Rejected(failure.message);
-        }
-        if !failure.leader_address.is_empty() {
-            self.leader.store(Some(Arc::new(failure.leader_address)));
-        }
-        AttemptResult::Retryable(failure.message)
-    }
-
-    fn forget_leader(&self) {
-        self.leader.store(None);
+    /// Applies a change to what is known of the leader.
+    fn update(&self, change: impl Fn(&mut LeaderTracker, Instant)) {
+        let now = Instant::now();
+        self.tracker.rcu(|tracker| {
+            let mut next = LeaderTracker::clone(tracker);
+            change(&mut next, now);
+            next
+        });
     }
 
     /// Repeats a call until a leader replies. `repeatable` calls are sent again even if the reply
--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -57,7 +57,7 @@
 
 /// The control role of one host.
 pub struct Coordinator {
-    settings: FleetHostSettings,
+    pub(super) settings: FleetHostSettings,
     pub(super) replica: Arc<ReplicaManager<Ledger>>,
     /// Read while this host has no replica.
     empty_ledger: Arc<Ledger>,
@@ -109,7 +109,12 @@
             let (term, source) = (status.term, self.own_address.clone());
             Some(Arc::new(LeaderBelief { address, term, source, heard_at: Instant::now() }))
         });
-        own.or_else(|| self.watch.get()?.leader())
+        let heard = self.watch.get().and_then(|watch| watch.leader());
+        match (own, heard) {
+            // A replica that stood still may name a leader of an older term.
+            (Some(own), Some(heard)) if heard.term > own.term => Some(heard),
+            (own, heard) => own.or(heard),
+        }
     }
 
     fn control_addresses(&self) -> Vec<String> {
@@ -319,17 +324,24 @@
 
     /// The leader as far as this host knows.
     pub(super) fn named_leader(&self) -> NamedLeader {
-        let status = self.replica.status();
-        let term = status.as_ref().map_or(0, |status| status.term);
-        if status.as_ref().is_some_and(|status| status.is_leader) {
-            return NamedLeader { address: self.settings.peer_address.to_string(), term };
+        let status = self.replica.status().unwrap_or_default();
+        let heard = self.watch.get().and_then(|watch| watch.leader());
+        // What others say of the leader is not passed on: hosts that repeat each other would keep a lost leader alive.
+        let heard = heard.filter(|leader| leader.is_own_word());
+        let heard = heard.filter(|leader| leader.term == 0 || leader.term >= status.term);
+        if let Some(leader) = heard.as_ref().filter(|leader| leader.term > status.term) {
+            return NamedLeader { address: leader.address.clone(), term: leader.term };
         }
-        if let Some(address) = status.and_then(|status| status.leader_address.clone()) {
-            return NamedLeader { address, term };
+        let own = match status.is_leader {
+            true => Some(self.settings.peer_address.to_string()),
+            false => status.leader_address.clone(),
+        };
+        if let Some(address) = own {
+            return NamedLeader { address, term: status.term };
         }
-        match self.watch.get().and_then(|watch| watch.leader()) {
+        match heard {
             Some(leader) => NamedLeader { address: leader.address.clone(), term: leader.term },
-            None => NamedLeader { address: String::new(), term },
+            None => NamedLeader { address: String::new(), term: status.term },
         }
     }
 
--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -170,9 +170,9 @@
         report: Option<AppliedReport>,
         is_confirmed: bool,
     ) -> ControlSync {
-        let leads = self.leads();
-        let routes = self.routes();
         let leader = self.named_leader();
+        let leads = self.leads() && leader.address == self.settings.peer_address.to_string();
+        let routes = self.routes();
         let control_hosts = self.relay.control_hosts();
         let is_list_known = control_hosts.hash == sync.control_hosts_hash;
         // Read before the records: a record that changes in between is then sent once more.
--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::ArcSwap;
 use async_std::task;
 
 use crate::coordinator::{FailedCall, FailureReason};
 use crate::peer::{CallError, PeerCaller, TrafficClass};
-use crate::raft::LeaderBelief;
+use crate::raft::{LeaderBelief, LeaderTracker};
 use crate::schema::ledger::{Answer, Command, Outcome, Query};
-use crate::schema::peer::{call, reply, Call, CallFailure, FailureKind, Reply};
+use crate::schema::peer::{call, reply, Call, FailureKind, Reply};
 
 /// Timeout of one call to the leader: two round trips between regions, a commit and a busy host.
 /// After it the call is retried on another control host.
@@ -79,15 +79,15 @@
 pub struct LeaderClient {
     caller: Arc<dyn PeerCaller>,
     hint: Arc<dyn LeaderHint>,
-    /// The leader that answered last, or that a replica named; may be newer than the hint.
-    leader: ArcSwapOption<LeaderBelief>,
+    /// What the hint, the replies and the failures say; may be newer than the hint.
+    tracker: ArcSwap<LeaderTracker>,
     round_robin: AtomicUsize,
 }
 
 impl LeaderClient {
     /// Creates a client that starts its search for the leader at `hint`.
     pub fn open(caller: Arc<dyn PeerCaller>, hint: Arc<dyn LeaderHint>) -> Self {
-        Self { caller, hint, leader: ArcSwapOption::empty(), round_robin: AtomicUsize::new(0) }
+        Self { caller, hint, tracker: ArcSwap::default(), round_robin: AtomicUsize::new(0) }
     }
 
     /// Submits a command and waits for its outcome, with retries for up to `budget`.
@@ -151,23 +151,24 @@
                 Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => {
                     let is_unknown = failure.kind() == FailureKind::CommitUnknown;
                     // Hosts that name each other would be followed without end, so one redirect in a row is
-                    // followed.
-                    let named = named_leader(&address, &failure);
-                    let is_new = !was_redirected
-                        && named.as_ref().is_some_and(|leader| leader.address != address);
-                    self.leader.store(named.filter(|_| is_new).map(Arc::new));
-                    is_redirected = is_new && !is_unknown;
+                    // followed without a pause.
+                    let time = asked.elapsed();
+                    let is_new = self.update(|tracker, now| {
+                        tracker.record_failure(&address, &failure, time, now)
+                    });
+                    is_redirected = is_new && !was_redirected && !is_unknown;
                     (FailureReason::from(failure.kind()), failure.message, is_unknown)
                 }
                 Ok(Reply { reply: Some(reply) }) => {
-                    self.record_answer(&address);
+                    self.record_answer(&address, &reply);
                     return Ok(reply);
                 }
                 Ok(Reply { reply: None }) => {
                     (FailureReason::Other, "empty reply".to_owned(), false)
                 }
                 Err(error) => {
-                    self.leader.store(None);
+                    let time = asked.elapsed();
+                    self.update(|tracker, now| tracker.pass_over(&address, 0, time, now));
                     let is_unknown = matches!(error, CallError::Lost(_));
                     (FailureReason::from(&error), error.to_string(), is_unknown)
                 }
@@ -180,7 +181,7 @@
                 task::sleep(RETRY_DELAY).await;
             }
         }
-        failed.leader = self.leader().map(|leader| leader.as_ref().clone());
+        failed.leader = self.tracker.load().leader().cloned();
         Err(match unknown_effect {
             Some((message, reason)) => {
                 LeaderError::Unknown(Box::new(FailedCall { message, reason, ..failed }))
@@ -202,45 +203,32 @@
         called.unwrap_or_else(|_| Err(CallError::Lost("no end of the call".to_owned())))
     }
 
-    /// The leader that the next call goes to, if one is known.
-    fn leader(&self) -> Option<Arc<LeaderBelief>> {
-        self.leader.load_full().or_else(|| self.hint.leader())
+    /// Applies a change to what is known of the leader; returns its result.
+    fn update<T: Default>(&self, change: impl Fn(&mut LeaderTracker, Instant) -> T) -> T {
+        let (now, mut changed) = (Instant::now(), T::default());
+        self.tracker.rcu(|tracker| {
+            let mut next = LeaderTracker::clone(tracker);
+            changed = change(&mut next, now);
+            next
+        });
+        changed
     }
 
-    /// Records that a control host served a call, and so leads or follows the leader.
-    fn record_answer(&self, address: &str) {
-        let known = self.leader().filter(|leader| leader.address == address);
-        self.leader.store(Some(Arc::new(LeaderBelief {
-            address: address.to_owned(),
-            term: known.map_or(0, |leader| leader.term),
-            source: address.to_owned(),
-            heard_at: Instant::now(),
-        })));
+    /// Records that a control host served a call. One that answered a read may be a follower.
+    fn record_answer(&self, address: &str, reply: &reply::Reply) {
+        let tracker = self.tracker.load();
+        let is_known = tracker.leader().is_some_and(|leader| leader.address == address);
+        if is_known || !matches!(reply, reply::Reply::LedgerAnswer(_)) {
+            self.update(|tracker, now| tracker.record_answer(address, now));
+        }
     }
 
-    /// Address to call next: the known leader or, without one, alternately the hinted leader and
-    /// the control hosts in round-robin order.
+    /// Address to call next: the leader or, while none can be called, the control hosts in turn.
     fn next_address(&self) -> Option<String> {
-        if let Some(leader) = self.leader.load_full() {
-            return Some(leader.address.clone());
-        }
-        let attempt = self.round_robin.fetch_add(1, Ordering::Relaxed);
-        let hint = self.hint.leader();
-        if let Some(leader) = hint.filter(|_| attempt.is_multiple_of(2)) {
-            return Some(leader.address.clone());
+        if let Some(hint) = self.hint.leader() {
+            self.update(|tracker, now| tracker.hear(&hint, now));
         }
-        let addresses = self.hint.control_addresses();
-        let index = (attempt / 2).checked_rem(addresses.len())?;
-        addresses.get(index).cloned()
+        let turn = self.round_robin.fetch_add(1, Ordering::Relaxed);
+        self.tracker.load().target(&self.hint.control_addresses(), turn, Instant::now())
     }
 }
-
-/// The leader that a host names in a failure.
-fn named_leader(source: &str, failure: &CallFailure) -> Option<LeaderBelief> {
-    (!failure.leader_address.is_empty()).then(|| LeaderBelief {
-        address: failure.leader_address.clone(),
-        term: failure.leader_term,
-        source: source.to_owned(),
-        heard_at: Instant::now(),
-    })
-}
--- a/src/directory/control_host.rs
+++ b/src/directory/control_host.rs
@@ -19,6 +19,8 @@
     pub(super) is_leader: bool,
     /// The leader that it names, if it knows one.
     pub(super) leader: Option<LeaderBelief>,
+    /// Term of that leader or, without one, the highest term that it has seen; 0 if unknown.
+    pub(super) leader_term: u64,
     /// The control hosts that it listed last.
     pub(super) listed: Vec<ControlHostEntry>,
     /// Peer addresses of those that it reaches.
@@ -93,6 +95,7 @@
         };
         let changed = self.is_leader != reply.leads || name(&self.leader) != name(&leader);
         (self.is_leader, self.leader) = (reply.leads, leader);
+        self.leader_term = reply.leader_term;
         changed
     }
 
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -13,7 +13,7 @@
     Phase, PollCandidate, SyncHandler, UpstreamRecord,
 };
 use crate::peer::{PeerCaller, TrafficClass};
-use crate::raft::LeaderBelief;
+use crate::raft::{LeaderBelief, LeaderTracker};
 use crate::schema::peer::{
     call, reply, Call, ControlSync, EntryHost, EntrySync, Reply, UpstreamEntry,
 };
@@ -82,6 +82,7 @@
     /// Number of the task that polls an address. A task whose number is not listed any more ends.
     polling_tasks: HashMap<String, u64>,
     last_task: u64,
+    leaders: LeaderTracker,
 }
 
 /// Parts of the view that a change may affect.
@@ -184,7 +185,9 @@
         let mut sync = EntrySync {
             routes_version: view.routes.version,
             wait_ms: POLL_WAIT_MS,
-            has_report: view.leader_address.as_ref().is_none_or(|leader| leader == address),
+            has_report: self
+                .leader()
+                .is_none_or(|leader| leader.address == address || !leader.is_own_word()),
             leaving: self.options.leaving.recent(Instant::now()),
             ..EntrySync::default()
         };
@@ -223,6 +226,7 @@
                 leader = leader.map_or("", |leader| &leader.address),
                 leader_term = leader.map_or(0, |leader| leader.term),
                 reply_age_ms = leader.map_or(0, LeaderBelief::age_ms); "{reason}");
+            self.choose_leader(&mut inner, Instant::now());
             self.publish(&inner, Affected { other: true, ..Affected::default() }, None);
         }
     }
@@ -231,8 +235,10 @@
         if self.lock().polling_tasks.get(address) != Some(&task) {
             return;
         }
-        self.sync_handler.handle_reply(address, &reply);
         let now = Instant::now();
+        // A control host that stood still may not know yet that another one leads.
+        reply.leads &= !self.lock().leaders.is_outdated(reply.leader_term, now);
+        self.sync_handler.handle_reply(address, &reply);
         let mut inner = self.lock();
         let control_host = inner.control_hosts.entry(address.to_owned()).or_default();
         let mut affected = Affected::default();
@@ -249,12 +255,25 @@
         affected.other |= control_host.apply_leader(address, &mut reply, now);
         affected.other |= control_host.apply_control_hosts(&mut reply);
         affected.other |= reply.routes.is_some();
-        self.leader.store(leader(&inner).cloned().map(Arc::new));
+        affected.other |= self.choose_leader(&mut inner, now);
         if affected.any() {
             self.publish(&inner, affected, Some(reply));
         }
     }
 
+    /// Chooses the leader from what the control hosts said last; true if it changed.
+    fn choose_leader(&self, inner: &mut Inner, now: Instant) -> bool {
+        let answering = inner.control_hosts.values().filter(|host| host.failing_since.is_none());
+        let named = answering.filter_map(|host| host.leader.as_ref());
+        let named: Vec<LeaderBelief> =
+            named.filter(|belief| !is_refuted(inner, belief)).cloned().collect();
+        inner.leaders.choose(&named, now);
+        let leader = inner.leaders.leader().cloned().map(Arc::new);
+        let name = |leader: &LeaderBelief| (leader.address.clone(), leader.term);
+        let before = self.leader.swap(leader.clone());
+        before.as_deref().map(name) != leader.as_deref().map(name)
+    }
+
     fn publish(&self, inner: &Inner, affected: Affected, reply: Option<ControlSync>) {
         let now = Instant::now();
         let current = self.view.load();
@@ -274,8 +293,7 @@
             let sources: Vec<&ControlHost> = inner.control_hosts.values().collect();
             next.entries = Arc::new(ControlHost::merge_entries(&sources, now));
         }
-        let leader = leader(inner);
-        self.leader.store(leader.cloned().map(Arc::new));
+        let leader = inner.leaders.leader();
         let leader_address = leader.map(|leader| leader.address.clone());
         if leader_address != next.leader_address {
             log::info!(event = "leader_known", address = leader_address.as_deref().unwrap_or(""),
@@ -401,7 +419,7 @@
             }
         });
         let candidates: Vec<PollCandidate<'_>> = candidates.collect();
-        let leader = leader(inner).or_else(|| named_leader(inner));
+        let leader = inner.leaders.leader().or_else(|| named_leader(inner));
         let leader = leader.map(|leader| leader.address.as_str());
         let chosen = choose_polled(&candidates, leader, &self.options.host_id);
         chosen.into_iter().map(str::to_owned).collect()
@@ -423,7 +441,7 @@
         let mut inner = self.lock();
         let polled = self.polled_addresses(&inner);
         let is_polled: HashSet<&str> = polled.iter().map(String::as_str).collect();
-        let Inner { control_hosts, polling_tasks, last_task } = &mut *inner;
+        let Inner { control_hosts, polling_tasks, last_task, .. } = &mut *inner;
         // A control host is dropped only once those that replace it have replied, so that the view never
         // lacks what it knows.
         let is_waiting = polled.iter().any(|address| {
@@ -446,6 +464,7 @@
             new_tasks.push((address, *last_task));
         }
         if has_dropped {
+            self.choose_leader(&mut inner, Instant::now());
             let affected = Affected { upstreams: true, entries: true, other: true };
             self.publish(&inner, affected, None);
         }
@@ -469,7 +488,7 @@
         let affected = Affected {
             upstreams: *before != *next.upstreams,
             entries: *next.entries != entries,
-            other: leader(&inner).map(|leader| &leader.address) != next.leader_address.as_ref(),
+            other: false,
         };
         if affected.any() {
             self.publish(&inner, affected, None);
@@ -477,10 +496,15 @@
     }
 }
 
-/// The control host that says that it leads.
-fn leader(inner: &Inner) -> Option<&LeaderBelief> {
-    let leader = inner.control_hosts.values().find(|control_host| control_host.is_leader);
-    leader.and_then(|control_host| control_host.leader.as_ref())
+/// True if the named host fails, or says itself that it does not lead in this term.
+fn is_refuted(inner: &Inner, belief: &LeaderBelief) -> bool {
+    let named = inner.control_hosts.get(&belief.address);
+    named.is_some_and(|named| {
+        named.failing_since.is_some()
+            || named.has_replied()
+                && !named.is_leader
+                && (belief.term == 0 || belief.term <= named.leader_term)
+    })
 }
 
 /// Leader that a control host names, which may not be polled yet.
--- a/src/raft/leader_belief.rs
+++ b/src/raft/leader_belief.rs
@@ -20,6 +20,19 @@
         self.address == self.source
     }
 
+    /// True if a host that believes in `other` should believe in this instead: the later term counts, and within a term
+    /// the word of the leader itself. Where a term is unknown, only the word of the leader itself counts.
+    pub fn replaces(&self, other: &Self) -> bool {
+        let rank = |belief: &Self| (belief.is_own_word(), belief.term);
+        if self.address == other.address && self.term == other.term {
+            return rank(self) >= rank(other) && self.heard_at >= other.heard_at;
+        }
+        match self.term == 0 || other.term == 0 || self.term == other.term {
+            true => rank(self) > rank(other),
+            false => self.term > other.term,
+        }
+    }
+
     /// Time since the source said so, in milliseconds.
     pub fn age_ms(&self) -> u64 {
         self.heard_at.elapsed().as_millis() as u64
