--- a/tests/leader_calls.rs
+++ b/tests/leader_calls.rs
@@ -209,6 +209,16 @@
     assert_eq!(scripted.calls_to("a"), 1);
 }
 
+/// Guards against a call whose whole budget goes to a host that is silent, though it lasts no longer than one attempt.
+#[async_std::test]
+async fn one_silent_host_leaves_time_for_the_others() {
+    let (client, _scripted) =
+        open_in_term(&[("a", Answering::Silent), ("b", Answering::Leads(6))], 5);
+    let budget = Duration::from_millis(600);
+    let ended = client.call(any_call(), budget, budget).await;
+    assert!(ended.is_ok(), "{ended:?}");
+}
+
 /// Guards against the same in the client of the daemon's state.
 #[async_std::test]
 async fn the_client_of_the_state_does_not_ask_a_leader_of_an_older_term() {
--- a/tests/sync_terms.rs
+++ b/tests/sync_terms.rs
@@ -4,6 +4,7 @@
 
 use std::collections::HashSet;
 use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -16,7 +17,9 @@
 use damaskhoist::peer::{CallError, PeerCaller, TrafficClass};
 use damaskhoist::raft::GroupOptions;
 use damaskhoist::replication::ReplicaManagerOptions;
-use damaskhoist::schema::ledger::{command::Command as Kind, NewItem, SubmitJob};
+use damaskhoist::schema::ledger::{
+    command::Command as Kind, query, NewItem, Query, ReadResults, SubmitJob,
+};
 use damaskhoist::schema::peer::frame::Body;
 use damaskhoist::schema::peer::{
     call, reply, Call, ControlSync, EntryHost, EntrySync, ItemReturn, Reply, ReturnItem,
@@ -45,6 +48,8 @@
     hosts: [OnceLock<Arc<Coordinator>>; HOSTS],
     /// Hosts that send and receive nothing.
     cut: Mutex<HashSet<usize>>,
+    /// Calls of replicas that ask how far they must have applied the log.
+    read_index_calls: AtomicUsize,
 }
 
 impl Network {
@@ -78,6 +83,9 @@
             return lost("cut off");
         };
         let Some(call) = call.call else { return lost("an empty call") };
+        if let call::Call::ReadIndex(_) = call {
+            self.network.read_index_calls.fetch_add(1, Ordering::Relaxed);
+        }
         let answered = async_std::future::timeout(timeout, host.handle(call)).await;
         match (answered, self.network.reach(self.from, to)) {
             (Ok(reply), Some(_)) => Ok(Reply { reply }),
@@ -415,3 +423,44 @@
     assert_eq!(second.assignments.len(), 2);
     fleet.close().await;
 }
+
+fn read_of_job() -> call::Call {
+    let read = ReadResults { job_id: "j".into(), after: 0, wait_ms: 0 };
+    call::Call::LedgerQuery(Query { query: Some(query::Query::ReadResults(read)) })
+}
+
+/// Guards against a replica that takes half a second to say that it knows no leader: a caller has no time left for
+/// others.
+#[async_std::test]
+async fn a_replica_without_a_leader_says_so_at_once() {
+    let fleet = Fleet::start().await;
+    let leader = fleet.leader(&[]).await;
+    let (left, other) = ((leader + 1) % HOSTS, (leader + 2) % HOSTS);
+    fleet.cut(leader);
+    fleet.cut(other);
+    let replica = fleet.host(left).replica().clone();
+    let started = Instant::now();
+    while replica.status().is_some_and(|status| status.leader_address.is_some()) {
+        assert!(started.elapsed() < STEP_TIMEOUT, "waited {STEP_TIMEOUT:?} for the loss");
+        task::sleep(Duration::from_millis(5)).await;
+    }
+    let asked = Instant::now();
+    let refused = fleet.host(left).handle(read_of_job()).await;
+    assert!(matches!(refused, Some(reply::Reply::Failure(_))), "{refused:?}");
+    assert!(asked.elapsed() < Duration::from_millis(200), "{:?}", asked.elapsed());
+    fleet.close().await;
+}
+
+/// Guards against a leader that is asked once for each read at a follower.
+#[async_std::test]
+async fn reads_at_a_replica_share_questions_to_the_leader() {
+    let fleet = Fleet::start().await;
+    let follower = (fleet.leader(&[]).await + 1) % HOSTS;
+    let reads = (0..100).map(|_| fleet.host(follower).handle(read_of_job()));
+    for answer in futures::future::join_all(reads).await {
+        assert!(matches!(answer, Some(reply::Reply::LedgerAnswer(_))), "{answer:?}");
+    }
+    let calls = fleet.network.read_index_calls.load(Ordering::Relaxed);
+    assert!((1..=3).contains(&calls), "{calls} calls for 100 reads");
+    fleet.close().await;
+}
