Keep one host from using up the budget of a call

Callers of results have 1,200 ms and ask two or three hosts in turn. In the record most reads end with "timeout after N ms" at the last host, with what the earlier ones left: a follower that knew no leader took 500 ms to say so, and the first attempt of a call could take all of its budget.

A follower that knows no leader now says so at once, with the leader of which it has heard otherwise, and JobReader passes that on to LeaderClient. It does not wait for an election: one takes longer than a short wait. An attempt gets half of what is left of a budget, 150 ms at least, beside a wait for results. As refusals are quick now, the delay between attempts doubles from 25 to 100 ms.

--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -10,13 +10,17 @@
 use crate::peer::{CallError, PeerCaller, TrafficClass};
 use crate::raft::{LeaderBelief, LeaderTracker};
 use crate::schema::ledger::{Answer, Command, Outcome, Query};
-use crate::schema::peer::{call, reply, Call, FailureKind, Reply};
+use crate::schema::peer::{call, reply, Call, CallFailure, FailureKind, Reply};
 
 /// Timeout of one call to the leader: two round trips between regions, a commit and a busy host.
 /// After it the call is retried on another control host.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
-/// Delay before the next control host is tried.
+/// Delay before the next control host is tried; doubled with each failure.
 const RETRY_DELAY: Duration = Duration::from_millis(25);
+/// Longest such delay. Calls that wait for an election then ask some ten times in their second.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time that an attempt gets at least, if it is left: two round trips between regions and a commit.
+const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Time after its timeout at which a call is given up if the connection has not ended it. The connection
 /// normally ends it in time, and then knows that it may be broken.
@@ -119,8 +123,8 @@
         }
     }
 
-    /// Calls control hosts until a leader answers or `budget` is used up. Each call has its own
-    /// `timeout`.
+    /// Calls control hosts until a leader answers or `budget` is used up. Each attempt has its own
+    /// `timeout`, and no more than half of what is left, so that no host uses up the budget.
     ///
     /// # Errors
     /// Fails with a [`LeaderError`] if no leader answered in time.
@@ -132,6 +136,7 @@
     ) -> Result<reply::Reply, LeaderError> {
         let started = Instant::now();
         let mut is_redirected = false;
+        let mut retry_delay = RETRY_DELAY;
         let mut failed = FailedCall::not_tried("no control host is known");
         // Reason of an attempt that may have taken effect.
         let mut unknown_effect = None;
@@ -145,7 +150,8 @@
                 continue;
             };
             let asked = Instant::now();
-            let called = self.call_host(&address, call.clone(), timeout.min(left)).await;
+            let timeout = attempt_timeout(timeout, left);
+            let called = self.call_host(&address, call.clone(), timeout).await;
             let was_redirected = std::mem::take(&mut is_redirected);
             let (reason, message, is_unknown) = match called {
                 Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => {
@@ -178,7 +184,8 @@
                 unknown_effect = Some((failed.message.clone(), reason));
             }
             if !is_redirected {
-                task::sleep(RETRY_DELAY).await;
+                task::sleep(retry_delay).await;
+                retry_delay = (2 * retry_delay).min(MAX_RETRY_DELAY);
             }
         }
         failed.leader = self.tracker.load().leader().cloned();
@@ -190,6 +197,11 @@
         })
     }
 
+    /// Takes note of a failure that a control host answered to another call after `time`.
+    pub fn hear_failure(&self, address: &str, failure: &CallFailure, time: Duration) {
+        self.update(|tracker, now| tracker.record_failure(address, failure, time, now));
+    }
+
     /// One call to one control host.
     async fn call_host(
         &self,
@@ -232,3 +244,11 @@
         self.tracker.load().target(&self.hint.control_addresses(), turn, Instant::now())
     }
 }
+
+/// Time for one attempt of a call that has `left`. What `timeout` has beyond that of a usual call is a wait for
+/// news, which is not shortened.
+fn attempt_timeout(timeout: Duration, left: Duration) -> Duration {
+    let wait = timeout.saturating_sub(CALL_TIMEOUT);
+    let share = left.saturating_sub(wait) / 2;
+    timeout.min(left).min(wait + share.max(MIN_ATTEMPT_TIMEOUT))
+}
--- a/src/coordinator/reads.rs
+++ b/src/coordinator/reads.rs
@@ -92,6 +92,10 @@
     /// Waits until this follower has applied all that was committed when the read began.
     async fn catch_up(&self, group: &Group) -> Result<(), reply::Reply> {
         let failure = |message: &str| self.call_failure(FailureKind::NoQuorum, message);
+        if group.status().leader_address.is_none() {
+            // The caller has other hosts to ask, and an election that goes on lasts longer than a short wait.
+            return Err(self.call_failure(FailureKind::NotLeader, "this replica knows no leader"));
+        }
         let call = call::Call::ReadIndex(ReadIndexCall {});
         let started = Instant::now();
         let asked =
--- a/src/gateway/job_reader.rs
+++ b/src/gateway/job_reader.rs
@@ -71,7 +71,10 @@
         let answer = self.caller.call(&address, TrafficClass::Bulk, message, timeout).await;
         let failure = match answer {
             Ok(Reply { reply: Some(reply::Reply::LedgerAnswer(answer)) }) => return Ok(answer),
-            Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => failure,
+            Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => {
+                self.leader.hear_failure(&address, &failure, started.elapsed());
+                failure
+            }
             Ok(_) => {
                 CallFailure { message: "unexpected reply".to_owned(), ..CallFailure::default() }
             }
