Share questions of a replica to the leader between its reads

Each read of a job at a follower made one ReadIndex call to the leader, and callers whose reads fail repeat them at two or three hosts, so a leader that falls behind was asked more often still.

Reads that wait at a follower now share one question.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -14,6 +14,7 @@
 use crate::coordinator::named_leader::NamedLeader;
 use crate::coordinator::operator::call_failure;
 use crate::coordinator::report_log::ReportLog;
+use crate::coordinator::shared_read_index::SharedReadIndex;
 use crate::coordinator::stored_state::{store_routes, store_upstreams, StoredState};
 use crate::coordinator::{ItemEnd, ItemPlace, LeaderClient, LeaderHint, OverdueItem, Scheduler};
 use crate::directory::{
@@ -80,7 +81,8 @@
     pub(super) stored: StoredState,
     /// Notified when upstreams that send heartbeats to this host are new, have changed or are silent.
     pub(super) upstreams_changed: Signal,
-    leader_client: LeaderClient,
+    leader_client: Arc<LeaderClient>,
+    pub(super) read_index: SharedReadIndex,
     /// Wakes all pending sync calls, which then check for changes.
     pub(super) changed: Signal,
     /// Notified when an entry host that polls this host is new, has changed or is silent.
@@ -154,6 +156,7 @@
             watch: watch.clone(),
             own_address: settings.peer_address.to_string(),
         });
+        let leader_client = Arc::new(LeaderClient::open(caller.clone(), hint));
         let leaving = Arc::new(LeavingTable::default());
         let interval = Duration::from_millis(settings.upstream_heartbeat_ms);
         let directory = Directory::new(rand::random_range(1..u64::MAX), interval);
@@ -185,7 +188,8 @@
             watch,
             stored,
             upstreams_changed: Signal::default(),
-            leader_client: LeaderClient::open(caller.clone(), hint),
+            read_index: SharedReadIndex::open(leader_client.clone()),
+            leader_client,
             changed: Signal::default(),
             entries_changed: Signal::default(),
             entry_host_signals: Mutex::default(),
--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -151,37 +151,16 @@
             };
             let asked = Instant::now();
             let timeout = attempt_timeout(timeout, left);
-            let called = self.call_host(&address, call.clone(), timeout).await;
-            let was_redirected = std::mem::take(&mut is_redirected);
-            let (reason, message, is_unknown) = match called {
-                Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => {
-                    let is_unknown = failure.kind() == FailureKind::CommitUnknown;
-                    // Hosts that name each other would be followed without end, so one redirect in a row is
-                    // followed without a pause.
-                    let time = asked.elapsed();
-                    let is_new = self.update(|tracker, now| {
-                        tracker.record_failure(&address, &failure, time, now)
-                    });
-                    is_redirected = is_new && !was_redirected && !is_unknown;
-                    (FailureReason::from(failure.kind()), failure.message, is_unknown)
-                }
-                Ok(Reply { reply: Some(reply) }) => {
-                    self.record_answer(&address, &reply);
-                    return Ok(reply);
-                }
-                Ok(Reply { reply: None }) => {
-                    (FailureReason::Other, "empty reply".to_owned(), false)
-                }
-                Err(error) => {
-                    let time = asked.elapsed();
-                    self.update(|tracker, now| tracker.pass_over(&address, 0, time, now));
-                    let is_unknown = matches!(error, CallError::Lost(_));
-                    (FailureReason::from(&error), error.to_string(), is_unknown)
-                }
+            let attempt = match self.attempt(&address, call.clone(), timeout).await {
+                Ok(reply) => return Ok(reply),
+                Err(attempt) => attempt,
             };
-            failed.record(&address, reason, &message, asked.elapsed().as_millis());
-            if is_unknown {
-                unknown_effect = Some((failed.message.clone(), reason));
+            // Hosts that name each other would be followed without end, so one redirect in a row is
+            // followed without a pause.
+            is_redirected = attempt.is_redirect && !is_redirected;
+            failed.record(&address, attempt.reason, &attempt.message, asked.elapsed().as_millis());
+            if attempt.is_unknown {
+                unknown_effect = Some((failed.message.clone(), attempt.reason));
             }
             if !is_redirected {
                 task::sleep(retry_delay).await;
@@ -197,6 +176,76 @@
         })
     }
 
+    /// Calls the leader once, for calls that only the leader serves and that are repeated elsewhere.
+    ///
+    /// # Errors
+    /// Fails with a [`LeaderError`] if no leader is known or it did not answer within `timeout`.
+    pub async fn call_leader(
+        &self,
+        call: call::Call,
+        timeout: Duration,
+    ) -> Result<reply::Reply, LeaderError> {
+        let mut failed = FailedCall::not_tried("no control host is known");
+        let Some(address) = self.next_address() else {
+            return Err(LeaderError::NotSubmitted(Box::new(failed)));
+        };
+        let asked = Instant::now();
+        let called = self.attempt(&address, call, timeout).await;
+        called.map_err(|attempt| {
+            let time_ms = asked.elapsed().as_millis();
+            failed.record(&address, attempt.reason, &attempt.message, time_ms);
+            failed.leader = self.tracker.load().leader().cloned();
+            match attempt.is_unknown {
+                true => LeaderError::Unknown(Box::new(failed)),
+                false => LeaderError::NotSubmitted(Box::new(failed)),
+            }
+        })
+    }
+
+    /// One call to one control host, whose end tells something of the leader.
+    async fn attempt(
+        &self,
+        address: &str,
+        call: call::Call,
+        timeout: Duration,
+    ) -> Result<reply::Reply, FailedAttempt> {
+        let asked = Instant::now();
+        match self.call_host(address, call, timeout).await {
+            Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => {
+                let time = asked.elapsed();
+                let names_leader = self
+                    .update(|tracker, now| tracker.record_failure(address, &failure, time, now));
+                let is_unknown = failure.kind() == FailureKind::CommitUnknown;
+                Err(FailedAttempt {
+                    reason: FailureReason::from(failure.kind()),
+                    message: failure.message,
+                    is_unknown,
+                    is_redirect: names_leader && !is_unknown,
+                })
+            }
+            Ok(Reply { reply: Some(reply) }) => {
+                self.record_answer(address, &reply);
+                Ok(reply)
+            }
+            Ok(Reply { reply: None }) => Err(FailedAttempt {
+                reason: FailureReason::Other,
+                message: "empty reply".to_owned(),
+                is_unknown: false,
+                is_redirect: false,
+            }),
+            Err(error) => {
+                let time = asked.elapsed();
+                self.update(|tracker, now| tracker.pass_over(address, 0, time, now));
+                Err(FailedAttempt {
+                    reason: FailureReason::from(&error),
+                    message: error.to_string(),
+                    is_unknown: matches!(error, CallError::Lost(_)),
+                    is_redirect: false,
+                })
+            }
+        }
+    }
+
     /// Takes note of a failure that a control host answered to another call after `time`.
     pub fn hear_failure(&self, address: &str, failure: &CallFailure, time: Duration) {
         self.update(|tracker, now| tracker.record_failure(address, failure, time, now));
@@ -245,6 +294,16 @@
     }
 }
 
+/// An attempt of a call that failed.
+struct FailedAttempt {
+    reason: FailureReason,
+    message: String,
+    /// The call may have taken effect.
+    is_unknown: bool,
+    /// It names a leader that can be called at once.
+    is_redirect: bool,
+}
+
 /// Time for one attempt of a call that has `left`. What `timeout` has beyond that of a usual call is a wait for
 /// news, which is not shortened.
 fn attempt_timeout(timeout: Duration, left: Duration) -> Duration {
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -23,6 +23,7 @@
 mod scheduler;
 mod scheduler_audit;
 mod scheduler_input;
+mod shared_read_index;
 mod state_file;
 mod stored_state;
 mod upstream_share;
--- a/src/coordinator/reads.rs
+++ b/src/coordinator/reads.rs
@@ -9,7 +9,7 @@
 use crate::schema::ledger::{
     answer, query, Answer, NotFound, Query, ReadResults, ResultPage, RetirementState,
 };
-use crate::schema::peer::{call, reply, FailureKind, ReadIndex, ReadIndexCall};
+use crate::schema::peer::{reply, FailureKind, ReadIndex};
 use crate::signal::Signal;
 
 /// Time limit of a read barrier. Operators and callers retry on another host after a second.
@@ -96,17 +96,10 @@
             // The caller has other hosts to ask, and an election that goes on lasts longer than a short wait.
             return Err(self.call_failure(FailureKind::NotLeader, "this replica knows no leader"));
         }
-        let call = call::Call::ReadIndex(ReadIndexCall {});
         let started = Instant::now();
-        let asked =
-            self.leader_client().call(call, READ_BARRIER_TIMEOUT, READ_BARRIER_TIMEOUT).await;
-        let Ok(reply::Reply::ReadIndex(ReadIndex { index })) = asked else {
-            let reason = match &asked {
-                Ok(_) => "unexpected reply".to_owned(),
-                Err(error) => error.failed_call().attempts.join("; "),
-            };
-            return Err(failure(&format!("no leader confirmed the read: {reason}")));
-        };
+        let asked = self.read_index.ask().await;
+        let index =
+            asked.map_err(|error| failure(&format!("no leader confirmed the read: {error}")))?;
         let left = READ_BARRIER_TIMEOUT.saturating_sub(started.elapsed());
         let applied = timeout(left, group.wait_until_applied(index)).await;
         applied.map_err(|_| failure("this replica is behind the leader"))
--- a/tests/sync_terms.rs
+++ b/tests/sync_terms.rs
@@ -34,6 +34,8 @@
 const ZONES: [&str; HOSTS] = ["santander", "torrelavega", "pamplona"];
 /// Longest time for a step that must come true.
 const STEP_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time that the answer to a question of a replica takes.
+const QUESTION_DELAY: Duration = Duration::from_millis(50);
 /// Time after the start of a term during which no item is assigned, and a margin.
 const TERM_START: Duration = Duration::from_millis(1_000);
 
@@ -83,10 +85,14 @@
             return lost("cut off");
         };
         let Some(call) = call.call else { return lost("an empty call") };
-        if let call::Call::ReadIndex(_) = call {
+        if matches!(call, call::Call::ReadIndex(_)) {
             self.network.read_index_calls.fetch_add(1, Ordering::Relaxed);
         }
+        let is_question = matches!(call, call::Call::ReadIndex(_));
         let answered = async_std::future::timeout(timeout, host.handle(call)).await;
+        if is_question {
+            task::sleep(QUESTION_DELAY).await;
+        }
         match (answered, self.network.reach(self.from, to)) {
             (Ok(reply), Some(_)) => Ok(Reply { reply }),
             _ => lost("no answer"),
@@ -460,7 +466,18 @@
     for answer in futures::future::join_all(reads).await {
         assert!(matches!(answer, Some(reply::Reply::LedgerAnswer(_))), "{answer:?}");
     }
-    let calls = fleet.network.read_index_calls.load(Ordering::Relaxed);
-    assert!((1..=3).contains(&calls), "{calls} calls for 100 reads");
+    let calls = || fleet.network.read_index_calls.load(Ordering::Relaxed);
+    assert!((1..=3).contains(&calls()), "{} calls for 100 reads", calls());
+
+    // A question that was sent before a read began may not answer it.
+    let before = calls();
+    let host = fleet.host(follower).clone();
+    let first = task::spawn(async move { host.handle(read_of_job()).await });
+    while calls() == before {
+        task::sleep(Duration::from_millis(1)).await;
+    }
+    fleet.host(follower).handle(read_of_job()).await;
+    assert_eq!(calls(), before + 2);
+    first.await;
     fleet.close().await;
 }
