--- a/tests/peer_calls.rs
+++ b/tests/peer_calls.rs
@@ -63,23 +63,29 @@
     });
 }
 
+/// A peer that accepts connections and never answers: its address, the number of connections, and its task.
+async fn silent_peer() -> (String, Arc<AtomicUsize>, task::JoinHandle<()>) {
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = silent.local_addr().expect("an address").to_string();
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let count = accepted.clone();
+    let acceptor = task::spawn(async move {
+        let mut kept = Vec::new();
+        let mut incoming = silent.incoming();
+        while let Some(Ok(stream)) = incoming.next().await {
+            count.fetch_add(1, Ordering::Relaxed);
+            kept.push(stream);
+        }
+    });
+    (address, accepted, acceptor)
+}
+
 /// A connection that delivers nothing any more is replaced after a call of usual length, though new
 /// connections work; a short call says nothing of it.
 #[test]
 fn a_silent_connection_is_replaced() {
     task::block_on(async {
-        let silent = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = silent.local_addr().expect("an address").to_string();
-        let accepted = Arc::new(AtomicUsize::new(0));
-        let count = accepted.clone();
-        let acceptor = task::spawn(async move {
-            let mut kept = Vec::new();
-            let mut incoming = silent.incoming();
-            while let Some(Ok(stream)) = incoming.next().await {
-                count.fetch_add(1, Ordering::Relaxed);
-                kept.push(stream);
-            }
-        });
+        let (address, accepted, acceptor) = silent_peer().await;
         let pool = PeerPool::open("a", "pamplona", 1, "");
         for (timeout_ms, connections) in [(20, 1), (20, 1), (500, 1), (20, 2)] {
             assert!(!call(&pool, &address, 1, timeout_ms).await);
@@ -90,6 +96,24 @@
     });
 }
 
+/// Guards against messages to a connection that delivers nothing any more, because the calls on it are replaced before
+/// their time is up and so tell nothing of it.
+#[test]
+fn a_silent_connection_whose_calls_are_given_up_early_is_replaced() {
+    task::block_on(async {
+        let (address, accepted, acceptor) = silent_peer().await;
+        let pool = PeerPool::open("a", "pamplona", 1, "");
+        let given_up = Duration::from_millis(100);
+        for _ in 0..6 {
+            let _ = async_std::future::timeout(given_up, call(&pool, &address, 1, 400)).await;
+        }
+        pool.send(&address, TrafficClass::Bulk, Body::Gossip(Default::default()));
+        task::sleep(Duration::from_millis(50)).await;
+        assert!(accepted.load(Ordering::Relaxed) >= 2, "the first connection is still used");
+        acceptor.cancel().await;
+    });
+}
+
 /// An address that answers no attempt to connect, as a host that is just starting or cut off.
 fn unanswering_address() -> (Socket, Vec<Socket>, String) {
     let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
