--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -15,6 +15,7 @@
 use crate::coordinator::operator::call_failure;
 use crate::coordinator::report_log::ReportLog;
 use crate::coordinator::routes_confirmation::confirm_routes;
+use crate::coordinator::shared_read_index::SharedReadIndex;
 use crate::coordinator::stored_state::{store_routes, store_upstreams, StoredState};
 use crate::coordinator::{ItemEnd, ItemPlace, LeaderClient, LeaderHint, OverdueItem, Scheduler};
 use crate::directory::{
@@ -58,7 +59,7 @@
 
 /// The control role of one host.
 pub struct Coordinator {
-    settings: FleetHostSettings,
+    pub(super) settings: FleetHostSettings,
     pub(super) replica: Arc<ReplicaManager<Ledger>>,
     /// Read while this host has no replica.
     empty_ledger: Arc<Ledger>,
@@ -81,7 +82,8 @@
     pub(super) stored: StoredState,
     /// Notified when upstreams that send heartbeats to this host are new, have changed or are silent.
     pub(super) upstreams_changed: Signal,
-    leader_client: LeaderClient,
+    leader_client: Arc<LeaderClient>,
+    pub(super) read_index: SharedReadIndex,
     /// Wakes all pending sync calls, which then check for changes.
     pub(super) changed: Signal,
     /// Notified when an entry host that polls this host is new, has changed or is silent.
@@ -110,7 +112,12 @@
             let (term, source) = (status.term, self.own_address.clone());
             Some(Arc::new(LeaderBelief { address, term, source, heard_at: Instant::now() }))
         });
-        own.or_else(|| self.watch.get()?.leader())
+        let heard = self.watch.get().and_then(|watch| watch.leader());
+        match (own, heard) {
+            // A replica that stood still may name a leader of an older term.
+            (Some(own), Some(heard)) if heard.term > own.term => Some(heard),
+            (own, heard) => own.or(heard),
+        }
     }
 
     fn control_addresses(&self) -> Vec<String> {
@@ -154,6 +161,7 @@
             watch: watch.clone(),
             own_address: settings.peer_address.to_string(),
         });
+        let leader_client = Arc::new(LeaderClient::open(caller.clone(), hint));
         let leaving = Arc::new(LeavingTable::default());
         let interval = Duration::from_millis(settings.upstream_heartbeat_ms);
         let directory = Directory::new(rand::random_range(1..u64::MAX), interval);
@@ -185,7 +193,8 @@
             watch,
             stored,
             upstreams_changed: Signal::default(),
-            leader_client: LeaderClient::open(caller.clone(), hint),
+            read_index: SharedReadIndex::open(leader_client.clone()),
+            leader_client,
             changed: Signal::default(),
             entries_changed: Signal::default(),
             entry_host_signals: Mutex::default(),
@@ -332,17 +341,24 @@
 
     /// The leader as far as this host knows.
     pub(super) fn named_leader(&self) -> NamedLeader {
-        let status = self.replica.status();
-        let term = status.as_ref().map_or(0, |status| status.term);
-        if status.as_ref().is_some_and(|status| status.is_leader) {
-            return NamedLeader { address: self.settings.peer_address.to_string(), term };
+        let status = self.replica.status().unwrap_or_default();
+        let heard = self.watch.get().and_then(|watch| watch.leader());
+        // What others say of the leader is not passed on: hosts that repeat each other would keep a lost leader alive.
+        let heard = heard.filter(|leader| leader.is_own_word());
+        let heard = heard.filter(|leader| leader.term == 0 || leader.term >= status.term);
+        if let Some(leader) = heard.as_ref().filter(|leader| leader.term > status.term) {
+            return NamedLeader { address: leader.address.clone(), term: leader.term };
         }
-        if let Some(address) = status.and_then(|status| status.leader_address.clone()) {
-            return NamedLeader { address, term };
+        let own = match status.is_leader {
+            true => Some(self.settings.peer_address.to_string()),
+            false => status.leader_address.clone(),
+        };
+        if let Some(address) = own {
+            return NamedLeader { address, term: status.term };
         }
-        match self.watch.get().and_then(|watch| watch.leader()) {
+        match heard {
             Some(leader) => NamedLeader { address: leader.address.clone(), term: leader.term },
-            None => NamedLeader { address: String::new(), term },
+            None => NamedLeader { address: String::new(), term: status.term },
         }
     }
 
--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -3,20 +3,24 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::ArcSwap;
 use async_std::task;
 
 use crate::coordinator::{FailedCall, FailureReason};
 use crate::peer::{CallError, PeerCaller, TrafficClass};
-use crate::raft::LeaderBelief;
+use crate::raft::{LeaderBelief, LeaderTracker};
 use crate::schema::ledger::{Answer, Command, Outcome, Query};
 use crate::schema::peer::{call, reply, Call, CallFailure, FailureKind, Reply};
 
 /// Timeout of one call to the leader: two round trips between regions, a commit and a busy host.
 /// After it the call is retried on another control host.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
-/// Delay before the next control host is tried.
+/// Delay before the next control host is tried; doubled with each failure.
 const RETRY_DELAY: Duration = Duration::from_millis(25);
+/// Longest such delay. Calls that wait for an election then ask some ten times in their second.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time that an attempt gets at least, if it is left: two round trips between regions and a commit.
+const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Time after its timeout at which a call is given up if the connection has not ended it. The connection
 /// normally ends it in time, and then knows that it may be broken.
@@ -79,15 +83,15 @@
 pub struct LeaderClient {
     caller: Arc<dyn PeerCaller>,
     hint: Arc<dyn LeaderHint>,
-    /// The leader that answered last, or that a replica named; may be newer than the hint.
-    leader: ArcSwapOption<LeaderBelief>,
+    /// What the hint, the replies and the failures say; may be newer than the hint.
+    tracker: ArcSwap<LeaderTracker>,
     round_robin: AtomicUsize,
 }
 
 impl LeaderClient {
     /// Creates a client that starts its search for the leader at `hint`.
     pub fn open(caller: Arc<dyn PeerCaller>, hint: Arc<dyn LeaderHint>) -> Self {
-        Self { caller, hint, leader: ArcSwapOption::empty(), round_robin: AtomicUsize::new(0) }
+        Self { caller, hint, tracker: ArcSwap::default(), round_robin: AtomicUsize::new(0) }
     }
 
     /// Submits a command and waits for its outcome, with retries for up to `budget`.
@@ -119,8 +123,8 @@
         }
     }
 
-    /// Calls control hosts until a leader answers or `budget` is used up. Each call has its own
-    /// `timeout`.
+    /// Calls control hosts until a leader answers or `budget` is used up. Each attempt has its own
+    /// `timeout`, and no more than half of what is left, so that no host uses up the budget.
     ///
     /// # Errors
     /// Fails with a [`LeaderError`] if no leader answered in time.
@@ -132,6 +136,7 @@
     ) -> Result<reply::Reply, LeaderError> {
         let started = Instant::now();
         let mut is_redirected = false;
+        let mut retry_delay = RETRY_DELAY;
         let mut failed = FailedCall::not_tried("no control host is known");
         // Reason of an attempt that may have taken effect.
         let mut unknown_effect = None;
@@ -145,42 +150,24 @@
                 continue;
             };
             let asked = Instant::now();
-            let called = self.call_host(&address, call.clone(), timeout.min(left)).await;
-            let was_redirected = std::mem::take(&mut is_redirected);
-            let (reason, message, is_unknown) = match called {
-                Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => {
-                    let is_unknown = failure.kind() == FailureKind::CommitUnknown;
-                    // Hosts that name each other would be followed without end, so one redirect in a row is
-                    // followed.
-                    let named = named_leader(&address, &failure);
-                    let is_new = !was_redirected
-                        && named.as_ref().is_some_and(|leader| leader.address != address);
-                    self.leader.store(named.filter(|_| is_new).map(Arc::new));
-                    is_redirected = is_new && !is_unknown;
-                    (FailureReason::from(failure.kind()), failure.message, is_unknown)
-                }
-                Ok(Reply { reply: Some(reply) }) => {
-                    self.record_answer(&address);
-                    return Ok(reply);
-                }
-                Ok(Reply { reply: None }) => {
-                    (FailureReason::Other, "empty reply".to_owned(), false)
-                }
-                Err(error) => {
-                    self.leader.store(None);
-                    let is_unknown = matches!(error, CallError::Lost(_));
-                    (FailureReason::from(&error), error.to_string(), is_unknown)
-                }
+            let timeout = attempt_timeout(timeout, left);
+            let attempt = match self.attempt(&address, call.clone(), timeout).await {
+                Ok(reply) => return Ok(reply),
+                Err(attempt) => attempt,
             };
-            failed.record(&address, reason, &message, asked.elapsed().as_millis());
-            if is_unknown {
-                unknown_effect = Some((failed.message.clone(), reason));
+            // Hosts that name each other would be followed without end, so one redirect in a row is
+            // followed without a pause.
+            is_redirected = attempt.is_redirect && !is_redirected;
+            failed.record(&address, attempt.reason, &attempt.message, asked.elapsed().as_millis());
+            if attempt.is_unknown {
+                unknown_effect = Some((failed.message.clone(), attempt.reason));
             }
             if !is_redirected {
-                task::sleep(RETRY_DELAY).await;
+                task::sleep(retry_delay).await;
+                retry_delay = (2 * retry_delay).min(MAX_RETRY_DELAY);
             }
         }
-        failed.leader = self.leader().map(|leader| leader.as_ref().clone());
+        failed.leader = self.tracker.load().leader().cloned();
         Err(match unknown_effect {
             Some((message, reason)) => {
                 LeaderError::Unknown(Box::new(FailedCall { message, reason, ..failed }))
@@ -189,6 +176,81 @@
         })
     }
 
+    /// Calls the leader once, for calls that only the leader serves and that are repeated elsewhere.
+    ///
+    /// # Errors
+    /// Fails with a [`LeaderError`] if no leader is known or it did not answer within `timeout`.
+    pub async fn call_leader(
+        &self,
+        call: call::Call,
+        timeout: Duration,
+    ) -> Result<reply::Reply, LeaderError> {
+        let mut failed = FailedCall::not_tried("no control host is known");
+        let Some(address) = self.next_address() else {
+            return Err(LeaderError::NotSubmitted(Box::new(failed)));
+        };
+        let asked = Instant::now();
+        let called = self.attempt(&address, call, timeout).await;
+        called.map_err(|attempt| {
+            let time_ms = asked.elapsed().as_millis();
+            failed.record(&address, attempt.reason, &attempt.message, time_ms);
+            failed.leader = self.tracker.load().leader().cloned();
+            match attempt.is_unknown {
+                true => LeaderError::Unknown(Box::new(failed)),
+                false => LeaderError::NotSubmitted(Box::new(failed)),
+            }
+        })
+    }
+
+    /// One call to one control host, whose end tells something of the leader.
+    async fn attempt(
+        &self,
+        address: &str,
+        call: call::Call,
+        timeout: Duration,
+    ) -> Result<reply::Reply, FailedAttempt> {
+        let asked = Instant::now();
+        match self.call_host(address, call, timeout).await {
+            Ok(Reply { reply: Some(reply::Reply::Failure(failure)) }) => {
+                let time = asked.elapsed();
+                let names_leader = self
+                    .update(|tracker, now| tracker.record_failure(address, &failure, time, now));
+                let is_unknown = failure.kind() == FailureKind::CommitUnknown;
+                Err(FailedAttempt {
+                    reason: FailureReason::from(failure.kind()),
+                    message: failure.message,
+                    is_unknown,
+                    is_redirect: names_leader && !is_unknown,
+                })
+            }
+            Ok(Reply { reply: Some(reply) }) => {
+                self.record_answer(address, &reply);
+                Ok(reply)
+            }
+            Ok(Reply { reply: None }) => Err(FailedAttempt {
+                reason: FailureReason::Other,
+                message: "empty reply".to_owned(),
+                is_unknown: false,
+                is_redirect: false,
+            }),
+            Err(error) => {
+                let time = asked.elapsed();
+                self.update(|tracker, now| tracker.pass_over(address, 0, time, now));
+                Err(FailedAttempt {
+                    reason: FailureReason::from(&error),
+                    message: error.to_string(),
+                    is_unknown: matches!(error, CallError::Lost(_)),
+                    is_redirect: false,
+                })
+            }
+        }
+    }
+
+    /// Takes note of a failure that a control host answered to another call after `time`.
+    pub fn hear_failure(&self, address: &str, failure: &CallFailure, time: Duration) {
+        self.update(|tracker, now| tracker.record_failure(address, failure, time, now));
+    }
+
     /// One call to one control host.
     async fn call_host(
         &self,
@@ -202,45 +264,50 @@
         called.unwrap_or_else(|_| Err(CallError::Lost("no end of the call".to_owned())))
     }
 
-    /// The leader that the next call goes to, if one is known.
-    fn leader(&self) -> Option<Arc<LeaderBelief>> {
-        self.leader.load_full().or_else(|| self.hint.leader())
+    /// Applies a change to what is known of the leader; returns its result.
+    fn update<T: Default>(&self, change: impl Fn(&mut LeaderTracker, Instant) -> T) -> T {
+        let (now, mut changed) = (Instant::now(), T::default());
+        self.tracker.rcu(|tracker| {
+            let mut next = LeaderTracker::clone(tracker);
+            changed = change(&mut next, now);
+            next
+        });
+        changed
     }
 
-    /// Records that a control host served a call, and so leads or follows the leader.
-    fn record_answer(&self, address: &str) {
-        let known = self.leader().filter(|leader| leader.address == address);
-        self.leader.store(Some(Arc::new(LeaderBelief {
-            address: address.to_owned(),
-            term: known.map_or(0, |leader| leader.term),
-            source: address.to_owned(),
-            heard_at: Instant::now(),
-        })));
+    /// Records that a control host served a call. One that answered a read may be a follower.
+    fn record_answer(&self, address: &str, reply: &reply::Reply) {
+        let tracker = self.tracker.load();
+        let is_known = tracker.leader().is_some_and(|leader| leader.address == address);
+        if is_known || !matches!(reply, reply::Reply::LedgerAnswer(_)) {
+            self.update(|tracker, now| tracker.record_answer(address, now));
+        }
     }
 
-    /// Address to call next: the known leader or, without one, alternately the hinted leader and
-    /// the control hosts in round-robin order.
+    /// Address to call next: the leader or, while none can be called, the control hosts in turn.
     fn next_address(&self) -> Option<String> {
-        if let Some(leader) = self.leader.load_full() {
-            return Some(leader.address.clone());
+        if let Some(hint) = self.hint.leader() {
+            self.update(|tracker, now| tracker.hear(&hint, now));
         }
-        let attempt = self.round_robin.fetch_add(1, Ordering::Relaxed);
-        let hint = self.hint.leader();
-        if let Some(leader) = hint.filter(|_| attempt.is_multiple_of(2)) {
-            return Some(leader.address.clone());
-        }
-        let addresses = self.hint.control_addresses();
-        let index = (attempt / 2).checked_rem(addresses.len())?;
-        addresses.get(index).cloned()
+        let turn = self.round_robin.fetch_add(1, Ordering::Relaxed);
+        self.tracker.load().target(&self.hint.control_addresses(), turn, Instant::now())
     }
 }
 
-/// The leader that a host names in a failure.
-fn named_leader(source: &str, failure: &CallFailure) -> Option<LeaderBelief> {
-    (!failure.leader_address.is_empty()).then(|| LeaderBelief {
-        address: failure.leader_address.clone(),
-        term: failure.leader_term,
-        source: source.to_owned(),
-        heard_at: Instant::now(),
-    })
+/// An attempt of a call that failed.
+struct FailedAttempt {
+    reason: FailureReason,
+    message: String,
+    /// The call may have taken effect.
+    is_unknown: bool,
+    /// It names a leader that can be called at once.
+    is_redirect: bool,
+}
+
+/// Time for one attempt of a call that has `left`. What `timeout` has beyond that of a usual call is a wait for
+/// news, which is not shortened.
+fn attempt_timeout(timeout: Duration, left: Duration) -> Duration {
+    let wait = timeout.saturating_sub(CALL_TIMEOUT);
+    let share = left.saturating_sub(wait) / 2;
+    timeout.min(left).min(wait + share.max(MIN_ATTEMPT_TIMEOUT))
 }
--- a/tests/sync_terms.rs
+++ b/tests/sync_terms.rs
@@ -4,6 +4,7 @@
 
 use std::collections::HashSet;
 use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -16,7 +17,9 @@
 use damaskhoist::peer::{CallError, PeerCaller, TrafficClass};
 use damaskhoist::raft::GroupOptions;
 use damaskhoist::replication::ReplicaManagerOptions;
-use damaskhoist::schema::ledger::{command::Command as Kind, NewItem, SubmitJob};
+use damaskhoist::schema::ledger::{
+    command::Command as Kind, query, NewItem, Query, ReadResults, SubmitJob,
+};
 use damaskhoist::schema::peer::frame::Body;
 use damaskhoist::schema::peer::{
     call, reply, Call, ControlSync, EntryHost, EntrySync, ItemReturn, Reply, ReturnItem,
@@ -31,6 +34,8 @@
 const ZONES: [&str; HOSTS] = ["santander", "torrelavega", "pamplona"];
 /// Longest time for a step that must come true.
 const STEP_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time that the answer to a question of a replica takes.
+const QUESTION_DELAY: Duration = Duration::from_millis(50);
 /// Time after the start of a term during which no item is assigned, and a margin.
 const TERM_START: Duration = Duration::from_millis(1_000);
 
@@ -45,6 +50,8 @@
     hosts: [OnceLock<Arc<Coordinator>>; HOSTS],
     /// Hosts that send and receive nothing.
     cut: Mutex<HashSet<usize>>,
+    /// Calls of replicas that ask how far they must have applied the log.
+    read_index_calls: AtomicUsize,
 }
 
 impl Network {
@@ -78,7 +85,14 @@
             return lost("cut off");
         };
         let Some(call) = call.call else { return lost("an empty call") };
+        if matches!(call, call::Call::ReadIndex(_)) {
+            self.network.read_index_calls.fetch_add(1, Ordering::Relaxed);
+        }
+        let is_question = matches!(call, call::Call::ReadIndex(_));
         let answered = async_std::future::timeout(timeout, host.handle(call)).await;
+        if is_question {
+            task::sleep(QUESTION_DELAY).await;
+        }
         match (answered, self.network.reach(self.from, to)) {
             (Ok(reply), Some(_)) => Ok(Reply { reply }),
             _ => lost("no answer"),
@@ -438,3 +452,55 @@
     }
     fleet.close().await;
 }
+
+fn read_of_job() -> call::Call {
+    let read = ReadResults { job_id: "j".into(), after: 0, wait_ms: 0 };
+    call::Call::LedgerQuery(Query { query: Some(query::Query::ReadResults(read)) })
+}
+
+/// Guards against a replica that takes half a second to say that it knows no leader: a caller has no time left for
+/// others.
+#[async_std::test]
+async fn a_replica_without_a_leader_says_so_at_once() {
+    let fleet = Fleet::start().await;
+    let leader = fleet.leader(&[]).await;
+    let (left, other) = ((leader + 1) % HOSTS, (leader + 2) % HOSTS);
+    fleet.cut(leader);
+    fleet.cut(other);
+    let replica = fleet.host(left).replica().clone();
+    let started = Instant::now();
+    while replica.status().is_some_and(|status| status.leader_address.is_some()) {
+        assert!(started.elapsed() < STEP_TIMEOUT, "waited {STEP_TIMEOUT:?} for the loss");
+        task::sleep(Duration::from_millis(5)).await;
+    }
+    let asked = Instant::now();
+    let refused = fleet.host(left).handle(read_of_job()).await;
+    assert!(matches!(refused, Some(reply::Reply::Failure(_))), "{refused:?}");
+    assert!(asked.elapsed() < Duration::from_millis(200), "{:?}", asked.elapsed());
+    fleet.close().await;
+}
+
+/// Guards against a leader that is asked once for each read at a follower.
+#[async_std::test]
+async fn reads_at_a_replica_share_questions_to_the_leader() {
+    let fleet = Fleet::start().await;
+    let follower = (fleet.leader(&[]).await + 1) % HOSTS;
+    let reads = (0..100).map(|_| fleet.host(follower).handle(read_of_job()));
+    for answer in futures::future::join_all(reads).await {
+        assert!(matches!(answer, Some(reply::Reply::LedgerAnswer(_))), "{answer:?}");
+    }
+    let calls = || fleet.network.read_index_calls.load(Ordering::Relaxed);
+    assert!((1..=3).contains(&calls()), "{} calls for 100 reads", calls());
+
+    // A question that was sent before a read began may not answer it.
+    let before = calls();
+    let host = fleet.host(follower).clone();
+    let first = task::spawn(async move { host.handle(read_of_job()).await });
+    while calls() == before {
+        task::sleep(Duration::from_millis(1)).await;
+    }
+    fleet.host(follower).handle(read_of_job()).await;
+    assert_eq!(calls(), before + 2);
+    first.await;
+    fleet.close().await;
+}
