Confirm routes soon after a term begins

Callers of a fleet that has just started got 503 instead of 404 for up to 250 ms longer than needed: a replica checked for leadership only at the interval of the confirmations. It now checks each 50 ms until it has confirmed.

routes_age_ms is -1 in request_refused and routes_in_force where no age is known; it was the text "None".

--- a/src/coordinator/routes_confirmation.rs
+++ b/src/coordinator/routes_confirmation.rs
@@ -10,6 +10,9 @@
 /// Interval at which the leader confirms the routes. An entry host then knows the age of its routes to within
 /// a second, with the long polls in between.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which a replica checks whether it leads by now. Until the first confirmation of a fleet that starts,
+/// entry hosts refuse what no route matches as not run.
+const LEADERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 impl Coordinator {
     /// The last confirmation that this host has, for the answer to a call that arrived at `arrived`.
@@ -24,20 +27,23 @@
 
     /// Confirms the routes if this replica leads: whatever was acknowledged before is in its ledger once a
     /// quorum has confirmed that no other one leads.
-    async fn confirm_routes_once(&self) {
-        let Some(replica) = self.replica().running() else { return };
+    ///
+    /// Returns false if it does not lead or no quorum confirmed it.
+    async fn confirm_routes_once(&self) -> bool {
+        let Some(replica) = self.replica().running() else { return false };
         if !replica.group.status().is_leader {
-            return;
+            return false;
         }
         let confirmed_at = Instant::now();
         if self.confirm_leadership(&replica.group).await.is_err() {
-            return;
+            return false;
         }
         let version = replica.machine.routes().version;
         let source = self.peer_address();
         if let Some(watch) = self.watch() {
             watch.routes_confirmation().record(Confirmation { version, confirmed_at, source });
         }
+        true
     }
 }
 
@@ -46,7 +52,10 @@
 /// a newer leader than the one it knows.
 pub(super) async fn confirm_routes(coordinator: Arc<Coordinator>) {
     loop {
-        coordinator.confirm_routes_once().await;
-        task::sleep(CONFIRM_INTERVAL).await;
+        let interval = match coordinator.confirm_routes_once().await {
+            true => CONFIRM_INTERVAL,
+            false => LEADERSHIP_CHECK_INTERVAL,
+        };
+        task::sleep(interval).await;
     }
 }
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -296,7 +296,7 @@
             let age = self.routes_confirmation.age(routes.version, now);
             log::info!(event = "routes_in_force", version = routes.version,
                 before = next.routes.version, source = source,
-                routes_age_ms = age.map(|age| age.as_millis() as u64); "new routes applied");
+                routes_age_ms = age.map_or(-1, |age| age.as_millis() as i64); "new routes applied");
             next.routes = Arc::new(routes);
         }
         if affected.upstreams || has_new_routes {
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -156,7 +156,7 @@
         let refusal = routes.missing_route();
         log::info!(event = "request_refused", request = request.request_id.as_str(),
             host = request.host.as_str(), path = request.path(), routes_version = routes.version,
-            routes_age_ms = routes.age.map(|age| age.as_millis() as u64),
+            routes_age_ms = routes.age_ms(),
             routes_source = routes.source.as_str(), kind = format!("{:?}", refusal.kind).as_str(),
             retry_after_ms = refusal.retry_after.map_or(0, |delay| delay.as_millis() as u64),
             ms = request.arrived.elapsed().as_millis() as u64; "{}", refusal.reason);
--- a/src/gateway/routes_state.rs
+++ b/src/gateway/routes_state.rs
@@ -26,6 +26,11 @@
         self.version > 0 && self.age.is_some_and(|age| age < ROUTES_LEASE)
     }
 
+    /// The age for the log; -1 if it is unknown.
+    pub fn age_ms(&self) -> i64 {
+        self.age.map_or(-1, |age| age.as_millis() as i64)
+    }
+
     /// The refusal of a request that no route matches. Requests that a route matches are served by routes of any
     /// age: the loss of the control hosts must not stop callers.
     pub fn missing_route(&self) -> Refusal {
