Replace a silent connection also when its calls are given up early

Calls, raft messages and notices to one peer share a connection. One that delivers nothing any more was replaced only when a call on it lasted for its whole time limit.

A connection now remembers when the first reply is due since the last frame that it read, also for calls that were given up since, and takes no new call or message after that. This replaces the check of single calls.

a_silent_connection_whose_calls_are_given_up_early_is_replaced: left: 1, right: 2 (connections)

--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -2,7 +2,7 @@
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::channel::{bounded, Receiver, Sender, TrySendError};
 use async_std::net::TcpStream;
@@ -25,9 +25,8 @@
 /// Buffered bytes after which queued frames are written to the socket.
 const WRITE_BATCH_BYTES: usize = 64 * 1024;
 
-/// Time that a call must have waited without any frame of the peer before the connection is suspected to
-/// deliver nothing any more. Several round trips between regions, so that a call with little time left says
-/// nothing of the connection.
+/// Time limit from which on a call tells something of the connection, if no frame of the peer arrives within it.
+/// Several round trips between regions, so that a call with little time left says nothing.
 const SUSPECT_AFTER: Duration = Duration::from_millis(300);
 
 /// Reply channels of the calls in flight, by call id.
@@ -39,11 +38,10 @@
     waiting: Arc<WaitingCalls>,
     next_call_id: AtomicU64,
     closed: Arc<AtomicBool>,
-    /// It may deliver nothing any more, so new calls use another connection. Calls in flight go on: a peer
-    /// that is only slow still answers them.
-    suspected: AtomicBool,
-    /// Number of frames read from the peer, which shows whether the connection still delivers.
-    frames_read: Arc<AtomicU64>,
+    opened_at: Instant,
+    /// When the first reply is due of the calls that were sent since the last frame of the peer, in milliseconds since
+    /// the connection was opened; 0 for none. It holds for calls that were given up as well.
+    reply_due_ms: Arc<AtomicU64>,
 }
 
 impl Connection {
@@ -58,18 +56,34 @@
         let waiting = Arc::new(WaitingCalls::default());
         let closed = Arc::new(AtomicBool::new(false));
         task::spawn(write_frames(stream.clone(), queue, FrameCodec::new()));
-        let frames_read = Arc::new(AtomicU64::new(0));
-        task::spawn(read_replies(stream, waiting.clone(), closed.clone(), frames_read.clone()));
-        let next_call_id = AtomicU64::new(1);
-        let suspected = AtomicBool::new(false);
-        let connection = Self { outgoing, waiting, next_call_id, closed, suspected, frames_read };
+        let reply_due_ms = Arc::new(AtomicU64::new(0));
+        task::spawn(read_replies(stream, waiting.clone(), closed.clone(), reply_due_ms.clone()));
+        let (next_call_id, opened_at) = (AtomicU64::new(1), Instant::now());
+        let connection = Self { outgoing, waiting, next_call_id, closed, opened_at, reply_due_ms };
         connection.send(Body::Hello(hello));
         Ok(connection)
     }
 
-    /// Whether new calls may use the connection; if not, it must be replaced by a new one.
+    /// Whether new calls and messages may use the connection; if not, it must be replaced by a new one. Calls in
+    /// flight go on: a peer that is only slow still answers them.
     pub fn is_usable(&self) -> bool {
-        !self.is_closed() && !self.suspected.load(Ordering::Acquire)
+        !self.is_closed() && !self.is_overdue()
+    }
+
+    /// True if the connection may deliver nothing any more, though new connections to the peer work.
+    fn is_overdue(&self) -> bool {
+        let due_ms = self.reply_due_ms.load(Ordering::Acquire);
+        due_ms > 0 && self.opened_at.elapsed().as_millis() as u64 >= due_ms
+    }
+
+    fn expect_reply(&self, timeout: Duration) {
+        if timeout < SUSPECT_AFTER {
+            return;
+        }
+        let due_ms = (self.opened_at.elapsed() + timeout).as_millis() as u64;
+        let _ = self.reply_due_ms.fetch_update(Ordering::AcqRel, Ordering::Acquire, |known_ms| {
+            (known_ms == 0 || due_ms < known_ms).then_some(due_ms)
+        });
     }
 
     fn is_closed(&self) -> bool {
@@ -89,11 +103,12 @@
     /// connection closes or `timeout` elapses before the reply arrives.
     pub async fn call(&self, call: Call, timeout: Duration) -> Result<Reply, CallError> {
         let call_id = self.next_call_id.fetch_add(1, Ordering::Relaxed);
-        let frames_read_before = self.frames_read.load(Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         self.waiting.lock().expect("lock is not poisoned").insert(call_id, sender);
         let _guard = WaitingCallGuard { waiting: &self.waiting, call_id };
         let frame = Box::new(Frame { call_id, body: Some(Body::Call(call)) });
+        // Before the call is sent: its reply, read by another task, clears the time.
+        self.expect_reply(timeout);
         match self.outgoing.try_send(frame) {
             Ok(()) => {}
             Err(TrySendError::Full(_)) => return Err(CallError::NotSent("peer is slow".into())),
@@ -107,14 +122,7 @@
         match async_std::future::timeout(timeout, receiver).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(_)) => Err(CallError::Lost("connection was closed".into())),
-            Err(_) => {
-                let is_silent = self.frames_read.load(Ordering::Relaxed) == frames_read_before;
-                if is_silent && timeout >= SUSPECT_AFTER {
-                    // A connection may stop delivering for good while new connections to the peer work.
-                    self.suspected.store(true, Ordering::Release);
-                }
-                Err(CallError::Lost(format!("timeout after {} ms", timeout.as_millis())))
-            }
+            Err(_) => Err(CallError::Lost(format!("timeout after {} ms", timeout.as_millis()))),
         }
     }
 }
@@ -166,11 +174,11 @@
     stream: TcpStream,
     waiting: Arc<WaitingCalls>,
     closed: Arc<AtomicBool>,
-    frames_read: Arc<AtomicU64>,
+    reply_due_ms: Arc<AtomicU64>,
 ) {
     let mut frames = FramedRead::new(stream.compat(), FrameCodec::new());
     while let Some(Ok(frame)) = frames.next().await {
-        frames_read.fetch_add(1, Ordering::Relaxed);
+        reply_due_ms.store(0, Ordering::Release);
         let Some(Body::Reply(reply)) = frame.body else { continue };
         let sender = waiting.lock().expect("lock is not poisoned").remove(&frame.call_id);
         let Some(sender) = sender else { continue };
