--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! a request to one upstream, and an [`AnswerSink`] writes the answer to the caller.
 
 mod answer_sink;
+mod attempt;
 mod batch_worker;
 mod choice;
 mod connector;
@@ -23,12 +24,16 @@
 mod linked_connector;
 mod prompt;
 mod refusal;
+mod rerun_reason;
 mod route_index;
+mod routes_state;
+mod stall_check;
 mod stall_limit;
 mod stream_origins;
 mod stream_request;
 mod upstream;
 mod upstream_rate;
+mod wait_end;
 
 pub use answer_sink::AnswerSink;
 pub use batch_worker::BatchWorker;
@@ -47,6 +52,9 @@
 pub use prompt::Prompt;
 pub use refusal::{Refusal, RefusalKind};
 pub use route_index::RouteIndex;
+pub use routes_state::RoutesState;
+pub(crate) use stall_limit::MIN_STALL_LIMIT;
 pub use stream_origins::StreamOrigins;
 pub use stream_request::StreamRequest;
+pub(crate) use upstream::monotonic_ms;
 pub use upstream::Upstream;
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -4,8 +4,10 @@
 use rand::{Rng, SeedableRng};
 
 use crate::raft::leader::Leader;
+use crate::raft::stall_clock::StallClock;
 use crate::raft::{
-    Action, Body, Entry, HardState, Log, Message, NodeConfig, ReplicaSet, SnapshotMeta, Standing,
+    Action, Body, Entry, HardState, Log, Message, NodeConfig, ReplicaSet, SnapshotMeta, Stall,
+    Standing,
 };
 
 /// Raft protocol state of one replica. Its methods take events and the current time and queue
@@ -19,6 +21,18 @@
     pub(super) hard_state: HardState,
     /// Term and vote that are durable on the disk.
     pub(super) durable_hard_state: HardState,
+    /// Age of a write of term and vote.
+    pub(super) vote_clock: StallClock,
+    /// Age of entries that are not durable here.
+    pub(super) write_clock: StallClock,
+    /// Age of committed entries that are not durable here.
+    pub(super) lag_clock: StallClock,
+    /// Age of committed entries that are not applied.
+    pub(super) apply_clock: StallClock,
+    /// What stands still at present.
+    pub(super) stall: Option<Stall>,
+    /// Last index that the driver has applied.
+    pub(super) applied_index: u64,
     /// Last index that is synced to the disk.
     pub(super) durable_index: u64,
     pub(super) commit_index: u64,
@@ -29,6 +43,8 @@
     pub(super) leader_id: Option<u64>,
     /// Time of the last message from a leader.
     pub(super) last_leader_contact_ms: u64,
+    /// Term and heartbeat round of the newest message from a leader.
+    pub(super) leader_round: (u64, u64),
     /// When the election timer expires.
     pub(super) election_due_ms: u64,
     /// Newest snapshot on the disk.
@@ -95,6 +111,12 @@
             log,
             hard_state,
             durable_hard_state: hard_state,
+            vote_clock: StallClock::default(),
+            write_clock: StallClock::default(),
+            lag_clock: StallClock::default(),
+            apply_clock: StallClock::default(),
+            stall: None,
+            applied_index: snapshot.last_index,
             standing,
             membership_pending: false,
             role: Role::Follower,
@@ -102,6 +124,7 @@
             // The replica may have been in contact with a leader just before it restarted, so it
             // grants no votes for one election timeout.
             last_leader_contact_ms: now_ms,
+            leader_round: (0, 0),
             election_due_ms: 0,
             snapshot,
             incoming: None,
@@ -133,13 +156,18 @@
         if self.fault {
             return;
         }
+        self.observe_progress(now_ms);
         if matches!(self.role, Role::Leader(_)) {
             self.tick_leader(now_ms);
-            return;
-        }
-        if now_ms >= self.election_due_ms && self.may_campaign() {
+        } else if now_ms >= self.election_due_ms && self.may_campaign() {
             self.start_pre_vote(now_ms);
         }
+        self.observe_progress(now_ms);
+    }
+
+    /// True if the current term and vote are on the disk.
+    pub(super) fn is_vote_durable(&self) -> bool {
+        self.durable_hard_state == self.hard_state
     }
 
     /// Handles a message from another replica.
@@ -147,6 +175,12 @@
         if self.fault || message.to != self.config.id || message.from == self.config.id {
             return;
         }
+        self.observe_progress(now_ms);
+        self.step_unchecked(now_ms, message);
+        self.observe_progress(now_ms);
+    }
+
+    fn step_unchecked(&mut self, now_ms: u64, message: Message) {
         let Message { from, term, body, .. } = message;
         match body {
             Body::VoteRequest { pre_vote, last_index, last_term, transfer } => {
@@ -175,11 +209,11 @@
         match body {
             Body::VoteReply { pre_vote: false, granted: true } => self.step_vote(now_ms, from),
             Body::AppendRequest(request) => {
-                self.record_leader_contact(now_ms, from);
+                self.record_leader_contact(now_ms, from, Some(request.round));
                 self.step_append(from, request);
             }
             Body::SnapshotChunk(chunk) => {
-                self.record_leader_contact(now_ms, from);
+                self.record_leader_contact(now_ms, from, None);
                 self.step_chunk(from, chunk);
             }
             Body::AppendReply { accepted, index, round, settled } => {
@@ -211,12 +245,21 @@
         if let Some(durable) = hard_state {
             self.durable_hard_state = durable;
         }
-        if self.durable_hard_state == self.hard_state {
+        if self.is_vote_durable() {
+            if hard_state.is_some() {
+                self.vote_persisted(now_ms);
+            }
             let held = std::mem::take(&mut self.held);
             self.actions.extend(held.into_iter().map(Action::Send));
             self.count_own_vote(now_ms);
         }
-        let Some((index, term)) = last else { return };
+        if let Some((index, term)) = last {
+            self.entries_persisted(now_ms, index, term);
+        }
+        self.observe_progress(now_ms);
+    }
+
+    fn entries_persisted(&mut self, now_ms: u64, index: u64, term: u64) {
         if self.log.term(index) != Some(term) || index <= self.durable_index {
             return;
         }
@@ -285,8 +328,10 @@
         self.snapshot = meta;
     }
 
-    /// Drops applied entries from memory while the cache exceeds its size limit.
-    pub fn trim_log_cache(&mut self, applied_index: u64) {
+    /// Records the last applied entry, and drops applied entries from memory while the cache exceeds
+    /// its size limit.
+    pub fn record_applied(&mut self, applied_index: u64) {
+        self.applied_index = applied_index;
         self.log.trim_cache(applied_index.min(self.durable_index), self.config.cache_bytes);
     }
 
@@ -301,13 +346,6 @@
         self.election_due_ms = now_ms + timeout_ms + self.random.random_range(0..timeout_ms / 2);
     }
 
-    /// Restarts the election timer for a running election: a third to two thirds of the election
-    /// timeout, so that two rounds with lost messages still end within 2 s.
-    pub(super) fn retry_election(&mut self, now_ms: u64) {
-        let third_ms = self.config.election_timeout_ms / 3;
-        self.election_due_ms = now_ms + third_ms + self.random.random_range(0..third_ms);
-    }
-
     /// Becomes a follower in `term`.
     pub(super) fn become_follower(&mut self, now_ms: u64, term: u64, leader_id: Option<u64>) {
         let was_leader = self.is_leader();
@@ -327,13 +365,22 @@
     /// Requests a write of new entries, and of term and vote if they changed.
     pub(super) fn persist(&mut self, entries: Vec<Entry>) {
         let hard_state = Some(self.hard_state).filter(|state| *state != self.durable_hard_state);
+        if let Some(Action::Persist { hard_state: queued, entries: queued_entries }) =
+            self.actions.last_mut()
+        {
+            // A new term and the vote in it need one sync, not two.
+            if queued_entries.is_empty() {
+                (*queued, *queued_entries) = (hard_state, entries);
+                return;
+            }
+        }
         self.actions.push(Action::Persist { hard_state, entries });
     }
 
     /// Sends a message once the current term and vote are durable.
     pub(super) fn send(&mut self, to: u64, body: Body) {
         let message = Message { from: self.config.id, to, term: self.hard_state.term, body };
-        if self.durable_hard_state == self.hard_state {
+        if self.is_vote_durable() {
             self.actions.push(Action::Send(message));
         } else {
             self.held.push(message);
@@ -343,7 +390,7 @@
     /// Replies to an append request. `index` is the last index that is durable if `accepted`, else
     /// the highest index at which the logs may match.
     pub(super) fn reply_append(&mut self, to: u64, accepted: bool, index: u64, round: u64) {
-        let settled = self.standing == Standing::Member;
+        let settled = self.standing == Standing::Member && self.stall.is_none();
         self.send(to, Body::AppendReply { accepted, index, round, settled });
     }
 }
--- a/src/relay/relay_client.rs
+++ b/src/relay/relay_client.rs
@@ -12,7 +12,7 @@
 use crate::relay::relay_messages::headers_to_wire;
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{
-    call, reply, Call, CloseRelayed, EntryHost, ReadRelayed, RelayedRequest, Reply,
+    call, reply, Call, CloseRelayed, EntryHost, ReadRelayed, RelayedRequest, Reply, SentAt,
 };
 
 /// Weight of a host of this availability zone against one of another zone of the region. The hosts of the zone
@@ -106,11 +106,12 @@
         target: &CallTarget<'_>,
         request: &StreamRequest,
     ) -> Result<Box<dyn UpstreamAnswer>, SendError> {
-        let mut exchange = RelayedExchange::begin(self, address, target.deadline + RELAY_MARGIN);
+        let left = target.time_left()?;
+        let mut exchange = RelayedExchange::begin(self, address, left + RELAY_MARGIN);
         let wire = RelayedRequest {
             relay_id: exchange.relay_id,
             upstream_id: target.upstream_id.to_owned(),
-            deadline_ms: u32::try_from(target.deadline.as_millis()).unwrap_or(u32::MAX),
+            deadline_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
             last_event_id: target.last_event_id,
             is_repeatable: target.is_repeatable,
             request_id: request.request_id.clone(),
@@ -119,6 +120,7 @@
             target: request.target.clone(),
             headers: headers_to_wire(&request.headers),
             body: request.body.clone(),
+            sent_at: Some(SentAt::now()),
         };
         log::info!(event = "request_sent_through", request = request.request_id.as_str(),
             host = address, upstream = target.upstream_id; "sending the request through another host");
--- a/src/relay/relay_server.rs
+++ b/src/relay/relay_server.rs
@@ -10,10 +10,12 @@
 
 use crate::admission::PlannedStop;
 use crate::gateway::{
-    CallTarget, GatewayFleet, Prompt, SendError, StreamConnector, StreamRequest, UpstreamAnswer,
+    monotonic_ms, CallTarget, GatewayFleet, Prompt, SendError, StreamConnector, StreamRequest,
+    UpstreamAnswer, MIN_STALL_LIMIT,
 };
 use crate::relay::relay_messages::headers_from_wire;
-use crate::schema::peer::{reply, RelayedChunk, RelayedRequest};
+use crate::relay::TransitDelays;
+use crate::schema::peer::{reply, RelayedChunk, RelayedRequest, SentAt};
 use crate::signal::Signal;
 use crate::telemetry::Counters;
 
@@ -22,6 +24,11 @@
 const RELAY_LIMIT: usize = 128;
 /// Time without a read after which a relayed answer is dropped: the host that has the caller is gone.
 const UNREAD_LIMIT: Duration = Duration::from_secs(5);
+/// Time for which the close of an unknown request is kept. The close overtakes its request by what it takes to run
+/// a task, or to read another connection.
+const EARLY_CLOSE_LIMIT: Duration = Duration::from_secs(5);
+/// Most closes of unknown requests that are kept. All requests that a host relays may be closed at once.
+const EARLY_CLOSES: usize = 8 * RELAY_LIMIT;
 /// Interval at which answers that nobody reads are looked for.
 const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -32,6 +39,9 @@
     counters: Counters,
     stop: Arc<PlannedStop>,
     relayed: Mutex<HashMap<u64, Relayed>>,
+    /// Requests that were closed before they were opened, with the time of the close.
+    early_closes: Mutex<HashMap<u64, Instant>>,
+    delays: Mutex<TransitDelays>,
 }
 
 /// A request that is being relayed. Dropping it ends the upstream's work on it.
@@ -51,12 +61,19 @@
         counters: Counters,
         stop: Arc<PlannedStop>,
     ) -> Arc<Self> {
-        let relayed = Mutex::default();
-        let server = Arc::new(Self { fleet, connector, counters, stop, relayed });
+        let (relayed, early_closes, delays) = Default::default();
+        let server =
+            Arc::new(Self { fleet, connector, counters, stop, relayed, early_closes, delays });
         task::spawn(drop_unread(server.clone()));
         server
     }
 
+    /// Records when a message of another host was sent, and returns for how long it was held up.
+    pub fn record_delay(&self, sent_at: &SentAt) -> Duration {
+        let mut delays = self.delays.lock().unwrap_or_else(PoisonError::into_inner);
+        delays.record(sent_at, monotonic_ms())
+    }
+
     /// Sends a request to its upstream and returns the head of the answer.
     pub async fn open_request(&self, wire: RelayedRequest) -> reply::Reply {
         let relay_id = wire.relay_id;
@@ -73,7 +90,7 @@
                 reply::Reply::RelayedHead(head)
             }
             Err(error) => {
-                self.close_request(relay_id);
+                self.end_request(relay_id);
                 failure(&error)
             }
         }
@@ -98,21 +115,32 @@
         match chunk {
             Ok(Some(data)) => reply::Reply::RelayedChunk(RelayedChunk { data }),
             Ok(None) => {
-                self.close_request(relay_id);
+                self.end_request(relay_id);
                 reply::Reply::RelayedChunk(RelayedChunk::default())
             }
             Err(error) => {
-                self.close_request(relay_id);
+                self.end_request(relay_id);
                 failure(&error)
             }
         }
     }
 
-    /// Ends a request before the end of its answer.
+    /// Ends a request of another host before the end of its answer. The request may still be on its way.
     pub fn close_request(&self, relay_id: u64) {
-        if let Some(relayed) = self.relayed().remove(&relay_id) {
+        // Held while the request is looked up, so that it is not opened in between.
+        let mut early_closes = self.early_closes();
+        if !self.end_request(relay_id) && early_closes.len() < EARLY_CLOSES {
+            early_closes.insert(relay_id, Instant::now());
+        }
+    }
+
+    /// Ends a request; `false` if it is not known.
+    fn end_request(&self, relay_id: u64) -> bool {
+        let relayed = self.relayed().remove(&relay_id);
+        if let Some(relayed) = &relayed {
             relayed.closed.notify();
         }
+        relayed.is_some()
     }
 
     async fn send(&self, wire: RelayedRequest) -> Result<Box<dyn UpstreamAnswer>, SendError> {
@@ -120,12 +148,26 @@
         let Some(upstream) = upstream.filter(|upstream| upstream.accepts_work) else {
             return Err(SendError::NotSent("the relay does not know the upstream".to_owned()));
         };
-        let deadline = Duration::from_millis(wire.deadline_ms.into());
-        if !self.stop.leaves_time_until(Instant::now() + deadline) {
+        let held_up = wire.sent_at.as_ref().map_or(Duration::ZERO, |it| self.record_delay(it));
+        let left = Duration::from_millis(wire.deadline_ms.into()).saturating_sub(held_up);
+        if left.is_zero() || wire.is_repeatable && held_up >= MIN_STALL_LIMIT {
+            log::warn!(event = "relayed_request_late", request = wire.request_id.as_str(),
+                held_up_ms = held_up.as_millis() as u64, left_ms = left.as_millis() as u64;
+                "the asking host may not wait any more; the request is not sent");
+            self.counters.count("relay_late");
+            return Err(SendError::NotSent("the request was held up on the way".to_owned()));
+        }
+        let deadline = Instant::now() + left;
+        if !self.stop.leaves_time_until(deadline) {
             return Err(SendError::NotSent("the relay stops before the request ends".to_owned()));
         }
         let closed = Arc::<Signal>::default();
         {
+            let mut early_closes = self.early_closes();
+            if early_closes.remove(&wire.relay_id).is_some() {
+                self.counters.count("relay_closed_early");
+                return Err(SendError::NotSent("the request was closed".to_owned()));
+            }
             let mut relayed = self.relayed();
             if relayed.len() >= RELAY_LIMIT {
                 self.counters.count("relay_refused");
@@ -149,14 +191,14 @@
             target: wire.target,
             headers: headers_from_wire(wire.headers),
             body: wire.body,
-            caller_timeout: Some(deadline),
+            caller_timeout: Some(left),
             last_event_id: wire.last_event_id,
             resumes: None,
             prompt: Prompt::default(),
             arrived: Instant::now(),
         };
         let send = self.unless_closed(wire.relay_id, &closed, async {
-            let sent = timeout(deadline, self.connector.send(target, &request)).await;
+            let sent = timeout(left, self.connector.send(target, &request)).await;
             sent.unwrap_or_else(|_| {
                 Err(SendError::Lost("the upstream sent no answer in time".to_owned()))
             })
@@ -190,6 +232,10 @@
         }
     }
 
+    fn early_closes(&self) -> MutexGuard<'_, HashMap<u64, Instant>> {
+        self.early_closes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn relayed(&self) -> MutexGuard<'_, HashMap<u64, Relayed>> {
         self.relayed.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -204,6 +250,7 @@
     loop {
         task::sleep(UNREAD_CHECK_INTERVAL).await;
         let now = Instant::now();
+        server.early_closes().retain(|_, closed_at| now - *closed_at < EARLY_CLOSE_LIMIT);
         server.relayed().retain(|_, relayed| {
             // A read that waits for the upstream holds a reference to the answer.
             let is_read = relayed.answer.as_ref().is_none_or(|it| Arc::strong_count(it) > 1);
--- a/tests/raft_sim/mod.rs
+++ b/tests/raft_sim/mod.rs
@@ -33,6 +33,10 @@
     Isolate { node: u8 },
     Heal,
     Loss { percent: u8 },
+    SlowDisk { node: u8, sync_ms: u16 },
+    HangDisk { node: u8 },
+    Pause { node: u8 },
+    Calm,
     Crash { node: u8, jobs_done: u8 },
     Restart { node: u8 },
     FailStorage { node: u8, jobs_done: u8 },
@@ -72,6 +76,14 @@
     reads: BTreeMap<u64, u64>,
     incoming: Vec<u8>,
     standing: Standing,
+    /// Time of one sync, if the disk is slow.
+    sync_ms: Option<u64>,
+    /// Start and end of the newest sync of a slow disk.
+    newest_sync: (u64, u64),
+    /// Writes that ended in name while the disk hung; `None` while it doesn't hang.
+    hung_writes: Option<usize>,
+    /// Events that arrived during a pause; `None` while the host isn't paused.
+    backlog: Option<Vec<Event>>,
 }
 
 pub struct Sim {
@@ -83,6 +95,7 @@
     next_event: u64,
     next_command: u64,
     next_read: u64,
+    confirmed_reads: BTreeSet<u64>,
     random: SmallRng,
     lease_reads: bool,
     election_timeout_ms: u64,
@@ -117,6 +130,7 @@
             next_event: 0,
             next_command: 0,
             next_read: 0,
+            confirmed_reads: BTreeSet::new(),
             random: SmallRng::seed_from_u64(seed),
             lease_reads,
             election_timeout_ms,
@@ -143,6 +157,10 @@
             reads: BTreeMap::new(),
             incoming: Vec::new(),
             standing,
+            sync_ms: None,
+            newest_sync: (0, 0),
+            hung_writes: None,
+            backlog: None,
         };
         self.hosts.insert(id, host);
         self.restart(id);
@@ -164,6 +182,10 @@
             Step::Isolate { node } => self.isolate(self.pick(node)),
             Step::Heal => self.heal(),
             Step::Loss { percent } => self.loss_percent = percent,
+            Step::SlowDisk { node, sync_ms } => self.slow_disk(self.pick(node), sync_ms.into()),
+            Step::HangDisk { node } => self.hang_disk(self.pick(node)),
+            Step::Pause { node } => self.pause(self.pick(node)),
+            Step::Calm => self.calm(),
             Step::Crash { node, jobs_done } => self.crash(self.pick(node), jobs_done.into()),
             Step::Restart { node } => self.restart(self.pick(node)),
             Step::FailStorage { node, jobs_done } => {
@@ -211,12 +233,43 @@
         }
     }
 
-    /// Heals everything, and checks that the group works and holds all that it acknowledged.
-    pub fn finish(&mut self) {
+    /// Each sync of the host takes `sync_ms`; writes that arrive meanwhile share the next one.
+    pub fn slow_disk(&mut self, id: u64, sync_ms: u64) {
+        self.hosts.get_mut(&id).unwrap().sync_ms = Some(sync_ms);
+    }
+
+    /// Writes of the host don't end until [`Sim::calm`].
+    pub fn hang_disk(&mut self, id: u64) {
+        self.hosts.get_mut(&id).unwrap().hung_writes.get_or_insert(0);
+    }
+
+    /// The process of the host gets no processor time until [`Sim::calm`]; its messages wait.
+    pub fn pause(&mut self, id: u64) {
+        self.hosts.get_mut(&id).unwrap().backlog.get_or_insert_default();
+    }
+
+    /// Ends cuts, losses, slow and hung disks and pauses, and restarts hosts that are down.
+    pub fn calm(&mut self) {
         self.heal();
         for id in self.hosts.keys().copied().collect::<Vec<_>>() {
+            let host = self.hosts.get_mut(&id).unwrap();
+            (host.sync_ms, host.newest_sync) = (None, (0, 0));
+            let backlog = host.backlog.take().unwrap_or_default();
+            let (life, hung_writes) = (host.life, host.hung_writes.take().unwrap_or(0));
+            for event in backlog {
+                self.handle(event);
+            }
+            for _ in 0..hung_writes {
+                self.handle(Event::JobDone { id, life });
+            }
             self.restart(id);
         }
+    }
+
+    /// Heals everything, and checks that the group works and holds all that it acknowledged.
+    pub fn finish(&mut self) {
+        self.calm();
+        self.serve_within(20 * self.election_timeout_ms);
         self.run(10 * self.election_timeout_ms);
         let leader = self.wait_for_leader();
         let last_command = self.propose(leader).expect("a leader that nobody disturbs accepts");
@@ -234,6 +287,26 @@
         }
     }
 
+    /// Checks that in this time a leader commits a command and confirms a read.
+    fn serve_within(&mut self, limit_ms: u64) {
+        let deadline_ms = self.now_ms + limit_ms;
+        while self.now_ms < deadline_ms {
+            if let Some(leader) = self.leader() {
+                let command = self.propose(leader);
+                self.read(leader);
+                let read = self.next_read;
+                self.run(self.election_timeout_ms);
+                let is_committed =
+                    command.is_some_and(|it| self.oracle.acknowledged.contains_key(&it));
+                if is_committed && self.confirmed_reads.contains(&read) {
+                    return;
+                }
+            }
+            self.run(self.election_timeout_ms / 4);
+        }
+        panic!("no leader serves {limit_ms} ms after everything is healed");
+    }
+
     pub fn now_ms(&self) -> u64 {
         self.now_ms
     }
@@ -339,6 +412,9 @@
         host.waiting.clear();
         host.reads.clear();
         host.life += 1;
+        // The process of a paused host ends with its events; a hung disk stays hung.
+        host.backlog = None;
+        host.hung_writes = host.hung_writes.map(|_| 0);
         (host.applied_index, host.state) = (0, Vec::new());
     }
 
@@ -424,7 +500,8 @@
     pub fn run(&mut self, ms: u64) {
         let end_ms = self.now_ms + ms;
         loop {
-            let nodes = self.hosts.iter().filter_map(|(id, host)| Some((*id, host.node.as_ref()?)));
+            let awake = self.hosts.iter().filter(|(_, host)| host.backlog.is_none());
+            let nodes = awake.filter_map(|(id, host)| Some((*id, host.node.as_ref()?)));
             let due = nodes.filter_map(|(id, node)| Some((node.due_ms()?, id))).min();
             let event_ms = self.events.keys().next().map(|key| key.0);
             let next_ms = due.map(|due| due.0).into_iter().chain(event_ms).min();
@@ -448,6 +525,11 @@
 
     fn handle(&mut self, event: Event) {
         let now_ms = self.now_ms;
+        let host = self.hosts.get_mut(&event.host());
+        if let Some(backlog) = host.and_then(|host| host.backlog.as_mut()) {
+            backlog.push(event);
+            return;
+        }
         match event {
             Event::Deliver(message) if self.hosts.contains_key(&message.to) => {
                 self.with_node(message.to, |node| node.step(now_ms, message));
@@ -472,6 +554,10 @@
         if host.life != life {
             return;
         }
+        if let Some(hung_writes) = &mut host.hung_writes {
+            *hung_writes += 1;
+            return;
+        }
         let job = host.jobs.pop_front().expect("the job is under way");
         let hard_state = job.hard_state;
         let standing = job.standing;
@@ -519,7 +605,15 @@
         let host = self.hosts.get_mut(&id).unwrap();
         host.jobs.push_back(job);
         let life = host.life;
-        let delay_ms = self.random.random_range(1..20);
+        let mut delay_ms = self.random.random_range(1..20);
+        if let Some(sync_ms) = host.sync_ms {
+            let (started_ms, ended_ms) = host.newest_sync;
+            if self.now_ms >= started_ms {
+                let start_ms = self.now_ms.max(ended_ms);
+                host.newest_sync = (start_ms, start_ms + sync_ms);
+            }
+            delay_ms += host.newest_sync.1 - self.now_ms;
+        }
         self.schedule(delay_ms, Event::JobDone { id, life });
     }
 
@@ -556,12 +650,14 @@
             Action::ReadConfirmed { id: read, index, .. } => {
                 let must_see = self.hosts.get_mut(&id).unwrap().reads.remove(&read);
                 assert!(must_see.is_none_or(|must_see| index >= must_see), "read sees the past");
+                self.confirmed_reads.insert(read);
             }
             Action::SteppedDown => {
                 let host = self.hosts.get_mut(&id).unwrap();
                 host.waiting.clear();
                 host.reads.clear();
             }
+            Action::LeadershipGivenUp { .. } => {}
             Action::Fetch { to, first_index } => {
                 let entries = self.hosts[&id].disk.read(first_index);
                 self.schedule(delay_ms, Event::Fetched { id, life, to, entries });
@@ -621,7 +717,20 @@
                 self.oracle.acknowledges(command, index);
             }
         }
-        node.trim_log_cache(host.applied_index);
+        node.record_applied(host.applied_index);
+    }
+}
+
+impl Event {
+    /// The host that handles the event.
+    fn host(&self) -> u64 {
+        match self {
+            Self::Deliver(message) => message.to,
+            Self::JobDone { id, .. }
+            | Self::Fetched { id, .. }
+            | Self::ChunkRead { id, .. }
+            | Self::ChunkStored { id, .. } => *id,
+        }
     }
 }
 
