Measure a stall against the last write of the same disk

Cause: disks that take 2.5 s for each sync are not in step, so a quorum may have an entry for longer than two election timeouts before the leader has it.

A replica stands still only after twice the time of its last write as well, up to four times the least limit.

--- a/src/raft/node_stall.rs
+++ b/src/raft/node_stall.rs
@@ -1,7 +1,8 @@
 use crate::raft::node::Role;
+use crate::raft::stall_clock::StallClock;
 use crate::raft::{Action, RaftNode, Stall};
 
-/// Time without progress after which a replica leaves leading and voting to others, in election
+/// Least time without progress after which a replica leaves leading and voting to others, in election
 /// timeouts. A handover costs about one election timeout, so shorter stops are better waited out.
 const STALL_TIMEOUTS: u64 = 2;
 
@@ -16,9 +17,11 @@
         self.lag_clock.observe(now_ms, durable_index, durable_index < commit_index);
         let applied_index = self.applied_index;
         self.apply_clock.observe(now_ms, applied_index, applied_index < commit_index);
-        self.stall = if self.oldest_write_ms(now_ms) >= self.stall_ms() {
+        let least_ms = self.stall_ms();
+        let is_stalled = |clock: &StallClock| clock.is_stalled(now_ms, least_ms);
+        self.stall = if is_stalled(&self.vote_clock) || is_stalled(&self.write_clock) {
             Some(Stall::Write)
-        } else if self.oldest_unapplied_ms(now_ms) >= self.stall_ms() {
+        } else if is_stalled(&self.apply_clock) {
             Some(Stall::Apply)
         } else {
             None
@@ -49,12 +52,14 @@
         let timeout_ms = self.config.election_timeout_ms;
         let (lag_ms, unapplied_ms) =
             (self.lag_clock.age_ms(now_ms), self.apply_clock.age_ms(now_ms));
-        let limit_ms = self.stall_ms();
+        let least_ms = self.stall_ms();
+        let is_write_stalled = lag_ms >= self.write_clock.limit_ms(least_ms);
+        let is_apply_stalled = self.apply_clock.is_stalled(now_ms, least_ms);
         let set = self.log.replicas().0;
         let Role::Leader(leader) = &mut self.role else { return };
-        let (stall, age_ms) = if lag_ms >= limit_ms {
+        let (stall, age_ms) = if is_write_stalled {
             (Stall::Write, lag_ms)
-        } else if unapplied_ms >= limit_ms {
+        } else if is_apply_stalled {
             (Stall::Apply, unapplied_ms)
         } else {
             leader.handover_tried = false;
