Report elections and the ages of waiting work

New lines: pre_vote_started, campaign_started, leader_elected, vote_refused and leadership_ends, with term and reason; refused votes and pre-votes at most once in 5 s. New gauges: raft_oldest_write_ms, raft_oldest_unapplied_ms and raft_confirmed_age_ms.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -263,6 +263,9 @@
         counters.gauge("raft_data_bytes", status.data_bytes);
         counters.gauge("raft_is_suspended", status.is_stopped.into());
         counters.gauge("raft_storage_failures", status.storage_failures);
+        counters.gauge("raft_oldest_write_ms", status.oldest_write_ms);
+        counters.gauge("raft_oldest_unapplied_ms", status.oldest_unapplied_ms);
+        counters.gauge("raft_confirmed_age_ms", status.confirmed_age_ms.unwrap_or(0));
     }
 
     /// Handles a call of another host. Returns `None` if the control role does not serve the call.
--- a/src/raft/action.rs
+++ b/src/raft/action.rs
@@ -1,4 +1,4 @@
-use crate::raft::{Entry, HardState, Message, SnapshotChunk, Stall};
+use crate::raft::{ElectionEvent, Entry, HardState, Message, SnapshotChunk};
 
 /// Work that a [`RaftNode`](crate::raft::RaftNode) requests from its driver.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,17 +24,8 @@
     },
     /// The replica is no longer the leader; the outcome of pending proposals and reads is unknown.
     SteppedDown,
-    /// The replica gives up leadership, because it stands still while the others can go on.
-    LeadershipGivenUp {
-        /// Term that it led.
-        term: u64,
-        /// What stands still.
-        stall: Stall,
-        /// For how long.
-        age_ms: u64,
-        /// Id of the replica that leadership is transferred to; `None` if this one steps down.
-        to: Option<u64>,
-    },
+    /// Write a line to the log.
+    Report(ElectionEvent),
     /// Read entries from the disk, starting at `first_index`, then call `fetched`.
     Fetch {
         /// Id of the follower that needs the entries.
--- a/src/raft/driver.rs
+++ b/src/raft/driver.rs
@@ -361,11 +361,7 @@
                     self.pending_replies.confirm_read(id, index, confirmed_ms);
                 }
                 Action::SteppedDown => self.pending_replies.fail_all(),
-                Action::LeadershipGivenUp { term, stall, age_ms, to } => {
-                    log::warn!(event = "leadership_given_up", group = self.options.group,
-                        replica = self.options.replica_id, term, reason:? = stall, age_ms,
-                        to = to.unwrap_or(0); "this replica stands still and the others can go on");
-                }
+                Action::Report(election) => self.log_election(&election),
                 Action::Fetch { to, first_index } => {
                     let limit_bytes = self.options.node_config().append_bytes;
                     let job = StorageJob::Fetch { to, first_index, limit_bytes };
--- a/src/raft/driver_status.rs
+++ b/src/raft/driver_status.rs
@@ -6,14 +6,18 @@
 /// Values whose change causes the status to be published.
 pub type PublishedFields = (u64, Option<u64>, u64, u64, bool, Standing, (bool, bool), u64, u64);
 
-/// Interval at which a leader publishes its status without other changes, since the time since its
-/// followers' last replies grows without any event.
-const LEADER_INTERVAL_MS: u64 = 200;
+/// Interval at which a replica publishes its status without other changes while it has ages that
+/// grow without any event: of its followers' last replies, or of work that waits.
+const AGE_INTERVAL_MS: u64 = 200;
 
 impl Driver {
     /// Publishes the status if it changed.
     pub(super) fn publish(&mut self) {
         let node = &self.node;
+        let now_ms = self.now_ms();
+        let oldest_write_ms = node.oldest_write_ms(now_ms);
+        let oldest_unapplied_ms = node.oldest_unapplied_ms(now_ms);
+        let has_ages = node.is_leader() || oldest_write_ms + oldest_unapplied_ms > 0;
         let data_bytes = self.context.disk_quota.used_bytes();
         let current = (
             node.hard_state().term,
@@ -24,7 +28,7 @@
             node.standing(),
             (self.fault.is_some(), self.is_stopped()),
             data_bytes,
-            if node.is_leader() { self.now_ms() / LEADER_INTERVAL_MS } else { 0 },
+            if has_ages { now_ms / AGE_INTERVAL_MS } else { 0 },
         );
         if self.published == Some(current) {
             return;
@@ -49,7 +53,10 @@
             storage_failures: self.storage_failures,
             fault: self.fault.clone(),
             data_bytes,
-            followers: node.followers(self.now_ms()),
+            followers: node.followers(now_ms),
+            oldest_write_ms,
+            oldest_unapplied_ms,
+            confirmed_age_ms: node.confirmed_age_ms(now_ms),
         };
         self.context.status.store(Arc::new(status));
         if has_applied {
--- a/src/raft/group_status.rs
+++ b/src/raft/group_status.rs
@@ -41,4 +41,10 @@
     /// Id, match index and milliseconds since the last reply of each follower; empty unless this
     /// replica is the leader.
     pub followers: Vec<(u64, u64, u64)>,
+    /// Time for which waiting writes have made no progress; 0 if none waits.
+    pub oldest_write_ms: u64,
+    /// Time for which waiting committed entries have not been applied; 0 if none waits.
+    pub oldest_unapplied_ms: u64,
+    /// Time since a quorum confirmed this replica as the leader; `None` unless it leads.
+    pub confirmed_age_ms: Option<u64>,
 }
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -6,8 +6,8 @@
 use crate::raft::leader::Leader;
 use crate::raft::stall_clock::StallClock;
 use crate::raft::{
-    Action, Body, Entry, HardState, Log, Message, NodeConfig, ReplicaSet, SnapshotMeta, Stall,
-    Standing,
+    Action, Body, Entry, HardState, LeadershipEnd, Log, Message, NodeConfig, ReplicaSet,
+    SnapshotMeta, Stall, Standing, VoteRefusal,
 };
 
 /// Raft protocol state of one replica. Its methods take events and the current time and queue
@@ -54,6 +54,8 @@
     /// Messages to send once the current term and vote are durable.
     pub(super) held: Vec<Message>,
     pub(super) actions: Vec<Action>,
+    /// Earliest time of the next report of a pre-vote and of a refused vote.
+    pub(super) next_reports_ms: (u64, u64),
     /// An invariant was violated; ticks and messages are ignored from then on.
     pub(super) fault: bool,
 }
@@ -130,6 +132,7 @@
             incoming: None,
             held: Vec::new(),
             actions: Vec::new(),
+            next_reports_ms: (0, 0),
             fault: false,
         };
         node.reset_election(now_ms);
@@ -185,6 +188,7 @@
         match body {
             Body::VoteRequest { pre_vote, last_index, last_term, transfer } => {
                 if !transfer && self.has_recent_leader(now_ms) {
+                    self.report_refusal(now_ms, from, term, VoteRefusal::RecentLeader);
                     return;
                 }
                 let log_is_up_to_date = (last_term, last_index) >= self.last_term_and_index();
@@ -350,6 +354,7 @@
     pub(super) fn become_follower(&mut self, now_ms: u64, term: u64, leader_id: Option<u64>) {
         let was_leader = self.is_leader();
         if term > self.hard_state.term {
+            self.report_leadership_end(now_ms, LeadershipEnd::NewerTerm(term));
             self.hard_state = HardState { term, vote: None };
             self.held.clear();
             self.persist(Vec::new());
--- a/src/raft/node_election.rs
+++ b/src/raft/node_election.rs
@@ -3,14 +3,19 @@
 use rand::Rng;
 
 use crate::raft::node::Role;
-use crate::raft::{Body, HardState, Message, RaftNode, Stall, Standing};
-
-use super::Action;
+use crate::raft::{
+    Action, Body, ElectionEvent, HardState, LeadershipEnd, Message, RaftNode, Stall, Standing,
+    VoteRefusal,
+};
 
 /// Longest write of a vote that candidates allow for, in election timeouts. A disk that hung for long
 /// would otherwise delay later elections.
 const MAX_VOTE_WRITE_TIMEOUTS: u64 = 2;
 
+/// Least time between two reports of a pre-vote, or of a refused vote. An isolated replica repeats
+/// its pre-vote several times a second.
+const REPORT_INTERVAL_MS: u64 = 5_000;
+
 /// Elections and votes.
 impl RaftNode {
     /// True for a voter that has every entry it ever acknowledged.
@@ -74,6 +79,12 @@
             self.start_election(now_ms, false);
             return;
         }
+        if now_ms >= self.next_reports_ms.0 {
+            self.next_reports_ms.0 = now_ms + REPORT_INTERVAL_MS;
+            let silent_ms = now_ms.saturating_sub(self.last_leader_contact_ms);
+            let (term, voters) = (self.hard_state.term + 1, self.other_voters());
+            self.report(ElectionEvent::PreVoteStarted { term, silent_ms, voters });
+        }
         let (last_term, last_index) = self.last_term_and_index();
         let body = Body::VoteRequest { pre_vote: true, last_index, last_term, transfer: false };
         for to in self.other_voters() {
@@ -90,6 +101,8 @@
             return;
         }
         let term = self.hard_state.term + 1;
+        let silent_ms = now_ms.saturating_sub(self.last_leader_contact_ms);
+        self.report(ElectionEvent::CampaignStarted { term, silent_ms, transfer });
         self.become_follower(now_ms, term, None);
         self.retry_election(now_ms);
         self.hard_state = HardState { term, vote: Some(self.config.id) };
@@ -114,7 +127,12 @@
         if pre_vote {
             // The vote itself would not be sent while writes stand still.
             let may_vote = may_vote && self.stall != Some(Stall::Write);
-            let granted = may_vote && log_is_up_to_date && term > self.hard_state.term;
+            let is_newer = term > self.hard_state.term;
+            let granted = may_vote && log_is_up_to_date && is_newer;
+            if !granted {
+                let reason = self.refusal(pre_vote, log_is_up_to_date);
+                self.report_refusal(now_ms, from, term, reason);
+            }
             let term = if granted { term } else { self.hard_state.term };
             let body = Body::VoteReply { pre_vote, granted };
             let message = Message { from: self.config.id, to: from, term, body };
@@ -133,6 +151,9 @@
         }
         if granted {
             self.reset_election(now_ms);
+        } else {
+            let reason = self.refusal(pre_vote, log_is_up_to_date);
+            self.report_refusal(now_ms, from, term, reason);
         }
         self.send(from, Body::VoteReply { pre_vote, granted });
     }
@@ -151,6 +172,8 @@
         votes.insert(from);
         let votes = votes.clone();
         if self.replicas().is_quorum(|id| votes.contains(&id)) {
+            let (term, voters) = (self.hard_state.term, votes.into_iter().collect());
+            self.report(ElectionEvent::Elected { term, voters });
             self.become_leader(now_ms);
         }
     }
@@ -162,6 +185,48 @@
         }
     }
 
+    pub(super) fn report(&mut self, event: ElectionEvent) {
+        self.actions.push(Action::Report(event));
+    }
+
+    /// Reports the end of a leadership; does nothing unless this replica leads.
+    pub(super) fn report_leadership_end(&mut self, now_ms: u64, reason: LeadershipEnd) {
+        let Some(confirmed_age_ms) = self.confirmed_age_ms(now_ms) else { return };
+        let term = self.hard_state.term;
+        self.report(ElectionEvent::LeadershipEnds { term, reason, confirmed_age_ms });
+    }
+
+    pub(super) fn report_refusal(
+        &mut self,
+        now_ms: u64,
+        candidate: u64,
+        term: u64,
+        reason: VoteRefusal,
+    ) {
+        if now_ms >= self.next_reports_ms.1 {
+            self.next_reports_ms.1 = now_ms + REPORT_INTERVAL_MS;
+            self.report(ElectionEvent::VoteRefused { candidate, term, reason });
+        }
+    }
+
+    /// Why a vote is refused that no recent leader forbids.
+    fn refusal(&self, pre_vote: bool, log_is_up_to_date: bool) -> VoteRefusal {
+        match self.stall {
+            _ if self.standing != Standing::Member => VoteRefusal::NoMember,
+            _ if !log_is_up_to_date => VoteRefusal::LogBehind,
+            Some(Stall::Write) if pre_vote => VoteRefusal::Stalled,
+            _ => VoteRefusal::TermTaken,
+        }
+    }
+
+    /// Time since a quorum confirmed this replica as the leader; `None` unless it leads.
+    pub fn confirmed_age_ms(&self, now_ms: u64) -> Option<u64> {
+        match &self.role {
+            Role::Leader(leader) => Some(now_ms.saturating_sub(leader.confirmed_ms)),
+            _ => None,
+        }
+    }
+
     pub(super) fn other_voters(&self) -> Vec<u64> {
         self.replicas().voters().filter(|&id| id != self.config.id).collect()
     }
--- a/src/raft/node_leader.rs
+++ b/src/raft/node_leader.rs
@@ -1,7 +1,9 @@
 use crate::raft::leader::{Leader, PendingRead, Transfer};
 use crate::raft::node::Role;
 use crate::raft::progress::{Mode, Progress};
-use crate::raft::{Action, Body, Entry, Payload, RaftNode, ReplicaChange, ReplicaSet};
+use crate::raft::{
+    Action, Body, Entry, LeadershipEnd, Payload, RaftNode, ReplicaChange, ReplicaSet,
+};
 
 /// Maximum number of entries that a learner may lag behind when it is promoted to voter.
 const PROMOTE_LAG_ENTRIES: u64 = 1024;
@@ -146,6 +148,7 @@
         let Role::Leader(leader) = &mut self.role else { return };
         if now_ms >= leader.confirmed_ms + timeout_ms {
             // A leader without a quorum can't commit, and another one may have been elected.
+            self.report_leadership_end(now_ms, LeadershipEnd::NoQuorum);
             self.become_follower(now_ms, self.hard_state.term, None);
             return;
         }
@@ -216,6 +219,7 @@
         self.commit_index = index;
         if is_removed {
             self.broadcast(now_ms);
+            self.report_leadership_end(now_ms, LeadershipEnd::Removed);
             self.become_follower(now_ms, self.hard_state.term, None);
         }
     }
--- a/src/raft/node_stall.rs
+++ b/src/raft/node_stall.rs
@@ -1,6 +1,6 @@
 use crate::raft::node::Role;
 use crate::raft::stall_clock::StallClock;
-use crate::raft::{Action, RaftNode, Stall};
+use crate::raft::{LeadershipEnd, RaftNode, Stall};
 
 /// Least time without progress after which a replica leaves leading and voting to others, in election
 /// timeouts. A handover costs about one election timeout, so shorter stops are better waited out.
@@ -77,14 +77,14 @@
             return;
         }
         let is_first = !std::mem::replace(&mut leader.handover_tried, true);
-        let to = match is_first {
+        let successor = match is_first {
             true => self.transfer_leadership(now_ms, 0).ok(),
             false => None,
         };
-        let term = self.hard_state.term;
-        self.actions.push(Action::LeadershipGivenUp { term, stall, age_ms, to });
-        if to.is_none() {
-            self.become_follower(now_ms, term, None);
+        let reason = LeadershipEnd::StandsStill { stall, age_ms, successor };
+        self.report_leadership_end(now_ms, reason);
+        if successor.is_none() {
+            self.become_follower(now_ms, self.hard_state.term, None);
         }
     }
 }
