Keep the vote of a voter whose syncs are slow

Callers saw: no leader for as long as one of two remaining voters took longer for a sync than an election waits.

Cause: a candidate on a fast disk began a new term several times a second. Each new term voided the vote that the other replica was writing, and a vote that arrived during the next pre-vote was not counted.

A replica grants no pre-vote while its term or vote is being written, so no new term begins, and a candidate goes on to count votes of its term during a pre-vote.

--- a/src/raft/election_event.rs
+++ b/src/raft/election_event.rs
@@ -57,6 +57,8 @@
     NoMember,
     /// The log of the candidate is behind.
     LogBehind,
+    /// A term or vote of this replica is being written.
+    VoteWaits,
     /// Writes of this replica stand still.
     Stalled,
     /// The term is not newer, or the vote in it is given.
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -40,6 +40,9 @@
     /// [`Action::RecordMembership`] was issued and [`RaftNode::become_member`] not called yet.
     pub(super) membership_pending: bool,
     pub(super) role: Role,
+    /// Votes of the campaign in the current term while a pre-vote for the next one runs; `None` if
+    /// there is no such campaign. A vote may take longer to be written than the campaign waits.
+    pub(super) campaign_votes: Option<BTreeSet<u64>>,
     pub(super) leader_id: Option<u64>,
     /// Time of the last message from a leader.
     pub(super) last_leader_contact_ms: u64,
@@ -122,6 +125,7 @@
             standing,
             membership_pending: false,
             role: Role::Follower,
+            campaign_votes: None,
             leader_id: None,
             // The replica may have been in contact with a leader just before it restarted, so it
             // grants no votes for one election timeout.
@@ -360,6 +364,7 @@
             self.persist(Vec::new());
         }
         self.role = Role::Follower;
+        self.campaign_votes = None;
         self.leader_id = leader_id;
         self.reset_election(now_ms);
         if was_leader {
--- a/src/raft/node_election.rs
+++ b/src/raft/node_election.rs
@@ -74,6 +74,9 @@
     pub(super) fn start_pre_vote(&mut self, now_ms: u64) {
         self.retry_election(now_ms);
         self.leader_id = None;
+        if let Role::Candidate(votes) = &self.role {
+            self.campaign_votes = Some(votes.clone());
+        }
         self.role = Role::PreCandidate(BTreeSet::from([self.config.id]));
         if self.is_only_voter() {
             self.start_election(now_ms, false);
@@ -125,8 +128,10 @@
     ) {
         let may_vote = self.standing == Standing::Member;
         if pre_vote {
-            // The vote itself would not be sent while writes stand still.
-            let may_vote = may_vote && self.stall != Some(Stall::Write);
+            // A new term would void a vote that is being written. If writes stand still, no vote
+            // would be sent.
+            let can_write = self.is_vote_durable() && self.stall != Some(Stall::Write);
+            let may_vote = may_vote && can_write;
             let is_newer = term > self.hard_state.term;
             let granted = may_vote && log_is_up_to_date && is_newer;
             if !granted {
@@ -168,7 +173,10 @@
     }
 
     pub(super) fn step_vote(&mut self, now_ms: u64, from: u64) {
-        let Role::Candidate(votes) = &mut self.role else { return };
+        let votes = match (&mut self.role, &mut self.campaign_votes) {
+            (Role::Candidate(votes), _) | (Role::PreCandidate(_), Some(votes)) => votes,
+            _ => return,
+        };
         votes.insert(from);
         let votes = votes.clone();
         if self.replicas().is_quorum(|id| votes.contains(&id)) {
@@ -214,6 +222,7 @@
         match self.stall {
             _ if self.standing != Standing::Member => VoteRefusal::NoMember,
             _ if !log_is_up_to_date => VoteRefusal::LogBehind,
+            _ if pre_vote && !self.is_vote_durable() => VoteRefusal::VoteWaits,
             Some(Stall::Write) if pre_vote => VoteRefusal::Stalled,
             _ => VoteRefusal::TermTaken,
         }
--- a/tests/raft_scenarios.rs
+++ b/tests/raft_scenarios.rs
@@ -159,6 +159,29 @@
     assert!(too_late.is_empty(), "sync, seed and time without a leader in ms: {too_late:?}");
 }
 
+// Guards against a candidate whose new terms void the vote that a voter with a slow disk is writing.
+#[test]
+fn a_candidate_waits_for_a_voter_whose_syncs_are_slow() {
+    let mut too_late = Vec::new();
+    for seed in SEEDS {
+        let mut sim = Sim::with_timeout(3, seed, false, 600);
+        let leader = sim.wait_for_leader();
+        propose_many(&mut sim, 3);
+        sim.slow_disk(leader % 3 + 1, 2_000);
+        sim.crash(leader, 0);
+        let lost_ms = sim.now_ms();
+        while sim.leader().is_none() && sim.now_ms() < lost_ms + 30_000 {
+            sim.run(10);
+        }
+        // Two rounds, each with a timer and two syncs of the voter.
+        let took_ms = sim.now_ms() - lost_ms;
+        if took_ms > 2 * (900 + 2 * 2_000) {
+            too_late.push((seed, took_ms));
+        }
+    }
+    assert!(too_late.is_empty(), "seed and time without a leader in ms: {too_late:?}");
+}
+
 // Guards against leadership that moves to and fro between replicas whose disks are equally slow.
 #[test]
 fn a_group_whose_disks_are_all_slow_keeps_its_leader() {
