--- a/src/directory/control_host.rs
+++ b/src/directory/control_host.rs
@@ -26,6 +26,7 @@
     /// Peer addresses of those that it reaches.
     pub(super) reached: HashSet<String>,
     pub(super) failing_since: Option<Instant>,
+    pub(super) first_replied_at: Option<Instant>,
     /// Time of the last confirmation of the routes that it passed on.
     pub(super) routes_confirmed_at: Option<Instant>,
     listed_hash: u64,
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -37,7 +37,8 @@
 /// Time after which a failing control host is no longer polled, if it is not a seed and no
 /// answering control host lists it.
 const FORGET_TIMEOUT: Duration = Duration::from_secs(20);
-/// Age of the last confirmation of the routes at the polled control hosts from which on others are polled as well.
+/// Age of the last confirmation of the routes at the polled control hosts from which on others are polled as well, and
+/// time for which these may confirm nothing until they are replaced.
 /// It leaves time for their replies within the 2.5 s that a platform may allow until routes are in force.
 const ASK_OTHERS_AGE: Duration = Duration::from_millis(1_500);
 /// Longest interval at which the watch chooses the control hosts to poll and drops expired
@@ -245,10 +246,10 @@
         let answered_at = (sent_at + Duration::from_millis(held_ms)).min(Instant::now());
         let confirmed_at = answered_at.checked_sub(Duration::from_millis(age_ms));
         let Some(confirmed_at) = confirmed_at else { return };
-        if let Some(control_host) = self.lock().control_hosts.get_mut(address) {
-            control_host.routes_confirmed_at =
-                control_host.routes_confirmed_at.max(Some(confirmed_at));
-        }
+        let mut inner = self.lock();
+        let control_host = inner.control_hosts.entry(address.to_owned()).or_default();
+        control_host.routes_confirmed_at = control_host.routes_confirmed_at.max(Some(confirmed_at));
+        drop(inner);
         let source = address.to_owned();
         self.routes_confirmation.record(Confirmation { version, confirmed_at, source });
     }
@@ -282,6 +283,7 @@
         }
         let mut inner = self.lock();
         let control_host = inner.control_hosts.entry(address.to_owned()).or_default();
+        control_host.first_replied_at.get_or_insert(now);
         let mut affected = Affected::default();
         if control_host.failing_since.take().is_some() {
             log::info!(event = "control_host_regained", address = address;
@@ -461,6 +463,9 @@
                 zone,
                 distance: self.distance(zone),
                 is_failing: polled.is_some_and(|polled| polled.failing_since.is_some()),
+                is_current: polled
+                    .and_then(|polled| polled.routes_confirmed_at)
+                    .is_some_and(|at| at.elapsed() < ASK_OTHERS_AGE),
                 reached: polled.filter(|polled| polled.has_replied()).map(|polled| &polled.reached),
             }
         });
@@ -469,11 +474,14 @@
         let leader = leader.map(|leader| leader.address.as_str());
         let host_id = &self.options.host_id;
         let mut chosen = choose_polled(&candidates, leader, host_id);
-        // Builds that confirm no routes do not count.
-        let confirmed = chosen.iter().filter_map(|address| inner.control_hosts.get(*address));
-        let confirmed_at = confirmed.filter_map(|it| it.routes_confirmed_at).max();
-        if confirmed_at.is_some_and(|at| at.elapsed() >= ASK_OTHERS_AGE) {
-            add_others(&candidates, host_id, &mut chosen);
+        let polled = || chosen.iter().filter_map(|address| inner.control_hosts.get(*address));
+        let confirmed_at = polled().filter_map(|it| it.routes_confirmed_at).max();
+        // A host that starts has no confirmation yet, and builds that confirm no routes never send one.
+        let known_at = confirmed_at.or(polled().filter_map(|it| it.first_replied_at).min());
+        let age = known_at.map_or(Duration::ZERO, |at| at.elapsed());
+        let rounds = (age.as_millis() / ASK_OTHERS_AGE.as_millis()) as usize;
+        if let Some(round) = rounds.checked_sub(1) {
+            add_others(&candidates, host_id, round, &mut chosen);
         }
         chosen.into_iter().map(str::to_owned).collect()
     }
--- a/src/directory/poll_set.rs
+++ b/src/directory/poll_set.rs
@@ -1,4 +1,4 @@
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 use crate::admission::rendezvous_rank;
 
@@ -35,6 +35,8 @@
     pub distance: Distance,
     /// It is polled, and its last call failed.
     pub is_failing: bool,
+    /// It is polled, and knows how current its routes are.
+    pub is_current: bool,
     /// Control hosts whose state it passes on; `None` while it is not polled.
     pub reached: Option<&'a HashSet<String>>,
 }
@@ -63,16 +65,34 @@
     chosen.into_iter().map(|candidate| candidate.address).collect()
 }
 
-/// Adds control hosts that are not polled, in the same order: those that are do not know which routes are the newest,
-/// whatever the reason.
+/// Adds control hosts to those that are polled, none of which knows which routes are the newest.
+///
+/// What holds them up may affect their whole zone or region, so the zones take turns, whatever their distance. Each
+/// `round` adds other ones, until there is one that knows.
 pub fn add_others<'a>(
     candidates: &[PollCandidate<'a>],
     own_host_id: &str,
+    round: usize,
     chosen: &mut Vec<&'a str>,
 ) {
-    let others = order(candidates, own_host_id).into_iter().map(|candidate| candidate.address);
-    let others: Vec<&str> = others.filter(|address| !chosen.contains(address)).collect();
-    chosen.extend(others.into_iter().take(MAX_ADDED));
+    let (polled, mut others): (Vec<&PollCandidate<'a>>, Vec<_>) =
+        candidates.iter().partition(|candidate| chosen.contains(&candidate.address));
+    let mut uses: HashMap<&str, usize> = HashMap::new();
+    for candidate in polled {
+        *uses.entry(candidate.zone).or_default() += 1;
+    }
+    others.sort_by_cached_key(|it| rendezvous_rank(own_host_id.as_bytes(), it.address));
+    others.sort_by_cached_key(|it| {
+        let turn = uses.entry(it.zone).or_default();
+        *turn += 1;
+        *turn
+    });
+    let count = others.len();
+    match others.iter().any(|it| it.is_current) {
+        true => others.retain(|it| it.is_current),
+        false => others.rotate_left((round * MAX_ADDED).checked_rem(count).unwrap_or(0)),
+    }
+    chosen.extend(others.into_iter().take(MAX_ADDED).map(|it| it.address));
 }
 
 /// Control hosts in the order in which they are chosen.
--- a/tests/fleet_relay.rs
+++ b/tests/fleet_relay.rs
@@ -42,6 +42,7 @@
             zone: ZONES[n % 6].0,
             distance: ZONES[n % 6].1,
             is_failing: self.failing.contains(&n),
+            is_current: false,
             reached: self.reached.get(&n),
         });
         let candidates: Vec<PollCandidate<'_>> = candidates.collect();
--- a/tests/routes_in_time.rs
+++ b/tests/routes_in_time.rs
@@ -1,6 +1,7 @@
 //! Time from the acknowledgement of routes until a host has them, whatever becomes of the control hosts that it polls.
 
 use std::collections::{BTreeSet, HashMap};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -33,6 +34,8 @@
     CutOff,
     /// It replies, but what it passes on stands still.
     StandsStill,
+    /// The same, and it has never heard a confirmation.
+    Unconfirmed,
 }
 
 /// Control hosts that reach each other; some have a fault.
@@ -40,6 +43,8 @@
 struct ControlHosts {
     faults: Mutex<HashMap<String, Fault>>,
     polled: Mutex<BTreeSet<String>>,
+    /// Number up to which each further control host that is polled has a fault too.
+    faults_wanted: AtomicUsize,
     /// When version 2 was acknowledged.
     acknowledged_at: Mutex<Option<Instant>>,
 }
@@ -64,7 +69,7 @@
         ControlSync {
             directory_epoch: 1,
             routes: Some(RouteTable { version, ..RouteTable::default() }),
-            routes_confirmation: Some(RoutesConfirmation {
+            routes_confirmation: (fault != Some(Fault::Unconfirmed)).then(|| RoutesConfirmation {
                 version,
                 age_ms: age.as_millis() as u64,
                 held_ms: arrived.elapsed().as_millis() as u64,
@@ -87,6 +92,12 @@
     ) -> Result<Reply, CallError> {
         let Some(call::Call::EntrySync(sync)) = call.call else { panic!("{call:?}") };
         self.polled.lock().unwrap().insert(to.to_owned());
+        {
+            let mut faults = self.faults.lock().unwrap();
+            if faults.len() < self.faults_wanted.load(Ordering::Relaxed) {
+                faults.entry(to.to_owned()).or_insert(Fault::StandsStill);
+            }
+        }
         let arrived = Instant::now();
         let until = arrived + Duration::from_millis(sync.wait_ms.into());
         loop {
@@ -117,27 +128,23 @@
     fn handle_reply(&self, _from_address: &str, _reply: &ControlSync) {}
 }
 
-/// Guards against routes that reach a host too late because of the control hosts that it has chosen.
-#[rstest]
-#[case::paused(Fault::Hangs)]
-#[case::cut_off(Fault::CutOff)]
-#[case::standing_still(Fault::StandsStill)]
-#[async_std::test]
-async fn routes_arrive_in_time_though_the_polled_control_hosts_do_not_have_them(
-    #[case] fault: Fault,
-) {
-    let control_hosts = Arc::<ControlHosts>::default();
+fn watch(control_hosts: &Arc<ControlHosts>, seed_addresses: Vec<String>) -> Arc<FleetWatch> {
     let options = FleetWatchOptions {
         host_id: "entry-1".into(),
         zone: ZONES[0].into(),
         zone_regions: ZONES.map(|zone| (zone.to_owned(), "cantabria".to_owned())).into(),
-        seed_addresses: (0..CONTROL_HOSTS).map(ControlHosts::address).collect(),
+        seed_addresses,
         own_address: "10.0.0.99:7".into(),
         directory_timeout: Duration::from_secs(60),
         polls_all: false,
         leaving: Arc::<LeavingTable>::default(),
     };
-    let watch = FleetWatch::spawn(options, control_hosts.clone(), Arc::new(NoSync));
+    FleetWatch::spawn(options, control_hosts.clone(), Arc::new(NoSync))
+}
+
+/// Starts a host, and gives the control hosts that it polls once it knows all of them a fault.
+async fn settle(control_hosts: &Arc<ControlHosts>, fault: Fault) -> Arc<FleetWatch> {
+    let watch = watch(control_hosts, (0..CONTROL_HOSTS).map(ControlHosts::address).collect());
     task::sleep(SETTLE_TIME).await;
     control_hosts.polled.lock().unwrap().clear();
     task::sleep(SETTLE_TIME).await;
@@ -145,11 +152,52 @@
     assert_eq!(polled.len(), 3, "{polled:?}");
     let faults = polled.into_iter().map(|address| (address, fault));
     *control_hosts.faults.lock().unwrap() = faults.collect();
+    watch
+}
+
+/// Fails unless version 2, which is acknowledged now, is in force within `limit`.
+async fn assert_in_force(control_hosts: &ControlHosts, watch: &FleetWatch, limit: Duration) {
     let acknowledged = Instant::now();
     *control_hosts.acknowledged_at.lock().unwrap() = Some(acknowledged);
     while watch.view().routes.version < 2 {
-        assert!(acknowledged.elapsed() < IN_FORCE_TIME, "not in force after {IN_FORCE_TIME:?}");
+        assert!(acknowledged.elapsed() < limit, "not in force after {limit:?}");
         task::sleep(Duration::from_millis(10)).await;
     }
-    println!("{fault:?}: in force after {:?}", acknowledged.elapsed());
+    println!("in force after {:?}", acknowledged.elapsed());
+}
+
+/// Guards against routes that reach a host too late because of the control hosts that it has chosen.
+#[rstest]
+#[case::paused(Fault::Hangs)]
+#[case::cut_off(Fault::CutOff)]
+#[case::standing_still(Fault::StandsStill)]
+#[async_std::test]
+async fn routes_arrive_in_time_though_the_polled_control_hosts_do_not_have_them(
+    #[case] fault: Fault,
+) {
+    let control_hosts = Arc::<ControlHosts>::default();
+    let watch = settle(&control_hosts, fault).await;
+    assert_in_force(&control_hosts, &watch, IN_FORCE_TIME).await;
+}
+
+/// Guards against a host that stays with the first others that it asks, though these do not have the routes either.
+#[async_std::test]
+async fn further_control_hosts_are_asked_if_the_added_ones_do_not_have_the_routes() {
+    let control_hosts = Arc::<ControlHosts>::default();
+    let watch = settle(&control_hosts, Fault::StandsStill).await;
+    control_hosts.faults_wanted.store(5, Ordering::Relaxed);
+    assert_in_force(&control_hosts, &watch, IN_FORCE_TIME + Duration::from_millis(1_500)).await;
+}
+
+/// Guards against a host that restarts and asks no others, as the polled ones have never confirmed routes.
+#[async_std::test]
+async fn a_host_without_any_confirmation_asks_other_control_hosts() {
+    let control_hosts = Arc::<ControlHosts>::default();
+    settle(&control_hosts, Fault::Unconfirmed).await;
+    let restarted = Arc::<ControlHosts>::default();
+    *restarted.faults.lock().unwrap() = control_hosts.faults.lock().unwrap().clone();
+    let polled = restarted.faults.lock().unwrap().keys().cloned().collect();
+    let watch = watch(&restarted, polled);
+    assert_in_force(&restarted, &watch, IN_FORCE_TIME).await;
+    assert!(watch.routes_confirmation().age(2, Instant::now()).is_some());
 }
