--- a/src/configuration/confirmation.rs
+++ b/src/configuration/confirmation.rs
@@ -1,5 +1,7 @@
 use std::time::Instant;
 
+use crate::schema::peer::RoutesConfirmation;
+
 /// A statement of the control hosts that no version newer than `version` was acknowledged before `confirmed_at`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Confirmation {
@@ -10,3 +12,16 @@
     /// Where this host has it from, for the log.
     pub source: String,
 }
+
+impl Confirmation {
+    /// The confirmation as another host gets it that asked at `arrived`.
+    pub fn passed_on(&self, arrived: Instant) -> RoutesConfirmation {
+        // Both times end at the same reading, as a stop in between would count as held only.
+        let now = Instant::now();
+        RoutesConfirmation {
+            version: self.version,
+            age_ms: (now - self.confirmed_at).as_millis() as u64 + 1,
+            held_ms: (now - arrived).as_millis() as u64,
+        }
+    }
+}
--- a/src/coordinator/routes_confirmation.rs
+++ b/src/coordinator/routes_confirmation.rs
@@ -18,11 +18,7 @@
     /// The last confirmation that this host has, for the answer to a call that arrived at `arrived`.
     pub(super) fn routes_confirmation(&self, arrived: Instant) -> Option<RoutesConfirmation> {
         let confirmation = self.watch()?.routes_confirmation().load()?;
-        Some(RoutesConfirmation {
-            version: confirmation.version,
-            age_ms: confirmation.confirmed_at.elapsed().as_millis() as u64 + 1,
-            held_ms: arrived.elapsed().as_millis() as u64,
-        })
+        Some(confirmation.passed_on(arrived))
     }
 
     /// Confirms the routes if this replica leads: whatever was acknowledged before is in its ledger once a
--- a/tests/confirmations.rs
+++ b/tests/confirmations.rs
@@ -41,3 +41,12 @@
     assert_eq!(refusal.kind, expected);
     assert_eq!(refusal.retry_after.is_some(), expected == RefusalKind::NotRun);
 }
+
+/// Guards against routes that look younger than they are because a host stands still while it passes on the age.
+#[test]
+fn a_confirmation_that_is_passed_on_is_not_younger() {
+    let (confirmed_at, arrived) = (Instant::now() - SECOND, Instant::now());
+    let passed_on = confirmation(1, confirmed_at).passed_on(arrived);
+    let known_by = arrived + Duration::from_millis(passed_on.held_ms);
+    assert!(known_by - Duration::from_millis(passed_on.age_ms) <= confirmed_at, "{passed_on:?}");
+}
