--- a/src/configuration/configuration_watch.rs
+++ b/src/configuration/configuration_watch.rs
@@ -1,9 +1,10 @@
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::{ArcSwap, Guard};
 use async_std::task::{self, JoinHandle};
 
+use crate::boot_instant::BootInstant;
 use crate::configuration::{ConfigurationView, Confirmation, LastConfirmation};
 use crate::state::StateClient;
 use crate::telemetry::Counters;
@@ -94,7 +95,7 @@
     loop {
         // The control host confirms the configuration after the request was sent, so the time of
         // the request is a safe lower bound.
-        let confirmed_at = Instant::now();
+        let confirmed_at = BootInstant::now();
         let known_version = shared.view.load().version();
         let notice = match client.watch_configuration(known_version, wait).await {
             Ok(notice) => notice,
--- a/src/configuration/confirmation.rs
+++ b/src/configuration/confirmation.rs
@@ -1,5 +1,4 @@
-use std::time::Instant;
-
+use crate::boot_instant::BootInstant;
 use crate::schema::peer::RoutesConfirmation;
 
 /// A statement of the control hosts that no version newer than `version` was acknowledged before `confirmed_at`.
@@ -7,17 +6,17 @@
 pub struct Confirmation {
     /// The newest version.
     pub version: u64,
-    /// A time no later than that of the confirmation, on the clock of this host.
-    pub confirmed_at: Instant,
+    /// A time no later than that of the confirmation, on the clock of this host, which counts suspensions.
+    pub confirmed_at: BootInstant,
     /// Where this host has it from, for the log.
     pub source: String,
 }
 
 impl Confirmation {
     /// The confirmation as another host gets it that asked at `arrived`.
-    pub fn passed_on(&self, arrived: Instant) -> RoutesConfirmation {
+    pub fn passed_on(&self, arrived: BootInstant) -> RoutesConfirmation {
         // Both times end at the same reading, as a stop in between would count as held only.
-        let now = Instant::now();
+        let now = BootInstant::now();
         RoutesConfirmation {
             version: self.version,
             age_ms: (now - self.confirmed_at).as_millis() as u64 + 1,
--- a/src/configuration/last_confirmation.rs
+++ b/src/configuration/last_confirmation.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 
+use crate::boot_instant::BootInstant;
 use crate::configuration::Confirmation;
 
 /// The latest confirmation that a host has received. Read on the path of a request.
@@ -27,9 +28,9 @@
     }
 
     /// Time since `version` was last known to be the newest; `None` if it never was or a newer one is known.
-    pub fn age(&self, version: u64, now: Instant) -> Option<Duration> {
+    pub fn age(&self, version: u64, now: BootInstant) -> Option<Duration> {
         let latest = self.latest.load();
         let latest = latest.as_ref().filter(|latest| latest.version <= version)?;
-        Some(now.saturating_duration_since(latest.confirmed_at))
+        Some(now - latest.confirmed_at)
     }
 }
--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -3,6 +3,7 @@
 
 use futures::future::select;
 
+use crate::boot_instant::BootInstant;
 use crate::control::unix_ms;
 use crate::coordinator::control_role::lock;
 use crate::coordinator::fleet_relay::set_entries;
@@ -27,7 +28,7 @@
 impl Coordinator {
     /// Answers a sync call once there are changes or its waiting time is over.
     pub(super) async fn handle_sync(self: &Arc<Self>, sync: EntrySync) -> ControlSync {
-        let (arrived, leads) = (Instant::now(), self.leads());
+        let (arrived, leads) = (BootInstant::now(), self.leads());
         let report = sync.entry.as_ref().and_then(|entry| self.apply_report(entry, &sync));
         self.record_leaving(&sync);
         let leader = self.named_leader();
--- a/src/coordinator/routes_confirmation.rs
+++ b/src/coordinator/routes_confirmation.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_std::task;
 
+use crate::boot_instant::BootInstant;
 use crate::configuration::Confirmation;
 use crate::coordinator::Coordinator;
 use crate::schema::peer::RoutesConfirmation;
@@ -16,7 +17,7 @@
 
 impl Coordinator {
     /// The last confirmation that this host has, for the answer to a call that arrived at `arrived`.
-    pub(super) fn routes_confirmation(&self, arrived: Instant) -> Option<RoutesConfirmation> {
+    pub(super) fn routes_confirmation(&self, arrived: BootInstant) -> Option<RoutesConfirmation> {
         let confirmation = self.watch()?.routes_confirmation().load()?;
         Some(confirmation.passed_on(arrived))
     }
@@ -30,7 +31,7 @@
         if !replica.group.status().is_leader {
             return false;
         }
-        let confirmed_at = Instant::now();
+        let confirmed_at = BootInstant::now();
         if self.confirm_leadership(&replica.group).await.is_err() {
             return false;
         }
--- a/src/directory/control_host.rs
+++ b/src/directory/control_host.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::boot_instant::BootInstant;
 use crate::directory::entry_list::recency;
 use crate::directory::DirectorySource;
 use crate::raft::LeaderBelief;
@@ -26,9 +27,9 @@
     /// Peer addresses of those that it reaches.
     pub(super) reached: HashSet<String>,
     pub(super) failing_since: Option<Instant>,
-    pub(super) first_replied_at: Option<Instant>,
+    pub(super) first_replied_at: Option<BootInstant>,
     /// Time of the last confirmation of the routes that it passed on.
-    pub(super) routes_confirmed_at: Option<Instant>,
+    pub(super) routes_confirmed_at: Option<BootInstant>,
     listed_hash: u64,
     entries: HashMap<String, Arc<EntryHost>>,
     entries_revision: u64,
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -8,6 +8,7 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 
 use crate::admission::rendezvous_rank;
+use crate::boot_instant::BootInstant;
 use crate::configuration::{Confirmation, LastConfirmation};
 use crate::directory::control_host::ControlHost;
 use crate::directory::sync_calls::{ReplyOrder, SyncCall, SyncCalls};
@@ -218,7 +219,7 @@
     }
 
     async fn poll(&self, address: &str, waits: bool) -> Option<ControlSync> {
-        let sent_at = Instant::now();
+        let sent_at = BootInstant::now();
         let mut sync = self.sync_request(address);
         let timeout = Duration::from_millis(sync.wait_ms.into()) + REPLY_MARGIN;
         if !waits {
@@ -239,11 +240,11 @@
     }
 
     /// Records the confirmation of the routes in a reply to a call that was sent at `sent_at`.
-    fn record_confirmation(&self, address: &str, sent_at: Instant, reply: &ControlSync) {
+    fn record_confirmation(&self, address: &str, sent_at: BootInstant, reply: &ControlSync) {
         let Some(confirmation) = &reply.routes_confirmation else { return };
         let RoutesConfirmation { version, age_ms, held_ms } = *confirmation;
         // The call arrived after it was sent, so this is no later than the confirmation.
-        let answered_at = (sent_at + Duration::from_millis(held_ms)).min(Instant::now());
+        let answered_at = (sent_at + Duration::from_millis(held_ms)).min(BootInstant::now());
         let confirmed_at = answered_at.checked_sub(Duration::from_millis(age_ms));
         let Some(confirmed_at) = confirmed_at else { return };
         let mut inner = self.lock();
@@ -283,7 +284,7 @@
         }
         let mut inner = self.lock();
         let control_host = inner.control_hosts.entry(address.to_owned()).or_default();
-        control_host.first_replied_at.get_or_insert(now);
+        control_host.first_replied_at.get_or_insert_with(BootInstant::now);
         let mut affected = Affected::default();
         if control_host.failing_since.take().is_some() {
             log::info!(event = "control_host_regained", address = address;
@@ -328,7 +329,7 @@
         let new_routes = routes.filter(|(_, table)| table.version > next.routes.version);
         let has_new_routes = new_routes.is_some();
         if let Some((source, routes)) = new_routes {
-            let age = self.routes_confirmation.age(routes.version, now);
+            let age = self.routes_confirmation.age(routes.version, BootInstant::now());
             log::info!(event = "routes_in_force", version = routes.version,
                 before = next.routes.version, source = source,
                 routes_age_ms = age.map_or(-1, |age| age.as_millis() as i64); "new routes applied");
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 
 use crate::admission::PlannedStop;
+use crate::boot_instant::BootInstant;
 use crate::control::unix_ms;
 use crate::coordinator::{LeaderClient, LeaderError, LeaderHint};
 use crate::directory::{
@@ -66,7 +67,7 @@
     relay_server: Arc<RelayServer>,
     probe: ConnectorProbe,
     sync_state: Arc<EntrySyncState>,
-    started: Instant,
+    started: BootInstant,
 }
 
 /// State of this host that is reported to the control hosts and updated from their answers.
@@ -273,7 +274,7 @@
             relay_server,
             probe: ConnectorProbe { connector: connector.clone() },
             sync_state,
-            started: Instant::now(),
+            started: BootInstant::now(),
         });
         task::spawn(yield_batch_slots(gateway.clone(), fleet.clone(), caller));
         task::spawn(send_crash_records(gateway.clone()));
@@ -292,7 +293,7 @@
         let confirmation = self.watch.routes_confirmation();
         RoutesState {
             version: routes.version(),
-            age: confirmation.age(routes.version(), Instant::now()),
+            age: confirmation.age(routes.version(), BootInstant::now()),
             source: confirmation.load().map_or_else(String::new, |last| last.source.clone()),
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -56,5 +56,4 @@
 pub(crate) use stall_limit::MIN_STALL_LIMIT;
 pub use stream_origins::StreamOrigins;
 pub use stream_request::StreamRequest;
-pub(crate) use upstream::monotonic_ms;
 pub use upstream::Upstream;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admin;
 pub mod admission;
 pub mod batch;
+pub mod boot_instant;
 pub mod cmd;
 pub mod configuration;
 pub mod control;
--- a/src/relay/relay_server.rs
+++ b/src/relay/relay_server.rs
@@ -10,8 +10,8 @@
 
 use crate::admission::PlannedStop;
 use crate::gateway::{
-    monotonic_ms, CallTarget, GatewayFleet, Prompt, SendError, StreamConnector, StreamRequest,
-    UpstreamAnswer, MIN_STALL_LIMIT,
+    CallTarget, GatewayFleet, Prompt, SendError, StreamConnector, StreamRequest, UpstreamAnswer,
+    MIN_STALL_LIMIT,
 };
 use crate::relay::relay_messages::headers_from_wire;
 use crate::relay::TransitDelays;
@@ -71,7 +71,7 @@
     /// Records when a message of another host was sent, and returns for how long it was held up.
     pub fn record_delay(&self, sent_at: &SentAt) -> Duration {
         let mut delays = self.delays.lock().unwrap_or_else(PoisonError::into_inner);
-        delays.record(sent_at, monotonic_ms())
+        delays.record(sent_at, SentAt::now().clock_ms)
     }
 
     /// Sends a request to its upstream and returns the head of the answer.
--- a/src/relay/transit_delays.rs
+++ b/src/relay/transit_delays.rs
@@ -10,7 +10,7 @@
 
 /// Measures how long messages of other hosts were on the way beyond the fastest one, without clocks that agree.
 ///
-/// Each message bears the time of its sender's monotonic clock. The difference to the own clock is an unknown offset
+/// Each message bears the time of its sender's clock, which counts suspensions. The difference to the own clock is an unknown offset
 /// plus the time on the way, so a message whose difference exceeds the smallest one was held up by the excess.
 #[derive(Debug, Default)]
 pub struct TransitDelays {
--- a/tests/routes_in_time.rs
+++ b/tests/routes_in_time.rs
@@ -7,6 +7,7 @@
 
 use async_std::task;
 use async_trait::async_trait;
+use damaskhoist::boot_instant::BootInstant;
 use damaskhoist::directory::{FleetWatch, FleetWatchOptions, LeavingTable, SyncHandler};
 use damaskhoist::peer::{CallError, PeerCaller, TrafficClass};
 use damaskhoist::schema::peer::frame::Body;
@@ -199,5 +200,5 @@
     let polled = restarted.faults.lock().unwrap().keys().cloned().collect();
     let watch = watch(&restarted, polled);
     assert_in_force(&restarted, &watch, IN_FORCE_TIME).await;
-    assert!(watch.routes_confirmation().age(2, Instant::now()).is_some());
+    assert!(watch.routes_confirmation().age(2, BootInstant::now()).is_some());
 }
