--- a/src/control/remote_state.rs
+++ b/src/control/remote_state.rs
@@ -82,8 +82,7 @@
             Ok(Reply { reply: Some(reply) }) => reply,
             Ok(Reply { reply: None }) => return AttemptResult::Retryable("empty reply".to_owned()),
             Err(error) => {
-                let time = asked.elapsed();
-                self.update(|tracker, now| tracker.pass_over(&address, 0, time, now));
+                self.update(|tracker, now| tracker.record_no_answer(&address, asked, now));
                 return match error {
                     CallError::NotSent(reason) => AttemptResult::Retryable(reason),
                     CallError::Lost(reason) => AttemptResult::Unknown(reason),
--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -21,6 +21,8 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time that an attempt gets at least, if it is left: two round trips between regions and a commit.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Age up to which a leader's own word counts as fresh: about an election timeout.
+const FRESH_WORD_AGE: Duration = Duration::from_millis(500);
 
 /// Time after its timeout at which a call is given up if the connection has not ended it. The connection
 /// normally ends it in time, and then knows that it may be broken.
@@ -124,7 +126,8 @@
     }
 
     /// Calls control hosts until a leader answers or `budget` is used up. Each attempt has its own
-    /// `timeout`, and no more than half of what is left, so that no host uses up the budget.
+    /// `timeout`, and no more than half of what is left, so that no host uses up the budget. A commit has a whole
+    /// attempt at a leader that spoke lately, because its effect is unknown if it is cut off.
     ///
     /// # Errors
     /// Fails with a [`LeaderError`] if no leader answered in time.
@@ -150,7 +153,10 @@
                 continue;
             };
             let asked = Instant::now();
-            let timeout = attempt_timeout(timeout, left);
+            let mut timeout = attempt_timeout(timeout, left);
+            if is_commit(&call) && self.spoke_lately(&address) {
+                timeout = timeout.max(commit_timeout(left));
+            }
             let attempt = match self.attempt(&address, call.clone(), timeout).await {
                 Ok(reply) => return Ok(reply),
                 Err(attempt) => attempt,
@@ -234,8 +240,11 @@
                 is_redirect: false,
             }),
             Err(error) => {
-                let time = asked.elapsed();
-                self.update(|tracker, now| tracker.pass_over(address, 0, time, now));
+                // A caller that had less time than an answer takes tells nothing of the host.
+                let is_cut_short = timeout < MIN_ATTEMPT_TIMEOUT && asked.elapsed() >= timeout;
+                if !is_cut_short {
+                    self.update(|tracker, now| tracker.record_no_answer(address, asked, now));
+                }
                 Err(FailedAttempt {
                     reason: FailureReason::from(&error),
                     message: error.to_string(),
@@ -246,6 +255,15 @@
         }
     }
 
+    /// True if the host said itself, not long ago, that it leads.
+    fn spoke_lately(&self, address: &str) -> bool {
+        let tracker = self.tracker.load();
+        let leader = tracker.leader().filter(|leader| leader.address == address);
+        leader.is_some_and(|leader| {
+            leader.is_own_word() && leader.heard_at.elapsed() < FRESH_WORD_AGE
+        })
+    }
+
     /// Takes note of a failure that a control host answered to another call after `time`.
     pub fn hear_failure(&self, address: &str, failure: &CallFailure, time: Duration) {
         self.update(|tracker, now| tracker.record_failure(address, failure, time, now));
@@ -311,3 +329,13 @@
     let share = left.saturating_sub(wait) / 2;
     timeout.min(left).min(wait + share.max(MIN_ATTEMPT_TIMEOUT))
 }
+
+/// True for calls that end with a commit. If one is cut off, its effect is unknown.
+fn is_commit(call: &call::Call) -> bool {
+    matches!(call, call::Call::LedgerCommand(_) | call::Call::RetireHost(_))
+}
+
+/// Time for a commit at a leader that is known to answer: that of a usual call, if an attempt elsewhere can follow.
+fn commit_timeout(left: Duration) -> Duration {
+    CALL_TIMEOUT.min(left.saturating_sub(MIN_ATTEMPT_TIMEOUT))
+}
--- a/src/raft/leader_tracker.rs
+++ b/src/raft/leader_tracker.rs
@@ -132,6 +132,15 @@
         self.hear(&served, now);
     }
 
+    /// Takes note of a call, sent at `asked`, that a host did not answer. A leader that spoke since is not passed over.
+    pub fn record_no_answer(&mut self, address: &str, asked: Instant, now: Instant) {
+        let leader = self.leader.as_ref().filter(|leader| leader.address == address);
+        if leader.is_some_and(|leader| leader.is_own_word() && leader.heard_at > asked) {
+            return;
+        }
+        self.pass_over(address, 0, now.saturating_duration_since(asked), now);
+    }
+
     /// Passes a host over that did not serve a call as the leader, after `time`. `term` is the term in which it said
     /// so; 0 if it said nothing.
     pub fn pass_over(&mut self, address: &str, term: u64, time: Duration, now: Instant) {
--- a/tests/leader_calls.rs
+++ b/tests/leader_calls.rs
@@ -30,6 +30,10 @@
     Leads(u64),
     /// Leads in this term, but can't be connected to at the calls between these numbers.
     LeadsWithGap(u64, usize, usize),
+    /// Leads, and answers after this time in milliseconds.
+    LeadsAfter(u64),
+    /// Leads, but does not answer the call of this number.
+    LeadsExceptAt(usize),
     /// Never answers, and the call does not end at its time limit either.
     Silent,
 }
@@ -50,8 +54,14 @@
     ) -> Result<Reply, CallError> {
         let number = self.record(address);
         let answering = self.hosts[address];
+        if let Answering::LeadsAfter(time_ms) = answering {
+            task::sleep(Duration::from_millis(time_ms)).await;
+        }
         let reply = match (answering, call.call) {
             (Answering::Silent, _) => futures::future::pending().await,
+            (Answering::LeadsExceptAt(lost), _) if lost == number => {
+                futures::future::pending().await
+            }
             (Answering::LeadsWithGap(_, from, to), _) if (from..to).contains(&number) => {
                 return Err(CallError::NotSent("no connection".into()));
             }
@@ -96,7 +106,7 @@
         Answering::Leads(term) | Answering::LeadsWithGap(term, ..) => {
             (sync.leads, sync.leader_term) = (true, term);
         }
-        Answering::Silent => {}
+        _ => {}
     }
     reply::Reply::ControlSync(sync)
 }
@@ -269,3 +279,39 @@
 
     fn handle_reply(&self, _from_address: &str, _reply: &ControlSync) {}
 }
+
+/// Guards against a leader that is passed over because a caller had less time left than an answer takes.
+#[async_std::test]
+async fn a_short_remaining_time_is_not_held_against_the_leader() {
+    let (client, scripted) = open(&[("a", Answering::LeadsAfter(180)), ("b", Answering::Silent)]);
+    let budget = Duration::from_millis(20);
+    let ended = client.call(any_call(), budget, budget).await;
+    assert!(ended.is_err(), "{ended:?}");
+    let budget = Duration::from_millis(600);
+    let ended = client.call(any_call(), budget, budget).await;
+    assert!(ended.is_ok(), "{ended:?}");
+    assert_eq!(scripted.calls_to("b"), 0);
+}
+
+/// Guards against a leader that is passed over for an older call, though it has answered a newer one.
+#[async_std::test]
+async fn an_older_call_is_not_held_against_a_leader_that_answered_since() {
+    let (client, scripted) = open(&[("a", Answering::LeadsExceptAt(0)), ("b", Answering::Silent)]);
+    let budget = Duration::from_millis(600);
+    let newer = async {
+        task::sleep(Duration::from_millis(50)).await;
+        client.call(any_call(), budget, budget).await
+    };
+    let ended = futures::join!(client.call(any_call(), budget, budget), newer);
+    assert!(matches!(ended, (Ok(_), Ok(_))), "{ended:?}");
+    assert_eq!(scripted.calls_to("b"), 0);
+}
+
+/// Guards against a change of routes that is cut off at half of its time while a leader that answers commits it.
+#[async_std::test]
+async fn a_command_has_a_whole_attempt_at_a_leader_that_spoke() {
+    let (client, scripted) = open(&[("a", Answering::LeadsAfter(560))]);
+    let ended = client.submit(Default::default(), Duration::from_millis(850)).await;
+    assert!(ended.is_ok(), "{ended:?}");
+    assert_eq!(scripted.calls_to("a"), 1);
+}
