--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -113,11 +113,7 @@
             Some(Arc::new(LeaderBelief { address, term, source, heard_at: Instant::now() }))
         });
         let heard = self.watch.get().and_then(|watch| watch.leader());
-        match (own, heard) {
-            // A replica that stood still may name a leader of an older term.
-            (Some(own), Some(heard)) if heard.term > own.term => Some(heard),
-            (own, heard) => own.or(heard),
-        }
+        LeaderBelief::preferred(own, heard)
     }
 
     fn control_addresses(&self) -> Vec<String> {
--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -182,7 +182,7 @@
         })
     }
 
-    /// Calls the leader once, for calls that only the leader serves and that are repeated elsewhere.
+    /// Calls the leader once, and once more if that host names another, for calls that only the leader serves and that are repeated elsewhere.
     ///
     /// # Errors
     /// Fails with a [`LeaderError`] if no leader is known or it did not answer within `timeout`.
@@ -192,11 +192,19 @@
         timeout: Duration,
     ) -> Result<reply::Reply, LeaderError> {
         let mut failed = FailedCall::not_tried("no control host is known");
-        let Some(address) = self.next_address() else {
+        let Some(mut address) = self.next_address() else {
             return Err(LeaderError::NotSubmitted(Box::new(failed)));
         };
         let asked = Instant::now();
-        let called = self.attempt(&address, call, timeout).await;
+        let mut called = self.attempt(&address, call.clone(), timeout).await;
+        let left = timeout.saturating_sub(asked.elapsed());
+        if let Err(FailedAttempt { is_redirect: true, reason, message, .. }) = &called {
+            failed.record(&address, *reason, message, asked.elapsed().as_millis());
+            if let Some(named) = self.next_address() {
+                called = self.attempt(&named, call, left).await;
+                address = named;
+            }
+        }
         called.map_err(|attempt| {
             let time_ms = asked.elapsed().as_millis();
             failed.record(&address, attempt.reason, &attempt.message, time_ms);
--- a/src/raft/leader_belief.rs
+++ b/src/raft/leader_belief.rs
@@ -1,4 +1,5 @@
 use std::fmt;
+use std::sync::Arc;
 use std::time::Instant;
 
 /// What a host believes of the leader of a group, and from whom it has it.
@@ -33,6 +34,19 @@
         }
     }
 
+    fn outranks(&self, other: &Self) -> bool {
+        (self.term, self.is_own_word()) > (other.term, other.is_own_word())
+    }
+
+    /// The belief of a replica or, if it says more, what was heard from other hosts: a later term or, within a term, the
+    /// word of the leader itself. A replica that stood still may name a leader of an older term.
+    pub fn preferred(replica: Option<Arc<Self>>, heard: Option<Arc<Self>>) -> Option<Arc<Self>> {
+        match (replica, heard) {
+            (Some(replica), Some(heard)) if heard.outranks(&replica) => Some(heard),
+            (replica, heard) => replica.or(heard),
+        }
+    }
+
     /// Time since the source said so, in milliseconds.
     pub fn age_ms(&self) -> u64 {
         self.heard_at.elapsed().as_millis() as u64
--- a/tests/leader_calls.rs
+++ b/tests/leader_calls.rs
@@ -315,3 +315,27 @@
     assert!(ended.is_ok(), "{ended:?}");
     assert_eq!(scripted.calls_to("a"), 1);
 }
+
+/// Guards against a read that fails because the host that was asked names the leader instead of answering.
+#[async_std::test]
+async fn a_question_for_the_leader_follows_one_redirect() {
+    let hosts = [("a", Answering::Names("b", 6)), ("b", Answering::Leads(6))];
+    let (client, _scripted) = open_in_term(&hosts, 5);
+    let ended = client.call_leader(any_call(), Duration::from_millis(400)).await;
+    assert!(ended.is_ok(), "{ended:?}");
+}
+
+/// Guards against a replica's hearsay that hides what the leader itself said in the same term.
+#[test]
+fn the_own_word_of_the_leader_is_preferred_within_a_term() {
+    let now = Instant::now();
+    let belief = |term, source: &str| {
+        let (address, source) = ("a".to_owned(), source.to_owned());
+        Some(Arc::new(LeaderBelief { address, term, source, heard_at: now }))
+    };
+    let chosen = |own, heard| LeaderBelief::preferred(own, heard).map(|chosen| (*chosen).clone());
+    let word = belief(6, "a").map(|word| (*word).clone());
+    assert_eq!(chosen(belief(6, "f"), belief(6, "a")), word);
+    assert_eq!(chosen(belief(6, "a"), belief(5, "a")), word);
+    assert_eq!(chosen(belief(5, "a"), belief(6, "a")), word);
+}
