--- a/src/control/remote_state.rs
+++ b/src/control/remote_state.rs
@@ -102,7 +102,7 @@
                 }
             }
             reply => {
-                self.update(|tracker, now| tracker.record_answer(&address, now));
+                self.update(|tracker, now| tracker.record_answer(&address, 0, asked, now));
                 AttemptResult::Reply(Box::new(reply))
             }
         }
--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -238,7 +238,7 @@
                 })
             }
             Ok(Reply { reply: Some(reply) }) => {
-                self.record_answer(address, &reply);
+                self.record_answer(address, &reply, asked);
                 Ok(reply)
             }
             Ok(Reply { reply: None }) => Err(FailedAttempt {
@@ -302,11 +302,13 @@
     }
 
     /// Records that a control host served a call. One that answered a read may be a follower.
-    fn record_answer(&self, address: &str, reply: &reply::Reply) {
+    fn record_answer(&self, address: &str, reply: &reply::Reply, asked: Instant) {
         let tracker = self.tracker.load();
         let is_known = tracker.leader().is_some_and(|leader| leader.address == address);
         if is_known || !matches!(reply, reply::Reply::LedgerAnswer(_)) {
-            self.update(|tracker, now| tracker.record_answer(address, now));
+            let hint = self.hint.leader().filter(|leader| leader.address == address);
+            let term = hint.map_or(0, |leader| leader.term);
+            self.update(|tracker, now| tracker.record_answer(address, term, asked, now));
         }
     }
 
--- a/src/raft/leader_tracker.rs
+++ b/src/raft/leader_tracker.rs
@@ -70,12 +70,18 @@
         if self.is_outdated(belief.term, now) || self.rules_out(belief, now) {
             return false;
         }
+        let highest = self.highest_term.filter(|(_, at)| now < *at + TERM_LIFETIME);
+        let is_new_term = highest.is_none_or(|(highest, _)| belief.term > highest);
         if belief.term > 0 {
             let heard = self.highest_term.filter(|(term, _)| *term == belief.term);
             let at = heard.map_or(belief.heard_at, |(_, at)| at.max(belief.heard_at));
             self.highest_term = Some((belief.term, at));
         }
-        if self.leader.as_ref().is_some_and(|leader| !belief.replaces(leader)) {
+        // A term that nobody named before tells of an election after the answer of a leader whose term is unknown.
+        let is_elected_since =
+            |leader: &LeaderBelief| leader.term == 0 && is_new_term && belief.term > 0;
+        let holds = |leader: &LeaderBelief| !belief.replaces(leader) && !is_elected_since(leader);
+        if self.leader.as_ref().is_some_and(holds) {
             return false;
         }
         self.passed_over.retain(|passed| passed.address != belief.address);
@@ -120,12 +126,16 @@
         self.hear(&named, now)
     }
 
-    /// Takes note of a host that served a call as the leader.
-    pub fn record_answer(&mut self, source: &str, now: Instant) {
+    /// Takes note of a host that served a call, sent at `asked`, as the leader of `term`, which is 0 if it is unknown.
+    pub fn record_answer(&mut self, source: &str, term: u64, asked: Instant, now: Instant) {
         let known = self.leader.as_ref().filter(|leader| leader.address == source);
+        let is_late = self.leader.as_ref().is_some_and(|leader| leader.heard_at > asked);
+        if known.is_none() && is_late {
+            return;
+        }
         let served = LeaderBelief {
             address: source.to_owned(),
-            term: known.map_or(0, |leader| leader.term),
+            term: known.map_or(term, |leader| leader.term),
             source: source.to_owned(),
             heard_at: now,
         };
--- a/tests/leader_calls.rs
+++ b/tests/leader_calls.rs
@@ -339,3 +339,66 @@
     assert_eq!(chosen(belief(6, "a"), belief(5, "a")), word);
     assert_eq!(chosen(belief(5, "a"), belief(6, "a")), word);
 }
+
+/// Knows one control host, and no leader.
+struct NoHint(&'static str);
+
+impl LeaderHint for NoHint {
+    fn leader(&self) -> Option<Arc<LeaderBelief>> {
+        None
+    }
+
+    fn control_addresses(&self) -> Vec<String> {
+        vec![self.0.to_owned()]
+    }
+}
+
+/// A client that knows only the first of `hosts`; `other` leads in term 7.
+fn open_without_hint(
+    hosts: &[(&'static str, Answering)],
+    other: &'static str,
+) -> (LeaderClient, Arc<ScriptedHosts>) {
+    let scripted = script(&[hosts[0], (other, Answering::Leads(7))]);
+    (LeaderClient::open(scripted.clone(), Arc::new(NoHint(hosts[0].0))), scripted)
+}
+
+fn hearsay(leader: &str, term: u64) -> CallFailure {
+    CallFailure {
+        kind: FailureKind::NotLeader.into(),
+        message: "not the leader".into(),
+        leader_address: leader.into(),
+        leader_term: term,
+    }
+}
+
+/// Guards against a host that is still asked because it once answered in an unknown term, though another was elected.
+#[async_std::test]
+async fn a_newly_named_term_replaces_a_leader_of_an_unknown_term() {
+    let (client, scripted) = open_without_hint(&[("a", Answering::Leads(0))], "b");
+    let budget = Duration::from_millis(600);
+    assert!(client.call(any_call(), budget, budget).await.is_ok());
+    client.hear_failure("f", &hearsay("b", 7), Duration::ZERO);
+    assert!(client.call(any_call(), budget, budget).await.is_ok());
+    assert_eq!(scripted.calls_to("b"), 1);
+}
+
+/// Guards against a late answer of a deposed leader, which replaced what was heard of a newer one meanwhile.
+#[async_std::test]
+async fn a_late_answer_does_not_replace_a_newer_leader() {
+    let hosts = [("a", Answering::LeadsAfter(200))];
+    for (client, scripted) in [open_without_hint(&hosts, "b"), {
+        let scripted = script(&[hosts[0], ("b", Answering::Leads(7))]);
+        let hint = Arc::new(FirstHint(vec!["a".to_owned()], Instant::now(), 6));
+        (LeaderClient::open(scripted.clone(), hint), scripted)
+    }] {
+        let budget = Duration::from_millis(800);
+        let named = async {
+            task::sleep(Duration::from_millis(50)).await;
+            client.hear_failure("f", &hearsay("b", 7), Duration::ZERO);
+        };
+        let (ended, ()) = futures::join!(client.call(any_call(), budget, budget), named);
+        assert!(ended.is_ok(), "{ended:?}");
+        assert!(client.call(any_call(), budget, budget).await.is_ok());
+        assert_eq!(scripted.calls_to("b"), 1);
+    }
+}
