--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -102,7 +102,7 @@
     /// Fails with a [`LeaderError`] if no leader returned an outcome in time.
     pub async fn submit(&self, command: Command, budget: Duration) -> Result<Outcome, LeaderError> {
         let call = call::Call::LedgerCommand(command);
-        match self.call(call, CALL_TIMEOUT, budget).await? {
+        match self.call(call, Duration::ZERO, budget).await? {
             reply::Reply::LedgerOutcome(outcome) => Ok(outcome),
             _ => Err(LeaderError::unexpected_reply()),
         }
@@ -119,22 +119,22 @@
         budget: Duration,
     ) -> Result<Answer, LeaderError> {
         let call = call::Call::LedgerQuery(query);
-        match self.call(call, max_wait + CALL_TIMEOUT, budget).await? {
+        match self.call(call, max_wait, budget).await? {
             reply::Reply::LedgerAnswer(answer) => Ok(answer),
             _ => Err(LeaderError::unexpected_reply()),
         }
     }
 
-    /// Calls control hosts until a leader answers or `budget` is used up. Each attempt has its own
-    /// `timeout`, and no more than half of what is left, so that no host uses up the budget. A commit has a whole
-    /// attempt at a leader that spoke lately, because its effect is unknown if it is cut off.
+    /// Calls control hosts until a leader answers or `budget` is used up. The leader may wait up to `wait` before it
+    /// answers; each attempt has no more than half of what is left beyond that, so that no host uses up the budget. A
+    /// commit has a whole attempt at a leader that spoke lately, because its effect is unknown if it is cut off.
     ///
     /// # Errors
     /// Fails with a [`LeaderError`] if no leader answered in time.
     pub async fn call(
         &self,
         call: call::Call,
-        timeout: Duration,
+        wait: Duration,
         budget: Duration,
     ) -> Result<reply::Reply, LeaderError> {
         let started = Instant::now();
@@ -153,7 +153,7 @@
                 continue;
             };
             let asked = Instant::now();
-            let mut timeout = attempt_timeout(timeout, left);
+            let mut timeout = attempt_timeout(wait, left);
             if is_commit(&call) && self.spoke_lately(&address) {
                 timeout = timeout.max(commit_timeout(left));
             }
@@ -332,12 +332,11 @@
     is_redirect: bool,
 }
 
-/// Time for one attempt of a call that has `left`. What `timeout` has beyond that of a usual call is a wait for
-/// news, which is not shortened.
-fn attempt_timeout(timeout: Duration, left: Duration) -> Duration {
-    let wait = timeout.saturating_sub(CALL_TIMEOUT);
+/// Time for one attempt of a call that has `left`. The leader's wait for news is not shortened.
+fn attempt_timeout(wait: Duration, left: Duration) -> Duration {
     let share = left.saturating_sub(wait) / 2;
-    timeout.min(left).min(wait + share.max(MIN_ATTEMPT_TIMEOUT))
+    let timeout = share.max(MIN_ATTEMPT_TIMEOUT).min(CALL_TIMEOUT);
+    left.min(wait + timeout)
 }
 
 /// True for calls that end with a commit. If one is cut off, its effect is unknown.
--- a/src/coordinator/operator.rs
+++ b/src/coordinator/operator.rs
@@ -89,7 +89,7 @@
     /// host.
     pub async fn retire(&self, host_id: &str) -> RetireOutcome {
         let call = call::Call::RetireHost(RetireHost { host_id: host_id.to_owned() });
-        match self.leader_client().call(call, OPERATOR_CALL_BUDGET, OPERATOR_CALL_BUDGET).await {
+        match self.leader_client().call(call, Duration::ZERO, OPERATOR_CALL_BUDGET).await {
             Ok(reply::Reply::Done(_)) => RetireOutcome::Accepted,
             Ok(reply::Reply::LedgerAnswer(Answer {
                 answer: Some(answer::Answer::NotFound(_)),
--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -385,7 +385,7 @@
         };
         self.counters.count(name);
         for _ in 0..REPORT_ATTEMPTS {
-            match self.leader.call(call.clone(), REPORT_BUDGET, REPORT_BUDGET).await {
+            match self.leader.call(call.clone(), Duration::ZERO, REPORT_BUDGET).await {
                 Ok(_) => {
                     log::info!(event = name, job = assignment.job_id.as_str(),
                         item = assignment.item, assignment = assignment.assignment_id;
--- a/tests/leader_calls.rs
+++ b/tests/leader_calls.rs
@@ -158,7 +158,7 @@
     let (client, scripted) = open(&hosts);
     let budget = Duration::from_millis(500);
     let started = Instant::now();
-    let ended = client.call(any_call(), budget, budget).await;
+    let ended = client.call(any_call(), Duration::ZERO, budget).await;
     assert!(matches!(ended, Err(LeaderError::NotSubmitted(_))), "{ended:?}");
     assert!(started.elapsed() < budget + Duration::from_millis(250), "{:?}", started.elapsed());
     // Two calls per pause of 25 ms.
@@ -176,7 +176,7 @@
     ];
     let (client, _scripted) = open(&hosts);
     let budget = Duration::from_millis(2_000);
-    let ended = client.call(any_call(), budget, budget).await;
+    let ended = client.call(any_call(), Duration::ZERO, budget).await;
     assert!(ended.is_ok(), "{ended:?}");
 }
 
@@ -186,7 +186,8 @@
 async fn a_call_ends_though_its_connection_does_not() {
     let (client, _scripted) = open(&[("a", Answering::Silent)]);
     let budget = Duration::from_millis(300);
-    let ended = timeout(Duration::from_secs(2), client.call(any_call(), budget, budget)).await;
+    let ended =
+        timeout(Duration::from_secs(2), client.call(any_call(), Duration::ZERO, budget)).await;
     let ended = ended.expect("the call ends within its budget and a margin");
     assert!(matches!(ended, Err(LeaderError::Unknown(_))), "{ended:?}");
 }
@@ -202,7 +203,7 @@
     ];
     let (client, scripted) = open_in_term(&hosts, 6);
     let budget = Duration::from_millis(700);
-    let ended = client.call(any_call(), budget, budget).await;
+    let ended = client.call(any_call(), Duration::ZERO, budget).await;
     assert!(ended.is_ok(), "{ended:?}");
     assert_eq!(scripted.calls_to("old"), 0);
 }
@@ -213,8 +214,8 @@
     let hosts =
         [("a", Answering::Silent), ("b", Answering::Names("a", 5)), ("c", Answering::Leads(6))];
     let (client, scripted) = open_in_term(&hosts, 5);
-    let (timeout, budget) = (Duration::from_millis(600), Duration::from_millis(1_500));
-    let ended = client.call(any_call(), timeout, budget).await;
+    let budget = Duration::from_millis(1_500);
+    let ended = client.call(any_call(), Duration::ZERO, budget).await;
     assert!(ended.is_ok(), "{ended:?}");
     assert_eq!(scripted.calls_to("a"), 1);
 }
@@ -225,7 +226,7 @@
     let (client, _scripted) =
         open_in_term(&[("a", Answering::Silent), ("b", Answering::Leads(6))], 5);
     let budget = Duration::from_millis(600);
-    let ended = client.call(any_call(), budget, budget).await;
+    let ended = client.call(any_call(), Duration::ZERO, budget).await;
     assert!(ended.is_ok(), "{ended:?}");
 }
 
@@ -285,10 +286,10 @@
 async fn a_short_remaining_time_is_not_held_against_the_leader() {
     let (client, scripted) = open(&[("a", Answering::LeadsAfter(180)), ("b", Answering::Silent)]);
     let budget = Duration::from_millis(20);
-    let ended = client.call(any_call(), budget, budget).await;
+    let ended = client.call(any_call(), Duration::ZERO, budget).await;
     assert!(ended.is_err(), "{ended:?}");
     let budget = Duration::from_millis(600);
-    let ended = client.call(any_call(), budget, budget).await;
+    let ended = client.call(any_call(), Duration::ZERO, budget).await;
     assert!(ended.is_ok(), "{ended:?}");
     assert_eq!(scripted.calls_to("b"), 0);
 }
@@ -300,9 +301,9 @@
     let budget = Duration::from_millis(600);
     let newer = async {
         task::sleep(Duration::from_millis(50)).await;
-        client.call(any_call(), budget, budget).await
+        client.call(any_call(), Duration::ZERO, budget).await
     };
-    let ended = futures::join!(client.call(any_call(), budget, budget), newer);
+    let ended = futures::join!(client.call(any_call(), Duration::ZERO, budget), newer);
     assert!(matches!(ended, (Ok(_), Ok(_))), "{ended:?}");
     assert_eq!(scripted.calls_to("b"), 0);
 }
@@ -376,9 +377,9 @@
 async fn a_newly_named_term_replaces_a_leader_of_an_unknown_term() {
     let (client, scripted) = open_without_hint(&[("a", Answering::Leads(0))], "b");
     let budget = Duration::from_millis(600);
-    assert!(client.call(any_call(), budget, budget).await.is_ok());
+    assert!(client.call(any_call(), Duration::ZERO, budget).await.is_ok());
     client.hear_failure("f", &hearsay("b", 7), Duration::ZERO);
-    assert!(client.call(any_call(), budget, budget).await.is_ok());
+    assert!(client.call(any_call(), Duration::ZERO, budget).await.is_ok());
     assert_eq!(scripted.calls_to("b"), 1);
 }
 
@@ -396,9 +397,21 @@
             task::sleep(Duration::from_millis(50)).await;
             client.hear_failure("f", &hearsay("b", 7), Duration::ZERO);
         };
-        let (ended, ()) = futures::join!(client.call(any_call(), budget, budget), named);
+        let (ended, ()) = futures::join!(client.call(any_call(), Duration::ZERO, budget), named);
         assert!(ended.is_ok(), "{ended:?}");
-        assert!(client.call(any_call(), budget, budget).await.is_ok());
+        assert!(client.call(any_call(), Duration::ZERO, budget).await.is_ok());
         assert_eq!(scripted.calls_to("b"), 1);
     }
 }
+
+/// Guards against a silent host that uses up most of a long budget.
+#[async_std::test]
+async fn a_long_budget_is_not_spent_on_one_silent_host() {
+    let hosts = [("a", Answering::Silent), ("b", Answering::Leads(6))];
+    let (client, _scripted) = open_in_term(&hosts, 5);
+    let (started, budget) = (Instant::now(), Duration::from_millis(2_000));
+    let ended = client.call(any_call(), Duration::ZERO, budget).await;
+    assert!(ended.is_ok(), "{ended:?}");
+    // An attempt of 600 ms, its margin and a pause.
+    assert!(started.elapsed() < Duration::from_millis(1_000), "{:?}", started.elapsed());
+}
