--- a/src/gateway/job_reader.rs
+++ b/src/gateway/job_reader.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::ArcSwap;
 
 use crate::coordinator::{LeaderClient, LeaderError};
 use crate::directory::FleetWatch;
@@ -23,8 +23,8 @@
     leader: Arc<LeaderClient>,
     watch: Arc<FleetWatch>,
     counters: Counters,
-    /// The replica that failed last, and until when it is passed over.
-    avoided: ArcSwapOption<(String, Instant)>,
+    /// Replicas that failed, and until when each is passed over. No longer than the list of near replicas.
+    avoided: ArcSwap<Vec<(String, Instant)>>,
 }
 
 impl JobReader {
@@ -35,7 +35,7 @@
         watch: Arc<FleetWatch>,
         counters: Counters,
     ) -> Self {
-        Self { caller, leader, watch, counters, avoided: ArcSwapOption::empty() }
+        Self { caller, leader, watch, counters, avoided: ArcSwap::default() }
     }
 
     /// Runs a linearizable read of a job; the replica may wait up to `max_wait` before it answers.
@@ -83,17 +83,28 @@
         log::warn!(event = "replica_avoided", address = address.as_str(),
             leader = failure.leader_address.as_str(), leader_term = failure.leader_term,
             time_ms = started.elapsed().as_millis() as u64; "{}", failure.message);
-        self.avoided.store(Some(Arc::new((address, Instant::now() + AVOID_TIME))));
+        self.avoid(&address);
         let left = budget.saturating_sub(started.elapsed());
         self.leader.query(without_wait(query), Duration::ZERO, left).await
     }
 
+    fn avoid(&self, address: &str) {
+        let now = Instant::now();
+        self.avoided.rcu(|avoided| {
+            let others = avoided.iter().filter(|(other, until)| other != address && now < *until);
+            let mut next: Vec<(String, Instant)> = others.cloned().collect();
+            next.push((address.to_owned(), now + AVOID_TIME));
+            next
+        });
+    }
+
     fn near_replica(&self) -> Option<String> {
-        let avoided = self.avoided.load();
-        let avoided = avoided.as_ref().filter(|avoided| Instant::now() < avoided.1);
+        let (avoided, now) = (self.avoided.load(), Instant::now());
+        let is_avoided = |address: &String| {
+            avoided.iter().any(|(other, until)| other == address && now < *until)
+        };
         let view = self.watch.view();
-        let mut near = view.near_replicas.iter();
-        near.find(|address| avoided.is_none_or(|avoided| avoided.0 != **address)).cloned()
+        view.near_replicas.iter().find(|address| !is_avoided(address)).cloned()
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 pub use fleet::GatewayFleet;
 pub use fleet_origins::FleetOrigins;
 pub use forwarder::{ForwardOutcome, Forwarder};
+pub use job_reader::JobReader;
 pub use linked_connector::LinkedConnector;
 pub use prompt::Prompt;
 pub use refusal::{Refusal, RefusalKind};
--- a/tests/leader_calls.rs
+++ b/tests/leader_calls.rs
@@ -11,15 +11,18 @@
 use damaskhoist::control::RemoteState;
 use damaskhoist::coordinator::{LeaderClient, LeaderError, LeaderHint};
 use damaskhoist::directory::{FleetWatch, FleetWatchOptions, LeavingTable, SyncHandler};
+use damaskhoist::gateway::JobReader;
 use damaskhoist::peer::{CallError, PeerCaller, TrafficClass};
 use damaskhoist::raft::LeaderBelief;
-use damaskhoist::schema::ledger::Outcome;
+use damaskhoist::schema::ledger::{Answer, Outcome, Query};
 use damaskhoist::schema::peer::frame::Body;
 use damaskhoist::schema::peer::{
-    call, reply, Call, CallFailure, ControlSync, EntrySync, FailureKind, Reply, ReturnItem,
+    call, reply, Call, CallFailure, ControlHostEntry, ControlSync, EntrySync, FailureKind, Reply,
+    ReturnItem,
 };
 use damaskhoist::schema::state::Command;
 use damaskhoist::state::StateClient;
+use damaskhoist::telemetry::Counters;
 
 /// What a scripted control host does with a call.
 #[derive(Clone, Copy)]
@@ -34,6 +37,8 @@
     LeadsAfter(u64),
     /// Leads, but does not answer the call of this number.
     LeadsExceptAt(usize),
+    /// Can't be connected to.
+    Unreachable,
     /// Never answers, and the call does not end at its time limit either.
     Silent,
 }
@@ -41,6 +46,7 @@
 struct ScriptedHosts {
     hosts: HashMap<&'static str, Answering>,
     calls: Mutex<Vec<String>>,
+    reads: Mutex<Vec<String>>,
 }
 
 #[async_trait]
@@ -53,12 +59,18 @@
         _timeout: Duration,
     ) -> Result<Reply, CallError> {
         let number = self.record(address);
+        if let Some(call::Call::LedgerQuery(_)) = &call.call {
+            self.reads.lock().unwrap().push(address.to_owned());
+        }
         let answering = self.hosts[address];
         if let Answering::LeadsAfter(time_ms) = answering {
             task::sleep(Duration::from_millis(time_ms)).await;
         }
         let reply = match (answering, call.call) {
             (Answering::Silent, _) => futures::future::pending().await,
+            (Answering::Unreachable, _) => {
+                return Err(CallError::NotSent("no connection".into()));
+            }
             (Answering::LeadsExceptAt(lost), _) if lost == number => {
                 futures::future::pending().await
             }
@@ -67,7 +79,7 @@
             }
             (answering, Some(call::Call::EntrySync(_))) => {
                 task::sleep(Duration::from_millis(10)).await;
-                sync_reply(answering)
+                self.sync_reply(answering)
             }
             (Answering::Names(leader, term), _) => reply::Reply::Failure(CallFailure {
                 kind: FailureKind::NotLeader.into(),
@@ -75,6 +87,7 @@
                 leader_address: leader.into(),
                 leader_term: term,
             }),
+            (_, Some(call::Call::LedgerQuery(_))) => reply::Reply::LedgerAnswer(Answer::default()),
             (_, Some(call::Call::Command(_))) => reply::Reply::Outcome(Default::default()),
             _ => reply::Reply::LedgerOutcome(Outcome::default()),
         };
@@ -95,20 +108,31 @@
     fn calls_to(&self, address: &str) -> usize {
         self.calls.lock().unwrap().iter().filter(|called| *called == address).count()
     }
-}
 
-fn sync_reply(answering: Answering) -> reply::Reply {
-    let mut sync = ControlSync { directory_epoch: 1, ..ControlSync::default() };
-    match answering {
-        Answering::Names(leader, term) => {
-            (sync.leader_address, sync.leader_term) = (leader.into(), term);
-        }
-        Answering::Leads(term) | Answering::LeadsWithGap(term, ..) => {
-            (sync.leads, sync.leader_term) = (true, term);
+    fn sync_reply(&self, answering: Answering) -> reply::Reply {
+        let mut sync = ControlSync { directory_epoch: 1, ..ControlSync::default() };
+        sync.control_hosts_hash = 1;
+        sync.control_hosts = self.hosts.keys().map(|address| listed(address)).collect();
+        match answering {
+            Answering::Names(leader, term) => {
+                (sync.leader_address, sync.leader_term) = (leader.into(), term);
+            }
+            Answering::Leads(term) | Answering::LeadsWithGap(term, ..) => {
+                (sync.leads, sync.leader_term) = (true, term);
+            }
+            _ => {}
         }
-        _ => {}
+        reply::Reply::ControlSync(sync)
+    }
+}
+
+fn listed(address: &str) -> ControlHostEntry {
+    ControlHostEntry {
+        peer_address: address.to_owned(),
+        zone: "santander".to_owned(),
+        is_reached: true,
+        has_replica: true,
     }
-    reply::Reply::ControlSync(sync)
 }
 
 /// Knows all control hosts and takes the first one for the leader.
@@ -127,7 +151,11 @@
 }
 
 fn script(hosts: &[(&'static str, Answering)]) -> Arc<ScriptedHosts> {
-    Arc::new(ScriptedHosts { hosts: hosts.iter().copied().collect(), calls: Mutex::default() })
+    Arc::new(ScriptedHosts {
+        hosts: hosts.iter().copied().collect(),
+        calls: Mutex::default(),
+        reads: Mutex::default(),
+    })
 }
 
 /// A client whose hint names the first host as the leader of this term.
@@ -254,23 +282,27 @@
 #[async_std::test]
 async fn a_woken_control_host_of_an_older_term_is_not_the_leader() {
     let scripted = script(&[("a", Answering::Leads(5)), ("b", Answering::Leads(6))]);
+    let watch = spawn_watch(&scripted, &["a", "b"]);
+    let started = Instant::now();
+    while scripted.calls_to("a") < 5 || scripted.calls_to("b") < 5 {
+        assert!(started.elapsed() < Duration::from_secs(10), "the control hosts are not polled");
+        task::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(watch.view().leader_address.as_deref(), Some("b"));
+}
+
+fn spawn_watch(scripted: &Arc<ScriptedHosts>, seeds: &[&str]) -> Arc<FleetWatch> {
     let options = FleetWatchOptions {
         host_id: "entry-1".to_owned(),
         zone: "santander".to_owned(),
         zone_regions: [("santander".to_owned(), "cantabria".to_owned())].into(),
-        seed_addresses: vec!["a".to_owned(), "b".to_owned()],
-        own_address: "c".to_owned(),
+        seed_addresses: seeds.iter().map(|seed| (*seed).to_owned()).collect(),
+        own_address: "own".to_owned(),
         directory_timeout: Duration::from_secs(60),
         polls_all: false,
         leaving: Arc::<LeavingTable>::default(),
     };
-    let watch = FleetWatch::spawn(options, scripted.clone(), Arc::new(NoSync));
-    let started = Instant::now();
-    while scripted.calls_to("a") < 5 || scripted.calls_to("b") < 5 {
-        assert!(started.elapsed() < Duration::from_secs(10), "the control hosts are not polled");
-        task::sleep(Duration::from_millis(5)).await;
-    }
-    assert_eq!(watch.view().leader_address.as_deref(), Some("b"));
+    FleetWatch::spawn(options, scripted.clone(), Arc::new(NoSync))
 }
 
 struct NoSync;
@@ -415,3 +447,30 @@
     // An attempt of 600 ms, its margin and a pause.
     assert!(started.elapsed() < Duration::from_millis(1_000), "{:?}", started.elapsed());
 }
+
+/// Guards against reads that alternate between replicas that fail, while another one would answer.
+#[async_std::test]
+async fn each_replica_that_fails_is_avoided() {
+    let failing = ["a", "b", "c", "d"];
+    let mut hosts = failing.map(|address| (address, Answering::Unreachable)).to_vec();
+    hosts.push(("sound", Answering::Leads(6)));
+    let scripted = script(&hosts);
+    let watch = spawn_watch(&scripted, &["sound"]);
+    let started = Instant::now();
+    while watch.view().near_replicas.len() < hosts.len() {
+        assert!(started.elapsed() < Duration::from_secs(10), "the replicas are not listed");
+        task::sleep(Duration::from_millis(5)).await;
+    }
+    let leader = Arc::new(LeaderClient::open(scripted.clone(), Arc::new(NoHint("sound"))));
+    let counters = Counters::open("entry-1", None);
+    let reader = JobReader::open(scripted.clone(), leader, watch, counters);
+    for _ in 0..10 {
+        let read = reader.query(Query::default(), Duration::ZERO, Duration::from_secs(1)).await;
+        assert!(read.is_ok(), "{read:?}");
+    }
+    let reads = scripted.reads.lock().unwrap();
+    for address in failing {
+        let reads = reads.iter().filter(|read| *read == address).count();
+        assert!(reads <= 1, "{reads} reads at {address}");
+    }
+}
