--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -21,6 +21,8 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time that an attempt gets at least, if it is left: two round trips between regions and a commit.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Age up to which a leader's own word counts as fresh: about an election timeout.
+const FRESH_WORD_AGE: Duration = Duration::from_millis(500);
 
 /// Time after its timeout at which a call is given up if the connection has not ended it. The connection
 /// normally ends it in time, and then knows that it may be broken.
@@ -100,7 +102,7 @@
     /// Fails with a [`LeaderError`] if no leader returned an outcome in time.
     pub async fn submit(&self, command: Command, budget: Duration) -> Result<Outcome, LeaderError> {
         let call = call::Call::LedgerCommand(command);
-        match self.call(call, CALL_TIMEOUT, budget).await? {
+        match self.call(call, Duration::ZERO, budget).await? {
             reply::Reply::LedgerOutcome(outcome) => Ok(outcome),
             _ => Err(LeaderError::unexpected_reply()),
         }
@@ -117,21 +119,22 @@
         budget: Duration,
     ) -> Result<Answer, LeaderError> {
         let call = call::Call::LedgerQuery(query);
-        match self.call(call, max_wait + CALL_TIMEOUT, budget).await? {
+        match self.call(call, max_wait, budget).await? {
             reply::Reply::LedgerAnswer(answer) => Ok(answer),
             _ => Err(LeaderError::unexpected_reply()),
         }
     }
 
-    /// Calls control hosts until a leader answers or `budget` is used up. Each attempt has its own
-    /// `timeout`, and no more than half of what is left, so that no host uses up the budget.
+    /// Calls control hosts until a leader answers or `budget` is used up. The leader may wait up to `wait` before it
+    /// answers; each attempt has no more than half of what is left beyond that, so that no host uses up the budget. A
+    /// commit has a whole attempt at a leader that spoke lately, because its effect is unknown if it is cut off.
     ///
     /// # Errors
     /// Fails with a [`LeaderError`] if no leader answered in time.
     pub async fn call(
         &self,
         call: call::Call,
-        timeout: Duration,
+        wait: Duration,
         budget: Duration,
     ) -> Result<reply::Reply, LeaderError> {
         let started = Instant::now();
@@ -150,7 +153,10 @@
                 continue;
             };
             let asked = Instant::now();
-            let timeout = attempt_timeout(timeout, left);
+            let mut timeout = attempt_timeout(wait, left);
+            if is_commit(&call) && self.spoke_lately(&address) {
+                timeout = timeout.max(commit_timeout(left));
+            }
             let attempt = match self.attempt(&address, call.clone(), timeout).await {
                 Ok(reply) => return Ok(reply),
                 Err(attempt) => attempt,
@@ -176,7 +182,7 @@
         })
     }
 
-    /// Calls the leader once, for calls that only the leader serves and that are repeated elsewhere.
+    /// Calls the leader once, and once more if that host names another, for calls that only the leader serves and that are repeated elsewhere.
     ///
     /// # Errors
     /// Fails with a [`LeaderError`] if no leader is known or it did not answer within `timeout`.
@@ -186,11 +192,19 @@
         timeout: Duration,
     ) -> Result<reply::Reply, LeaderError> {
         let mut failed = FailedCall::not_tried("no control host is known");
-        let Some(address) = self.next_address() else {
+        let Some(mut address) = self.next_address() else {
             return Err(LeaderError::NotSubmitted(Box::new(failed)));
         };
         let asked = Instant::now();
-        let called = self.attempt(&address, call, timeout).await;
+        let mut called = self.attempt(&address, call.clone(), timeout).await;
+        let left = timeout.saturating_sub(asked.elapsed());
+        if let Err(FailedAttempt { is_redirect: true, reason, message, .. }) = &called {
+            failed.record(&address, *reason, message, asked.elapsed().as_millis());
+            if let Some(named) = self.next_address() {
+                called = self.attempt(&named, call, left).await;
+                address = named;
+            }
+        }
         called.map_err(|attempt| {
             let time_ms = asked.elapsed().as_millis();
             failed.record(&address, attempt.reason, &attempt.message, time_ms);
@@ -224,7 +238,7 @@
                 })
             }
             Ok(Reply { reply: Some(reply) }) => {
-                self.record_answer(address, &reply);
+                self.record_answer(address, &reply, asked);
                 Ok(reply)
             }
             Ok(Reply { reply: None }) => Err(FailedAttempt {
@@ -234,8 +248,11 @@
                 is_redirect: false,
             }),
             Err(error) => {
-                let time = asked.elapsed();
-                self.update(|tracker, now| tracker.pass_over(address, 0, time, now));
+                // A caller that had less time than an answer takes tells nothing of the host.
+                let is_cut_short = timeout < MIN_ATTEMPT_TIMEOUT && asked.elapsed() >= timeout;
+                if !is_cut_short {
+                    self.update(|tracker, now| tracker.record_no_answer(address, asked, now));
+                }
                 Err(FailedAttempt {
                     reason: FailureReason::from(&error),
                     message: error.to_string(),
@@ -246,6 +263,15 @@
         }
     }
 
+    /// True if the host said itself, not long ago, that it leads.
+    fn spoke_lately(&self, address: &str) -> bool {
+        let tracker = self.tracker.load();
+        let leader = tracker.leader().filter(|leader| leader.address == address);
+        leader.is_some_and(|leader| {
+            leader.is_own_word() && leader.heard_at.elapsed() < FRESH_WORD_AGE
+        })
+    }
+
     /// Takes note of a failure that a control host answered to another call after `time`.
     pub fn hear_failure(&self, address: &str, failure: &CallFailure, time: Duration) {
         self.update(|tracker, now| tracker.record_failure(address, failure, time, now));
@@ -276,11 +302,13 @@
     }
 
     /// Records that a control host served a call. One that answered a read may be a follower.
-    fn record_answer(&self, address: &str, reply: &reply::Reply) {
+    fn record_answer(&self, address: &str, reply: &reply::Reply, asked: Instant) {
         let tracker = self.tracker.load();
         let is_known = tracker.leader().is_some_and(|leader| leader.address == address);
         if is_known || !matches!(reply, reply::Reply::LedgerAnswer(_)) {
-            self.update(|tracker, now| tracker.record_answer(address, now));
+            let hint = self.hint.leader().filter(|leader| leader.address == address);
+            let term = hint.map_or(0, |leader| leader.term);
+            self.update(|tracker, now| tracker.record_answer(address, term, asked, now));
         }
     }
 
@@ -304,10 +332,19 @@
     is_redirect: bool,
 }
 
-/// Time for one attempt of a call that has `left`. What `timeout` has beyond that of a usual call is a wait for
-/// news, which is not shortened.
-fn attempt_timeout(timeout: Duration, left: Duration) -> Duration {
-    let wait = timeout.saturating_sub(CALL_TIMEOUT);
+/// Time for one attempt of a call that has `left`. The leader's wait for news is not shortened.
+fn attempt_timeout(wait: Duration, left: Duration) -> Duration {
     let share = left.saturating_sub(wait) / 2;
-    timeout.min(left).min(wait + share.max(MIN_ATTEMPT_TIMEOUT))
+    let timeout = share.max(MIN_ATTEMPT_TIMEOUT).min(CALL_TIMEOUT);
+    left.min(wait + timeout)
+}
+
+/// True for calls that end with a commit. If one is cut off, its effect is unknown.
+fn is_commit(call: &call::Call) -> bool {
+    matches!(call, call::Call::LedgerCommand(_) | call::Call::RetireHost(_))
+}
+
+/// Time for a commit at a leader that is known to answer: that of a usual call, if an attempt elsewhere can follow.
+fn commit_timeout(left: Duration) -> Duration {
+    CALL_TIMEOUT.min(left.saturating_sub(MIN_ATTEMPT_TIMEOUT))
 }
