Judge the silence of an upstream by the waits for it

A lone request during a silence of all upstreams left each of them in turn and ran three times. A request of a fast route stayed with its stalled upstream because the other one worked on requests of a slow route.

Cause of both: the silence of another upstream was derived from its request count and the limit of the judging request. An upstream that the last request had left became unknown, and one with slow answers in line with their own route became silent.

Each wait now marks its upstream as silent by the limit of its own route. The check moves to `admission`, without I/O, so that the daemon can use it.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -1,6 +1,7 @@
 //! Admission control: refusals, retry budgets, fair queues, crash detection and slot leases.
 
 mod admission_policy;
+mod answer_times;
 mod batch_policy;
 mod crash_detector;
 mod crash_record;
@@ -25,8 +26,11 @@
 mod slot_lease;
 mod slot_owner;
 mod slot_queue;
+mod stall_check;
+mod stays_for;
 
 pub use admission_policy::AdmissionPolicy;
+pub use answer_times::AnswerTimes;
 pub use batch_policy::{BatchPolicy, DEFAULT_BATCH_YIELD};
 pub use crash_detector::{CrashDetector, CrashVerdict};
 pub use crash_record::CrashRecord;
@@ -51,3 +55,5 @@
 pub use slot_lease::{LeaseTimes, SlotLease, UseReport};
 pub use slot_owner::SlotOwner;
 pub use slot_queue::{QueueEntry, SlotQueue};
+pub use stall_check::StallCheck;
+pub use stays_for::StaysFor;
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -28,8 +28,7 @@
 /// and for batch items while others have free slots.
 const RATE_LIMIT_FACTOR: f32 = 0.02;
 
-/// Factor for an upstream that has sent nothing for longer than the stall limit of the route, though it has
-/// requests. A factor and no pause, so that it still takes what the others have no room for.
+/// Factor for an upstream that a request found silent within the stall limit of the route. A factor and no pause, so that it still takes what the others have no room for.
 const SILENT_FACTOR: f32 = 0.02;
 
 /// The inputs of a choice other than the upstreams.
@@ -110,9 +109,8 @@
     });
     let prefix = if is_preferred { PREFIX_FACTOR } else { 1.0 };
     let limit = if upstream.has_rate_limit() { RATE_LIMIT_FACTOR } else { 1.0 };
-    let is_silent = upstream
-        .silent_time(input.now_ms)
-        .is_some_and(|silent_time| silent_time >= stall_limit(input.route, false));
+    let is_silent =
+        upstream.answer_times().is_silent(stall_limit(input.route, false), input.now_ms);
     let silence = if is_silent { SILENT_FACTOR } else { 1.0 };
     slots * distance * prefix * limit * silence
 }
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -5,11 +5,11 @@
 use async_std::future::timeout;
 use async_std::task;
 
-use crate::admission::{RetryBudget, DEFAULT_RETRY_BUDGET_PERCENT};
+use crate::admission::{RetryBudget, StallCheck, StaysFor, DEFAULT_RETRY_BUDGET_PERCENT};
 use crate::gateway::attempt::Attempt;
 use crate::gateway::forward_progress::{AnswerStage, Progress};
 use crate::gateway::rerun_reason::RerunReason;
-use crate::gateway::stall_check::{StallCheck, StaysFor};
+use crate::gateway::stall_limit::stall_limit;
 use crate::gateway::upstream::monotonic_ms;
 use crate::gateway::wait_end::WaitEnd;
 use crate::gateway::{
@@ -228,14 +228,14 @@
         };
         let may_resume = may_repeat && progress.runs + 1 < route.max_attempts;
         let attempt = Attempt { route, request, upstream: &upstream, deadline };
-        let sent_at = Instant::now();
-        let stall = may_resume.then(|| StallCheck::new(route, false, sent_at));
+        let sent_at_ms = monotonic_ms();
+        let new_stall = || StallCheck::new(stall_limit(route, false), sent_at_ms);
         let send = self.connector.send(target, request);
-        let waited = self.wait_for(&attempt, stall, progress, send).await;
+        let waited = self.wait_for(&attempt, new_stall(), may_resume, progress, send).await;
         let wait_end = waited.as_ref().err().copied();
         let result = waited.unwrap_or_else(|end| Err(SendError::Lost(end.to_string())));
         if matches!(result, Ok(_) | Err(SendError::NotRun { .. })) {
-            upstream.record_heard();
+            upstream.answer_times().record_heard(monotonic_ms());
         }
         let next = match result {
             Ok(answer) => {
@@ -246,8 +246,7 @@
                     .await?
             }
             Err(error) => {
-                let mut stall = StallCheck::new(route, false, sent_at);
-                self.handle_send_error(&attempt, &error, wait_end, &mut stall, progress)
+                self.handle_send_error(&attempt, &error, wait_end, &mut new_stall(), progress)
             }
         };
         drop(guard);
@@ -262,7 +261,8 @@
     async fn wait_for<T: Send>(
         &self,
         attempt: &Attempt<'_>,
-        mut stall: Option<StallCheck>,
+        mut stall: StallCheck,
+        may_leave: bool,
         progress: &mut Progress,
         work: impl Future<Output = T> + Send,
     ) -> Result<T, WaitEnd> {
@@ -274,12 +274,15 @@
                 // A stream whose next bytes are always there never lets the timeout below expire.
                 return Err(WaitEnd::TimeLimit);
             }
-            let until_judged = stall.as_ref().map_or(remaining, StallCheck::until_judged);
+            let until_judged = stall.until_judged(monotonic_ms());
             if let Ok(done) = timeout(remaining.min(until_judged), &mut work).await {
                 return Ok(done);
             }
-            let Some(stall) = stall.as_mut().filter(|stall| stall.has_stalled()) else { continue };
-            let Some(reason) = self.stays_for(attempt, stall, progress) else {
+            stall.record_silence(attempt.upstream.answer_times(), monotonic_ms());
+            if !may_leave || !stall.has_stalled(monotonic_ms()) {
+                continue;
+            }
+            let Some(reason) = self.stays_for(attempt, &mut stall, progress) else {
                 self.record_rerun(RerunReason::Silence, progress);
                 return Err(WaitEnd::Silence);
             };
@@ -303,7 +306,7 @@
         stall: &mut StallCheck,
         progress: &Progress,
     ) -> Option<StaysFor> {
-        if !stall.is_reason_to_leave(attempt.upstream, &self.fleet.load()) {
+        if !self.is_reason_to_leave(attempt.upstream, stall) {
             return Some(StaysFor::SilenceOfMost);
         }
         let in_time = Instant::now() + MIN_SEND_TIME < attempt.deadline;
@@ -315,6 +318,17 @@
         (!self.retries.try_withdraw(monotonic_ms())).then_some(StaysFor::Budget)
     }
 
+    /// True if the silence of `upstream` is reason to leave it, by what the others of its service do.
+    fn is_reason_to_leave(&self, upstream: &Upstream, stall: &mut StallCheck) -> bool {
+        let all = self.fleet.load();
+        let others = all.iter().filter(|other| {
+            other.service == upstream.service
+                && other.upstream_id != upstream.upstream_id
+                && other.accepts_work
+        });
+        stall.is_reason_to_leave(others.map(|other| other.answer_times()), monotonic_ms())
+    }
+
     /// Withdraws a retry for a request that may have run, if it can be sent again at all.
     fn try_rerun(&self, reason: RerunReason, progress: &mut Progress) -> bool {
         if !progress.can_resume() {
@@ -473,8 +487,8 @@
             }
             // A short time limit, or a silence of most upstreams, says nothing of this one.
             _ if wait_end == Some(WaitEnd::TimeLimit)
-                && !(stall.has_stalled()
-                    && stall.is_reason_to_leave(upstream, &self.fleet.load())) =>
+                && !(stall.has_stalled(monotonic_ms())
+                    && self.is_reason_to_leave(upstream, stall)) =>
             {
                 Duration::ZERO
             }
@@ -544,13 +558,14 @@
         }
         let attempt = Attempt { route, request, upstream, deadline };
         let mut splitter = EventSplitter::new(BufferLease::for_answer());
-        let mut last_progress_at = Instant::now();
+        let mut last_progress_at_ms = monotonic_ms();
         // The head is sent together with the first event, so that a retry at another upstream is still
         // possible if this one fails before its first event.
         loop {
             let has_begun = progress.stage == AnswerStage::HasBody;
-            let stall = may_resume.then(|| StallCheck::new(route, has_begun, last_progress_at));
-            let next = self.wait_for(&attempt, stall, progress, answer.next_chunk()).await;
+            let stall = StallCheck::new(stall_limit(route, has_begun), last_progress_at_ms);
+            let next =
+                self.wait_for(&attempt, stall, may_resume, progress, answer.next_chunk()).await;
             let chunk = match next {
                 Ok(Ok(Some(chunk))) => chunk,
                 Ok(Ok(None))
@@ -580,9 +595,9 @@
                     return Ok(self.retry_or_cut(progress, true));
                 }
             };
-            upstream.record_heard();
+            upstream.answer_times().record_heard(monotonic_ms());
             if !is_event_stream {
-                last_progress_at = Instant::now();
+                last_progress_at_ms = monotonic_ms();
                 self.record_body(request, progress);
                 progress.has_event_ids = false;
                 if !progress.head_sent {
@@ -615,7 +630,7 @@
             if events.is_empty() {
                 continue;
             }
-            last_progress_at = Instant::now();
+            last_progress_at_ms = monotonic_ms();
             self.record_body(request, progress);
             self.bind_stream(request, upstream, progress);
             if !progress.head_sent {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,7 +27,6 @@
 mod rerun_reason;
 mod route_index;
 mod routes_state;
-mod stall_check;
 mod stall_limit;
 mod stream_origins;
 mod stream_request;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::admission::AnswerTimes;
 use crate::directory::{Phase, StreamOrigin, UpstreamRecord, MAX_SLOTS};
 use crate::gateway::upstream_rate::UpstreamRate;
 use crate::schema::peer::UpstreamRate as WireRate;
@@ -43,10 +44,7 @@
     batch: AtomicU32,
     remote_online: AtomicU32,
     remote_batch: AtomicU32,
-    /// When the upstream last sent anything for an online request of this host, and when it last got one while it
-    /// had none. Both on the clock of [`monotonic_ms`].
-    heard_at_ms: AtomicU64,
-    asked_at_ms: AtomicU64,
+    answer_times: AnswerTimes,
     /// Failures since the last success.
     failures: AtomicU32,
     /// End of the pause, on the clock of [`monotonic_ms`].
@@ -137,31 +135,13 @@
 
     /// Counts an online request until the guard is dropped.
     pub fn begin_online(self: &Arc<Self>) -> InFlightGuard {
-        if self.load.online.fetch_add(1, Ordering::Relaxed) == 0 {
-            self.load.asked_at_ms.store(monotonic_ms(), Ordering::Relaxed);
-        }
+        self.load.online.fetch_add(1, Ordering::Relaxed);
         InFlightGuard { load: self.load.clone(), is_batch: false }
     }
 
-    /// Records that it has sent something for an online request of this host.
-    pub fn record_heard(&self) {
-        self.load.heard_at_ms.store(monotonic_ms(), Ordering::Relaxed);
-    }
-
-    /// Time for which it has sent nothing for the online requests of this host; `None` if it has none.
-    pub fn silent_time(&self, now_ms: u64) -> Option<Duration> {
-        if self.load.online.load(Ordering::Relaxed) == 0 {
-            return None;
-        }
-        let heard_at_ms = self.load.heard_at_ms.load(Ordering::Relaxed);
-        let since_ms = heard_at_ms.max(self.load.asked_at_ms.load(Ordering::Relaxed));
-        Some(Duration::from_millis(now_ms.saturating_sub(since_ms)))
-    }
-
-    /// True if it has sent something for an online request of this host within `window`.
-    pub fn was_heard_within(&self, window: Duration, now_ms: u64) -> bool {
-        let heard_at_ms = self.load.heard_at_ms.load(Ordering::Relaxed);
-        heard_at_ms > 0 && now_ms.saturating_sub(heard_at_ms) < window.as_millis() as u64
+    /// When it sent something for the online requests of this host, and when it was silent.
+    pub fn answer_times(&self) -> &AnswerTimes {
+        &self.load.answer_times
     }
 
     /// Counts a batch item until the guard is dropped.
--- a/tests/silent_upstreams.rs
+++ b/tests/silent_upstreams.rs
@@ -38,6 +38,12 @@
     Resets,
 }
 
+/// Route whose answers take [`SLOW_RUN_TIME`], in line with its target.
+const SLOW_ROUTE: &str = "slow";
+const SLOW_RUN_TIME: Duration = Duration::from_millis(2_500);
+/// Route whose first request gets no answer from the upstream that it is sent to first.
+const STALLED_ROUTE: &str = "stalled";
+
 struct Engine {
     fault: Option<Fault>,
     slots: (Sender<()>, Receiver<()>),
@@ -47,6 +53,8 @@
 struct Engines {
     engines: Mutex<HashMap<String, Arc<Engine>>>,
     sends: AtomicUsize,
+    /// Sends of [`STALLED_ROUTE`].
+    stalled: AtomicUsize,
 }
 
 struct OneEvent {
@@ -70,13 +78,18 @@
     async fn send(
         &self,
         target: CallTarget<'_>,
-        _request: &StreamRequest,
+        request: &StreamRequest,
     ) -> Result<Box<dyn UpstreamAnswer>, SendError> {
+        let is_slow = request.host == SLOW_ROUTE;
         self.sends.fetch_add(1, Ordering::SeqCst);
+        if request.host == STALLED_ROUTE && self.stalled.fetch_add(1, Ordering::SeqCst) == 0 {
+            task::sleep(TIME_LIMIT).await;
+        }
         let engine = self.engines.lock().unwrap()[target.upstream_id].clone();
         let (answer, answered) = bounded(1);
         task::spawn(async move {
             match engine.fault {
+                _ if is_slow => task::sleep(SLOW_RUN_TIME).await,
                 Some(Fault::Resets) => return,
                 Some(Fault::Silent(from, until)) if from <= Instant::now() => {
                     task::sleep(until.saturating_duration_since(Instant::now())).await;
@@ -162,11 +175,12 @@
         resumable: true,
         ..Route::default()
     };
-    play_on_route(&route, faults, count, interval)
+    play_on_routes(&[route], faults, count, interval)
 }
 
-fn play_on_route(
-    route: &Route,
+/// Sends the requests to each of the routes in turn.
+fn play_on_routes(
+    routes: &[Route],
     faults: &[Option<Fault>],
     count: usize,
     interval: Duration,
@@ -203,9 +217,10 @@
     );
     let send = async |number: usize| {
         task::sleep(interval * number as u32).await;
+        let route = &routes[number % routes.len()];
         let request = StreamRequest {
             request_id: format!("r{number}"),
-            host: "shop.example".into(),
+            host: route.name.clone(),
             method: "POST".into(),
             target: "/x".into(),
             headers: Headers::default(),
@@ -284,6 +299,34 @@
     assert_eq!((outcome.answered, outcome.sends), (4, 4), "{outcome:?}");
 }
 
+/// Guards against a request that leaves one silent upstream after the other because it is the only one in flight.
+#[test]
+fn a_lone_request_does_not_leave_each_upstream_of_a_silent_service() {
+    let outcome = play(&[silent_for(2_000); 3], 1, Duration::ZERO);
+    assert_eq!(outcome.answered, 1, "{outcome:?}");
+    assert!(outcome.sends <= 2, "{outcome:?}");
+}
+
+/// Guards against an upstream that counts as silent for a fast route while it works on requests of a slow one.
+#[test]
+fn slow_answers_of_one_route_are_no_silence_for_another() {
+    let route = |name: &str, timeout_ms, latency_target_ms| Route {
+        name: name.into(),
+        kind: RouteKind::Stream.into(),
+        timeout_ms,
+        shares: vec![ServiceShare { service: "engraver".into(), weight: 1 }],
+        max_attempts: 3,
+        resumable: true,
+        latency_target_ms,
+        ..Route::default()
+    };
+    // The slow requests keep both upstreams busy when the fast one comes.
+    let mut routes = vec![route(SLOW_ROUTE, 4_000, 5_000); 12];
+    routes.push(route(STALLED_ROUTE, 2_000, 0));
+    let outcome = play_on_routes(&routes, &[None, None], 13, Duration::from_millis(50));
+    assert_eq!((outcome.answered, outcome.sends), (13, 14), "{outcome:?}");
+}
+
 /// Guards against a load on the upstreams that grows several times over while they fail.
 #[test]
 fn failing_upstreams_get_only_a_share_of_the_requests_again() {
@@ -305,7 +348,7 @@
         max_attempts: 1,
         ..Route::default()
     };
-    let outcome = play_on_route(&route, &[silent_for(10_000)], 2, Duration::ZERO);
+    let outcome = play_on_routes(&[route], &[silent_for(10_000)], 2, Duration::ZERO);
     assert_eq!(outcome.answered, 0, "{outcome:?}");
     assert!(outcome.last_end < Duration::from_millis(800), "{outcome:?}");
 }
