Keep requests of the daemon at upstreams that are all silent

All upstreams of a model paused for 3.5 s: each repeatable request left its upstream after 3 s for one that was silent as well and ran up to three times. Without a retry budget, the daemon gave the request up at its time limit for a token, though its own upstream would have answered (read in the code; no test of the daemon empties the budget).

Cause: the daemon cut the wait for an upstream at a time limit before it knew what the others do or whether a retry was left.

The wait now goes through `admission::StallCheck`, as in the routed fleet: the request leaves if the silence is that of one upstream, another one can serve it and the budget has a retry; otherwise it waits on and logs `attempt_stays`. Batch items, whose deadline is hours away, leave at the limit as before.

--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -4,7 +4,7 @@
 
 use async_std::channel::Sender;
 
-use crate::admission::{SlotCell, SlotCounts};
+use crate::admission::{AnswerTimes, SlotCell, SlotCounts};
 use crate::membership::UpstreamRecord;
 use crate::routing::{
     Health, Location, PreemptibleStreams, PrefixCell, RequestView, SlotWatcher, TokenLatency,
@@ -20,6 +20,8 @@
     pub incarnation: u64,
     /// Recent token latencies.
     pub token_latency: Arc<TokenLatency>,
+    /// When it sent something for the requests of this host, and when it was silent.
+    pub answer_times: Arc<AnswerTimes>,
     /// Health, which decides whether the upstream accepts requests.
     pub health: Arc<Health>,
     /// Region and availability zone.
@@ -55,6 +57,7 @@
             record,
             incarnation,
             token_latency: Arc::default(),
+            answer_times: Arc::default(),
             health: Arc::default(),
             prefixes: Arc::default(),
             watcher,
@@ -70,6 +73,7 @@
             record,
             incarnation: self.incarnation,
             token_latency: self.token_latency.clone(),
+            answer_times: self.answer_times.clone(),
             health: self.health.clone(),
             prefixes: self.prefixes.clone(),
             watcher: self.watcher.clone(),
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -130,10 +130,14 @@
         self.shared.retries.record_request(self.shared.retry_percent.load(Ordering::Relaxed));
     }
 
+    /// Milliseconds since the dispatcher was opened.
+    pub(super) fn now_ms(&self) -> u64 {
+        self.shared.started.elapsed().as_millis() as u64
+    }
+
     /// Withdraws one retry from the budget. Returns `false` when the budget is exhausted.
     pub(super) fn try_withdraw_retry(&self) -> bool {
-        let taken =
-            self.shared.retries.try_withdraw(self.shared.started.elapsed().as_millis() as u64);
+        let taken = self.shared.retries.try_withdraw(self.now_ms());
         if !taken {
             self.shared.counters.count("attempt.budget_empty");
         }
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -17,6 +17,7 @@
 mod shared_crash_records;
 mod state_calls;
 mod trials;
+mod upstream_wait;
 
 pub use answer::Answer;
 pub use answer_format::AnswerFormat;
--- a/src/serving/running_answer.rs
+++ b/src/serving/running_answer.rs
@@ -6,7 +6,10 @@
 use crate::routing::{SlotPermit, WorkClass};
 use crate::serving::dispatcher::time_left;
 use crate::serving::trials::TrialGuard;
-use crate::serving::{AttemptFailure, AttemptPolicy, Dispatcher, EngineRequest, NextStep};
+use crate::serving::upstream_wait::UpstreamWait;
+use crate::serving::{
+    AttemptFailure, AttemptPolicy, Dispatcher, EngineRequest, FailureCause, NextStep,
+};
 use crate::telemetry::Span;
 use crate::upstream::{Chunk, EngineEvent, EngineStream, StreamAssembler};
 
@@ -36,6 +39,8 @@
     _trial: Option<TrialGuard>,
     span: Span,
     started: Instant,
+    /// The same time on the dispatcher's clock.
+    started_ms: u64,
     first_token: Option<Duration>,
     chunks: u64,
 }
@@ -125,26 +130,32 @@
 
     /// Reads one event from the stream into the assembler.
     async fn read_event(&mut self) -> Result<(), AttemptFailure> {
+        let policy = self.policy();
         let Some(attempt) = self.attempt.as_mut() else {
             return Err(AttemptFailure::deadline());
         };
-        let token_latency = &attempt.permit.upstream().token_latency;
+        let upstream = attempt.permit.upstream();
+        let token_latency = &upstream.token_latency;
         let time_left = time_left(self.request.deadline);
-        let limit = match (self.request.repeatable, attempt.first_token.is_some()) {
-            // The request can't be retried at another upstream, so wait until the deadline.
-            (false, _) => time_left,
-            (true, false) => {
-                token_latency.first_token_timeout().saturating_sub(attempt.started.elapsed())
-            }
-            (true, true) => token_latency.token_timeout(),
+        let (limit, since_ms) = match attempt.first_token {
+            None => (token_latency.first_token_timeout(), attempt.started_ms),
+            Some(_) => (token_latency.token_timeout(), self.dispatcher.now_ms()),
+        };
+        let wait = UpstreamWait {
+            dispatcher: &self.dispatcher,
+            request: &self.request,
+            upstream,
+            excluded: &self.excluded,
+            policy,
         };
         let wait_started = Instant::now();
-        let event = match attempt.stream.next(limit.min(time_left)).await {
-            Err(_) if time_left <= limit && wait_started.elapsed() >= time_left => {
+        let event = match wait.run(limit, since_ms, attempt.stream.next(time_left)).await? {
+            Err(_) if wait_started.elapsed() >= time_left => {
                 return Err(AttemptFailure::deadline());
             }
             event => event?,
         };
+        upstream.answer_times.record_heard(self.dispatcher.now_ms());
         let chunk = match event {
             EngineEvent::Chunk(chunk) => chunk,
             EngineEvent::Done => {
@@ -204,7 +215,7 @@
             self.request.traceparent = span.traceparent();
             self.attempts += 1;
             self.dispatcher.counters().count("attempt.started");
-            let started = Instant::now();
+            let (started, started_ms) = (Instant::now(), self.dispatcher.now_ms());
             let failure = match self.open_stream(&permit).await {
                 Ok(stream) => {
                     self.progress = self.progress.max(RunOutcome::MayHaveRun);
@@ -214,6 +225,7 @@
                         _trial: trial,
                         span,
                         started,
+                        started_ms,
                         first_token: None,
                         chunks: 0,
                     });
@@ -226,10 +238,21 @@
 
     async fn open_stream(&self, permit: &SlotPermit) -> Result<EngineStream, AttemptFailure> {
         let time_left = time_left(self.request.deadline);
-        let limit = permit.upstream().token_latency.first_token_timeout();
-        let timeout = if self.request.repeatable { limit.min(time_left) } else { time_left };
+        let upstream = permit.upstream();
         let position = self.assembler.next_position();
-        let opened = self.dispatcher.open_stream(&self.request, permit, position, timeout).await;
+        let wait = UpstreamWait {
+            dispatcher: &self.dispatcher,
+            request: &self.request,
+            upstream,
+            excluded: &self.excluded,
+            policy: self.policy(),
+        };
+        let open = self.dispatcher.open_stream(&self.request, permit, position, time_left);
+        let limit = upstream.token_latency.first_token_timeout();
+        let opened = wait.run(limit, self.dispatcher.now_ms(), open).await?;
+        if opened.is_ok() {
+            upstream.answer_times.record_heard(self.dispatcher.now_ms());
+        }
         match opened {
             Err(failure) if failure.was_sent() && self.request.deadline <= Instant::now() => {
                 Err(AttemptFailure::deadline())
@@ -252,13 +275,7 @@
         let upstream = permit.upstream().clone();
         drop(permit);
         self.excluded.push(upstream.record.upstream_id.clone());
-        let policy = AttemptPolicy {
-            repeatable: self.request.repeatable,
-            can_resume: self.assembler.can_resume(),
-            attempts: self.attempts,
-            progress: self.progress,
-            time_left: time_left(self.request.deadline),
-        };
+        let policy = self.policy();
         self.progress = policy.outcome(&failure);
         // An upstream that has begun the answer has read all parts without a crash, and items never
         // crash upstreams by themselves.
@@ -280,9 +297,11 @@
         // Keep the trial until the crash check above is done, so that no other request starts on an
         // upstream that this request may have crashed.
         drop(trial);
+        // The wait for a silent upstream has already withdrawn the retry of an online request.
+        let is_withdrawn = failure.cause == FailureCause::Silent && !is_batch;
         match policy.next_step(&failure, rand::random()) {
             NextStep::GiveUp(refusal) => Err(refusal),
-            NextStep::Retry { pause } if self.dispatcher.try_withdraw_retry() => {
+            NextStep::Retry { pause } if is_withdrawn || self.dispatcher.try_withdraw_retry() => {
                 task::sleep(pause).await;
                 Ok(())
             }
@@ -290,6 +309,16 @@
         }
     }
 
+    fn policy(&self) -> AttemptPolicy {
+        AttemptPolicy {
+            repeatable: self.request.repeatable,
+            can_resume: self.assembler.can_resume(),
+            attempts: self.attempts,
+            progress: self.progress,
+            time_left: time_left(self.request.deadline),
+        }
+    }
+
     fn deadline_refusal(&self) -> Refusal {
         let message = "the deadline passed before an upstream answered";
         Refusal::not_run(RefusalKind::DeadlineExceeded, message).with_outcome(self.progress)
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -11,7 +11,7 @@
 use async_std::task;
 use async_trait::async_trait;
 use damaskhoist::admission::{
-    AdmissionPolicy, CrashDetector, CrashRecord, CrashRecords, CrashVerdict, Fingerprint,
+    AdmissionPolicy, CrashDetector, CrashRecord, CrashRecords, CrashVerdict, Fingerprint, Refusal,
     RequestFingerprints, RetryBudget, RunOutcome, SlotQueue, TrialClaim, TrialLeases,
 };
 use damaskhoist::membership::{UpstreamModel, UpstreamRecord};
@@ -42,6 +42,8 @@
     Lose { started: bool },
     /// Sends no response head until the call times out.
     Freeze,
+    /// Sends nothing for this time, then responds completely.
+    Pause(Duration),
     /// Responds with a status other than 200. With a status below 500, the upstream has read and
     /// refused the request.
     Status(u16),
@@ -194,6 +196,13 @@
                 task::sleep(call.timeout).await;
                 Err(UpstreamError::Silent("no answer".to_owned()))
             }
+            Step::Pause(pause) => {
+                task::sleep(pause.min(call.timeout)).await;
+                match pause < call.timeout {
+                    true => Ok(response(200, scripted_body(&complete, first_position))),
+                    false => Err(UpstreamError::Silent("no answer".to_owned())),
+                }
+            }
             Step::Status(status) => Ok(response(status, scripted_body(&complete, TOKENS))),
             Step::Stream(script) => Ok(response(200, scripted_body(&script, first_position))),
         }
@@ -402,6 +411,31 @@
     assert_eq!(withdraw_all(1_000_000), 10);
 }
 
+/// Guards against requests that are run again at, or refused for, upstreams that are all silent for a while.
+#[test]
+fn requests_stay_through_a_silence_of_all_upstreams() {
+    let connector = FakeConnector::default();
+    let pause = Step::Pause(Duration::from_millis(3_500));
+    connector.steps.lock().unwrap().extend(vec![pause; 12]);
+    let dispatcher = dispatcher(connector.clone());
+    dispatcher.fleet().load().upstreams().for_each(|upstream| {
+        upstream.token_latency.record_first_token(Duration::from_millis(50));
+    });
+    let span = Tracer::open("test", None, 0.0).unwrap().start("test", None);
+    let call = async |_| {
+        let deadline = Instant::now() + Duration::from_secs(10);
+        let request = EngineRequest { deadline, ..request(true) };
+        let mut answer = dispatcher.start(request, &span).await?;
+        while answer.next(&span).await?.is_some() {}
+        Ok::<(), Refusal>(())
+    };
+    // As many requests as there are slots.
+    let ends = task::block_on(futures::future::join_all((0..2 * UPSTREAMS).map(call)));
+    let sent = connector.oracle.lock().unwrap().sent;
+    assert!(ends.iter().all(Result::is_ok), "{sent} sent: {ends:?}");
+    assert_eq!(sent, 2 * UPSTREAMS);
+}
+
 /// Guards against ejecting more upstreams than the limit allows, and against ejecting an upstream
 /// for a single failure.
 #[rstest]
