Pause no upstream for a request that was held up elsewhere

An entry host stood still while requests connected. On resume they had no time left, ended as not sent, and their sound upstreams were paused for 250 ms and longer with each further one. Requests that were held up on the way to a relay paused their upstream as well.

Cause: `SendError::NotSent` did not tell a reason of the upstream from one of the host, the relay or the way to it.

`SendError::HeldUp` is such a request: it is not run and may be sent again, as before, but does not count against the upstream. It crosses the relay as `RelayFailure.was_held_up`. Without the field, as from earlier builds, the failure is read as before; earlier builds ignore it.

tests/relay_times.rs expects the new variant for a request that was late at the relay, and no longer accepts the one that pauses the upstream.

--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -268,7 +268,9 @@
                 return Err(not_run);
             }
             Ok(Err(error)) => {
-                upstream.record_failure(monotonic_ms());
+                if !matches!(error, SendError::HeldUp(_)) {
+                    upstream.record_failure(monotonic_ms());
+                }
                 log_failed_attempt(assignment, &error.to_string());
                 return Err(RunError::Returned(ItemReturn::Interrupted));
             }
--- a/src/gateway/connector.rs
+++ b/src/gateway/connector.rs
@@ -29,11 +29,11 @@
     /// Time that is left now, for the message that is about to be written.
     ///
     /// # Errors
-    /// [`SendError::NotSent`] if none is left.
+    /// [`SendError::HeldUp`] if none is left.
     pub fn time_left(&self) -> Result<Duration, SendError> {
         match self.deadline.saturating_duration_since(Instant::now()) {
             Duration::ZERO => {
-                Err(SendError::NotSent("the time limit of the request has passed".to_owned()))
+                Err(SendError::HeldUp("the time limit of the request has passed".to_owned()))
             }
             left => Ok(left),
         }
@@ -89,6 +89,8 @@
 pub enum SendError {
     /// No byte of the request was sent, for this reason.
     NotSent(String),
+    /// No byte of the request was sent, for this reason, which says nothing of the upstream.
+    HeldUp(String),
     /// The upstream reported that it did not run the request.
     NotRun {
         /// Status code of its answer.
@@ -103,7 +105,9 @@
 impl fmt::Display for SendError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::NotSent(reason) => write!(formatter, "not sent: {reason}"),
+            Self::NotSent(reason) | Self::HeldUp(reason) => {
+                write!(formatter, "not sent: {reason}")
+            }
             Self::NotRun { status, .. } => write!(formatter, "not run, status {status}"),
             Self::Lost(reason) => write!(formatter, "lost: {reason}"),
         }
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -485,6 +485,7 @@
                 self.fleet.record_refusal_notice(upstream, notice);
                 Duration::ZERO
             }
+            SendError::HeldUp(_) => Duration::ZERO,
             // A short time limit, or a silence of most upstreams, says nothing of this one.
             _ if wait_end == Some(WaitEnd::TimeLimit)
                 && !(stall.has_stalled(monotonic_ms())
--- a/src/relay/relay_client.rs
+++ b/src/relay/relay_client.rs
@@ -64,7 +64,7 @@
     /// Sends a request to an upstream through another host and waits for the head of its answer.
     ///
     /// # Errors
-    /// As a direct send; [`SendError::NotSent`] if no other host takes it.
+    /// As a direct send; [`SendError::NotSent`] or [`SendError::HeldUp`] if no other host takes it.
     pub async fn send(
         &self,
         target: CallTarget<'_>,
@@ -75,7 +75,7 @@
         for _ in 0..TRIED_HOSTS {
             let Some(address) = self.choose_host(&tried) else { break };
             match self.send_through(&address, &target, request).await {
-                Err(error @ SendError::NotSent(_)) => last = error,
+                Err(error @ (SendError::NotSent(_) | SendError::HeldUp(_))) => last = error,
                 result => return result,
             }
             tried.push(address);
@@ -163,7 +163,7 @@
         match reply {
             Ok(Reply { reply: Some(reply) }) => Ok(reply),
             Ok(Reply { reply: None }) => Err(SendError::Lost("the relay's reply is empty".into())),
-            Err(error @ CallError::NotSent(_)) => Err(SendError::NotSent(error.to_string())),
+            Err(error @ CallError::NotSent(_)) => Err(SendError::HeldUp(error.to_string())),
             Err(error) => Err(SendError::Lost(error.to_string())),
         }
     }
--- a/src/relay/relay_messages.rs
+++ b/src/relay/relay_messages.rs
@@ -60,19 +60,23 @@
 impl From<&SendError> for RelayFailure {
     fn from(error: &SendError) -> Self {
         let (kind, reason, status, notice) = match error {
-            SendError::NotSent(reason) => (RelayFailureKind::RelayNotSent, reason.clone(), 0, None),
+            SendError::NotSent(reason) | SendError::HeldUp(reason) => {
+                (RelayFailureKind::RelayNotSent, reason.clone(), 0, None)
+            }
             SendError::NotRun { status, notice } => {
                 (RelayFailureKind::RelayNotRun, String::new(), *status, Some(notice.into()))
             }
             SendError::Lost(reason) => (RelayFailureKind::RelayLost, reason.clone(), 0, None),
         };
-        Self { kind: kind.into(), reason, status: status.into(), notice }
+        let was_held_up = matches!(error, SendError::HeldUp(_));
+        Self { kind: kind.into(), reason, status: status.into(), notice, was_held_up }
     }
 }
 
 impl From<RelayFailure> for SendError {
     fn from(wire: RelayFailure) -> Self {
         match wire.kind() {
+            RelayFailureKind::RelayNotSent if wire.was_held_up => Self::HeldUp(wire.reason),
             RelayFailureKind::RelayNotSent => Self::NotSent(wire.reason),
             RelayFailureKind::RelayNotRun => Self::NotRun {
                 status: u16::try_from(wire.status).unwrap_or(0),
--- a/src/relay/relay_server.rs
+++ b/src/relay/relay_server.rs
@@ -146,7 +146,7 @@
     async fn send(&self, wire: RelayedRequest) -> Result<Box<dyn UpstreamAnswer>, SendError> {
         let upstream = self.fleet.get(&wire.upstream_id);
         let Some(upstream) = upstream.filter(|upstream| upstream.accepts_work) else {
-            return Err(SendError::NotSent("the relay does not know the upstream".to_owned()));
+            return Err(SendError::HeldUp("the relay does not know the upstream".to_owned()));
         };
         let held_up = wire.sent_at.as_ref().map_or(Duration::ZERO, |it| self.record_delay(it));
         let left = Duration::from_millis(wire.deadline_ms.into()).saturating_sub(held_up);
@@ -155,23 +155,23 @@
                 held_up_ms = held_up.as_millis() as u64, left_ms = left.as_millis() as u64;
                 "the asking host may not wait any more; the request is not sent");
             self.counters.count("relay_late");
-            return Err(SendError::NotSent("the request was held up on the way".to_owned()));
+            return Err(SendError::HeldUp("the request was held up on the way".to_owned()));
         }
         let deadline = Instant::now() + left;
         if !self.stop.leaves_time_until(deadline) {
-            return Err(SendError::NotSent("the relay stops before the request ends".to_owned()));
+            return Err(SendError::HeldUp("the relay stops before the request ends".to_owned()));
         }
         let closed = Arc::<Signal>::default();
         {
             let mut early_closes = self.early_closes();
             if early_closes.remove(&wire.relay_id).is_some() {
                 self.counters.count("relay_closed_early");
-                return Err(SendError::NotSent("the request was closed".to_owned()));
+                return Err(SendError::HeldUp("the request was closed".to_owned()));
             }
             let mut relayed = self.relayed();
             if relayed.len() >= RELAY_LIMIT {
                 self.counters.count("relay_refused");
-                return Err(SendError::NotSent("the relay has no room".to_owned()));
+                return Err(SendError::HeldUp("the relay has no room".to_owned()));
             }
             let entry = Relayed { answer: None, closed: closed.clone(), last_used: Instant::now() };
             relayed.insert(wire.relay_id, entry);
--- a/tests/relay_times.rs
+++ b/tests/relay_times.rs
@@ -156,7 +156,7 @@
     let (result, given) =
         send_through_standing_relay(Duration::from_millis(300), Duration::from_millis(500));
     assert_eq!(given.len(), 1, "{given:?}");
-    assert!(matches!(result, Some(SendError::NotSent(_))), "{result:?}");
+    assert!(matches!(result, Some(SendError::HeldUp(_))), "{result:?}");
 }
 
 /// Guards against a run for nobody: a relay handles a close in place and a request in a task of its own, so
--- a/tests/silent_upstreams.rs
+++ b/tests/silent_upstreams.rs
@@ -36,6 +36,8 @@
     Silent(Instant, Instant),
     /// It resets each connection.
     Resets,
+    /// The host stands still for a while before it writes the request to the connection.
+    HostStops(Duration),
 }
 
 /// Route whose answers take [`SLOW_RUN_TIME`], in line with its target.
@@ -86,6 +88,10 @@
             task::sleep(TIME_LIMIT).await;
         }
         let engine = self.engines.lock().unwrap()[target.upstream_id].clone();
+        if let Some(Fault::HostStops(time)) = engine.fault {
+            std::thread::sleep(time);
+            target.time_left()?;
+        }
         let (answer, answered) = bounded(1);
         task::spawn(async move {
             match engine.fault {
@@ -162,6 +168,8 @@
     /// Longest time to a final answer, also to a refusal.
     last_end: Duration,
     sends: usize,
+    /// Number of upstreams that were paused.
+    paused: usize,
 }
 
 /// Sends `count` requests, one each `interval`, to upstreams with these faults.
@@ -209,7 +217,7 @@
     let forwarder = Forwarder::open(
         "santander",
         "cantabria",
-        fleet,
+        fleet.clone(),
         engines.clone(),
         Arc::new(CrashGuard::open("entry-1")),
         Arc::new(NoOrigins),
@@ -241,7 +249,11 @@
     let late = times.iter().filter(|time| **time > Duration::from_millis(700)).count();
     let sends = engines.sends.load(Ordering::SeqCst);
     let slowest = times.iter().max().copied().unwrap_or_default();
-    Outcome { answered: times.len(), late, slowest, last_end, sends }
+    let paused = records.iter().filter(|record| {
+        // A pause ends at a time later than 0.
+        fleet.get(&record.upstream_id).is_some_and(|upstream| upstream.is_paused(0))
+    });
+    Outcome { answered: times.len(), late, slowest, last_end, sends, paused: paused.count() }
 }
 
 fn silent_for(ms: u64) -> Option<Fault> {
@@ -352,3 +364,19 @@
     assert_eq!(outcome.answered, 0, "{outcome:?}");
     assert!(outcome.last_end < Duration::from_millis(800), "{outcome:?}");
 }
+
+/// Guards against a sound upstream that is paused because the host stood still until the request's time had passed.
+#[test]
+fn a_request_that_its_host_held_up_does_not_pause_the_upstream() {
+    let route = Route {
+        name: "r".into(),
+        kind: RouteKind::NotRepeatable.into(),
+        timeout_ms: 200,
+        shares: vec![ServiceShare { service: "engraver".into(), weight: 1 }],
+        max_attempts: 1,
+        ..Route::default()
+    };
+    let faults = [Some(Fault::HostStops(Duration::from_millis(300)))];
+    let outcome = play_on_routes(&[route], &faults, 1, Duration::ZERO);
+    assert_eq!((outcome.answered, outcome.sends, outcome.paused), (0, 1, 0), "{outcome:?}");
+}
