--- a/tests/silent_upstreams.rs
+++ b/tests/silent_upstreams.rs
@@ -36,8 +36,16 @@
     Silent(Instant, Instant),
     /// It resets each connection.
     Resets,
+    /// The host stands still for a while before it writes the request to the connection.
+    HostStops(Duration),
 }
 
+/// Route whose answers take [`SLOW_RUN_TIME`], in line with its target.
+const SLOW_ROUTE: &str = "slow";
+const SLOW_RUN_TIME: Duration = Duration::from_millis(2_500);
+/// Route whose first request gets no answer from the upstream that it is sent to first.
+const STALLED_ROUTE: &str = "stalled";
+
 struct Engine {
     fault: Option<Fault>,
     slots: (Sender<()>, Receiver<()>),
@@ -47,6 +55,8 @@
 struct Engines {
     engines: Mutex<HashMap<String, Arc<Engine>>>,
     sends: AtomicUsize,
+    /// Sends of [`STALLED_ROUTE`].
+    stalled: AtomicUsize,
 }
 
 struct OneEvent {
@@ -70,13 +80,22 @@
     async fn send(
         &self,
         target: CallTarget<'_>,
-        _request: &StreamRequest,
+        request: &StreamRequest,
     ) -> Result<Box<dyn UpstreamAnswer>, SendError> {
+        let is_slow = request.host == SLOW_ROUTE;
         self.sends.fetch_add(1, Ordering::SeqCst);
+        if request.host == STALLED_ROUTE && self.stalled.fetch_add(1, Ordering::SeqCst) == 0 {
+            task::sleep(TIME_LIMIT).await;
+        }
         let engine = self.engines.lock().unwrap()[target.upstream_id].clone();
+        if let Some(Fault::HostStops(time)) = engine.fault {
+            std::thread::sleep(time);
+            target.time_left()?;
+        }
         let (answer, answered) = bounded(1);
         task::spawn(async move {
             match engine.fault {
+                _ if is_slow => task::sleep(SLOW_RUN_TIME).await,
                 Some(Fault::Resets) => return,
                 Some(Fault::Silent(from, until)) if from <= Instant::now() => {
                     task::sleep(until.saturating_duration_since(Instant::now())).await;
@@ -149,6 +168,8 @@
     /// Longest time to a final answer, also to a refusal.
     last_end: Duration,
     sends: usize,
+    /// Number of upstreams that were paused.
+    paused: usize,
 }
 
 /// Sends `count` requests, one each `interval`, to upstreams with these faults.
@@ -162,11 +183,12 @@
         resumable: true,
         ..Route::default()
     };
-    play_on_route(&route, faults, count, interval)
+    play_on_routes(&[route], faults, count, interval)
 }
 
-fn play_on_route(
-    route: &Route,
+/// Sends the requests to each of the routes in turn.
+fn play_on_routes(
+    routes: &[Route],
     faults: &[Option<Fault>],
     count: usize,
     interval: Duration,
@@ -195,7 +217,7 @@
     let forwarder = Forwarder::open(
         "santander",
         "cantabria",
-        fleet,
+        fleet.clone(),
         engines.clone(),
         Arc::new(CrashGuard::open("entry-1")),
         Arc::new(NoOrigins),
@@ -203,9 +225,10 @@
     );
     let send = async |number: usize| {
         task::sleep(interval * number as u32).await;
+        let route = &routes[number % routes.len()];
         let request = StreamRequest {
             request_id: format!("r{number}"),
-            host: "shop.example".into(),
+            host: route.name.clone(),
             method: "POST".into(),
             target: "/x".into(),
             headers: Headers::default(),
@@ -226,7 +249,11 @@
     let late = times.iter().filter(|time| **time > Duration::from_millis(700)).count();
     let sends = engines.sends.load(Ordering::SeqCst);
     let slowest = times.iter().max().copied().unwrap_or_default();
-    Outcome { answered: times.len(), late, slowest, last_end, sends }
+    let paused = records.iter().filter(|record| {
+        // A pause ends at a time later than 0.
+        fleet.get(&record.upstream_id).is_some_and(|upstream| upstream.is_paused(0))
+    });
+    Outcome { answered: times.len(), late, slowest, last_end, sends, paused: paused.count() }
 }
 
 fn silent_for(ms: u64) -> Option<Fault> {
@@ -284,6 +311,34 @@
     assert_eq!((outcome.answered, outcome.sends), (4, 4), "{outcome:?}");
 }
 
+/// Guards against a request that leaves one silent upstream after the other because it is the only one in flight.
+#[test]
+fn a_lone_request_does_not_leave_each_upstream_of_a_silent_service() {
+    let outcome = play(&[silent_for(2_000); 3], 1, Duration::ZERO);
+    assert_eq!(outcome.answered, 1, "{outcome:?}");
+    assert!(outcome.sends <= 2, "{outcome:?}");
+}
+
+/// Guards against an upstream that counts as silent for a fast route while it works on requests of a slow one.
+#[test]
+fn slow_answers_of_one_route_are_no_silence_for_another() {
+    let route = |name: &str, timeout_ms, latency_target_ms| Route {
+        name: name.into(),
+        kind: RouteKind::Stream.into(),
+        timeout_ms,
+        shares: vec![ServiceShare { service: "engraver".into(), weight: 1 }],
+        max_attempts: 3,
+        resumable: true,
+        latency_target_ms,
+        ..Route::default()
+    };
+    // The slow requests keep both upstreams busy when the fast one comes.
+    let mut routes = vec![route(SLOW_ROUTE, 4_000, 5_000); 12];
+    routes.push(route(STALLED_ROUTE, 2_000, 0));
+    let outcome = play_on_routes(&routes, &[None, None], 13, Duration::from_millis(50));
+    assert_eq!((outcome.answered, outcome.sends), (13, 14), "{outcome:?}");
+}
+
 /// Guards against a load on the upstreams that grows several times over while they fail.
 #[test]
 fn failing_upstreams_get_only_a_share_of_the_requests_again() {
@@ -305,7 +360,23 @@
         max_attempts: 1,
         ..Route::default()
     };
-    let outcome = play_on_route(&route, &[silent_for(10_000)], 2, Duration::ZERO);
+    let outcome = play_on_routes(&[route], &[silent_for(10_000)], 2, Duration::ZERO);
     assert_eq!(outcome.answered, 0, "{outcome:?}");
     assert!(outcome.last_end < Duration::from_millis(800), "{outcome:?}");
 }
+
+/// Guards against a sound upstream that is paused because the host stood still until the request's time had passed.
+#[test]
+fn a_request_that_its_host_held_up_does_not_pause_the_upstream() {
+    let route = Route {
+        name: "r".into(),
+        kind: RouteKind::NotRepeatable.into(),
+        timeout_ms: 200,
+        shares: vec![ServiceShare { service: "engraver".into(), weight: 1 }],
+        max_attempts: 1,
+        ..Route::default()
+    };
+    let faults = [Some(Fault::HostStops(Duration::from_millis(300)))];
+    let outcome = play_on_routes(&[route], &faults, 1, Duration::ZERO);
+    assert_eq!((outcome.answered, outcome.sends, outcome.paused), (0, 1, 0), "{outcome:?}");
+}
