Let other hosts tell whether an upstream behind lost links has crashed

A request that crashes its upstreams reached one after the other: a host whose links are lost can reach no upstream, took that for the reason of each broken answer, and recorded no crash, although it still sent requests through others.

Such a host now asks up to six other hosts, with the call that checks links, whether they reach the upstream, and records a crash if one answers and none does. Failing before: a_crash_is_seen_by_a_host_that_has_lost_its_links, "no host reaches it".

--- a/src/gateway/linked_connector.rs
+++ b/src/gateway/linked_connector.rs
@@ -71,7 +71,9 @@
 
     async fn is_reachable(&self, address: SocketAddr) -> bool {
         // An upstream that only this host can't reach has not crashed.
-        self.direct.is_reachable(address).await || self.monitor.may_explain_failures().await
+        self.direct.is_reachable(address).await
+            || self.monitor.may_explain_failures().await
+                && self.monitor.is_reached_by_others(address).await.unwrap_or(true)
     }
 
     fn retain_upstreams(&self, is_known: &dyn Fn(&str) -> bool) {
--- a/src/links/link_monitor.rs
+++ b/src/links/link_monitor.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -88,6 +89,13 @@
         self.is_lost()
     }
 
+    /// Whether any of a few other hosts reaches an upstream; `None` if none answers.
+    pub async fn is_reached_by_others(&self, address: SocketAddr) -> Option<bool> {
+        let hosts = self.sample_hosts();
+        let reached = self.options.peers.ask(&hosts, &[address.to_string()]).await;
+        (!reached.is_empty()).then(|| reached.iter().any(|addresses| !addresses.is_empty()))
+    }
+
     fn failures(&self) -> MutexGuard<'_, LinkFailures> {
         self.failures.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -99,12 +107,15 @@
         upstreams
     }
 
+    fn sample_hosts(&self) -> Vec<String> {
+        let hosts = (self.options.hosts)();
+        hosts.choose_multiple(&mut rand::rng(), ASKED_HOSTS).cloned().collect()
+    }
+
     /// Tries to reach some upstreams, here and from other hosts.
     async fn check(&self) -> LinkVerdict {
         let checked = self.sample_upstreams();
-        let hosts = (self.options.hosts)();
-        let hosts: Vec<String> =
-            hosts.choose_multiple(&mut rand::rng(), ASKED_HOSTS).cloned().collect();
+        let hosts = self.sample_hosts();
         let (reached, others) = futures::join!(
             reached_of(&*self.options.probe, &checked),
             self.options.peers.ask(&hosts, &checked)
