Log each reason to stay with a silent upstream once, with its age

attempt_stays could be written ten times a second while its reason changed between two; it is written once a reason now, and says for how long the upstream has been silent.

--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -249,7 +249,7 @@
         work: impl Future<Output = T> + Send,
     ) -> Result<T, WaitEnd> {
         let mut work = Box::pin(work);
-        let mut logged = None;
+        let mut logged = Vec::new();
         loop {
             let remaining = attempt.deadline.saturating_duration_since(Instant::now());
             if remaining.is_zero() {
@@ -268,10 +268,12 @@
             if reason == StaysFor::Budget {
                 self.record_withheld(progress);
             }
-            if logged.replace(reason) != Some(reason) {
+            if !logged.contains(&reason) {
+                logged.push(reason);
                 log::info!(event = "attempt_stays", request = attempt.request.request_id.as_str(),
                     upstream = attempt.upstream.upstream_id.as_str(),
                     reason = format!("{reason:?}").as_str(),
+                    silent_ms = stall.elapsed().as_millis() as u64,
                     left_ms = remaining.as_millis() as u64;
                     "waiting on for a silent upstream");
             }
--- a/src/gateway/stall_check.rs
+++ b/src/gateway/stall_check.rs
@@ -42,6 +42,11 @@
         Self { limit: stall_limit(route, has_begun), since, most_silent_at: None }
     }
 
+    /// Time since the wait began.
+    pub(super) fn elapsed(&self) -> Duration {
+        self.since.elapsed()
+    }
+
     /// Time until the wait has to be judged.
     pub(super) fn until_judged(&self) -> Duration {
         match self.limit.saturating_sub(self.since.elapsed()) {
