--- a/src/admission/stall_check.rs
+++ b/src/admission/stall_check.rs
@@ -29,16 +29,21 @@
         Self { limit, since_ms, most_silent_at_ms: None }
     }
 
+    /// Time since the wait began.
+    pub fn waited(&self, now_ms: u64) -> Duration {
+        elapsed(self.since_ms, now_ms)
+    }
+
     /// Time until the wait has to be judged.
     pub fn until_judged(&self, now_ms: u64) -> Duration {
-        let waited = elapsed(self.since_ms, now_ms);
+        let waited = self.waited(now_ms);
         let next = [self.window(), self.limit].into_iter().find(|time| *time > waited);
         next.map_or(RECHECK_INTERVAL, |time| time - waited)
     }
 
     /// True once the stall limit has passed.
     pub fn has_stalled(&self, now_ms: u64) -> bool {
-        elapsed(self.since_ms, now_ms) >= self.limit
+        self.waited(now_ms) >= self.limit
     }
 
     /// Records the upstream of the wait as silent if it has sent nothing to any request for too long by the limit of
@@ -55,7 +60,7 @@
         others: impl Iterator<Item = &'a AnswerTimes>,
         now_ms: u64,
     ) -> bool {
-        let is_long = elapsed(self.since_ms, now_ms) >= self.limit * OF_MOST_FACTOR;
+        let is_long = self.waited(now_ms) >= self.limit * OF_MOST_FACTOR;
         match self.judge(others, now_ms) {
             // After a silence of most, each works off what it was sent meanwhile.
             Silence::OfOne => {
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -294,7 +294,7 @@
                 log::info!(event = "attempt_stays", request = attempt.request.request_id.as_str(),
                     upstream = attempt.upstream.upstream_id.as_str(),
                     reason = format!("{reason:?}").as_str(),
-                    silent_ms = stall.elapsed().as_millis() as u64,
+                    silent_ms = stall.waited(monotonic_ms()).as_millis() as u64,
                     left_ms = remaining.as_millis() as u64;
                     "waiting on for a silent upstream");
             }
