--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -343,7 +343,7 @@
         let status = self.replica.status().unwrap_or_default();
         let heard = self.watch.get().and_then(|watch| watch.leader());
         // What others say of the leader is not passed on: hosts that repeat each other would keep a lost leader alive.
-        let heard = heard.filter(|leader| leader.is_own_word());
+        let heard = heard.filter(|leader| leader.is_direct());
         let heard = heard.filter(|leader| leader.term == 0 || leader.term >= status.term);
         if let Some(leader) = heard.as_ref().filter(|leader| leader.term > status.term) {
             return NamedLeader { address: leader.address.clone(), term: leader.term };
--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -21,8 +21,8 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time that an attempt gets at least, if it is left: two round trips between regions and a commit.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Age up to which a leader's own word counts as fresh: about an election timeout.
-const FRESH_WORD_AGE: Duration = Duration::from_millis(500);
+/// Age up to which what a leader said itself counts as fresh: about an election timeout.
+const FRESH_STATEMENT_AGE: Duration = Duration::from_millis(500);
 
 /// Time after its timeout at which a call is given up if the connection has not ended it. The connection
 /// normally ends it in time, and then knows that it may be broken.
@@ -182,7 +182,8 @@
         })
     }
 
-    /// Calls the leader once, and once more if that host names another, for calls that only the leader serves and that are repeated elsewhere.
+    /// Calls the leader once, and once more if that host names another one. For calls that only the leader serves and
+    /// whose callers repeat them.
     ///
     /// # Errors
     /// Fails with a [`LeaderError`] if no leader is known or it did not answer within `timeout`.
@@ -268,7 +269,7 @@
         let tracker = self.tracker.load();
         let leader = tracker.leader().filter(|leader| leader.address == address);
         leader.is_some_and(|leader| {
-            leader.is_own_word() && leader.heard_at.elapsed() < FRESH_WORD_AGE
+            leader.is_direct() && leader.heard_at.elapsed() < FRESH_STATEMENT_AGE
         })
     }
 
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -204,7 +204,7 @@
             wait_ms: POLL_WAIT_MS,
             has_report: self
                 .leader()
-                .is_none_or(|leader| leader.address == address || !leader.is_own_word()),
+                .is_none_or(|leader| leader.address == address || !leader.is_direct()),
             leaving: self.options.leaving.recent(Instant::now()),
             ..EntrySync::default()
         };
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -28,7 +28,8 @@
 /// and for batch items while others have free slots.
 const RATE_LIMIT_FACTOR: f32 = 0.02;
 
-/// Factor for an upstream that a request found silent within the stall limit of the route. A factor and no pause, so that it still takes what the others have no room for.
+/// Factor for an upstream that a request found silent within the stall limit of the route. It still takes what the
+/// others have no room for, as a paused one would not.
 const SILENT_FACTOR: f32 = 0.02;
 
 /// The inputs of a choice other than the upstreams.
--- a/src/raft/leader_belief.rs
+++ b/src/raft/leader_belief.rs
@@ -17,14 +17,14 @@
 
 impl LeaderBelief {
     /// True if the leader itself said that it leads.
-    pub fn is_own_word(&self) -> bool {
+    pub fn is_direct(&self) -> bool {
         self.address == self.source
     }
 
     /// True if a host that believes in `other` should believe in this instead: the later term counts, and within a term
-    /// the word of the leader itself. Where a term is unknown, only the word of the leader itself counts.
+    /// what the leader said itself. Where a term is unknown, only what the leader said itself counts.
     pub fn replaces(&self, other: &Self) -> bool {
-        let rank = |belief: &Self| (belief.is_own_word(), belief.term);
+        let rank = |belief: &Self| (belief.is_direct(), belief.term);
         if self.address == other.address && self.term == other.term {
             return rank(self) >= rank(other) && self.heard_at >= other.heard_at;
         }
@@ -35,11 +35,11 @@
     }
 
     fn outranks(&self, other: &Self) -> bool {
-        (self.term, self.is_own_word()) > (other.term, other.is_own_word())
+        (self.term, self.is_direct()) > (other.term, other.is_direct())
     }
 
-    /// The belief of a replica or, if it says more, what was heard from other hosts: a later term or, within a term, the
-    /// word of the leader itself. A replica that stood still may name a leader of an older term.
+    /// The belief of a replica or, if it says more, what was heard from other hosts: a later term or, within a term, what
+    /// the leader said itself. A replica that stood still may name a leader of an older term.
     pub fn preferred(replica: Option<Arc<Self>>, heard: Option<Arc<Self>>) -> Option<Arc<Self>> {
         match (replica, heard) {
             (Some(replica), Some(heard)) if heard.outranks(&replica) => Some(heard),
--- a/src/raft/leader_tracker.rs
+++ b/src/raft/leader_tracker.rs
@@ -145,7 +145,7 @@
     /// Takes note of a call, sent at `asked`, that a host did not answer. A leader that spoke since is not passed over.
     pub fn record_no_answer(&mut self, address: &str, asked: Instant, now: Instant) {
         let leader = self.leader.as_ref().filter(|leader| leader.address == address);
-        if leader.is_some_and(|leader| leader.is_own_word() && leader.heard_at > asked) {
+        if leader.is_some_and(|leader| leader.is_direct() && leader.heard_at > asked) {
             return;
         }
         self.pass_over(address, 0, now.saturating_duration_since(asked), now);
@@ -168,7 +168,7 @@
     fn rules_out(&self, belief: &LeaderBelief, now: Instant) -> bool {
         self.passed_over.iter().any(|passed| {
             let is_newer =
-                belief.term > passed.term || belief.is_own_word() && belief.heard_at > passed.since;
+                belief.term > passed.term || belief.is_direct() && belief.heard_at > passed.since;
             passed.address == belief.address && now < passed.until && !is_newer
         })
     }
--- a/src/relay/transit_delays.rs
+++ b/src/relay/transit_delays.rs
@@ -14,14 +14,14 @@
 /// plus the time on the way, so a message whose difference exceeds the smallest one was held up by the excess.
 #[derive(Debug, Default)]
 pub struct TransitDelays {
-    clocks: HashMap<u64, SmallestOffset>,
+    clocks: HashMap<u64, ClockOffset>,
 }
 
 #[derive(Debug)]
-struct SmallestOffset {
+struct ClockOffset {
     window_began_ms: u64,
-    in_window: i64,
-    in_last_window: i64,
+    smallest_ms: i64,
+    last_smallest_ms: i64,
 }
 
 impl TransitDelays {
@@ -34,17 +34,17 @@
                 return Duration::ZERO;
             }
         }
-        let clock = self.clocks.entry(sent_at.clock_id).or_insert(SmallestOffset {
+        let clock = self.clocks.entry(sent_at.clock_id).or_insert(ClockOffset {
             window_began_ms: now_ms,
-            in_window: offset,
-            in_last_window: offset,
+            smallest_ms: offset,
+            last_smallest_ms: offset,
         });
         if now_ms >= clock.window_began_ms + WINDOW_MS {
-            clock.in_last_window = clock.in_window;
-            (clock.window_began_ms, clock.in_window) = (now_ms, offset);
+            clock.last_smallest_ms = clock.smallest_ms;
+            (clock.window_began_ms, clock.smallest_ms) = (now_ms, offset);
         }
-        clock.in_window = clock.in_window.min(offset);
-        let smallest = clock.in_window.min(clock.in_last_window);
+        clock.smallest_ms = clock.smallest_ms.min(offset);
+        let smallest = clock.smallest_ms.min(clock.last_smallest_ms);
         Duration::from_millis(u64::try_from(offset.saturating_sub(smallest)).unwrap_or(0))
     }
 }
--- a/tests/leader_calls.rs
+++ b/tests/leader_calls.rs
@@ -358,9 +358,9 @@
     assert!(ended.is_ok(), "{ended:?}");
 }
 
-/// Guards against a replica's hearsay that hides what the leader itself said in the same term.
+/// Guards against a report of a replica that hides what the leader itself said in the same term.
 #[test]
-fn the_own_word_of_the_leader_is_preferred_within_a_term() {
+fn what_the_leader_says_itself_is_preferred_within_a_term() {
     let now = Instant::now();
     let belief = |term, source: &str| {
         let (address, source) = ("a".to_owned(), source.to_owned());
@@ -395,7 +395,7 @@
     (LeaderClient::open(scripted.clone(), Arc::new(NoHint(hosts[0].0))), scripted)
 }
 
-fn hearsay(leader: &str, term: u64) -> CallFailure {
+fn report_of(leader: &str, term: u64) -> CallFailure {
     CallFailure {
         kind: FailureKind::NotLeader.into(),
         message: "not the leader".into(),
@@ -410,7 +410,7 @@
     let (client, scripted) = open_without_hint(&[("a", Answering::Leads(0))], "b");
     let budget = Duration::from_millis(600);
     assert!(client.call(any_call(), Duration::ZERO, budget).await.is_ok());
-    client.hear_failure("f", &hearsay("b", 7), Duration::ZERO);
+    client.hear_failure("f", &report_of("b", 7), Duration::ZERO);
     assert!(client.call(any_call(), Duration::ZERO, budget).await.is_ok());
     assert_eq!(scripted.calls_to("b"), 1);
 }
@@ -427,7 +427,7 @@
         let budget = Duration::from_millis(800);
         let named = async {
             task::sleep(Duration::from_millis(50)).await;
-            client.hear_failure("f", &hearsay("b", 7), Duration::ZERO);
+            client.hear_failure("f", &report_of("b", 7), Duration::ZERO);
         };
         let (ended, ()) = futures::join!(client.call(any_call(), Duration::ZERO, budget), named);
         assert!(ended.is_ok(), "{ended:?}");
