Read the log for followers beside its writes

A host that had lost its disk was admitted again, but became a voter late. If another host lost its disk meanwhile, the group had no quorum for good: no configuration and no job could be read.

Cause: the leader read the entries that a follower needs on the thread that writes and syncs its own log, 256 KB at a time and in turn with its writes. With syncs of 100 ms each read waited for one or two of them, and the next read began only once the follower had answered, after a sync of its own. A learner got 2 MB/s, whatever the link.

Entries are now read on a thread for files, by a reader that shares the index of the frames with the writer, and the next ones are read while the last ones are on their way.

Formats are unchanged. The wrappers of LogStorage in two tests give the reader instead of reading.

--- a/src/raft/disk_log.rs
+++ b/src/raft/disk_log.rs
@@ -1,12 +1,14 @@
 use std::collections::VecDeque;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
-use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
+use crate::raft::disk_log_reader::DiskLogReader;
 use crate::raft::frame::{encode_frame, find_highest_index, FrameHeader};
+use crate::raft::frame_index::{Frame, FrameIndex};
 use crate::raft::identity::sync_folder;
-use crate::raft::{Entry, Identity, LogStorage};
+use crate::raft::{Entry, Identity, LogReader, LogStorage};
 
 /// Name of the last segment while it is written again.
 const REWRITTEN_FILE: &str = "segment.tmp";
@@ -20,7 +22,7 @@
     segment_bytes: u64,
     compress: bool,
     segments: VecDeque<Segment>,
-    frames: VecDeque<Frame>,
+    frames: Arc<FrameIndex>,
     /// The last segment, open for appending.
     file: Option<File>,
 }
@@ -33,16 +35,6 @@
     last_index: u64,
 }
 
-/// Location of a frame, and the range of its entries that were not replaced by later frames.
-#[derive(Clone, Copy, Debug)]
-struct Frame {
-    sequence: u64,
-    offset: u64,
-    bytes: u64,
-    first_index: u64,
-    last_index: u64,
-}
-
 /// Result of reading a log in [`DiskLog::open`].
 #[derive(Debug, Default)]
 pub struct LogScan {
@@ -76,7 +68,7 @@
             segment_bytes,
             compress,
             segments: VecDeque::new(),
-            frames: VecDeque::new(),
+            frames: Arc::default(),
             file: None,
         };
         let sequences = list_segments(folder)?;
@@ -176,14 +168,8 @@
     /// Adds a frame of the last segment to the index. It replaces entries of earlier frames.
     fn record_frame(&mut self, sequence: u64, offset: u64, header: &FrameHeader) {
         let FrameHeader { first_index, last_index, .. } = *header;
-        while self.frames.back().is_some_and(|frame| frame.first_index >= first_index) {
-            self.frames.pop_back();
-        }
-        if let Some(frame) = self.frames.back_mut() {
-            frame.last_index = frame.last_index.min(first_index - 1);
-        }
         let bytes = header.frame_bytes();
-        self.frames.push_back(Frame { sequence, offset, bytes, first_index, last_index });
+        self.frames.push(Frame { sequence, offset, bytes, first_index, last_index });
         let segment = self.segments.back_mut().expect("the frame is in the last segment");
         segment.bytes = offset + bytes;
         segment.last_index = segment.last_index.max(last_index);
@@ -239,31 +225,8 @@
         self.file.as_ref().map_or(Ok(()), File::sync_data)
     }
 
-    fn read(&mut self, first_index: u64, limit_bytes: usize) -> io::Result<Vec<Entry>> {
-        let start = self.frames.partition_point(|frame| frame.last_index < first_index);
-        let mut entries = Vec::new();
-        let mut bytes = 0;
-        for frame in self.frames.range(start..) {
-            if bytes >= limit_bytes || frame.first_index > first_index + entries.len() as u64 {
-                break;
-            }
-            let mut content = vec![0; frame.bytes as usize];
-            File::open(self.path(frame.sequence))?.read_exact_at(&mut content, frame.offset)?;
-            let damaged = || io::Error::new(io::ErrorKind::InvalidData, "damaged record");
-            let header = FrameHeader::decode(&content).ok_or_else(damaged)?;
-            let payload = header.payload(&content).ok_or_else(damaged)?;
-            for entry in header.entries(payload).ok_or_else(damaged)? {
-                if entry.index < first_index || entry.index > frame.last_index {
-                    continue;
-                }
-                if bytes >= limit_bytes {
-                    break;
-                }
-                bytes += entry.size_bytes();
-                entries.push(entry);
-            }
-        }
-        Ok(entries)
+    fn reader(&self) -> Arc<dyn LogReader> {
+        Arc::new(DiskLogReader { folder: self.folder.clone(), frames: self.frames.clone() })
     }
 
     fn compact(&mut self, index: u64) -> io::Result<()> {
@@ -271,9 +234,10 @@
         // one.
         while self.segments.len() > 1 && self.segments[0].last_index <= index {
             let sequence = self.segments[0].sequence;
+            // First, so that a reader meets a file that is gone only if it found the frame before.
+            self.frames.remove_segment(sequence);
             fs::remove_file(self.path(sequence))?;
             self.segments.pop_front();
-            self.frames.retain(|frame| frame.sequence != sequence);
         }
         Ok(())
     }
@@ -281,12 +245,12 @@
     fn clear(&mut self) -> io::Result<()> {
         self.file = None;
         let next_sequence = self.segments.back().map_or(1, |segment| segment.sequence + 1);
+        self.frames.clear();
         // Deletes from the end, so that a crash leaves a valid but shorter log.
         while let Some(segment) = self.segments.pop_back() {
             fs::remove_file(self.path(segment.sequence))?;
             sync_folder(&self.folder)?;
         }
-        self.frames.clear();
         self.segments.push_back(Segment { sequence: next_sequence, bytes: 0, last_index: 0 });
         File::create(self.path(next_sequence))?;
         sync_folder(&self.folder)?;
@@ -308,7 +272,7 @@
     }
 }
 
-fn file_name(sequence: u64) -> String {
+pub(super) fn file_name(sequence: u64) -> String {
     format!("log-{sequence:010}")
 }
 
--- a/src/raft/driver.rs
+++ b/src/raft/driver.rs
@@ -282,6 +282,7 @@
             }
             Event::ChunkStored(stored) => self.handle_chunk_stored(stored),
             Event::ChunkRead(to, read) => self.handle_chunk_read(now_ms, to, read),
+            Event::EntriesRead(to, read) => self.handle_entries_read(now_ms, to, read),
             Event::Close => {}
         }
     }
@@ -394,11 +395,7 @@
                 }
                 Action::SteppedDown => self.pending_replies.fail_all(),
                 Action::Report(election) => self.log_election(&election),
-                Action::Fetch { to, first_index } => {
-                    let limit_bytes = self.options.node_config().append_bytes;
-                    let job = StorageJob::Fetch { to, first_index, limit_bytes };
-                    self.send_job(job);
-                }
+                Action::Fetch { to, first_index } => self.read_entries(to, first_index),
                 Action::ReadChunk { to, last_index, offset_bytes } => {
                     self.read_chunk(to, last_index, offset_bytes);
                 }
--- a/src/raft/driver_storage.rs
+++ b/src/raft/driver_storage.rs
@@ -1,12 +1,14 @@
+use std::io;
+
 use async_std::task;
 
 use crate::raft::driver::Driver;
 use crate::raft::event::Event;
 use crate::raft::formation::Formation;
 use crate::raft::recovery::RecoveredReplica;
-use crate::raft::storage_opener::OpenedStorage;
+use crate::raft::storage_opener::{OpenedStorage, RunningStorage};
 use crate::raft::storage_thread::{StorageEvent, StorageJob};
-use crate::raft::{OpenError, RaftNode, Standing};
+use crate::raft::{Entry, OpenError, RaftNode, Standing};
 
 /// Time between two attempts to open failed storage. Each one reads the whole log, and a group
 /// without quorum should be back within about a second after its disks are.
@@ -48,11 +50,36 @@
                 }
                 self.node.persisted(now_ms, identity.map(|identity| identity.hard_state), last);
             }
-            StorageEvent::Fetched { to, entries } => self.node.fetched(now_ms, to, entries),
             StorageEvent::Failed(reason) => self.suspend(format!("storage failed: {reason}")),
         }
     }
 
+    /// Reads entries for a follower. Behind the writes, each read would wait for a sync, and a follower would stay behind
+    /// for as long as the disk is slow.
+    pub(super) fn read_entries(&mut self, to: u64, first_index: u64) {
+        let Some(reader) = self.storage.as_ref().map(RunningStorage::reader) else { return };
+        let limit_bytes = self.options.node_config().append_bytes;
+        let event_sender = self.context.event_sender.clone();
+        self.file_tasks += 1;
+        task::spawn_blocking(move || {
+            let read = reader.read(first_index, limit_bytes);
+            let _ = event_sender.try_send(Event::EntriesRead(to, read));
+        });
+    }
+
+    pub(super) fn handle_entries_read(
+        &mut self,
+        now_ms: u64,
+        to: u64,
+        read: io::Result<Vec<Entry>>,
+    ) {
+        match read {
+            _ if self.is_stopped() => {}
+            Ok(entries) => self.node.fetched(now_ms, to, entries),
+            Err(error) => self.suspend(format!("the log can't be read: {error}")),
+        }
+    }
+
     /// Sends a job to the storage thread; dropped while there is none.
     pub(super) fn send_job(&self, job: StorageJob) {
         if let Some(storage) = &self.storage {
--- a/src/raft/event.rs
+++ b/src/raft/event.rs
@@ -9,7 +9,7 @@
 use crate::raft::storage_opener::OpenedStorage;
 use crate::raft::storage_thread::StorageEvent;
 use crate::raft::{
-    ChangeError, OpenError, ReplicaChange, ReplicaPosition, SnapshotChunk, SnapshotMeta,
+    ChangeError, Entry, OpenError, ReplicaChange, ReplicaPosition, SnapshotChunk, SnapshotMeta,
 };
 use crate::schema::peer::RaftMessage;
 
@@ -29,6 +29,8 @@
     Transfer(u64, oneshot::Sender<Result<u64, ChangeError>>),
     /// An event from the storage thread, with the number of the opening that started the thread.
     Storage(u64, StorageEvent),
+    /// Entries were read for the follower with this id; empty if they are no longer on the disk.
+    EntriesRead(u64, io::Result<Vec<Entry>>),
     /// Failed storage was opened again, or still fails.
     StorageReopened(Box<Result<OpenedStorage, OpenError>>),
     /// The state machine has captured the state for a snapshot; commands may be applied again.
@@ -57,6 +59,7 @@
                 | Self::SnapshotInstalled(..)
                 | Self::ChunkStored(_)
                 | Self::ChunkRead(..)
+                | Self::EntriesRead(..)
                 | Self::StorageReopened(_)
         )
     }
--- a/src/raft/log_storage.rs
+++ b/src/raft/log_storage.rs
@@ -1,6 +1,7 @@
 use std::io;
+use std::sync::Arc;
 
-use crate::raft::{Entry, Identity};
+use crate::raft::{Entry, Identity, LogReader};
 
 /// Durable storage of the log and the identity of one replica. After an error, no further writes
 /// are allowed.
@@ -15,8 +16,8 @@
     /// Makes appended entries durable.
     fn sync(&mut self) -> io::Result<()>;
 
-    /// Entries from `first_index` on, about `limit_bytes`; empty if the entry is not stored.
-    fn read(&mut self, first_index: u64, limit_bytes: usize) -> io::Result<Vec<Entry>>;
+    /// Reads the stored entries beside the writes. Entries that are not synced yet may be among them.
+    fn reader(&self) -> Arc<dyn LogReader>;
 
     /// Deletes entries up to `index`, as far as whole files allow it.
     fn compact(&mut self, index: u64) -> io::Result<()>;
--- a/src/raft/node_replication.rs
+++ b/src/raft/node_replication.rs
@@ -108,6 +108,8 @@
         entries.retain(|entry| self.log.term(entry.index) == Some(entry.term));
         if !entries.is_empty() {
             self.send_entries(now_ms, to, entries);
+            // The next ones are read while these are on their way.
+            self.replicate(now_ms, to);
             return;
         }
         follower.start_snapshot(SnapshotMeta::default(), now_ms);
--- a/src/raft/storage_opener.rs
+++ b/src/raft/storage_opener.rs
@@ -11,7 +11,7 @@
 use crate::raft::recovery::{recover, RecoveredReplica};
 use crate::raft::snapshot_file::SnapshotFiles;
 use crate::raft::storage_thread::{StorageJob, StorageThread};
-use crate::raft::{GroupOptions, LogStorage, OpenError, StateMachine};
+use crate::raft::{GroupOptions, LogReader, LogStorage, OpenError, StateMachine};
 
 /// Wraps the storage of a replica, for tests that inject errors.
 pub type WrapStorage = Box<dyn Fn(Box<dyn LogStorage>) -> Box<dyn LogStorage> + Send + Sync>;
@@ -38,9 +38,10 @@
     pub storage: RunningStorage,
 }
 
-/// Handle of a storage thread.
+/// Handle of a storage thread, and of the log that it writes.
 pub struct RunningStorage {
     jobs: mpsc::Sender<StorageJob>,
+    reader: Arc<dyn LogReader>,
     thread: JoinHandle<()>,
 }
 
@@ -56,16 +57,18 @@
         self.disk_quota.log_bytes.store(storage.data_bytes(), Ordering::Relaxed);
         self.disk_quota.snapshot_bytes.store(files.data_bytes(), Ordering::Relaxed);
         let events = self.events.clone();
+        let storage = (self.wrap)(Box::new(storage));
+        let reader = storage.reader();
         let (jobs, thread) = StorageThread::spawn(
             format!("raft-log-{group}"),
-            (self.wrap)(Box::new(storage)),
+            storage,
             self.disk_quota.clone(),
             Box::new(move |event| {
                 let _ = events.try_send(Event::Storage(opening, event));
             }),
         )
         .map_err(|error| OpenError::Io { group, error })?;
-        Ok(OpenedStorage { replica, storage: RunningStorage { jobs, thread } })
+        Ok(OpenedStorage { replica, storage: RunningStorage { jobs, reader, thread } })
     }
 }
 
@@ -75,6 +78,11 @@
         let _ = self.jobs.send(job);
     }
 
+    /// Reads entries beside the writes of the thread.
+    pub fn reader(&self) -> Arc<dyn LogReader> {
+        self.reader.clone()
+    }
+
     /// Waits until the thread has run all jobs or failed. Blocks while the disk hangs.
     pub fn join(self) {
         drop(self.jobs);
--- a/src/raft/storage_thread.rs
+++ b/src/raft/storage_thread.rs
@@ -19,15 +19,6 @@
         /// Entries, which replace all stored entries from the index of the first one on.
         entries: Vec<Entry>,
     },
-    /// Read entries for a follower.
-    Fetch {
-        /// Id of the follower.
-        to: u64,
-        /// Index of the first entry to read.
-        first_index: u64,
-        /// Approximate number of bytes to read.
-        limit_bytes: usize,
-    },
     /// Delete entries up to this index.
     Compact(u64),
     /// Delete all entries.
@@ -48,13 +39,6 @@
         /// Index and term of the last entry, if any were written.
         last: Option<(u64, u64)>,
     },
-    /// Entries were read for a follower.
-    Fetched {
-        /// Id of the follower.
-        to: u64,
-        /// The entries; empty if they are no longer on the disk.
-        entries: Vec<Entry>,
-    },
     /// The storage failed; this thread runs no further jobs.
     Failed(String),
 }
@@ -98,11 +82,6 @@
     fn run_job(&mut self, job: StorageJob) -> io::Result<()> {
         match job {
             StorageJob::Write { identity, entries } => self.write(identity, entries),
-            StorageJob::Fetch { to, first_index, limit_bytes } => {
-                let entries = self.storage.read(first_index, limit_bytes)?;
-                (self.on_event)(StorageEvent::Fetched { to, entries });
-                Ok(())
-            }
             StorageJob::Compact(index) => self.storage.compact(index),
             StorageJob::Clear => self.storage.clear(),
             StorageJob::DiscardQuarantined => self.storage.discard_quarantined(),
--- a/tests/raft_disk_log.rs
+++ b/tests/raft_disk_log.rs
@@ -161,13 +161,13 @@
     }
     let expected = [entries(1..3, 1), entries(3..20, 2)].concat();
     assert_eq!(scan(folder.path()).entries, expected);
-    assert_eq!(log.read(2, usize::MAX).unwrap(), expected[1..]);
-    assert_eq!(log.read(4, 1).unwrap(), expected[3..4]);
+    assert_eq!(log.reader().read(2, usize::MAX).unwrap(), expected[1..]);
+    assert_eq!(log.reader().read(4, 1).unwrap(), expected[3..4]);
     let before_bytes = log.data_bytes();
     log.compact(8).unwrap();
     assert!(log.data_bytes() < before_bytes);
-    assert_eq!(log.read(9, usize::MAX).unwrap(), expected[8..]);
-    assert!(log.read(1, usize::MAX).unwrap().is_empty());
+    assert_eq!(log.reader().read(9, usize::MAX).unwrap(), expected[8..]);
+    assert!(log.reader().read(1, usize::MAX).unwrap().is_empty());
     log.clear().unwrap();
     log.append(&entries(50..52, 4)).unwrap();
     log.sync().unwrap();
--- a/tests/raft_group.rs
+++ b/tests/raft_group.rs
@@ -10,7 +10,8 @@
 use async_std::task;
 use bytes::Bytes;
 use damaskhoist::raft::{
-    ChangeError, Entry, Identity, LogStorage, OpenError, Priority, ProposeError, ReplicaChange,
+    ChangeError, Entry, Identity, LogReader, LogStorage, OpenError, Priority, ProposeError,
+    ReplicaChange,
 };
 use raft_support::{replica, segment_files, wait_for, Cluster};
 use rstest::rstest;
@@ -236,8 +237,8 @@
         self.inner.sync()
     }
 
-    fn read(&mut self, first_index: u64, limit_bytes: usize) -> io::Result<Vec<Entry>> {
-        self.inner.read(first_index, limit_bytes)
+    fn reader(&self) -> Arc<dyn LogReader> {
+        self.inner.reader()
     }
 
     fn compact(&mut self, index: u64) -> io::Result<()> {
--- a/tests/raft_hangs.rs
+++ b/tests/raft_hangs.rs
@@ -10,7 +10,9 @@
 use async_std::sync::Mutex;
 use async_std::task;
 use bytes::Bytes;
-use damaskhoist::raft::{Entry, Group, GroupOptions, Identity, LogStorage, Priority, ProposeError};
+use damaskhoist::raft::{
+    Entry, Group, GroupOptions, Identity, LogReader, LogStorage, Priority, ProposeError,
+};
 use raft_support::{wait_for, Cluster};
 
 /// Writes only while its gate is not locked.
@@ -34,8 +36,8 @@
         self.inner.sync()
     }
 
-    fn read(&mut self, first_index: u64, limit_bytes: usize) -> io::Result<Vec<Entry>> {
-        self.inner.read(first_index, limit_bytes)
+    fn reader(&self) -> Arc<dyn LogReader> {
+        self.inner.reader()
     }
 
     fn compact(&mut self, index: u64) -> io::Result<()> {
