Ask control hosts that run a replica before the others

In a fleet of eleven control hosts, five of which run a replica, callers got no results in time: results_not_read lists up to five of seven attempts at hosts without a replica, which can answer no read and do not lead (full fleet of real processes, 0.016 of a core a host). The same lists stand in the users' record.

Cause: while no leader was known, calls went to all control hosts in turn. Hosts know from the sync calls which ones run a replica, but used that for reads in their own region only.

Calls now go to the hosts with replicas in turn, and to any control host once a call has failed as often as there are replicas, since the list may be old.

hosts_that_run_replicas_are_asked_first failed with the order of before (first call to "a" or "b", not "d") and passes.

--- a/src/control/remote_state.rs
+++ b/src/control/remote_state.rs
@@ -64,7 +64,7 @@
     /// Address of the leader or, while none can be called, of the next control host in turn.
     fn target_address(&self) -> Option<String> {
         let turn = self.next.fetch_add(1, Ordering::Relaxed);
-        self.tracker.load().target(&self.addresses, turn, Instant::now())
+        self.tracker.load().target(&[], &self.addresses, turn, Instant::now())
     }
 
     async fn call_once(
--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -126,6 +126,11 @@
         LeaderBelief::preferred(own, heard)
     }
 
+    fn replica_addresses(&self) -> Vec<String> {
+        let hosts = self.replica.control_hosts().into_iter();
+        hosts.filter(|host| host.has_replica).map(|host| host.peer_address).collect()
+    }
+
     fn control_addresses(&self) -> Vec<String> {
         self.replica.control_hosts().into_iter().map(|host| host.peer_address).collect()
     }
--- a/src/coordinator/leader_client.rs
+++ b/src/coordinator/leader_client.rs
@@ -36,6 +36,9 @@
     /// The likely leader, if one is known.
     fn leader(&self) -> Option<Arc<LeaderBelief>>;
 
+    /// Peer addresses of the control hosts that are known to run a replica.
+    fn replica_addresses(&self) -> Vec<String>;
+
     /// Peer addresses of all control hosts.
     fn control_addresses(&self) -> Vec<String>;
 }
@@ -149,6 +152,7 @@
     ) -> Result<reply::Reply, LeaderError> {
         let started = Instant::now();
         let mut is_redirected = false;
+        let mut attempts = 0;
         let mut retry_delay = RETRY_DELAY;
         let mut failed = FailedCall::not_tried("no control host is known");
         // Reason of an attempt that may have taken effect.
@@ -158,10 +162,11 @@
             if left.is_zero() {
                 break;
             }
-            let Some(address) = self.next_address() else {
+            let Some(address) = self.next_address(attempts) else {
                 task::sleep(RETRY_DELAY).await;
                 continue;
             };
+            attempts += 1;
             let asked = Instant::now();
             let mut timeout = attempt_timeout(wait, left);
             let is_whole_attempt = is_commit(&call) || self.is_for_operators;
@@ -215,7 +220,7 @@
         timeout: Duration,
     ) -> Result<reply::Reply, LeaderError> {
         let mut failed = FailedCall::not_tried("no control host is known");
-        let Some(mut address) = self.next_address() else {
+        let Some(mut address) = self.next_address(0) else {
             return Err(LeaderError::NotSubmitted(Box::new(failed)));
         };
         let asked = Instant::now();
@@ -223,7 +228,7 @@
         let left = timeout.saturating_sub(asked.elapsed());
         if let Err(FailedAttempt { is_redirect: true, reason, message, .. }) = &called {
             failed.record(&address, *reason, message, asked.elapsed().as_millis());
-            if let Some(named) = self.next_address() {
+            if let Some(named) = self.next_address(1) {
                 called = self.attempt(&named, call, left).await;
                 address = named;
             }
@@ -342,13 +347,19 @@
         }
     }
 
-    /// Address to call next: the leader or, while none can be called, the control hosts in turn.
-    fn next_address(&self) -> Option<String> {
+    /// Address for the next attempt of a call: the leader or, while none can be called, the replicas in turn. A call
+    /// that has failed as often as there are replicas goes to any control host, as the list of replicas may be old.
+    fn next_address(&self, attempts: usize) -> Option<String> {
         if let Some(hint) = self.hint.leader() {
             self.update(|tracker, now| tracker.hear(&hint, now));
         }
         let turn = self.round_robin.fetch_add(1, Ordering::Relaxed);
-        self.tracker.load().target(&self.hint.control_addresses(), turn, Instant::now())
+        let mut replicas = self.hint.replica_addresses();
+        if attempts >= replicas.len() {
+            replicas.clear();
+        }
+        let hosts = self.hint.control_addresses();
+        self.tracker.load().target(&replicas, &hosts, turn, Instant::now())
     }
 }
 
--- a/src/directory/fleet_view.rs
+++ b/src/directory/fleet_view.rs
@@ -20,6 +20,8 @@
     pub entries: Arc<Vec<Arc<EntryHost>>>,
     /// Peer addresses of the control hosts.
     pub control_addresses: Arc<Vec<String>>,
+    /// Peer addresses of the control hosts that run a replica of the ledger.
+    pub replica_addresses: Arc<Vec<String>>,
     /// Peer addresses of control hosts of this region that run a replica of the ledger, nearest first.
     pub near_replicas: Arc<Vec<String>>,
     /// Control hosts that may keep origins of streams.
--- a/src/directory/fleet_watch.rs
+++ b/src/directory/fleet_watch.rs
@@ -19,7 +19,8 @@
 use crate::peer::{PeerCaller, TrafficClass};
 use crate::raft::{LeaderBelief, LeaderTracker};
 use crate::schema::peer::{
-    call, reply, Call, ControlSync, EntryHost, EntrySync, Reply, RoutesConfirmation, UpstreamEntry,
+    call, reply, Call, ControlHostEntry, ControlSync, EntryHost, EntrySync, Reply,
+    RoutesConfirmation, UpstreamEntry,
 };
 use crate::schema::routes::RouteTable;
 use crate::signal::Signal;
@@ -420,6 +421,7 @@
             next.leader_address = leader_address;
         }
         next.control_addresses = Arc::new(self.addresses(inner));
+        next.replica_addresses = Arc::new(Self::replica_addresses(inner));
         next.near_replicas = Arc::new(self.near_replicas(inner));
         next.origin_keepers = Arc::new(self.origin_keepers(inner, &next.control_addresses));
         drop(current);
@@ -473,15 +475,25 @@
         addresses
     }
 
+    /// The control hosts that run a replica, as those that answer list them.
+    fn replicas(inner: &Inner) -> impl Iterator<Item = &ControlHostEntry> {
+        let answering = inner.control_hosts.values().filter(|host| host.failing_since.is_none());
+        answering.flat_map(|host| &host.listed).filter(|entry| entry.has_replica)
+    }
+
+    /// Peer addresses of the control hosts that run a replica.
+    fn replica_addresses(inner: &Inner) -> Vec<String> {
+        let mut addresses: Vec<String> =
+            Self::replicas(inner).map(|entry| entry.peer_address.clone()).collect();
+        addresses.sort();
+        addresses.dedup();
+        addresses
+    }
+
     /// Peer addresses of the control hosts of this region that run a replica, nearest first.
     fn near_replicas(&self, inner: &Inner) -> Vec<String> {
-        let answering = inner
-            .control_hosts
-            .values()
-            .filter(|control_host| control_host.failing_since.is_none());
-        let listed = answering.flat_map(|control_host| &control_host.listed);
-        let near = listed
-            .filter(|entry| entry.has_replica && self.distance(&entry.zone) < Distance::Remote);
+        let near =
+            Self::replicas(inner).filter(|entry| self.distance(&entry.zone) < Distance::Remote);
         let host_id = self.options.host_id.as_bytes();
         let mut near: Vec<(Distance, u64, &String)> = near
             .map(|entry| {
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -188,6 +188,10 @@
         self.watch.leader()
     }
 
+    fn replica_addresses(&self) -> Vec<String> {
+        self.watch.view().replica_addresses.to_vec()
+    }
+
     fn control_addresses(&self) -> Vec<String> {
         self.watch.control_addresses()
     }
--- a/src/raft/leader_tracker.rs
+++ b/src/raft/leader_tracker.rs
@@ -47,18 +47,27 @@
         term != 0 && highest.is_some_and(|(highest, _)| term < highest)
     }
 
-    /// Address to call next: the leader or, while none can be called, one of the control hosts, which are taken in
-    /// turn.
-    pub fn target(&self, control_hosts: &[String], turn: usize, now: Instant) -> Option<String> {
+    /// Address to call next: the leader or, while none can be called, one of the hosts that run replicas, which are
+    /// taken in turn. The other control hosts, which may know the leader, follow while all of these are passed over.
+    pub fn target(
+        &self,
+        replicas: &[String],
+        control_hosts: &[String],
+        turn: usize,
+        now: Instant,
+    ) -> Option<String> {
         if let Some(leader) = &self.leader {
             return Some(leader.address.clone());
         }
-        let mut hosts: Vec<&String> = control_hosts.iter().collect();
-        if hosts.iter().any(|address| !self.is_passed_over(address, now)) {
-            hosts.retain(|address| !self.is_passed_over(address, now));
+        for hosts in [replicas, control_hosts] {
+            let open: Vec<&String> =
+                hosts.iter().filter(|address| !self.is_passed_over(address, now)).collect();
+            if let Some(index) = turn.checked_rem(open.len()) {
+                return Some(open[index].clone());
+            }
         }
-        let index = turn.checked_rem(hosts.len())?;
-        hosts.get(index).map(|address| (*address).clone())
+        let index = turn.checked_rem(control_hosts.len())?;
+        Some(control_hosts[index].clone())
     }
 
     fn is_passed_over(&self, address: &str, now: Instant) -> bool {
--- a/tests/batch_worker.rs
+++ b/tests/batch_worker.rs
@@ -159,6 +159,10 @@
         Some(Arc::new(LeaderBelief { address, term: 0, source, heard_at: Instant::now() }))
     }
 
+    fn replica_addresses(&self) -> Vec<String> {
+        Vec::new()
+    }
+
     fn control_addresses(&self) -> Vec<String> {
         vec!["leader".to_owned()]
     }
--- a/tests/leader_calls.rs
+++ b/tests/leader_calls.rs
@@ -23,6 +23,7 @@
 use damaskhoist::schema::state::Command;
 use damaskhoist::state::StateClient;
 use damaskhoist::telemetry::Counters;
+use rstest::rstest;
 
 /// What a scripted control host does with a call.
 #[derive(Clone, Copy)]
@@ -145,6 +146,10 @@
         Some(Arc::new(LeaderBelief { address, term, source, heard_at }))
     }
 
+    fn replica_addresses(&self) -> Vec<String> {
+        self.0.clone()
+    }
+
     fn control_addresses(&self) -> Vec<String> {
         self.0.clone()
     }
@@ -381,6 +386,10 @@
         None
     }
 
+    fn replica_addresses(&self) -> Vec<String> {
+        Vec::new()
+    }
+
     fn control_addresses(&self) -> Vec<String> {
         vec![self.0.to_owned()]
     }
@@ -474,3 +483,47 @@
         assert!(reads <= 1, "{reads} reads at {address}");
     }
 }
+
+/// Knows which control hosts run replicas, and no leader.
+struct ReplicasHint {
+    replicas: Vec<String>,
+    others: Vec<String>,
+}
+
+impl LeaderHint for ReplicasHint {
+    fn leader(&self) -> Option<Arc<LeaderBelief>> {
+        None
+    }
+
+    fn replica_addresses(&self) -> Vec<String> {
+        self.replicas.clone()
+    }
+
+    fn control_addresses(&self) -> Vec<String> {
+        [self.others.clone(), self.replicas.clone()].concat()
+    }
+}
+
+/// Guards against reads whose time is used up by control hosts without a replica, which can't answer them, and against
+/// calls that ask only the replicas though they fail.
+#[rstest]
+#[case::replica_answers(Answering::LeadsAfter(0), &["d"])]
+#[case::replica_fails(Answering::Unreachable, &["d", "a"])]
+#[async_std::test]
+async fn hosts_that_run_replicas_are_asked_first(
+    #[case] replica: Answering,
+    #[case] asked: &[&str],
+) {
+    let without_replica = Answering::Names("", 0);
+    let leader = Answering::LeadsAfter(0);
+    let scripted =
+        script(&[("a", leader), ("b", without_replica), ("c", without_replica), ("d", replica)]);
+    let others = ["a", "b", "c"].map(str::to_owned).to_vec();
+    let hint = ReplicasHint { replicas: vec!["d".to_owned()], others };
+    let client = LeaderClient::open(scripted.clone(), Arc::new(hint));
+    let budget = Duration::from_millis(300);
+    client.query(Query::default(), Duration::ZERO, budget).await.expect("a host answers");
+    let calls = scripted.calls.lock().unwrap().clone();
+    assert!(asked.iter().all(|address| calls.iter().any(|called| called == address)), "{calls:?}");
+    assert_eq!(calls[0], "d", "{calls:?}");
+}
