Tell hosts without a replica from replicas that do not lead

"this replica does not lead" was the answer of both, so records of reads that fail did not show whether a host had lost its replica or a group its leader. The kind of the failure is unchanged, so builds mix as before.

--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -388,7 +388,11 @@
     }
 
     pub(super) fn not_leader_failure(&self) -> reply::Reply {
-        self.call_failure(FailureKind::NotLeader, "this replica does not lead")
+        let message = match self.replica.running() {
+            Some(_) => "this replica does not lead",
+            None => "this host runs no replica",
+        };
+        self.call_failure(FailureKind::NotLeader, message)
     }
 
     /// Reply for a call that could not be served. Names the leader, so that the caller can turn to it.
