Remove a voter without its data before its replacement votes

If a host lost its disk, and another one right after the replacement of the first had become a voter, the group had no quorum for good and nothing could be read or changed any more.

Cause: the voter that had lost its data stayed in the set until its replacement voted. For the time from the promotion to the removal, several syncs, there were four voters of which one can never vote again, so one more lost disk left two of four.

Such a voter is now removed first. The quorum of the others is not larger by that: two of two instead of two of three. A voter that only stopped replying still stays until it is replaced, as it may come back.

a_disk_that_is_lost_after_a_promotion_leaves_a_quorum: failed before ("2 of 4"). The test of three steps demanded the order of before for lost data; it is split, and the part for lost data demands all steps in the new order. Changes of the replica set are logged as before.

--- a/src/replication/repair.rs
+++ b/src/replication/repair.rs
@@ -15,10 +15,12 @@
 
 /// Decides the next change that brings a group to `target_voters` healthy voters.
 ///
-/// An unhealthy voter is removed only after its replacement has become a voter: a learner that has
-/// not caught up is not promoted, so the replica set stays as it is, and a voter on a retiring host
-/// continues to vote meanwhile. A voter is added or removed only if the responsive voters form a
-/// quorum of the new set, which is necessary to commit the change.
+/// A voter that has lost its data never votes again and is removed at once: until then it counts for the
+/// quorum, and with its replacement beside it one more lost disk would leave none. Any other unhealthy
+/// voter is removed only after its replacement has become a voter: a learner that has not caught up is
+/// not promoted, so the replica set stays as it is, and a voter on a retiring host continues to vote
+/// meanwhile. A voter is added or removed only if the responsive voters form a quorum of the new set,
+/// which is necessary to commit the change.
 pub fn plan_repair(
     members: &[Member],
     candidates: &[Candidate],
@@ -33,6 +35,10 @@
         voters.iter().filter(|voter| voter.state != MemberState::Healthy).collect();
     let healthy = voters.len() - unhealthy.len();
     let responsive = voters.iter().filter(|voter| is_responsive(voter)).count();
+    let lost = unhealthy.iter().find(|voter| voter.state == MemberState::DataLost);
+    if let Some(lost) = lost.filter(|_| responsive >= quorum(voters.len() - 1)) {
+        return Some(RepairStep::Remove(lost.id));
+    }
     if let Some(ready) = learners().find(|member| member.is_caught_up) {
         if healthy < target_voters && responsive + 1 >= quorum(voters.len() + 1) {
             return Some(RepairStep::Promote(ready.id));
@@ -49,10 +55,9 @@
     best_candidate(members, candidates).map(RepairStep::Add)
 }
 
-/// Removes one unhealthy voter; voters without data go first, then unresponsive ones, then those on
-/// retiring hosts.
+/// Removes one unhealthy voter; unresponsive ones go first, then those on retiring hosts.
 fn plan_removal(voters: &[&Member], unhealthy: &[&&Member]) -> Option<RepairStep> {
-    let removal_order = [MemberState::DataLost, MemberState::Unresponsive, MemberState::Retiring];
+    let removal_order = [MemberState::Unresponsive, MemberState::Retiring];
     let worst = removal_order
         .iter()
         .find_map(|state| unhealthy.iter().find(|voter| voter.state == *state))?;
