--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -4,7 +4,7 @@
 use bytes::BytesMut;
 use futures::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
-use crate::http::{HttpError, RequestHead, ResponseHead};
+use crate::http::{BodyFraming, HttpError, RequestHead, ResponseHead};
 use crate::sockets::close_after_response;
 
 /// Size of one read; enough for a typical request or a few events.
@@ -113,6 +113,10 @@
     /// Writes a request and concurrently reads the head of its response. The flag is false if the
     /// response arrived before the whole request was written: the connection must not be reused
     /// then.
+    ///
+    /// # Errors
+    /// The errors of [`Self::read_response`], and [`HttpError::Io`] if the request can't be written and the response has
+    /// no length: a reset can't be told from its end then.
     pub async fn round_trip(
         &mut self,
         request: &[u8],
@@ -127,6 +131,10 @@
                 // The peer may have sent a response before it stopped reading the request.
                 let head = read.await;
                 match (head, written) {
+                    // The failed write has used up the error of the socket, so its end looks like that of the body.
+                    (Ok(head), Err(error)) if head.framing == BodyFraming::UntilClose => {
+                        Err(error.into())
+                    }
                     (Ok(head), result) => Ok((head, result.is_ok())),
                     (Err(_), Err(error)) => Err(error.into()),
                     (Err(error), Ok(())) => Err(error),
