--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -1,7 +1,11 @@
+use std::ops::RangeInclusive;
+
 use crate::http::{BodyFraming, Headers, HttpError};
 
 /// Maximum number of header fields in a message.
 const FIELDS_LIMIT: usize = 100;
+/// Status codes of the protocol.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
 /// Request line and header fields of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -82,6 +86,9 @@
         let httparse::Status::Complete(length) = parsed else { return Ok(None) };
         let headers = headers(response.headers)?;
         let status = response.code.unwrap_or_default();
+        if !STATUS_CODES.contains(&status) {
+            return Err(HttpError::Malformed("status code"));
+        }
         let is_http_1_1 = response.version == Some(1);
         let head = Self {
             status,
--- a/tests/http_heads.rs
+++ b/tests/http_heads.rs
@@ -1,8 +1,8 @@
-//! Guards against parts of a message that end its head early, so that the receiver reads a second message that
-//! nobody sent.
+//! Heads of messages.
 
-use damaskhoist::http::{encode_request, Headers, RequestHead};
+use damaskhoist::http::{encode_request, Headers, HttpError, RequestHead, ResponseHead};
 use proptest::prelude::*;
+use rstest::rstest;
 
 /// Text with many of the characters that matter to the framing.
 fn text() -> impl Strategy<Value = String> {
@@ -22,7 +22,8 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 4_000, failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// An encoded request is one request with the parts that were meant, and its body ends where it should.
+    /// Guards against parts of a message that end its head early, so that the receiver reads a second message that nobody
+    /// sent. An encoded request is one request with the parts that were meant, and its body ends where it should.
     #[test]
     fn an_encoded_request_is_one_request(
         method in prop_oneof![4 => Just("POST".to_owned()), 1 => text()],
@@ -55,3 +56,11 @@
         }
     }
 }
+
+/// Guards against a faulty upstream's status that is passed on as an answer, or skipped as an interim response.
+#[rstest]
+fn a_status_outside_the_protocol_is_no_answer(#[values("000", "099", "600", "999")] status: &str) {
+    let bytes = format!("HTTP/1.1 {status} \r\nContent-Length: 0\r\n\r\n");
+    let parsed = ResponseHead::parse(bytes.as_bytes());
+    assert!(matches!(parsed, Err(HttpError::Malformed(_))), "{parsed:?}");
+}
