--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -10,6 +10,7 @@
 
 use crate::admission::CrashTable;
 use crate::control::unix_ms;
+use crate::coordinator::entry_sync::max_attempts;
 use crate::coordinator::executor_lag::ExecutorLag;
 use crate::coordinator::fleet_relay::FleetRelay;
 use crate::coordinator::named_leader::NamedLeader;
@@ -27,7 +28,7 @@
     CrashExchange, Directory, EntryTable, FleetWatch, FleetWatchOptions, HeartbeatOutcome,
     LeavingTable, OriginTable, Phase, SyncHandler, UpstreamRecord,
 };
-use crate::ledger::{command, find_route, JobHead, Ledger};
+use crate::ledger::{command, JobHead, Ledger};
 use crate::peer::PeerCaller;
 use crate::raft::{LeaderBelief, Priority, ProposeError};
 use crate::replication::{KnownControlHost, ReplicaManager, ReplicaManagerOptions};
@@ -523,15 +524,12 @@
             return refusal;
         }
         let routes = self.ledger().routes();
-        let max_attempts = |job: &JobHead| {
-            let route = find_route(&routes.routes, &job.host, &job.path);
-            route.map_or(1, |route| route.max_attempts.max(1))
-        };
         let end = {
             let mut scheduler = self.current_scheduler();
             if !lock(&self.reports).has_term() {
                 return self.not_leader_failure();
             }
+            let max_attempts = |job: &JobHead| max_attempts(job, &routes.routes);
             scheduler.handle_return(&item, &max_attempts, Instant::now())
         };
         log::info!(event = "item_returned", job = item.job_id.as_str(), item = item.item,
@@ -540,9 +538,15 @@
         if end != ItemEnd::GivenUp {
             return reply::Reply::Done(Default::default());
         }
-        let ReturnItem { job_id, item, .. } = item;
-        let failed = FinishedItem { job_id, item, failed: true, text: Default::default() };
-        self.propose(command(Kind::FinishItems(FinishItems { items: vec![failed] }))).await
+        self.give_up(vec![(item.job_id, item.item)]).await
+    }
+
+    /// Ends items that have used up their attempts, given by job id and item.
+    pub(super) async fn give_up(&self, items: Vec<(String, u32)>) -> reply::Reply {
+        let failed =
+            |(job_id, item)| FinishedItem { job_id, item, failed: true, text: Default::default() };
+        let items = items.into_iter().map(failed).collect();
+        self.propose(command(Kind::FinishItems(FinishItems { items }))).await
     }
 
     pub(super) fn upstreams(&self) -> Arc<Vec<UpstreamRecord>> {
--- a/src/coordinator/entry_sync.rs
+++ b/src/coordinator/entry_sync.rs
@@ -1,6 +1,7 @@
 use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
 
+use async_std::task;
 use futures::future::select;
 
 use crate::boot_instant::BootInstant;
@@ -79,7 +80,11 @@
 
     /// Records the entry host and, on the leader, applies its report to the scheduler. Returns the report if
     /// it was applied.
-    fn apply_report(&self, entry: &EntryHost, sync: &EntrySync) -> Option<AppliedReport> {
+    fn apply_report(
+        self: &Arc<Self>,
+        entry: &EntryHost,
+        sync: &EntrySync,
+    ) -> Option<AppliedReport> {
         let now = Instant::now();
         let mut entries = lock(&self.entries);
         entries.record_routes_version(&entry.host_id, sync.routes_version);
@@ -99,10 +104,25 @@
         if scheduler.has_unknown_assignments(&sync.running) {
             scheduler.adopt(&entry.host_id, &sync.running, &self.ledger().open_jobs(), now);
         }
+        let routes = self.ledger().routes();
+        let max_attempts = |job: &JobHead| max_attempts(job, &routes.routes);
+        let given_up = scheduler.apply_failures(entry, &sync.failed_items, &max_attempts, now);
         self.yield_slots(scheduler, now);
+        if !given_up.is_empty() {
+            self.give_up_pending(given_up);
+        }
         Some(report)
     }
 
+    /// Ends pending items that have used up their attempts under earlier leaders.
+    fn give_up_pending(self: &Arc<Self>, items: Vec<(String, u32)>) {
+        log::info!(event = "items_given_up", items = items.len();
+            "items have used up their attempts under earlier leaders");
+        let coordinator = self.clone();
+        // If it fails, the next report of the entry host has it tried again.
+        task::spawn(async move { coordinator.give_up(items).await });
+    }
+
     /// Makes batch items yield their slots and wakes the pending sync calls of their entry hosts.
     fn yield_slots(&self, mut scheduler: MutexGuard<'_, Scheduler>, now: Instant) {
         let hosts = self.with_scheduler_input(now, |input| scheduler.yield_slots(input));
@@ -277,6 +297,12 @@
     LEADER_BASE_WAIT.max(fleet_wait).max(LEADER_WAIT_PER_LAG * executor_lag)
 }
 
+/// Most failed attempts of an item of a job.
+pub(super) fn max_attempts(job: &JobHead, routes: &[Route]) -> u32 {
+    let route = find_route(routes, &job.host, &job.path);
+    route.map_or(1, |route| route.max_attempts.max(1))
+}
+
 /// What the routes say of a job.
 fn job_plan(job: &JobHead, routes: &[Route]) -> JobPlan {
     let Some(route) = find_route(routes, &job.host, &job.path) else {
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -4,6 +4,7 @@
 mod control_role;
 mod entry_sync;
 mod executor_lag;
+mod failed_attempts;
 mod failed_call;
 mod failure_reason;
 mod fleet_relay;
--- a/src/coordinator/pending_items.rs
+++ b/src/coordinator/pending_items.rs
@@ -102,9 +102,14 @@
         self.jobs.get(&(*submitted, job_id.clone()))?.items.get(&item)
     }
 
-    pub(super) fn get_mut(&mut self, job_id: &str, item: u32) -> Option<&mut PendingItem> {
+    pub(super) fn get_mut(
+        &mut self,
+        job_id: &str,
+        item: u32,
+    ) -> Option<(&JobHead, &mut PendingItem)> {
         let (job_id, submitted) = self.submitted.get_key_value(job_id)?;
-        self.jobs.get_mut(&(*submitted, job_id.clone()))?.items.get_mut(&item)
+        let job = self.jobs.get_mut(&(*submitted, job_id.clone()))?;
+        Some((&*job.head, job.items.get_mut(&item)?))
     }
 
     /// Drops the items of jobs that are not in `open`.
--- a/src/coordinator/running_items.rs
+++ b/src/coordinator/running_items.rs
@@ -25,8 +25,6 @@
     pub(super) origin: Option<StreamOrigin>,
     /// Time that the runs took in which the events were received.
     pub(super) run_time: Duration,
-    /// Number of failed attempts.
-    pub(super) failures: u32,
 }
 
 impl Progress {
@@ -47,7 +45,7 @@
 
     /// Drops the events, so that the item starts anew.
     pub(super) fn clear_events(&mut self) {
-        *self = Self { failures: self.failures, ..Self::default() };
+        *self = Self::default();
     }
 
     /// True if an upstream may continue the item.
--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::coordinator::failed_attempts::FailedAttempts;
 use crate::coordinator::free_places::FreePlaces;
 use crate::coordinator::online_load::OnlineLoad;
 use crate::coordinator::pending_items::{PendingItem, PendingItems, StartableItem};
@@ -12,8 +13,8 @@
 use crate::ledger::{Job, JobHead};
 use crate::schema::ledger::NewItem;
 use crate::schema::peer::{
-    EntryHost, EntrySync, ItemAssignment, ItemReturn, ItemStop, ReturnItem, RunningItem,
-    SlotPressure, StopReason, UpstreamRate, UpstreamUse,
+    EntryHost, EntrySync, FailedItem, ItemAssignment, ItemReturn, ItemStop, ReturnItem,
+    RunningItem, SlotPressure, StopReason, UpstreamRate, UpstreamUse,
 };
 
 /// Time without a report after which an entry host expires and its items are requeued. The host
@@ -34,6 +35,8 @@
 const MAX_ENDED_ASSIGNMENTS: usize = 10_000;
 /// Delay before an item is assigned again after a failed attempt.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Time for which an item that has used up its attempts is not assigned while it is given up; longer than a commit.
+const GIVE_UP_TIME: Duration = Duration::from_secs(1);
 
 /// Smallest change of an upstream's load, in requests, that is sent to entry hosts in other
 /// regions. They choose the upstream only when their own region is full.
@@ -54,6 +57,7 @@
     /// Open jobs whose items were queued.
     pub(super) queued_jobs: HashSet<Arc<str>>,
     pub(super) running: RunningItems,
+    failed_attempts: FailedAttempts,
     pub(super) load: OnlineLoad,
     /// Limits that upstreams name; `None` on a follower.
     rates: Option<RateShares>,
@@ -101,6 +105,7 @@
     pub fn reconcile(&mut self, open_jobs: &[Arc<Job>], now: Instant) {
         let open: HashSet<&str> = open_jobs.iter().map(|job| &*job.head.job_id).collect();
         self.pending.retain_jobs(&open);
+        self.failed_attempts.retain_jobs(&open);
         for id in self.running.of_closed_jobs(&open) {
             if let Some(running) = self.running.get_mut(id) {
                 running.stop = Some(StopReason::Cancelled);
@@ -135,6 +140,7 @@
             }
         }
         self.pending.remove(job_id, item);
+        self.failed_attempts.remove(job_id, item);
     }
 
     /// Applies the report of an entry host: updates its load and requeues assigned items that it
@@ -155,6 +161,35 @@
         }
     }
 
+    /// Applies the failed attempts that an entry host reports, those under earlier leaders included. Returns the pending
+    /// items that have used up their attempts and must be given up, by job id and item.
+    pub fn apply_failures(
+        &mut self,
+        host: &EntryHost,
+        failed: &[FailedItem],
+        max_attempts: &dyn Fn(&JobHead) -> u32,
+        now: Instant,
+    ) -> Vec<(String, u32)> {
+        let mut given_up = Vec::new();
+        for FailedItem { job_id, item, attempts } in failed {
+            let is_running = !self.running.of_item(job_id, *item).is_empty();
+            let pending = self.pending.get_mut(job_id, *item);
+            if !is_running && pending.is_none() {
+                continue;
+            }
+            self.failed_attempts.record(host, job_id, *item, *attempts);
+            let Some((head, pending)) = pending.filter(|(_, pending)| pending.not_before <= now)
+            else {
+                continue;
+            };
+            if self.failed_attempts.total(job_id, *item) >= max_attempts(head) {
+                pending.not_before = now + GIVE_UP_TIME;
+                given_up.push((job_id.clone(), *item));
+            }
+        }
+        given_up
+    }
+
     /// Applies a notice that an entry host sends between two reports: its requests at each
     /// upstream, and the items that it already stops to release their slots.
     pub fn apply_pressure(&mut self, pressure: &SlotPressure, now: Instant) {
@@ -251,8 +286,8 @@
         }
         match item.reason() {
             ItemReturn::FailedAttempt => {
-                running.progress.failures += 1;
-                if running.progress.failures >= max_attempts(&running.job) {
+                let max_attempts = max_attempts(&running.job);
+                if self.record_failure(item) >= max_attempts {
                     // It stays assigned until the ledger has its result: the command may fail, and the
                     // entry host then returns the item again.
                     return ItemEnd::GivenUp;
@@ -266,10 +301,25 @@
         ItemEnd::Waits
     }
 
+    /// Records a failed attempt of an assigned item; returns the number of those of the item.
+    fn record_failure(&mut self, item: &ReturnItem) -> u32 {
+        let assigned = self.running.get(item.assignment_id);
+        let entry = assigned.and_then(|assigned| self.load.get(&assigned.host_id));
+        if let Some(host) = entry.map(|entry| &entry.host) {
+            match item.failed_attempts {
+                0 => self.failed_attempts.record_uncounted(host, &item.job_id, item.item),
+                attempts => {
+                    self.failed_attempts.record(host, &item.job_id, item.item, attempts);
+                }
+            }
+        }
+        self.failed_attempts.total(&item.job_id, item.item)
+    }
+
     /// Stores the progress of an item that an earlier leader assigned, if it is pending and the
     /// progress is newer.
     fn record_progress(&mut self, item: &ReturnItem) {
-        let Some(waiting) = self.pending.get_mut(&item.job_id, item.item) else { return };
+        let Some((_, waiting)) = self.pending.get_mut(&item.job_id, item.item) else { return };
         if item.last_event_id > waiting.progress.last_event_id {
             // When the earlier leader assigned the item is not known.
             waiting.progress.replace_events(item, Duration::ZERO);
@@ -301,7 +351,8 @@
         if stop == Some(StopReason::Cancelled) {
             return;
         }
-        let not_before = if progress.failures > 0 { now + RETRY_DELAY } else { now };
+        let has_failed = self.failed_attempts.total(&job.job_id, item) > 0;
+        let not_before = if has_failed { now + RETRY_DELAY } else { now };
         let waiting = PendingItem { content, progress, not_before, idle_since };
         self.pending.insert(&job, item, waiting);
     }
--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -11,6 +11,7 @@
 
 use crate::coordinator::LeaderClient;
 use crate::directory::StreamOrigin;
+use crate::gateway::failed_items::FailedItems;
 use crate::gateway::upstream::monotonic_ms;
 use crate::gateway::{
     CallTarget, Event, EventSplitter, GatewayFleet, Prompt, SendError, StreamConnector,
@@ -20,7 +21,7 @@
 use crate::ledger::{check_item, command};
 use crate::schema::ledger::{command::Command as Kind, FinishItems, FinishedItem};
 use crate::schema::peer::{
-    call, ItemAssignment, ItemReturn, ItemStop, ReturnItem, RunningItem, StopReason,
+    call, FailedItem, ItemAssignment, ItemReturn, ItemStop, ReturnItem, RunningItem, StopReason,
 };
 use crate::telemetry::Counters;
 
@@ -70,6 +71,7 @@
 #[derive(Default)]
 struct Inner {
     running: HashMap<u64, RunningEntry>,
+    failed: FailedItems,
     /// Time of the last answer of the leader.
     last_leader_contact: Option<Instant>,
 }
@@ -111,6 +113,11 @@
         self.inner().running.values().map(|running| running.item.clone()).collect()
     }
 
+    /// The items that failed at this host lately.
+    pub fn failed(&self) -> Vec<FailedItem> {
+        self.inner().failed.list(Instant::now())
+    }
+
     /// Records the time of an answer of the leader.
     pub fn record_leader_contact(&self) {
         self.inner().last_leader_contact = Some(Instant::now());
@@ -369,6 +376,13 @@
             RunEnd::Finished(text) => ("item_finished", finished(false, text)),
             RunEnd::Unprocessable => ("item_impossible", finished(true, Bytes::new())),
             RunEnd::Returned(reason, progress) => {
+                let ItemAssignment { job_id, item, .. } = assignment;
+                let failed_attempts = match reason {
+                    ItemReturn::FailedAttempt => {
+                        self.inner().failed.record(job_id, *item, Instant::now())
+                    }
+                    _ => 0,
+                };
                 let item = ReturnItem {
                     assignment_id: assignment.assignment_id,
                     job_id: assignment.job_id.clone(),
@@ -377,6 +391,7 @@
                     text: progress.text.freeze(),
                     last_event_id: progress.last_event_id,
                     origin: progress.origin.as_ref().map(Into::into),
+                    failed_attempts,
                 };
                 ("item_given_back", call::Call::ReturnItem(item))
             }
--- a/src/gateway/entry_part.rs
+++ b/src/gateway/entry_part.rs
@@ -154,6 +154,7 @@
         sync.uses_revision = self.uses_revision.load(Ordering::Acquire);
         if let Some(worker) = self.worker.get() {
             sync.running = worker.running();
+            sync.failed_items = worker.failed();
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod entry_part;
 mod event;
 mod event_splitter;
+mod failed_items;
 mod fleet;
 mod fleet_origins;
 mod forward_progress;
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -13,7 +13,8 @@
 use damaskhoist::ledger::{Job, JobHead};
 use damaskhoist::schema::ledger::FinishedItem;
 use damaskhoist::schema::peer::{
-    ItemAssignment, ItemReturn, ReturnItem, RunningItem, SlotPressure, UpstreamUse,
+    EntryHost, FailedItem, ItemAssignment, ItemReturn, ReturnItem, RunningItem, SlotPressure,
+    UpstreamUse,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -167,6 +168,7 @@
         text: Bytes::from_static(b"half"),
         last_event_id: 9,
         origin: Some(origin("v1")),
+        ..ReturnItem::default()
     };
     assert_eq!(scheduler.handle_return(&returned, &|_| 2, now), ItemEnd::Waits);
     for expected in [ItemEnd::Waits, ItemEnd::GivenUp] {
@@ -197,6 +199,7 @@
         text: Bytes::from_static(b"half"),
         last_event_id: 9,
         origin: Some(origin("v1")),
+        ..ReturnItem::default()
     };
     scheduler.handle_return(&returned, &|_| 2, now);
     let late_report = [running_item(&first)];
@@ -222,6 +225,7 @@
         text: Bytes::from_static(b"half"),
         last_event_id: 9,
         origin: Some(origin(version)),
+        ..ReturnItem::default()
     };
     assert_eq!(scheduler.handle_return(&returned, &|_| 2, now), ItemEnd::Waits);
 }
@@ -326,6 +330,7 @@
         text: Bytes::from_static(b"half"),
         last_event_id: 9,
         origin: Some(origin("v1")),
+        ..ReturnItem::default()
     };
     assert_eq!(scheduler.handle_return(&returned, &|_| 2, start), ItemEnd::Unknown);
     let next = assign(&mut scheduler, "e1", &[upstream("a")], start + AFTER_START_DELAY).remove(0);
@@ -469,6 +474,57 @@
     assert_eq!(scheduler.item_counts(), (0, 0));
 }
 
+fn failed_item(attempts: u32) -> FailedItem {
+    FailedItem { job_id: "j".into(), item: 0, attempts }
+}
+
+/// Guards against an item that is given up too early, as an attempt counts with its report and again with its return, or too
+/// late, as a new leader or a restarted entry host counts from zero.
+#[test]
+fn each_failed_attempt_of_an_item_counts_once() {
+    let start = Instant::now();
+    let mut scheduler = leading_scheduler(start, &[job("j", 1)]);
+    let now = start + AFTER_START_DELAY;
+    let assigned = assign(&mut scheduler, "e1", &[upstream("a")], now).remove(0);
+    let restarted = EntryHost { started_at_unix_ms: 9, ..entry_host("e2") };
+    for host in [entry_host("e2"), entry_host("e2"), restarted, entry_host("e1")] {
+        let given_up = scheduler.apply_failures(&host, &[failed_item(1)], &|_| 5, now);
+        assert!(given_up.is_empty(), "{given_up:?}");
+    }
+    let mut failed = ReturnItem {
+        assignment_id: assigned.assignment_id,
+        job_id: "j".into(),
+        reason: ItemReturn::FailedAttempt.into(),
+        failed_attempts: 1,
+        ..ReturnItem::default()
+    };
+    assert_eq!(scheduler.handle_return(&failed, &|_| 4, now), ItemEnd::Waits);
+    let later = now + Duration::from_secs(1);
+    scheduler.apply_report(&entry_host("e1"), &sync_with(&[], 0), later);
+    failed.assignment_id =
+        assign(&mut scheduler, "e1", &[upstream("a")], later).remove(0).assignment_id;
+    failed.failed_attempts = 2;
+    assert_eq!(scheduler.handle_return(&failed, &|_| 4, later), ItemEnd::GivenUp);
+}
+
+/// Guards against an item that has used up its attempts under earlier leaders, and runs once more under each new one.
+#[test]
+fn a_new_leader_gives_up_an_item_without_attempts_left() {
+    let start = Instant::now();
+    let mut scheduler = leading_scheduler(start, &[job("j", 1)]);
+    let now = start + AFTER_START_DELAY;
+    let mut give_up = |host: &str, now| {
+        scheduler.apply_failures(&entry_host(host), &[failed_item(1)], &|_| 2, now)
+    };
+    assert!(give_up("e1", now).is_empty());
+    assert_eq!(give_up("e2", now), [("j".to_owned(), 0)]);
+    assert!(give_up("e2", now).is_empty(), "once in a while is enough");
+    assert!(assign(&mut scheduler, "e1", &[upstream("a")], now).is_empty());
+    let later = now + Duration::from_secs(1);
+    let again = scheduler.apply_failures(&entry_host("e2"), &[failed_item(1)], &|_| 2, later);
+    assert_eq!(again, [("j".to_owned(), 0)], "the commit may have failed");
+}
+
 /// Guards against an item that its entry host refuses each time, and whose wait begins anew with each refusal.
 #[test]
 fn an_item_that_is_refused_without_end_starts_anew_elsewhere() {
--- a/tests/scheduler_sim/sim.rs
+++ b/tests/scheduler_sim/sim.rs
@@ -826,6 +826,7 @@
                 text: run.text.clone().into(),
                 last_event_id,
                 origin: run.origin.clone(),
+                ..ReturnItem::default()
             }),
         });
         self.count(name);
--- a/tests/scheduler_traces.rs
+++ b/tests/scheduler_traces.rs
@@ -101,6 +101,7 @@
             last_event_id,
             origin: (last_event_id > 0)
                 .then(|| StreamOrigin { service: "s".into(), version: "v1".into() }),
+            ..ReturnItem::default()
         };
         assert_eq!(self.scheduler.handle_return(&item, &|_| 3, self.now), ItemEnd::Waits);
     }
--- a/tests/sync_terms.rs
+++ b/tests/sync_terms.rs
@@ -393,6 +393,7 @@
             text: "half".into(),
             last_event_id: 2,
             origin: Some(StreamOrigin { service: "engraver".into(), version: "v1".into() }),
+            ..ReturnItem::default()
         })
     };
     let acknowledged = host.handle(returned(7, 0)).await;
