--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -173,7 +173,8 @@
             _ if self.fault => None,
             Role::Leader(leader) => Some(leader.due_ms(self.read_interval_ms())),
             _ if self.may_campaign() => Some(self.election_due_ms),
-            _ => None,
+            _ if self.is_member_voter() => None,
+            _ => self.leader_id.map(|_| self.leader_forgotten_ms()),
         }
     }
 
@@ -191,6 +192,8 @@
             && !self.extend_late_election(now_ms)
         {
             self.start_pre_vote(now_ms);
+        } else if now_ms >= self.leader_forgotten_ms() && !self.is_member_voter() {
+            self.leader_id = None;
         }
         self.observe_progress(now_ms);
     }
--- a/src/raft/node_election.rs
+++ b/src/raft/node_election.rs
@@ -17,8 +17,8 @@
 /// timeouts. A voter may end one write, and then write its vote, of 1 s each at the usual timeout.
 const MAX_CAMPAIGN_TIMEOUTS: u64 = 5;
 
-/// Time without contact, in election timeouts, after which a replica that gets no answers names its
-/// last leader no more: a replica that is cut off can't know of the next one.
+/// Time without contact, in election timeouts, after which a replica that gets no answers, or never campaigns, names its
+/// last leader no more: a replica that is cut off can't know of the next one, and a lost leader would be asked for good.
 const MAX_NAMED_TIMEOUTS: u64 = 4;
 
 /// Least time between two reports of a pre-vote, or of a refused vote. An isolated replica repeats
@@ -31,16 +31,18 @@
     ///
     /// A voter that is being removed may still campaign until the change is committed: its log may
     /// be the only one with the change, and then no other replica can be elected.
+    pub(super) fn is_member_voter(&self) -> bool {
+        let (newest, committed) = (self.replicas(), self.log.replicas_at(self.commit_index));
+        let is_voter = newest.is_voter(self.config.id) || committed.is_voter(self.config.id);
+        self.standing == Standing::Member && is_voter
+    }
+
+    /// True for a voter that may start an election now.
     ///
     /// No replica campaigns while a term or vote is being written: a new term would void that vote,
     /// also one for itself. Nor does one that stands still: it could not lead.
     pub(super) fn may_campaign(&self) -> bool {
-        let (newest, committed) = (self.replicas(), self.log.replicas_at(self.commit_index));
-        let is_voter = newest.is_voter(self.config.id) || committed.is_voter(self.config.id);
-        self.standing == Standing::Member
-            && is_voter
-            && self.is_vote_durable()
-            && self.stall.is_none()
+        self.is_member_voter() && self.is_vote_durable() && self.stall.is_none()
     }
 
     /// True if there was contact to a leader within the last election timeout; votes are not
@@ -106,13 +108,18 @@
         }
     }
 
+    /// Time from which a replica that does not hear its leader names it no more.
+    pub(super) fn leader_forgotten_ms(&self) -> u64 {
+        self.last_leader_contact_ms + MAX_NAMED_TIMEOUTS * self.config.election_timeout_ms
+    }
+
     /// Starts a pre-vote: asks the other voters whether they would grant a vote, without starting a
     /// new term.
     pub(super) fn start_pre_vote(&mut self, now_ms: u64) {
         self.retry_election(now_ms);
         let silent_ms = now_ms.saturating_sub(self.last_leader_contact_ms);
         // Until a quorum grants the pre-vote, the leader may well lead.
-        if silent_ms >= MAX_NAMED_TIMEOUTS * self.config.election_timeout_ms {
+        if now_ms >= self.leader_forgotten_ms() {
             self.leader_id = None;
         }
         if let Role::Candidate(campaign) = &self.role {
--- a/tests/raft_node.rs
+++ b/tests/raft_node.rs
@@ -425,6 +425,25 @@
     assert_eq!(cut_off.leader_id(), None, "the replica is cut off");
 }
 
+/// Guards against a replica that never campaigns and sends callers to a lost leader for good.
+#[rstest]
+fn a_replica_without_a_vote_names_no_leader_that_is_gone(
+    #[values(Standing::Joining, Standing::Repairing { through: 9 })] standing: Standing,
+) {
+    let mut node = node(standing, &[]);
+    node.step(10, append(&[1], 0, 1));
+    persist(&mut node, 10);
+    assert_eq!(node.leader_id(), Some(2));
+    let forgets_ms = node.due_ms().expect("a timer runs");
+    assert!(forgets_ms <= 10 + 4 * 600, "{forgets_ms}");
+    node.tick(forgets_ms - 1);
+    assert_eq!(node.leader_id(), Some(2), "it may only be slow");
+    node.tick(forgets_ms);
+    assert_eq!((node.leader_id(), node.due_ms()), (None, None));
+    node.step(forgets_ms + 1, append(&[1], 0, 2));
+    assert_eq!(node.leader_id(), Some(2));
+}
+
 /// An answer of follower 2, whose log matches up to `index` at most.
 fn rejection(term: u64, index: u64, round: u64) -> Message {
     message(2, term, Body::AppendReply { accepted: false, index, round, settled: true })
