--- a/src/raft/driver_status.rs
+++ b/src/raft/driver_status.rs
@@ -54,6 +54,7 @@
             fault: self.fault.clone(),
             data_bytes,
             followers: node.followers(now_ms),
+            catch_up_index: node.catch_up_index(now_ms),
             oldest_write_ms,
             oldest_unapplied_ms,
             confirmed_age_ms: node.confirmed_age_ms(now_ms),
--- a/src/raft/group_status.rs
+++ b/src/raft/group_status.rs
@@ -41,6 +41,8 @@
     /// Id, match index and milliseconds since the last reply of each follower; empty unless this
     /// replica is the leader.
     pub followers: Vec<(u64, u64, u64)>,
+    /// Index that a learner needs to count as caught up; 0 unless this replica is the leader.
+    pub catch_up_index: u64,
     /// Time for which waiting writes have made no progress; 0 if none waits.
     pub oldest_write_ms: u64,
     /// Time for which waiting committed entries have not been applied; 0 if none waits.
--- a/src/raft/leader.rs
+++ b/src/raft/leader.rs
@@ -15,6 +15,8 @@
     pub round_sent_ms: u64,
     /// Rounds that no quorum has answered yet, with the times at which they were sent.
     pub open_rounds: VecDeque<(u64, u64)>,
+    /// End of the log at each round of about the last election timeout, with the time at which it was sent.
+    pub log_ends: VecDeque<(u64, u64)>,
     /// When the newest round that a quorum answered was sent; at first, when the leader was
     /// elected.
     ///
@@ -44,6 +46,15 @@
         self.reads.front().is_some_and(|read| read.round > self.round)
     }
 
+    /// Records the end of the log at a round that is sent now; forgets those that are not needed to tell where the log ended
+    /// `window_ms` ago.
+    pub fn record_log_end(&mut self, now_ms: u64, last_index: u64, window_ms: u64) {
+        self.log_ends.push_back((now_ms, last_index));
+        while self.log_ends.get(1).is_some_and(|(sent_ms, _)| sent_ms + window_ms <= now_ms) {
+            self.log_ends.pop_front();
+        }
+    }
+
     /// True if a transfer is abandoned at this time.
     ///
     /// A successor that was asked and answers no later round campaigns, or is gone. Commands that are appended
--- a/src/raft/node_leader.rs
+++ b/src/raft/node_leader.rs
@@ -5,7 +5,7 @@
     Action, Body, Entry, LeadershipEnd, Payload, RaftNode, ReplicaChange, ReplicaSet,
 };
 
-/// Maximum number of entries that a learner may lag behind when it is promoted to voter.
+/// Maximum number of entries that a learner may lag behind [`RaftNode::catch_up_index`] when it is promoted to voter.
 const PROMOTE_LAG_ENTRIES: u64 = 1024;
 
 /// Most rounds for reads in a heartbeat interval. Each costs a message to each follower and back, and reads that come
@@ -102,7 +102,7 @@
             let Some(follower) = leader.followers.get(id) else {
                 return Err(format!("no replica {id}"));
             };
-            let lag = self.log.last_index().saturating_sub(follower.match_index);
+            let lag = self.catch_up_index(now_ms).saturating_sub(follower.match_index);
             if !follower.settled || lag > PROMOTE_LAG_ENTRIES {
                 return Err(format!("replica {id} has not caught up: {lag} entries behind"));
             }
@@ -206,6 +206,7 @@
         leader.round += 1;
         leader.round_sent_ms = now_ms;
         leader.open_rounds.push_back((leader.round, now_ms));
+        leader.record_log_end(now_ms, self.log.last_index(), self.config.election_timeout_ms);
         leader.heartbeat_due_ms = now_ms + self.config.heartbeat_interval_ms;
         let followers: Vec<u64> = leader.followers.keys().copied().collect();
         for to in followers {
@@ -289,6 +290,15 @@
         }
     }
 
+    /// Index that a learner needs to count as caught up: where the log ended one election timeout ago. What came since may still be
+    /// on its way, however fast it comes. 0 unless this replica is the leader.
+    pub fn catch_up_index(&self, now_ms: u64) -> u64 {
+        let Role::Leader(leader) = &self.role else { return 0 };
+        let window_ms = self.config.election_timeout_ms;
+        let old = leader.log_ends.iter().rev().find(|(sent_ms, _)| sent_ms + window_ms <= now_ms);
+        old.map_or(self.log.last_index(), |(_, last_index)| *last_index)
+    }
+
     /// True if this replica is the only voter.
     pub(super) fn is_only_voter(&self) -> bool {
         let set = self.log.replicas().0;
--- a/src/replication/replica_status.rs
+++ b/src/replication/replica_status.rs
@@ -8,7 +8,7 @@
 /// Time without a reply after which a learner is replaced that has never replied while its host runs. Opening creates and syncs
 /// several files, each of which takes hundreds of milliseconds on a slow disk.
 const OPENING_TIMEOUT_MS: u64 = 5_000;
-/// Number of entries that a learner may lack and still count as caught up; they are sent within one
+/// Number of entries that a learner may lack of those that it needs to count as caught up; they are sent within one
 /// round trip.
 const CAUGHT_UP_MAX_LAG: u64 = 64;
 
@@ -49,7 +49,7 @@
             zone: notice.map_or_else(|| replica.zone.clone(), |notice| notice.zone.clone()),
             is_voter: replica.voter,
             is_leader,
-            is_caught_up: match_index + CAUGHT_UP_MAX_LAG >= status.last_index,
+            is_caught_up: match_index + CAUGHT_UP_MAX_LAG >= status.catch_up_index,
             state,
         }
     };
