--- a/src/coordinator/reads.rs
+++ b/src/coordinator/reads.rs
@@ -24,7 +24,8 @@
 /// Reads of the ledger. Each replica answers those of batch jobs, so that results do not all leave from the
 /// leader and cross the link between regions only once, in the log, and those of routes. It first asks the leader how
 /// far it must have applied the log, which makes its answer as current as the leader's. If the leader does not confirm
-/// that in time, the voters are asked how far they have the log.
+/// that in time, the voters are asked how far they have the log. Results of a job that has all of them never change, so
+/// they need no confirmation.
 impl Coordinator {
     /// Answers a read of the ledger.
     pub(super) async fn query(&self, query: Query) -> reply::Reply {
@@ -39,6 +40,10 @@
         // The ledger of the replica that confirms the read, also if the host gets another replica
         // meanwhile.
         let Some(replica) = self.replica().running() else { return self.not_leader_failure() };
+        if let Some(page) = final_results(replica.machine.as_ref(), &query) {
+            let answer = Some(answer::Answer::Results(page));
+            return reply::Reply::LedgerAnswer(Answer { answer });
+        }
         let current = match is_read_of_ledger {
             true => self.catch_up(&replica.group).await,
             false => self.confirm_leadership(&replica.group).await.map(|_| ()),
@@ -155,6 +160,13 @@
     }
 }
 
+/// A page of results that can't change any more; `None` for other reads.
+fn final_results(ledger: &Ledger, query: &Query) -> Option<ResultPage> {
+    let Some(query::Query::ReadResults(read)) = &query.query else { return None };
+    ledger.job(&read.job_id).filter(|job| job.has_all_results())?;
+    ledger.results(&read.job_id, read.after)
+}
+
 /// Reads a page of results. Waits up to `wait_ms` for the first result on the page.
 async fn wait_for_results(ledger: &Ledger, read: &ReadResults) -> Option<ResultPage> {
     let wait = Duration::from_millis(read.wait_ms.into()).min(MAX_RESULT_WAIT);
--- a/src/ledger/job.rs
+++ b/src/ledger/job.rs
@@ -42,7 +42,12 @@
 
     /// True if no item is left to run, because all have results or the job is cancelled.
     pub fn has_ended(&self) -> bool {
-        self.cancelled || self.results.len() == self.items.len()
+        self.cancelled || self.has_all_results()
+    }
+
+    /// True if each item has a result, after which none is added or changed.
+    pub fn has_all_results(&self) -> bool {
+        self.results.len() == self.items.len()
     }
 
     /// Indexes of the items without a result.
