--- a/src/replication/replica_manager.rs
+++ b/src/replication/replica_manager.rs
@@ -17,7 +17,7 @@
 };
 use crate::replication::replica_status::assess_members;
 use crate::replication::{
-    plan_repair, Candidate, KnownControlHost, NoticeTable, RepairStep, ReplicatedMachine,
+    plan_repair, Candidate, KnownControlHost, Notice, NoticeTable, RepairStep, ReplicatedMachine,
     RunningReplica,
 };
 use crate::schema::peer::frame::Body;
@@ -83,9 +83,9 @@
     has_leftover_files: bool,
     /// Replicas that this leader admitted, with the nonces of their hosts.
     admitted_nonces: HashMap<u64, u64>,
-    /// Replicas that still run on a host after their removal from the replica set, with the time at
+    /// Hosts that run a replica which is not theirs in the replica set, by peer address and replica id, with the time at
     /// which the leader first noticed them.
-    removed_replicas: HashMap<u64, Instant>,
+    stray_replicas: HashMap<(String, u64), Instant>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -107,7 +107,7 @@
             unopened_id: 0,
             has_leftover_files: false,
             admitted_nonces: HashMap::new(),
-            removed_replicas: HashMap::new(),
+            stray_replicas: HashMap::new(),
             tasks: Vec::new(),
         };
         let manager = Arc::new(Self {
@@ -404,7 +404,7 @@
         let Some(group) = self.group() else { return false };
         let status = group.status();
         if !status.is_leader {
-            self.lock().removed_replicas.clear();
+            self.lock().stray_replicas.clear();
             return false;
         }
         let now = Instant::now();
@@ -476,12 +476,12 @@
     }
 
     /// Sends an admission to each host whose replica has been added but not opened yet, and an
-    /// expulsion to each host that still runs a removed replica.
+    /// expulsion to each host that runs a replica which is not in the set.
     async fn send_admissions(&self, group: &Group, status: &GroupStatus, now: Instant) {
         let mut admissions = Vec::new();
         {
             let mut inner = self.lock();
-            let Inner { notices, admitted_nonces, removed_replicas, .. } = &mut *inner;
+            let Inner { notices, admitted_nonces, stray_replicas, .. } = &mut *inner;
             notices.remove_expired(now);
             for replica in status.replicas.replicas.iter().filter(|replica| !replica.voter) {
                 let Some(notice) = notices.get(&replica.peer_address) else { continue };
@@ -492,14 +492,15 @@
                     admissions.push((notice.peer_address.clone(), admission));
                 }
             }
-            let in_set = |id| status.replicas.get(id).is_some();
-            let is_removed = |id: u64| id != 0 && id <= status.replicas.highest_id && !in_set(id);
-            removed_replicas.retain(|id, _| is_removed(*id));
-            for notice in notices
-                .iter()
-                .filter(|notice| notice.is_fresh(now) && is_removed(notice.replica_id))
-            {
-                let since = *removed_replicas.entry(notice.replica_id).or_insert(now);
+            let strays: Vec<_> =
+                notices.iter().filter(|it| is_stray(it, status, notices, now)).collect();
+            let is_still_stray = |address: &str, id: u64| {
+                strays.iter().any(|it| it.peer_address == address && it.replica_id == id)
+            };
+            stray_replicas.retain(|(address, id), _| is_still_stray(address, *id));
+            for notice in strays {
+                let key = (notice.peer_address.clone(), notice.replica_id);
+                let since = *stray_replicas.entry(key).or_insert(now);
                 if now.duration_since(since) < EXPEL_DELAY {
                     continue;
                 }
@@ -519,6 +520,18 @@
     }
 }
 
+/// True if a host runs a replica that the leader does not have in its set: one that was removed, or that an earlier leader
+/// added and the group never committed. The id of the latter may have been given to the replica of another host since.
+fn is_stray(notice: &Notice, status: &GroupStatus, notices: &NoticeTable, now: Instant) -> bool {
+    if notice.replica_id == 0 || !notice.is_fresh(now) {
+        return false;
+    }
+    let Some(replica) = status.replicas.get(notice.replica_id) else { return true };
+    let holder = notices.get(&replica.peer_address).filter(|holder| holder.is_fresh(now));
+    replica.peer_address != notice.peer_address
+        && holder.is_some_and(|holder| holder.replica_id == replica.id)
+}
+
 /// Sends the notice of this host to all other control hosts at a fixed interval.
 async fn send_notices<M: ReplicatedMachine + 'static>(manager: Arc<ReplicaManager<M>>) {
     loop {
--- a/tests/replica_rejoin.rs
+++ b/tests/replica_rejoin.rs
@@ -19,7 +19,7 @@
     outcome, FinishItems, FinishedItem, InstallRoutes, NewItem, Outcome, SubmitJob,
 };
 use damaskhoist::schema::peer::frame::Body;
-use damaskhoist::schema::peer::{Call, Reply};
+use damaskhoist::schema::peer::{Admission, Call, Reply};
 use damaskhoist::schema::routes::{Route, RouteKind, RouteTable, RoutedService, ServiceShare};
 use prost::Message;
 use rand::rngs::SmallRng;
@@ -37,6 +37,8 @@
 /// Commands of a loaded group, and one way between its hosts.
 const COMMANDS_AT_A_TIME: usize = 20;
 const COMMAND_INTERVAL: Duration = Duration::from_millis(10);
+/// Replicas that an earlier leader added, and that are in no log any more.
+const UNCOMMITTED_ADDITIONS: u64 = 2;
 const MESSAGE_DELAY: Duration = Duration::from_millis(30);
 /// Tokens that may wait on the route; one job of the tests fits.
 const TOKEN_LIMIT: u64 = 1_000;
@@ -50,6 +52,8 @@
     opening_delay: Mutex<Duration>,
     /// Time that each message of a group takes.
     message_delay: Mutex<Duration>,
+    /// Nonces of the hosts, by address.
+    nonces: Mutex<HashMap<String, u64>>,
 }
 
 struct Port {
@@ -87,7 +91,10 @@
                     host.receive(message);
                 });
             }
-            Body::ControlNotice(notice) => host.record_notice(notice),
+            Body::ControlNotice(notice) => {
+                self.network.nonces.lock().unwrap().insert(self.address.clone(), notice.nonce);
+                host.record_notice(notice);
+            }
             Body::Admission(admission) => {
                 let delay = *self.network.opening_delay.lock().unwrap();
                 task::spawn(async move {
@@ -374,3 +381,35 @@
     println!("{:?}: {:?} of {}", begun.elapsed(), status.followers, status.last_index);
     assert!(votes, "{:?} of {} entries", status.followers, status.last_index);
 }
+
+/// Guards against a host that is lost to the group for good, as it opened a replica that a leader had added and the group never
+/// committed: it runs a replica, so it is no candidate, and nobody tells it to drop one that the group does not know.
+#[async_std::test]
+async fn a_replica_whose_addition_was_not_committed_is_replaced() {
+    let hosts = Hosts::start(|folder, number| folder.join(format!("host-{number}")));
+    hosts.wait_for("a leader", || hosts.leader().is_some()).await;
+    let waiting = SEEDS as usize;
+    let own_address = address(SEEDS + 1);
+    let nonce = || hosts.network.nonces.lock().unwrap().get(&own_address).copied();
+    hosts.wait_for("a notice of the waiting host", || nonce().is_some()).await;
+    let admission = Admission {
+        replica_id: SEEDS + UNCOMMITTED_ADDITIONS,
+        nonce: nonce().unwrap(),
+        expelled: false,
+    };
+    hosts.managers[waiting].handle_admission(admission).await;
+    assert!(hosts.managers[waiting].status().is_some());
+    let lost = (0..SEEDS as usize).find(|number| Some(*number) != hosts.leader()).unwrap();
+    hosts.network.cut.lock().unwrap().insert(address(lost as u64 + 1));
+    let begun = Instant::now();
+    let votes = || {
+        let status = hosts.managers[hosts.leader()?].status()?;
+        let own = status.replicas.replicas.iter().find(|it| it.peer_address == own_address)?;
+        Some(own.voter)
+    };
+    while votes() != Some(true) && begun.elapsed() < REPLACEMENT_TIME {
+        task::sleep(Duration::from_millis(20)).await;
+    }
+    println!("{:?}", begun.elapsed());
+    assert_eq!(votes(), Some(true));
+}
