--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -30,7 +30,7 @@
 };
 use crate::ledger::{command, JobHead, Ledger};
 use crate::peer::PeerCaller;
-use crate::raft::{LeaderBelief, Priority, ProposeError};
+use crate::raft::{GroupStatus, LeaderBelief, Priority, ProposeError};
 use crate::replication::{KnownControlHost, ReplicaManager, ReplicaManagerOptions};
 use crate::schema::ledger::{
     command::Command as Kind, Command, Expire, FinishItems, FinishedItem, Outcome,
@@ -343,7 +343,14 @@
         counters.gauge("entry_routes_version_min", oldest.unwrap_or(self.routes().version));
         counters.gauge("entry_hosts", self.relay.entry_host_count() as u64);
         counters.gauge("upstreams", self.upstreams().len() as u64);
-        let Some(status) = self.replica.status() else { return };
+        let status = self.replica.status();
+        let votes = |it: &GroupStatus| it.may_vote && it.replicas.is_voter(it.replica_id);
+        counters.gauge("raft_may_vote", status.as_deref().is_some_and(votes).into());
+        counters.gauge("raft_target_voters", self.replica.target_voters() as u64);
+        let Some(status) = status else { return };
+        let voters = status.replicas.voters().count();
+        counters.gauge("raft_voters", voters as u64);
+        counters.gauge("raft_learners", (status.replicas.replicas.len() - voters) as u64);
         counters.gauge("raft_is_leader", status.is_leader.into());
         counters.gauge("raft_term", status.term);
         counters.gauge("raft_commit_index", status.commit_index);
--- a/src/replication/replica_manager.rs
+++ b/src/replication/replica_manager.rs
@@ -168,6 +168,11 @@
         self.group().map(|group| group.status())
     }
 
+    /// Number of voters that the group should have.
+    pub fn target_voters(&self) -> usize {
+        self.options.target_voters
+    }
+
     /// Delivers a message of another replica.
     pub fn receive(&self, message: RaftMessage) {
         if let Some(group) = self.group() {
