--- a/src/coordinator/failed_attempts.rs
+++ b/src/coordinator/failed_attempts.rs
@@ -26,6 +26,13 @@
         *self.of_host(host, job_id, item) += 1;
     }
 
+    /// Failures of an item at one entry host.
+    pub(super) fn at_host(&self, host: &EntryHost, job_id: &str, item: u32) -> u32 {
+        let hosts = self.by_item.get(&(job_id.to_owned(), item));
+        let incarnation = (host.host_id.clone(), host.started_at_unix_ms);
+        hosts.and_then(|hosts| hosts.get(&incarnation)).copied().unwrap_or(0)
+    }
+
     fn of_host(&mut self, host: &EntryHost, job_id: &str, item: u32) -> &mut u32 {
         let incarnation = (host.host_id.clone(), host.started_at_unix_ms);
         let hosts = self.by_item.entry((job_id.to_owned(), item)).or_default();
--- a/src/coordinator/scheduler.rs
+++ b/src/coordinator/scheduler.rs
@@ -573,6 +573,9 @@
         if let Some(rates) = &mut self.rates {
             rates.record_batch_item(&upstream_id, now);
         }
+        let entry = self.load.get(host_id);
+        let failed_attempts =
+            entry.map_or(0, |entry| self.failed_attempts.at_host(&entry.host, job_id, *item));
         self.last_issued_id += 1;
         let assignment_id = self.last_issued_id;
         let assignment = ItemAssignment {
@@ -585,6 +588,7 @@
             text: progress.text.clone(),
             last_event_id: progress.last_event_id,
             origin: progress.origin.as_ref().map(Into::into),
+            failed_attempts,
         };
         let running = AssignedItem {
             job,
--- a/src/gateway/batch_worker.rs
+++ b/src/gateway/batch_worker.rs
@@ -376,10 +376,10 @@
             RunEnd::Finished(text) => ("item_finished", finished(false, text)),
             RunEnd::Unprocessable => ("item_impossible", finished(true, Bytes::new())),
             RunEnd::Returned(reason, progress) => {
-                let ItemAssignment { job_id, item, .. } = assignment;
+                let ItemAssignment { job_id, item, failed_attempts: known, .. } = assignment;
                 let failed_attempts = match reason {
                     ItemReturn::FailedAttempt => {
-                        self.inner().failed.record(job_id, *item, Instant::now())
+                        self.inner().failed.record(job_id, *item, *known, Instant::now())
                     }
                     _ => 0,
                 };
--- a/src/gateway/failed_items.rs
+++ b/src/gateway/failed_items.rs
@@ -21,14 +21,15 @@
 }
 
 impl FailedItems {
-    /// Records a failed attempt; returns the number of those of the item.
-    pub(super) fn record(&mut self, job_id: &str, item: u32, now: Instant) -> u32 {
+    /// Records a failed attempt after `known` ones, which may have been forgotten here; returns the number of those of the
+    /// item.
+    pub(super) fn record(&mut self, job_id: &str, item: u32, known: u32, now: Instant) -> u32 {
         let key = (job_id.to_owned(), item);
         if self.items.len() >= MAX_ITEMS && !self.items.contains_key(&key) {
             self.remove_oldest();
         }
         let failures = self.items.entry(key).or_insert(Failures { attempts: 0, last_at: now });
-        failures.attempts += 1;
+        failures.attempts = failures.attempts.max(known) + 1;
         failures.last_at = now;
         failures.attempts
     }
--- a/tests/batch_worker.rs
+++ b/tests/batch_worker.rs
@@ -43,6 +43,8 @@
     Drip,
     /// The code that reads the stream panics.
     Panic,
+    /// Fails the request instead of the stream.
+    Fails,
 }
 
 /// Sends `event_count` events as fast as they are read, and then acts as `ending` says.
@@ -68,7 +70,7 @@
     async fn next_chunk(&mut self) -> Result<BodyChunk, SendError> {
         if self.sent == self.event_count {
             return match self.ending {
-                Ending::End => Ok(None),
+                Ending::End | Ending::Fails => Ok(None),
                 Ending::Idle => futures::future::pending().await,
                 Ending::Flood => Ok(Some(Bytes::from_static(b"x"))),
                 Ending::Drip => {
@@ -93,7 +95,7 @@
         _request: &StreamRequest,
     ) -> Result<Box<dyn UpstreamAnswer>, SendError> {
         let head = UpstreamHead {
-            status: 200,
+            status: if self.ending == Ending::Fails { 500 } else { 200 },
             headers: Headers::default(),
             is_event_stream: true,
             has_framing: true,
@@ -342,3 +344,20 @@
         task::sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// Guards against an item that fails without end, as its entry host begins to count anew each time: it keeps a bounded number
+/// of items, and forgets old ones.
+#[async_std::test]
+async fn failures_that_only_the_leader_remembers_count() {
+    let (worker, _fleet, leader) =
+        spawn(ScriptedUpstream { event_count: 0, ending: Ending::Fails });
+    worker.start(&[assignment(1)]);
+    wait_until("the first return", || leader.returned.lock().unwrap().len() == 1).await;
+    let reported = worker.failed();
+    assert_eq!((reported.len(), reported[0].item, reported[0].attempts), (1, 1, 1));
+    worker.start(&[ItemAssignment { assignment_id: 2, failed_attempts: 4, ..assignment(1) }]);
+    wait_until("the second return", || leader.returned.lock().unwrap().len() == 2).await;
+    let returned = leader.returned.lock().unwrap();
+    let attempts: Vec<u32> = returned.iter().map(|item| item.failed_attempts).collect();
+    assert_eq!(attempts, [1, 5]);
+}
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -501,9 +501,9 @@
     assert_eq!(scheduler.handle_return(&failed, &|_| 4, now), ItemEnd::Waits);
     let later = now + Duration::from_secs(1);
     scheduler.apply_report(&entry_host("e1"), &sync_with(&[], 0), later);
-    failed.assignment_id =
-        assign(&mut scheduler, "e1", &[upstream("a")], later).remove(0).assignment_id;
-    failed.failed_attempts = 2;
+    let again = assign(&mut scheduler, "e1", &[upstream("a")], later).remove(0);
+    assert_eq!(again.failed_attempts, 1, "the entry host may have forgotten it");
+    (failed.assignment_id, failed.failed_attempts) = (again.assignment_id, 2);
     assert_eq!(scheduler.handle_return(&failed, &|_| 4, later), ItemEnd::GivenUp);
 }
 
