review: streams are joined while the heartbeats of a new version are late

Cause: an upstream that has started again in place with another software version is taken for the version that its last heartbeat named, though its connections have just broken.

--- a/review/lab-2.rs
+++ b/review/lab-2.rs
@@ -407,6 +407,8 @@
     zone: &'static str,
     address: SocketAddr,
     operators: Vec<SocketAddr>,
+    /// Time after its start for which its heartbeats reach nobody.
+    late: Duration,
 }
 
 impl Runner {
@@ -478,9 +480,12 @@
 
 /// Sends heartbeats as the pages say: about every `heartbeatMs`, to the next node after a failure.
 fn announce(announcement: &Announcement, stop: &AtomicBool, record: &Record) {
-    let Announcement { id, service, version, zone, address, operators } = announcement;
+    let Announcement { id, service, version, zone, address, operators, late } = announcement;
     let born = unix_ms();
-    let (mut sequence, mut node, mut is_first) = (0, 0, true);
+    // A heartbeat without an answer is given up after a second, and the next node is called.
+    let lost = late.as_secs() as usize;
+    let (mut sequence, mut node, mut is_first) = (lost, lost, true);
+    thread::sleep(*late);
     while !stop.load(Ordering::SeqCst) {
         sequence += 1;
         let body = format!(
@@ -625,6 +630,7 @@
         zone: zones[0],
         address: (net.ip(101), 0).into(),
         operators: operators.clone(),
+        late: Duration::ZERO,
     };
     let serve: Serve = Arc::new(|request, stream| answer_stream(request, stream, "i-1", 5, ms(5)));
     let runner = Runner::start(announcement, record, serve);
@@ -767,13 +773,24 @@
     }
 }
 
-/// Runners are replaced under their ids by ones of another version; then all processes are killed.
-fn joined_versions(record: &Record, trouble: bool) -> i32 {
-    let (net, folder) = (Net::new(2), Folder::new());
+/// What comes beside runners that start again under their ids with another version.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Beside {
+    Nothing,
+    /// All processes of the system are killed once the new version is known.
+    Kill,
+    /// The first heartbeats of the new version are late.
+    LateHeartbeats,
+}
+
+/// Runners start again under their ids with another version while clients read streams of them.
+fn joined_versions(record: &Record, beside: Beside) -> i32 {
+    let number = if beside == Beside::LateHeartbeats { 4 } else { 2 };
+    let (net, folder) = (Net::new(number), Folder::new());
     let mut machines = small_system(&net, &folder, 2);
     let operators: Vec<SocketAddr> = (1..=3).map(|n| net.operator(n)).collect();
     let fronts = [net.front(11), net.front(12)];
-    let runner = |number: u8, version: &'static str| {
+    let runner = |number: u8, version: &'static str, late: Duration| {
         let announcement = Announcement {
             id: format!("i-{number}"),
             service: SERVICE.to_owned(),
@@ -781,6 +798,7 @@
             zone: "santander",
             address: (net.ip(100 + number), 7_000).into(),
             operators: operators.clone(),
+            late,
         };
         let name = format!("i-{number} {version}");
         let record_runs = record.clone();
@@ -795,7 +813,7 @@
     if put_configuration(record, &operators, &body, Instant::now() + ms(20_000)) != Some(200) {
         return cannot_run(record, "the configuration is not acknowledged");
     }
-    let old = [runner(1, "v1"), runner(2, "v1")];
+    let old = [runner(1, "v1", ms(0)), runner(2, "v1", ms(0))];
     let until = Instant::now() + ms(20_000);
     if !fronts.iter().all(|front| wait_until_served(*front, "/counter/warm", until)) {
         return cannot_run(record, "no request is served");
@@ -810,9 +828,13 @@
     record.note("both runners end and start again under their ids, with software version v2");
     old.iter().for_each(Runner::crash);
     thread::sleep(ms(200));
-    let new = [runner(1, "v2"), runner(2, "v2")];
+    let late = ms(if beside == Beside::LateHeartbeats { 2_000 } else { 0 });
+    if !late.is_zero() {
+        record.note(format!("their heartbeats reach nobody for {late:?}"));
+    }
+    let new = [runner(1, "v2", late), runner(2, "v2", late)];
     thread::sleep(ms(500));
-    if trouble {
+    if beside == Beside::Kill {
         record.note("all processes of the system are killed at the same moment, and start again");
         machines.iter_mut().for_each(Machine::kill);
         thread::sleep(ms(300));
@@ -926,6 +948,7 @@
                 zone: ZONES[number as usize % 3],
                 address: (net.ip(100 + number), 7_000).into(),
                 operators: operators.clone(),
+                late: Duration::ZERO,
             };
             let finished = finished.clone();
             let serve: Serve = Arc::new(move |request, stream| {
@@ -1130,7 +1153,9 @@
     record.note(format!("case {case}, disruption: {trouble}"));
     let code = match case.as_str() {
         "first-start" => first_start(&record, trouble),
-        "joined-versions" => joined_versions(&record, trouble),
+        "joined-versions" if trouble => joined_versions(&record, Beside::Kill),
+        "late-heartbeats" if trouble => joined_versions(&record, Beside::LateHeartbeats),
+        "joined-versions" | "late-heartbeats" => joined_versions(&record, Beside::Nothing),
         "restart-memory" => restart_memory(&record, trouble),
         _ => 2,
     };
