--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -3,9 +3,10 @@
 
 impl From<&raft::GroupStatus> for GroupStatus {
     fn from(status: &raft::GroupStatus) -> Self {
-        let progress = status.followers.iter().map(|(replica_id, match_index, silent_ms)| {
-            let (replica_id, match_index) = (*replica_id, *match_index);
-            ReplicaProgress { replica_id, match_index, silent_ms: *silent_ms as u32 }
+        let progress = status.followers.iter().map(|follower| ReplicaProgress {
+            replica_id: follower.id,
+            match_index: follower.match_index,
+            silent_ms: follower.silent_ms as u32,
         });
         Self {
             group: status.group,
--- a/src/coordinator/control_role.rs
+++ b/src/coordinator/control_role.rs
@@ -361,6 +361,13 @@
         counters.gauge("raft_commit_index", status.commit_index);
         counters.gauge("raft_applied_index", status.applied_index);
         counters.gauge("raft_data_bytes", status.data_bytes);
+        counters.gauge("raft_log_bytes", status.log_bytes);
+        counters.gauge("raft_snapshot_bytes", status.snapshot_bytes);
+        counters.gauge("raft_state_bytes", status.state_bytes);
+        counters.gauge("raft_sent_entry_bytes", status.sent_entry_bytes);
+        counters.gauge("raft_sent_snapshot_bytes", status.sent_snapshot_bytes);
+        let missing_bytes = status.followers.iter().map(|follower| follower.missing_bytes);
+        counters.gauge("raft_missing_bytes_max", missing_bytes.max().unwrap_or(0));
         counters.gauge("raft_is_suspended", status.is_stopped.into());
         counters.gauge("raft_storage_failures", status.storage_failures);
         counters.gauge("raft_oldest_write_ms", status.oldest_write_ms);
--- a/src/raft/driver.rs
+++ b/src/raft/driver.rs
@@ -7,6 +7,7 @@
 use async_std::task;
 use bytes::Bytes;
 
+use crate::raft::catch_up_log::CatchUpLog;
 use crate::raft::disk_quota::DiskQuota;
 use crate::raft::driver_delays::DriverDelays;
 use crate::raft::driver_status::PublishedFields;
@@ -82,6 +83,8 @@
     /// A received snapshot is replacing the state; nothing may be applied, captured or received meanwhile.
     pub(super) is_installing: bool,
     pub(super) bytes_since_snapshot: u64,
+    /// Size of the state before compression, when it was last saved or restored; 0 if it is not known.
+    pub(super) state_bytes: u64,
     /// Open files of snapshots that are being sent, by follower id.
     pub(super) outgoing_snapshots: HashMap<u64, Arc<SnapshotFile>>,
     /// Last known peer addresses by replica id, used for replicas outside the replica set.
@@ -89,6 +92,7 @@
     /// Values at the last publication of the status.
     pub(super) published: Option<PublishedFields>,
     pub(super) delays: DriverDelays,
+    pub(super) catch_up_log: CatchUpLog,
 }
 
 /// Connections of a driver to the rest of the process.
@@ -118,7 +122,7 @@
         context: DriverContext,
     ) -> Self {
         let OpenedStorage { replica, storage } = opened;
-        let RecoveredReplica { recovered, identity, fault } = replica;
+        let RecoveredReplica { recovered, identity, state_bytes, fault } = replica;
         let is_forming = identity.standing == Standing::Forming;
         let initial = options.replicas.iter().map(|replica| replica.id);
         let formation = is_forming.then(|| Formation::new(&identity, initial));
@@ -126,6 +130,7 @@
             options.replicas.iter().map(|replica| (replica.id, replica.peer_address.clone()));
         let mut driver = Self {
             addresses: addresses.collect(),
+            catch_up_log: CatchUpLog::new(options.group, options.replica_id),
             applied_index: recovered.snapshot.last_index,
             node: RaftNode::new(options.node_config(), recovered, 0, options.seed),
             files: SnapshotFiles::new(&options.data_folder),
@@ -152,10 +157,12 @@
             is_committing: false,
             is_installing: false,
             bytes_since_snapshot: 0,
+            state_bytes,
             outgoing_snapshots: HashMap::new(),
             published: None,
             delays: DriverDelays::default(),
         };
+        driver.record_snapshot_bytes();
         driver.publish();
         driver
     }
@@ -418,6 +425,7 @@
     /// Sends a message, unless the address of the receiver is unknown.
     fn send(&mut self, message: &Message) {
         let Some(address) = self.address(message.to) else { return };
+        self.catch_up_log.record_sent(message);
         let mut wire = message_to_wire(self.options.group, message);
         if let Some(own) = self.node.replicas().get(self.options.replica_id) {
             wire.from_address = own.peer_address.clone();
--- a/src/raft/driver_snapshots.rs
+++ b/src/raft/driver_snapshots.rs
@@ -49,7 +49,7 @@
         });
     }
 
-    pub(super) fn handle_snapshot_saved(&mut self, meta: SnapshotMeta, saved: io::Result<()>) {
+    pub(super) fn handle_snapshot_saved(&mut self, meta: SnapshotMeta, saved: io::Result<u64>) {
         self.is_capturing = false;
         let known_index = self.node.snapshot().last_index;
         let is_needed = meta.last_index > known_index
@@ -60,10 +60,13 @@
             let _ = self.files.discard_saved();
             return;
         }
-        if let Err(error) = saved {
-            self.give_up_snapshot(&error);
-            return;
-        }
+        self.state_bytes = match saved {
+            Ok(state_bytes) => state_bytes,
+            Err(error) => {
+                self.give_up_snapshot(&error);
+                return;
+            }
+        };
         self.is_committing = true;
         let (files, event_sender) = (self.files.clone(), self.context.event_sender.clone());
         self.file_tasks += 1;
@@ -92,7 +95,14 @@
         self.is_snapshot_missing = false;
         self.update_snapshot_bytes();
         let compact_index = self.compact_index(&meta);
+        let (last_index, log_bytes) = (meta.last_index, self.node.log().bytes());
         self.node.snapshot_saved(meta, compact_index);
+        self.record_snapshot_bytes();
+        log::info!(event = "snapshot_saved", group = self.options.group,
+            replica = self.options.replica_id, last_index, log_bytes,
+            kept_log_bytes = self.node.log().bytes(), state_bytes = self.state_bytes,
+            snapshot_bytes = self.node.snapshot_bytes().unwrap_or(0);
+            "the log before the snapshot is no longer needed");
         self.send_job(StorageJob::Compact(compact_index));
     }
 
@@ -225,8 +235,8 @@
         self.file_tasks += 1;
         task::spawn_blocking(move || {
             let installed = files.commit_received().and_then(|()| match is_newer {
-                true => file.restore(machine.as_ref()),
-                false => Ok(()),
+                true => file.restore(machine.as_ref()).map(Some),
+                false => Ok(None),
             });
             let _ = event_sender.try_send(Event::SnapshotInstalled(meta, installed));
         });
@@ -236,29 +246,41 @@
     pub(super) fn handle_snapshot_installed(
         &mut self,
         meta: SnapshotMeta,
-        installed: io::Result<()>,
+        installed: io::Result<Option<u64>>,
     ) {
         self.is_installing = false;
         if self.is_stopped() {
             // The opener of the storage reads the snapshot.
             return;
         }
-        if let Err(error) = installed {
-            self.suspend(format!("snapshot could not be installed: {error}"));
-            return;
+        match installed {
+            Ok(state_bytes) => self.state_bytes = state_bytes.unwrap_or(self.state_bytes),
+            Err(error) => {
+                self.suspend(format!("snapshot could not be installed: {error}"));
+                return;
+            }
         }
-        log::info!(
-            "group {}: installed a snapshot up to index {}",
-            self.options.group,
-            meta.last_index
-        );
         if !self.node.log_matches(&meta) {
             self.send_job(StorageJob::Clear);
         }
         self.update_snapshot_bytes();
         self.applied_index = self.applied_index.max(meta.last_index);
         self.bytes_since_snapshot = 0;
+        let last_index = meta.last_index;
         self.node.snapshot_installed(meta);
+        self.record_snapshot_bytes();
+        log::info!(event = "snapshot_installed", group = self.options.group,
+            replica = self.options.replica_id, last_index, state_bytes = self.state_bytes,
+            snapshot_bytes = self.node.snapshot_bytes().unwrap_or(0);
+            "a snapshot of the leader replaced the log");
+    }
+
+    /// Tells the node the size of the newest snapshot. The snapshot that a new group starts with is empty and saves no
+    /// entries.
+    pub(super) fn record_snapshot_bytes(&mut self) {
+        let is_empty = self.node.snapshot().last_index == 0;
+        let bytes = self.files.current_bytes().filter(|_| !is_empty);
+        self.node.record_snapshot_bytes(bytes);
     }
 
     /// Updates the size of the snapshot files in the disk quota.
--- a/src/raft/driver_status.rs
+++ b/src/raft/driver_status.rs
@@ -35,6 +35,8 @@
         }
         let has_applied = self.published.is_none_or(|published| published.3 != self.applied_index);
         self.published = Some(current);
+        let followers = node.followers(now_ms);
+        self.catch_up_log.observe(now_ms, node.log().last_index(), &followers);
         let status = GroupStatus {
             group: self.options.group,
             replica_id: self.options.replica_id,
@@ -53,7 +55,12 @@
             storage_failures: self.storage_failures,
             fault: self.fault.clone(),
             data_bytes,
-            followers: node.followers(now_ms),
+            log_bytes: node.log().bytes(),
+            snapshot_bytes: node.snapshot_bytes().unwrap_or(0),
+            state_bytes: self.state_bytes,
+            sent_entry_bytes: self.catch_up_log.sent_entry_bytes(),
+            sent_snapshot_bytes: self.catch_up_log.sent_snapshot_bytes(),
+            followers,
             catch_up_index: node.catch_up_index(now_ms),
             oldest_write_ms,
             oldest_unapplied_ms,
--- a/src/raft/driver_storage.rs
+++ b/src/raft/driver_storage.rs
@@ -138,17 +138,21 @@
                 return;
             }
         };
-        let RecoveredReplica { recovered, identity, fault } = replica;
+        let RecoveredReplica { recovered, identity, state_bytes, fault } = replica;
         let now_ms = self.now_ms();
         self.applied_index = self.applied_index.max(recovered.snapshot.last_index);
         self.inflight_writes = 0;
         self.bytes_since_snapshot = 0;
+        if state_bytes > 0 {
+            self.state_bytes = state_bytes;
+        }
         let is_forming = identity.standing == Standing::Forming;
         let initial = self.options.replicas.iter().map(|replica| replica.id);
         self.formation = is_forming.then(|| Formation::new(&identity, initial));
         let seed = self.options.seed ^ self.opening;
         self.node = RaftNode::new(self.options.node_config(), recovered, now_ms, seed);
         (self.identity, self.fault, self.storage) = (identity, fault, Some(storage));
+        self.record_snapshot_bytes();
         self.activity = Activity::Active;
         log::info!(event = "storage_regained", group = self.options.group,
             replica = self.options.replica_id, last_index = self.node.log().last_index();
--- a/src/raft/event.rs
+++ b/src/raft/event.rs
@@ -35,12 +35,13 @@
     StorageReopened(Box<Result<OpenedStorage, OpenError>>),
     /// The state machine has captured the state for a snapshot; commands may be applied again.
     SnapshotCaptured,
-    /// Writing a snapshot has finished or failed.
-    SnapshotSaved(SnapshotMeta, io::Result<()>),
+    /// Writing a snapshot has finished or failed; carries the size of the state before compression.
+    SnapshotSaved(SnapshotMeta, io::Result<u64>),
     /// A saved snapshot has become the current one, or could not be made so.
     SnapshotCommitted(SnapshotMeta, io::Result<()>),
-    /// A received snapshot has replaced the state, or could not be installed.
-    SnapshotInstalled(SnapshotMeta, io::Result<()>),
+    /// A received snapshot has become the current one, or could not be installed; carries the size of the state if it
+    /// was restored.
+    SnapshotInstalled(SnapshotMeta, io::Result<Option<u64>>),
     /// A chunk of the incoming snapshot was stored; carries the verified file after the last chunk.
     ChunkStored(io::Result<Option<SnapshotFile>>),
     /// A chunk of a snapshot was read for the follower with this id.
--- a/src/raft/group_status.rs
+++ b/src/raft/group_status.rs
@@ -1,4 +1,4 @@
-use crate::raft::ReplicaSet;
+use crate::raft::{FollowerStatus, ReplicaSet};
 
 /// Published status of a replica.
 #[derive(Clone, Debug, Default)]
@@ -38,9 +38,18 @@
     pub fault: Option<String>,
     /// Size of the log and the snapshot files.
     pub data_bytes: u64,
-    /// Id, match index and milliseconds since the last reply of each follower; empty unless this
-    /// replica is the leader.
-    pub followers: Vec<(u64, u64, u64)>,
+    /// Size of the entries of the log in memory and on the disk, before compression.
+    pub log_bytes: u64,
+    /// Size of the file of the newest snapshot; 0 if there is none.
+    pub snapshot_bytes: u64,
+    /// Size of the state in the newest snapshot before compression; 0 if it is not known.
+    pub state_bytes: u64,
+    /// Size of the entries sent to followers since the replica was opened.
+    pub sent_entry_bytes: u64,
+    /// Size of the snapshot chunks sent to followers since the replica was opened.
+    pub sent_snapshot_bytes: u64,
+    /// Progress of each follower; empty unless this replica is the leader.
+    pub followers: Vec<FollowerStatus>,
     /// Index that a learner needs to count as caught up; 0 unless this replica is the leader.
     pub catch_up_index: u64,
     /// Time for which waiting writes have made no progress; 0 if none waits.
--- a/src/raft/log.rs
+++ b/src/raft/log.rs
@@ -19,6 +19,10 @@
     /// The newest entries, without gaps up to the last one.
     cached: VecDeque<Entry>,
     cached_bytes: usize,
+    /// Size of all entries up to the base.
+    base_end_bytes: u64,
+    /// Size of all entries up to each one after the base.
+    ends_bytes: VecDeque<u64>,
 }
 
 impl Log {
@@ -33,6 +37,8 @@
             empty_entries: VecDeque::new(),
             cached: VecDeque::new(),
             cached_bytes: 0,
+            base_end_bytes: 0,
+            ends_bytes: VecDeque::new(),
         };
         for entry in entries {
             log.push(entry);
@@ -120,6 +126,7 @@
             Payload::Command(_) => {}
         }
         self.last_index = entry.index;
+        self.ends_bytes.push_back(self.end_bytes(entry.index - 1) + entry.size_bytes() as u64);
         self.cached_bytes += entry.size_bytes();
         self.cached.push_back(entry);
     }
@@ -145,6 +152,7 @@
             self.empty_entries.pop_back();
         }
         self.last_index = self.last_index.min(index - 1);
+        self.ends_bytes.truncate((self.last_index - self.base_index) as usize);
     }
 
     /// Drops the entries up to and including `index`, which a snapshot covers.
@@ -168,9 +176,39 @@
         while self.empty_entries.front().is_some_and(|&empty| empty <= index) {
             self.empty_entries.pop_front();
         }
+        self.base_end_bytes = self.end_bytes(index);
+        self.ends_bytes.drain(..(index - self.base_index) as usize);
         (self.base_index, self.base_term) = (index, term);
     }
 
+    /// Size of all entries that were not compacted.
+    pub fn bytes(&self) -> u64 {
+        self.bytes_between(self.base_index, self.last_index)
+    }
+
+    /// Size of the entries after `after_index`, up to and including `through_index`. Entries that were compacted count
+    /// nothing.
+    pub fn bytes_between(&self, after_index: u64, through_index: u64) -> u64 {
+        self.end_bytes(through_index).saturating_sub(self.end_bytes(after_index))
+    }
+
+    /// The lowest index with at most `limit_bytes` of entries after it, up to and including `through_index`.
+    pub fn index_before_bytes(&self, through_index: u64, limit_bytes: u64) -> u64 {
+        let least_end_bytes = self.end_bytes(through_index).saturating_sub(limit_bytes);
+        if self.base_end_bytes >= least_end_bytes {
+            return self.base_index;
+        }
+        let smaller = self.ends_bytes.partition_point(|&end_bytes| end_bytes < least_end_bytes);
+        self.base_index + 1 + smaller as u64
+    }
+
+    /// Size of all entries up to and including `index`, those that were compacted as well.
+    fn end_bytes(&self, index: u64) -> u64 {
+        let after_base = index.min(self.last_index).saturating_sub(self.base_index) as usize;
+        let last = after_base.checked_sub(1).and_then(|position| self.ends_bytes.get(position));
+        last.copied().unwrap_or(self.base_end_bytes)
+    }
+
     /// Drops entries up to and including `index` from the cache while it exceeds `limit_bytes`.
     /// Their terms and replica sets remain known.
     pub fn trim_cache(&mut self, index: u64, limit_bytes: usize) {
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -20,6 +20,8 @@
 
 mod action;
 mod campaign;
+mod catch_up;
+mod catch_up_log;
 mod disk_log;
 mod disk_log_reader;
 mod disk_quota;
@@ -34,6 +36,7 @@
 mod entry;
 mod errors;
 mod event;
+mod follower_status;
 mod formation;
 mod frame;
 mod frame_index;
@@ -83,6 +86,7 @@
 pub use election_event::{ElectionEvent, LeadershipEnd, VoteRefusal};
 pub use entry::{Entry, Payload};
 pub use errors::{ChangeError, OpenError, ProposeError, ReadError};
+pub use follower_status::FollowerStatus;
 pub use group::Group;
 pub use group_options::GroupOptions;
 pub use group_status::GroupStatus;
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -66,6 +66,8 @@
     pub(super) is_election_extended: bool,
     /// Newest snapshot on the disk.
     pub(super) snapshot: SnapshotMeta,
+    /// Size of its file; `None` if there is none, or none that can be read.
+    pub(super) snapshot_bytes: Option<u64>,
     /// Snapshot that is being received.
     pub(super) incoming: Option<IncomingSnapshot>,
     /// Messages to send once the current term and vote are durable.
@@ -152,6 +154,7 @@
             election_due_ms: 0,
             is_election_extended: false,
             snapshot,
+            snapshot_bytes: None,
             incoming: None,
             held: Vec::new(),
             actions: Vec::new(),
@@ -365,6 +368,16 @@
         &self.snapshot
     }
 
+    /// Size of the file of the newest snapshot; `None` if there is none, or none that can be read.
+    pub fn snapshot_bytes(&self) -> Option<u64> {
+        self.snapshot_bytes
+    }
+
+    /// Records the size of the file of the newest snapshot.
+    pub fn record_snapshot_bytes(&mut self, bytes: Option<u64>) {
+        self.snapshot_bytes = bytes;
+    }
+
     /// The replica set in force.
     pub fn replicas(&self) -> &ReplicaSet {
         self.log.replicas().0
--- a/src/raft/node_leader.rs
+++ b/src/raft/node_leader.rs
@@ -2,7 +2,8 @@
 use crate::raft::node::Role;
 use crate::raft::progress::{Mode, Progress};
 use crate::raft::{
-    Action, Body, Entry, LeadershipEnd, Payload, RaftNode, ReplicaChange, ReplicaSet,
+    Action, Body, Entry, FollowerStatus, LeadershipEnd, Payload, RaftNode, ReplicaChange,
+    ReplicaSet,
 };
 
 /// Maximum number of entries that a learner may lag behind [`RaftNode::catch_up_index`] when it is promoted to voter.
@@ -305,14 +306,16 @@
         set.quorum() == 1 && set.is_voter(self.config.id)
     }
 
-    /// Id, match index and milliseconds since the last reply of each follower; empty unless this
-    /// replica is the leader.
-    pub fn followers(&self, now_ms: u64) -> Vec<(u64, u64, u64)> {
+    /// Progress of each follower; empty unless this replica is the leader.
+    pub fn followers(&self, now_ms: u64) -> Vec<FollowerStatus> {
         let Role::Leader(leader) = &self.role else { return Vec::new() };
-        let followers = leader.followers.iter();
-        followers
-            .map(|(&id, peer)| (id, peer.match_index, now_ms.saturating_sub(peer.last_reply_ms)))
-            .collect()
+        let status = |(&id, peer): (&u64, &Progress)| FollowerStatus {
+            id,
+            match_index: peer.match_index,
+            silent_ms: now_ms.saturating_sub(peer.last_reply_ms),
+            missing_bytes: self.log.bytes_between(peer.match_index, self.log.last_index()),
+        };
+        leader.followers.iter().map(status).collect()
     }
 
     /// Index up to which the log can be compacted without entries that an active follower needs. A
--- a/src/raft/recovery.rs
+++ b/src/raft/recovery.rs
@@ -15,6 +15,8 @@
     pub recovered: RecoveredState,
     /// Identity of the replica.
     pub identity: Identity,
+    /// Size of the restored state before compression; 0 if none was restored.
+    pub state_bytes: u64,
     /// Description of the damage that was found, for operators.
     pub fault: Option<String>,
 }
@@ -139,9 +141,10 @@
         snapshots.save(&snapshot, machine, &|| {})?;
         snapshots.commit_saved()?;
     }
+    let mut state_bytes = 0;
     if let Ok(Some(file)) = &snapshot_file {
         if applied_index == 0 || file.meta().last_index > applied_index {
-            file.restore(machine)?;
+            state_bytes = file.restore(machine)?;
         }
     }
     if !entries_continue_snapshot(&snapshot, &entries) {
@@ -162,7 +165,7 @@
         log,
     };
     let fault = (!faults.is_empty()).then(|| faults.join("; "));
-    Ok((RecoveredReplica { recovered, identity, fault }, storage))
+    Ok((RecoveredReplica { recovered, identity, state_bytes, fault }, storage))
 }
 
 /// The initial replicas; empty for a joining replica, which gets the replica set from the log.
--- a/src/raft/snapshot_file.rs
+++ b/src/raft/snapshot_file.rs
@@ -46,14 +46,14 @@
         }
     }
 
-    /// Writes and syncs a snapshot under a temporary name. Calls `on_captured` at the state
-    /// machine's first write or flush, before the disk is used.
+    /// Writes and syncs a snapshot under a temporary name; returns the size of the state before compression. Calls
+    /// `on_captured` at the state machine's first write or flush, before the disk is used.
     pub fn save(
         &self,
         meta: &SnapshotMeta,
         machine: &dyn StateMachine,
         on_captured: &dyn Fn(),
-    ) -> io::Result<()> {
+    ) -> io::Result<u64> {
         let header = peer::SnapshotHeader {
             last_index: meta.last_index,
             last_term: meta.last_term,
@@ -66,15 +66,16 @@
         target.write_all(&(header.len() as u32).to_le_bytes())?;
         target.write_all(&header)?;
         let mut compressed = zstd::Encoder::new(&mut target, 1)?;
-        machine.save(&mut NotifyingWriter {
-            inner: &mut compressed,
-            on_captured: Some(on_captured),
-        })?;
+        let mut state =
+            StateWriter { inner: &mut compressed, on_captured: Some(on_captured), state_bytes: 0 };
+        machine.save(&mut state)?;
+        let state_bytes = state.state_bytes;
         compressed.finish()?;
         let checksum = target.hasher.finalize();
         let mut file = target.inner;
         file.write_all(&checksum.to_le_bytes())?;
-        file.into_inner().map_err(io::IntoInnerError::into_error)?.open()?.sync_all()
+        file.into_inner().map_err(io::IntoInnerError::into_error)?.open()?.sync_all()?;
+        Ok(state_bytes)
     }
 
     /// Replaces the newest snapshot with the saved one.
@@ -83,6 +84,11 @@
         sync_folder(&self.folder)
     }
 
+    /// Size of the newest snapshot; `None` if there is none.
+    pub fn current_bytes(&self) -> Option<u64> {
+        fs::metadata(self.folder.join(CURRENT)).ok().map(|metadata| metadata.len())
+    }
+
     /// Deletes a saved snapshot that was superseded before it was committed.
     pub fn discard_saved(&self) -> io::Result<()> {
         fs::remove_file(self.folder.join(SAVING))
@@ -184,11 +190,14 @@
         &self.meta
     }
 
-    /// Restores the state into the state machine.
-    pub fn restore(&self, machine: &dyn StateMachine) -> io::Result<()> {
+    /// Restores the state into the state machine; returns its size before compression.
+    pub fn restore(&self, machine: &dyn StateMachine) -> io::Result<u64> {
         let end = self.bytes - TRAILER_BYTES;
         let reader = FileReader { file: &self.file, offset: self.state_offset, end };
-        machine.restore(&mut zstd::Decoder::new(BufReader::new(reader))?)
+        let decoder = zstd::Decoder::new(BufReader::new(reader))?;
+        let mut state = StateReader { inner: decoder, state_bytes: 0 };
+        machine.restore(&mut state)?;
+        Ok(state.state_bytes)
     }
 
     /// Reads a chunk of the file; the flag is true for the last chunk.
@@ -217,6 +226,20 @@
     }
 }
 
+/// Counts the bytes that are read.
+struct StateReader<R> {
+    inner: R,
+    state_bytes: u64,
+}
+
+impl<R: Read> Read for StateReader<R> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let read = self.inner.read(buffer)?;
+        self.state_bytes += read as u64;
+        Ok(read)
+    }
+}
+
 /// Computes a checksum of everything that is written.
 struct ChecksumWriter<W> {
     inner: W,
@@ -261,13 +284,14 @@
     }
 }
 
-/// Calls `on_captured` before the first write or flush.
-struct NotifyingWriter<'a> {
+/// Calls `on_captured` before the first write or flush, and counts the bytes.
+struct StateWriter<'a> {
     inner: &'a mut dyn Write,
     on_captured: Option<&'a dyn Fn()>,
+    state_bytes: u64,
 }
 
-impl NotifyingWriter<'_> {
+impl StateWriter<'_> {
     fn notify(&mut self) {
         if let Some(on_captured) = self.on_captured.take() {
             on_captured();
@@ -275,10 +299,12 @@
     }
 }
 
-impl Write for NotifyingWriter<'_> {
+impl Write for StateWriter<'_> {
     fn write(&mut self, buffer: &[u8]) -> io::Result<usize> {
         self.notify();
-        self.inner.write(buffer)
+        let written = self.inner.write(buffer)?;
+        self.state_bytes += written as u64;
+        Ok(written)
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/src/replication/replica_status.rs
+++ b/src/replication/replica_status.rs
@@ -25,9 +25,9 @@
 ) -> Vec<Member> {
     let assess = |replica: &Replica| {
         let is_leader = replica.id == status.replica_id;
-        let follower = status.followers.iter().find(|follower| follower.0 == replica.id);
+        let follower = status.followers.iter().find(|follower| follower.id == replica.id);
         let (match_index, silence_ms) =
-            follower.map_or((0, 0), |follower| (follower.1, follower.2));
+            follower.map_or((0, 0), |follower| (follower.match_index, follower.silent_ms));
         let notice = notices.get(&replica.peer_address);
         let fresh = notice.filter(|notice| notice.is_fresh(now));
         let is_opening = fresh
