--- a/src/raft/driver.rs
+++ b/src/raft/driver.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -76,6 +76,8 @@
     pub(super) snapshot_retry_ms: u64,
     /// A follower needs a snapshot, and there is none that can be read.
     pub(super) is_snapshot_missing: bool,
+    /// Followers that get the next snapshot, because there is none or the newest one is outdated.
+    pub(super) awaiting_snapshot: BTreeSet<u64>,
     /// The state machine is capturing the state for a snapshot; nothing may be applied meanwhile.
     pub(super) is_capturing: bool,
     /// A saved snapshot is replacing the current one; no other one may do so meanwhile.
@@ -83,8 +85,6 @@
     /// A received snapshot is replacing the state; nothing may be applied, captured or received meanwhile.
     pub(super) is_installing: bool,
     pub(super) bytes_since_snapshot: u64,
-    /// Size of the state before compression, when it was last saved or restored; 0 if it is not known.
-    pub(super) state_bytes: u64,
     /// Open files of snapshots that are being sent, by follower id.
     pub(super) outgoing_snapshots: HashMap<u64, Arc<SnapshotFile>>,
     /// Last known peer addresses by replica id, used for replicas outside the replica set.
@@ -153,16 +153,16 @@
             is_saving: false,
             snapshot_retry_ms: 0,
             is_snapshot_missing: false,
+            awaiting_snapshot: BTreeSet::new(),
             is_capturing: false,
             is_committing: false,
             is_installing: false,
             bytes_since_snapshot: 0,
-            state_bytes,
             outgoing_snapshots: HashMap::new(),
             published: None,
             delays: DriverDelays::default(),
         };
-        driver.record_snapshot_bytes();
+        driver.record_restored_size(state_bytes);
         driver.publish();
         driver
     }
--- a/src/raft/driver_snapshots.rs
+++ b/src/raft/driver_snapshots.rs
@@ -8,10 +8,15 @@
 use crate::raft::event::Event;
 use crate::raft::snapshot_file::SnapshotFile;
 use crate::raft::storage_thread::StorageJob;
-use crate::raft::{SnapshotChunk, SnapshotMeta};
+use crate::raft::{SnapshotChunk, SnapshotMeta, SnapshotSize};
 
-/// Size of a snapshot chunk.
-const CHUNK_BYTES: u64 = 256 << 10;
+/// Size of a snapshot chunk. One is in flight at a time, so between regions it should take longer than a round trip.
+const CHUNK_BYTES: u64 = 512 << 10;
+/// Size of the log below which no snapshot is saved, however small the state. It is sent in about a second between
+/// regions.
+const MIN_LOG_BYTES: u64 = 4 << 20;
+/// Size of the entries that are kept after a snapshot, at least, for followers that were away for a moment.
+const MIN_RETAINED_BYTES: u64 = 1 << 20;
 /// Time until a snapshot that could not be saved is tried again; its log entries use up space
 /// meanwhile.
 const SNAPSHOT_RETRY_MS: u64 = 2_000;
@@ -20,14 +25,13 @@
 
 /// Saving, sending and receiving of snapshots. Files are written and read on blocking threads.
 impl Driver {
-    /// Starts to save a snapshot if enough entries or bytes were applied since the last one, or if a follower needs
-    /// one that can't be read. A replica that joined has no snapshot file until it has saved its first one.
+    /// Starts to save a snapshot if enough was applied since the last one, or if a follower waits for one. A replica
+    /// that joined has no snapshot file until it has saved its first one.
     pub(super) fn save_snapshot(&mut self) {
-        let last_index = self.node.snapshot().last_index;
-        let entries = self.applied_index - last_index;
-        let is_due = entries >= self.options.snapshot_interval_entries
-            || self.bytes_since_snapshot >= self.options.data_limit_bytes / 8;
-        let is_needed = (is_due && entries > 0) || self.is_snapshot_missing;
+        let is_newer = self.applied_index > self.node.snapshot().last_index;
+        let is_awaited = !self.awaiting_snapshot.is_empty();
+        let is_needed =
+            (is_newer && (self.is_snapshot_due() || is_awaited)) || self.is_snapshot_missing;
         let may_save = !self.is_saving && !self.is_installing && !self.is_stopped();
         if !is_needed || !may_save || self.now_ms() < self.snapshot_retry_ms {
             return;
@@ -49,6 +53,15 @@
         });
     }
 
+    /// True if the log has grown as much as the state since the last snapshot. The log is then at most about as large as
+    /// the state, for replicas that catch up or start again, and saving costs about as much as writing the log does.
+    fn is_snapshot_due(&self) -> bool {
+        let state_bytes = self.node.snapshot_size().map_or(0, |size| size.state_bytes);
+        let most_bytes = state_bytes.max(MIN_LOG_BYTES).min(self.options.data_limit_bytes / 8);
+        let entries = self.applied_index - self.node.snapshot().last_index;
+        entries >= self.options.snapshot_interval_entries || self.bytes_since_snapshot >= most_bytes
+    }
+
     pub(super) fn handle_snapshot_saved(&mut self, meta: SnapshotMeta, saved: io::Result<u64>) {
         self.is_capturing = false;
         let known_index = self.node.snapshot().last_index;
@@ -60,7 +73,7 @@
             let _ = self.files.discard_saved();
             return;
         }
-        self.state_bytes = match saved {
+        let state_bytes = match saved {
             Ok(state_bytes) => state_bytes,
             Err(error) => {
                 self.give_up_snapshot(&error);
@@ -73,6 +86,7 @@
         // A sync on the driver would delay heartbeats.
         task::spawn_blocking(move || {
             let committed = files.commit_saved();
+            let committed = committed.map(|()| state_bytes);
             let _ = event_sender.try_send(Event::SnapshotCommitted(meta, committed));
         });
     }
@@ -80,13 +94,16 @@
     pub(super) fn handle_snapshot_committed(
         &mut self,
         meta: SnapshotMeta,
-        committed: io::Result<()>,
+        committed: io::Result<u64>,
     ) {
         self.is_committing = false;
-        if let Err(error) = committed {
-            self.give_up_snapshot(&error);
-            return;
-        }
+        let state_bytes = match committed {
+            Ok(state_bytes) => state_bytes,
+            Err(error) => {
+                self.give_up_snapshot(&error);
+                return;
+            }
+        };
         self.is_saving = false;
         if self.is_stopped() {
             // The opener of the storage reads the new snapshot.
@@ -94,16 +111,21 @@
         }
         self.is_snapshot_missing = false;
         self.update_snapshot_bytes();
-        let compact_index = self.compact_index(&meta);
         let (last_index, log_bytes) = (meta.last_index, self.node.log().bytes());
+        let snapshot_bytes = self.files.current_bytes().unwrap_or(0);
+        let earlier_bytes = self.node.snapshot_size().map_or(0, |size| size.file_bytes);
+        let applied_bytes =
+            self.node.log().bytes_between(self.node.snapshot().last_index, last_index);
+        let size = SnapshotSize::saved(snapshot_bytes, state_bytes, earlier_bytes, applied_bytes);
+        let compact_index = self.compact_index(&meta);
         self.node.snapshot_saved(meta, compact_index);
-        self.record_snapshot_bytes();
+        self.node.record_snapshot_size(Some(size));
         log::info!(event = "snapshot_saved", group = self.options.group,
             replica = self.options.replica_id, last_index, log_bytes,
-            kept_log_bytes = self.node.log().bytes(), state_bytes = self.state_bytes,
-            snapshot_bytes = self.node.snapshot_bytes().unwrap_or(0);
+            kept_log_bytes = self.node.log().bytes(), state_bytes, snapshot_bytes;
             "the log before the snapshot is no longer needed");
         self.send_job(StorageJob::Compact(compact_index));
+        self.send_awaited_snapshots();
     }
 
     /// Tries again later. The log keeps all entries until a snapshot is saved, so nothing is lost.
@@ -112,10 +134,18 @@
         log::warn!(event = "snapshot_not_saved", group = self.options.group; "{error}");
         let _ = self.files.discard_saved();
         self.snapshot_retry_ms = self.now_ms() + SNAPSHOT_RETRY_MS;
+        self.send_awaited_snapshots();
     }
 
-    /// Index up to which the log is compacted. Some entries are kept for followers that lag behind,
-    /// unless more than half of the space is used.
+    /// Starts to send the newest snapshot to the followers that waited for another one to be saved.
+    fn send_awaited_snapshots(&mut self) {
+        for to in std::mem::take(&mut self.awaiting_snapshot) {
+            self.read_chunk_now(to, 0, 0);
+        }
+    }
+
+    /// Index up to which the log is compacted. Entries up to the size of the snapshot are kept for followers that lag
+    /// behind, unless more than half of the space is used.
     fn compact_index(&self, meta: &SnapshotMeta) -> u64 {
         if self.context.disk_quota.used_bytes() > self.options.data_limit_bytes / 2 {
             return meta.last_index;
@@ -123,10 +153,28 @@
         let inactivity_ms = INACTIVE_TIMEOUTS * self.options.election_timeout_ms;
         let compactable_index = self.node.compactable_index(self.now_ms(), inactivity_ms);
         let retained_entries = self.options.snapshot_interval_entries / 4;
-        meta.last_index.saturating_sub(retained_entries).min(compactable_index)
+        let retained_bytes = self.files.current_bytes().unwrap_or(0).max(MIN_RETAINED_BYTES);
+        let index = meta.last_index.saturating_sub(retained_entries);
+        let index = index.max(self.node.log().index_before_bytes(meta.last_index, retained_bytes));
+        index.min(compactable_index)
     }
 
+    /// Reads a chunk for a follower. A snapshot is sent from its start only if few entries follow it; else a newer one
+    /// is saved first.
     pub(super) fn read_chunk(&mut self, to: u64, last_index: u64, offset_bytes: u64) {
+        if self.awaiting_snapshot.contains(&to) {
+            return;
+        }
+        let sizes = self.node.catch_up_sizes(self.node.log().first_index());
+        let may_save = self.now_ms() >= self.snapshot_retry_ms;
+        if last_index == 0 && may_save && sizes.is_snapshot_outdated() {
+            self.awaiting_snapshot.insert(to);
+            return;
+        }
+        self.read_chunk_now(to, last_index, offset_bytes);
+    }
+
+    fn read_chunk_now(&mut self, to: u64, last_index: u64, offset_bytes: u64) {
         let open_file = self.outgoing_snapshots.get(&to).cloned();
         let open_file =
             open_file.filter(|file| last_index != 0 && file.meta().last_index == last_index);
@@ -167,7 +215,7 @@
                 if chunk.offset_bytes == 0 {
                     log::info!(event = "snapshot_sent", group = self.options.group,
                         replica = self.options.replica_id, to, last_index = chunk.meta.last_index;
-                        "the entries that a follower needs are not in the log");
+                        "a follower gets a snapshot in place of entries");
                 }
                 self.node.chunk_read(now_ms, to, chunk);
             }
@@ -253,13 +301,13 @@
             // The opener of the storage reads the snapshot.
             return;
         }
-        match installed {
-            Ok(state_bytes) => self.state_bytes = state_bytes.unwrap_or(self.state_bytes),
+        let state_bytes = match installed {
+            Ok(state_bytes) => state_bytes.unwrap_or(0),
             Err(error) => {
                 self.suspend(format!("snapshot could not be installed: {error}"));
                 return;
             }
-        }
+        };
         if !self.node.log_matches(&meta) {
             self.send_job(StorageJob::Clear);
         }
@@ -268,19 +316,20 @@
         self.bytes_since_snapshot = 0;
         let last_index = meta.last_index;
         self.node.snapshot_installed(meta);
-        self.record_snapshot_bytes();
+        self.record_restored_size(state_bytes);
         log::info!(event = "snapshot_installed", group = self.options.group,
-            replica = self.options.replica_id, last_index, state_bytes = self.state_bytes,
-            snapshot_bytes = self.node.snapshot_bytes().unwrap_or(0);
+            replica = self.options.replica_id, last_index, state_bytes,
+            snapshot_bytes = self.files.current_bytes().unwrap_or(0);
             "a snapshot of the leader replaced the log");
     }
 
-    /// Tells the node the size of the newest snapshot. The snapshot that a new group starts with is empty and saves no
-    /// entries.
-    pub(super) fn record_snapshot_bytes(&mut self) {
+    /// Records the size of the newest snapshot after its state was restored, or was newer already, which `state_bytes` 0
+    /// stands for. The snapshot that a new group starts with is empty and replaces no entries.
+    pub(super) fn record_restored_size(&mut self, state_bytes: u64) {
         let is_empty = self.node.snapshot().last_index == 0;
-        let bytes = self.files.current_bytes().filter(|_| !is_empty);
-        self.node.record_snapshot_bytes(bytes);
+        let file_bytes = self.files.current_bytes().filter(|_| !is_empty);
+        let size = file_bytes.map(|bytes| SnapshotSize::restored(bytes, state_bytes.max(bytes)));
+        self.node.record_snapshot_size(size);
     }
 
     /// Updates the size of the snapshot files in the disk quota.
--- a/src/raft/driver_storage.rs
+++ b/src/raft/driver_storage.rs
@@ -99,6 +99,7 @@
         self.fault = Some(reason);
         self.pending_replies.fail_all();
         self.outgoing_snapshots.clear();
+        self.awaiting_snapshot.clear();
         self.activity = Activity::Suspended { reopen_at_ms: self.now_ms() + REOPEN_INTERVAL_MS };
     }
 
@@ -143,16 +144,13 @@
         self.applied_index = self.applied_index.max(recovered.snapshot.last_index);
         self.inflight_writes = 0;
         self.bytes_since_snapshot = 0;
-        if state_bytes > 0 {
-            self.state_bytes = state_bytes;
-        }
         let is_forming = identity.standing == Standing::Forming;
         let initial = self.options.replicas.iter().map(|replica| replica.id);
         self.formation = is_forming.then(|| Formation::new(&identity, initial));
         let seed = self.options.seed ^ self.opening;
         self.node = RaftNode::new(self.options.node_config(), recovered, now_ms, seed);
         (self.identity, self.fault, self.storage) = (identity, fault, Some(storage));
-        self.record_snapshot_bytes();
+        self.record_restored_size(state_bytes);
         self.activity = Activity::Active;
         log::info!(event = "storage_regained", group = self.options.group,
             replica = self.options.replica_id, last_index = self.node.log().last_index();
--- a/src/raft/event.rs
+++ b/src/raft/event.rs
@@ -37,8 +37,8 @@
     SnapshotCaptured,
     /// Writing a snapshot has finished or failed; carries the size of the state before compression.
     SnapshotSaved(SnapshotMeta, io::Result<u64>),
-    /// A saved snapshot has become the current one, or could not be made so.
-    SnapshotCommitted(SnapshotMeta, io::Result<()>),
+    /// A saved snapshot has become the current one, or could not be made so; carries the size of the state.
+    SnapshotCommitted(SnapshotMeta, io::Result<u64>),
     /// A received snapshot has become the current one, or could not be installed; carries the size of the state if it
     /// was restored.
     SnapshotInstalled(SnapshotMeta, io::Result<Option<u64>>),
--- a/src/raft/group_options.rs
+++ b/src/raft/group_options.rs
@@ -2,6 +2,9 @@
 
 use crate::raft::{NodeConfig, Replica};
 
+/// Size of entries that arrive in about a quarter of a second between regions, so that a snapshot would save little.
+const MIN_SNAPSHOT_BYTES: u64 = 1 << 20;
+
 /// Settings of one replica of a group.
 #[derive(Clone, Debug)]
 pub struct GroupOptions {
@@ -53,7 +56,7 @@
             snapshot_interval_entries: 50_000,
             data_limit_bytes: 8 << 30,
             reserved_bytes: 256 << 20,
-            transfer_bytes_per_s: 1 << 20,
+            transfer_bytes_per_s: 20 << 20,
             join_existing: false,
             lease_reads: false,
             seed: u64::from(std::process::id()),
@@ -68,6 +71,7 @@
             append_bytes: 256 << 10,
             cache_bytes: 4 << 20,
             transfer_bytes_per_s: self.transfer_bytes_per_s,
+            min_snapshot_bytes: MIN_SNAPSHOT_BYTES,
             lease_reads: self.lease_reads,
         }
     }
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -9,7 +9,7 @@
 use crate::raft::stall_clock::StallClock;
 use crate::raft::{
     Action, Body, Entry, HardState, LeadershipEnd, Log, Message, NodeConfig, ReplicaPosition,
-    ReplicaSet, SnapshotMeta, Stall, Standing, VoteRefusal,
+    ReplicaSet, SnapshotMeta, SnapshotSize, Stall, Standing, VoteRefusal,
 };
 
 /// Raft protocol state of one replica. Its methods take events and the current time and queue
@@ -66,8 +66,8 @@
     pub(super) is_election_extended: bool,
     /// Newest snapshot on the disk.
     pub(super) snapshot: SnapshotMeta,
-    /// Size of its file; `None` if there is none, or none that can be read.
-    pub(super) snapshot_bytes: Option<u64>,
+    /// Its size; `None` if there is none, or none that can be read.
+    pub(super) snapshot_size: Option<SnapshotSize>,
     /// Snapshot that is being received.
     pub(super) incoming: Option<IncomingSnapshot>,
     /// Messages to send once the current term and vote are durable.
@@ -154,7 +154,7 @@
             election_due_ms: 0,
             is_election_extended: false,
             snapshot,
-            snapshot_bytes: None,
+            snapshot_size: None,
             incoming: None,
             held: Vec::new(),
             actions: Vec::new(),
@@ -368,14 +368,14 @@
         &self.snapshot
     }
 
-    /// Size of the file of the newest snapshot; `None` if there is none, or none that can be read.
-    pub fn snapshot_bytes(&self) -> Option<u64> {
-        self.snapshot_bytes
+    /// Size of the newest snapshot; `None` if there is none, or none that can be read.
+    pub fn snapshot_size(&self) -> Option<SnapshotSize> {
+        self.snapshot_size
     }
 
-    /// Records the size of the file of the newest snapshot.
-    pub fn record_snapshot_bytes(&mut self, bytes: Option<u64>) {
-        self.snapshot_bytes = bytes;
+    /// Records the size of the newest snapshot.
+    pub fn record_snapshot_size(&mut self, size: Option<SnapshotSize>) {
+        self.snapshot_size = size;
     }
 
     /// The replica set in force.
--- a/src/raft/node_config.rs
+++ b/src/raft/node_config.rs
@@ -14,6 +14,8 @@
     pub cache_bytes: usize,
     /// Rate limit of snapshot transfers, per follower.
     pub transfer_bytes_per_s: u64,
+    /// Least size of missing entries in place of which a follower gets a snapshot while they are in the log.
+    pub min_snapshot_bytes: u64,
     /// Serve reads under the leader lease without a heartbeat round. Correct only if the clocks of
     /// all hosts run at the same rate.
     pub lease_reads: bool,
--- a/src/raft/node_replication.rs
+++ b/src/raft/node_replication.rs
@@ -1,7 +1,8 @@
 use crate::raft::node::Role;
-use crate::raft::progress::{Mode, SentEntries};
+use crate::raft::progress::{Mode, SentEntries, SLOWEST_LINK_BYTES_PER_MS};
 use crate::raft::{
-    Action, AppendRequest, Body, Entry, Message, RaftNode, SnapshotChunk, SnapshotMeta,
+    Action, AppendRequest, Body, CatchUpSizes, Entry, Message, RaftNode, SnapshotChunk,
+    SnapshotMeta,
 };
 
 /// Leader: replication of the log and of snapshots to the followers.
@@ -18,13 +19,11 @@
     fn replicate(&mut self, now_ms: u64, to: u64) {
         loop {
             let last_index = self.log.last_index();
+            let needs_snapshot = self.needs_snapshot(to);
             let Role::Leader(leader) = &mut self.role else { return };
             let Some(follower) = leader.followers.get_mut(&to) else { return };
             let first_index = follower.next_index;
-            let is_compacted = self.log.term(first_index - 1).is_none();
-            // Checked even if the window is full: the requests in flight can't be sent again, since
-            // their entries were compacted.
-            if is_compacted && matches!(follower.mode, Mode::Probe | Mode::Replicate) {
+            if needs_snapshot {
                 follower.start_snapshot(SnapshotMeta::default(), now_ms);
                 self.tick_snapshots(now_ms);
                 return;
@@ -42,6 +41,36 @@
         }
     }
 
+    /// True if a follower gets a snapshot next: the entries that it needs were compacted, or are larger than a snapshot.
+    ///
+    /// The size counts only until the follower's log is known to match. Afterwards a replica that is merely slow would
+    /// acknowledge nothing while it gets a snapshot, and commits may depend on it.
+    fn needs_snapshot(&self, to: u64) -> bool {
+        let Role::Leader(leader) = &self.role else { return false };
+        let Some(follower) = leader.followers.get(&to) else { return false };
+        // Checked even if the window is full: the requests in flight can't be sent again, since their entries were
+        // compacted.
+        let is_compacted = self.log.term(follower.next_index - 1).is_none();
+        match follower.mode {
+            Mode::Probe if follower.in_flight.is_empty() => {
+                is_compacted || self.catch_up_sizes(follower.next_index).prefers_snapshot()
+            }
+            Mode::Probe | Mode::Replicate => is_compacted,
+            Mode::Fetch { .. } | Mode::Snapshot(_) => false,
+        }
+    }
+
+    /// Sizes of what a follower can get that lacks the entries from `first_index` on.
+    pub fn catch_up_sizes(&self, first_index: u64) -> CatchUpSizes {
+        let applied_index = self.applied_index;
+        CatchUpSizes {
+            missing_bytes: self.log.bytes_between(first_index - 1, applied_index),
+            snapshot: self.snapshot_size,
+            tail_bytes: self.log.bytes_between(self.snapshot.last_index, applied_index),
+            min_bytes: self.config.min_snapshot_bytes,
+        }
+    }
+
     fn send_entries(&mut self, now_ms: u64, to: u64, entries: Vec<Entry>) {
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(follower) = leader.followers.get_mut(&to) else { return };
@@ -195,7 +224,8 @@
 
     /// Handles a snapshot chunk read for a follower, and sends it.
     pub fn chunk_read(&mut self, now_ms: u64, to: u64, chunk: SnapshotChunk) {
-        let retry_ms = 2 * self.config.election_timeout_ms;
+        let transfer_ms = chunk.data.len() as u64 / SLOWEST_LINK_BYTES_PER_MS;
+        let retry_ms = 2 * self.config.election_timeout_ms + transfer_ms;
         let rate = self.config.transfer_bytes_per_s.max(1);
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(follower) = leader.followers.get_mut(&to) else { return };
--- a/src/raft/progress.rs
+++ b/src/raft/progress.rs
@@ -9,7 +9,7 @@
 /// durable, so a smaller bound throttles followers with slow disks.
 const INFLIGHT_FULL_REQUESTS: usize = 8;
 /// Rate at which entries arrive at least, also where several followers share a link between regions.
-const SLOWEST_LINK_BYTES_PER_MS: u64 = 1_000;
+pub(super) const SLOWEST_LINK_BYTES_PER_MS: u64 = 1_000;
 
 /// Replication progress of one follower, as known to the leader.
 #[derive(Clone, Debug)]
--- a/src/settings/number_rule.rs
+++ b/src/settings/number_rule.rs
@@ -52,7 +52,7 @@
     pub(super) const RESERVED_BYTES: Self =
         Self::new("control.reserved_bytes", 256 << 20, 64 << 10, 1 << 40);
     pub(super) const TRANSFER_BYTES_PER_S: Self =
-        Self::new("control.transfer_bytes_per_s", 1_000_000, 10_000, 4_000_000_000);
+        Self::new("control.transfer_bytes_per_s", 20_000_000, 10_000, 4_000_000_000);
     pub(super) const ENTRIES_HOLD_MS: Self =
         Self::new("entry.entries_hold_ms", 10_000, 100, 600_000);
     pub(super) const DRAIN_BOUND_MS: Self =
--- a/tests/raft_narrow_link.rs
+++ b/tests/raft_narrow_link.rs
@@ -33,6 +33,7 @@
         append_bytes: 50_000,
         cache_bytes: 2_000,
         transfer_bytes_per_s: 1_000,
+        min_snapshot_bytes: 1 << 20,
         lease_reads: false,
     };
     let replica =
--- a/tests/raft_node.rs
+++ b/tests/raft_node.rs
@@ -30,6 +30,7 @@
         append_bytes: 1000,
         cache_bytes: 1000,
         transfer_bytes_per_s: 1000,
+        min_snapshot_bytes: 1 << 20,
         lease_reads,
     };
     let snapshot = SnapshotMeta { replicas: replicas(3), ..Default::default() };
--- a/tests/raft_sim/mod.rs
+++ b/tests/raft_sim/mod.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use damaskhoist::raft::{
     Action, Body, Entry, HardState, LogPosition, Message, NodeConfig, Payload, RaftNode, Replica,
-    ReplicaChange, ReplicaSet, SnapshotChunk, SnapshotMeta, Standing,
+    ReplicaChange, ReplicaSet, SnapshotChunk, SnapshotMeta, SnapshotSize, Standing,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -25,6 +25,8 @@
 
 /// Small, so that a snapshot takes several messages.
 const CHUNK_BYTES: usize = 40;
+/// Size of missing entries, some five of them, from which followers get snapshots.
+const MIN_SNAPSHOT_BYTES: u64 = 200;
 const ELECTION_TIMEOUT_MS: u64 = 200;
 /// Number of hosts that send their whole reports to a new leader.
 const REPORTING_HOSTS: u64 = 64;
@@ -643,6 +645,7 @@
             append_bytes: 200,
             cache_bytes: 300,
             transfer_bytes_per_s: 10_000,
+            min_snapshot_bytes: MIN_SNAPSHOT_BYTES,
             lease_reads: self.lease_reads,
         };
         let seed = self.random.random();
@@ -687,6 +690,8 @@
         host.disk.save_snapshot(meta.clone(), host.state.clone());
         host.disk.compact(compact_index);
         node.snapshot_saved(meta, compact_index);
+        let file_bytes = host.disk.snapshot_bytes().1.len() as u64;
+        node.record_snapshot_size(Some(SnapshotSize::restored(file_bytes, file_bytes)));
     }
 
     pub fn run(&mut self, ms: u64) {
