--- a/src/raft/group_options.rs
+++ b/src/raft/group_options.rs
@@ -24,7 +24,7 @@
     pub election_timeout_ms: u64,
     /// Size from which a new segment file of the log is started.
     pub segment_bytes: u64,
-    /// Number of applied entries after which a snapshot is saved.
+    /// Most applied entries between two snapshots; one is saved earlier once the log has grown as much as the state.
     pub snapshot_interval_entries: u64,
     /// Maximum size of the data folder.
     pub data_limit_bytes: u64,
