--- a/src/raft/driver_snapshots.rs
+++ b/src/raft/driver_snapshots.rs
@@ -12,6 +12,9 @@
 
 /// Size of a snapshot chunk. One is in flight at a time, so between regions it should take longer than a round trip.
 const CHUNK_BYTES: u64 = 512 << 10;
+/// Size of the first chunk. It may be lost on a connection to the process that had the address before; a small one is
+/// missed soon.
+const FIRST_CHUNK_BYTES: u64 = 16 << 10;
 /// Size of the log below which no snapshot is saved, however small the state. It is sent in about a second between
 /// regions.
 const MIN_LOG_BYTES: u64 = 4 << 20;
@@ -189,7 +192,8 @@
                 |file| Ok((file, offset_bytes)),
             );
             let read = read.and_then(|(file, offset_bytes)| {
-                let (data, last) = file.read(offset_bytes, CHUNK_BYTES)?;
+                let limit_bytes = if offset_bytes == 0 { FIRST_CHUNK_BYTES } else { CHUNK_BYTES };
+                let (data, last) = file.read(offset_bytes, limit_bytes)?;
                 let meta = file.meta().clone();
                 Ok((file, SnapshotChunk { meta, offset_bytes, data: data.into(), last }))
             });
--- a/src/raft/node_replication.rs
+++ b/src/raft/node_replication.rs
@@ -225,7 +225,12 @@
     /// Handles a snapshot chunk read for a follower, and sends it.
     pub fn chunk_read(&mut self, now_ms: u64, to: u64, chunk: SnapshotChunk) {
         let transfer_ms = chunk.data.len() as u64 / SLOWEST_LINK_BYTES_PER_MS;
-        let retry_ms = 2 * self.config.election_timeout_ms + transfer_ms;
+        // The first chunk is small and may be lost like a probe; a larger one is sent again only if it surely is.
+        let answer_ms = match chunk.offset_bytes {
+            0 => self.probe_timeout_ms(),
+            _ => 2 * self.config.election_timeout_ms,
+        };
+        let retry_ms = answer_ms + transfer_ms;
         let rate = self.config.transfer_bytes_per_s.max(1);
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(follower) = leader.followers.get_mut(&to) else { return };
--- a/tests/raft_node.rs
+++ b/tests/raft_node.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use damaskhoist::raft::{
     Action, AppendRequest, Body, ElectionEvent, Entry, HardState, Log, Message, NodeConfig,
-    Payload, RaftNode, RecoveredState, Replica, ReplicaChange, ReplicaSet, SnapshotMeta, Standing,
+    Payload, RaftNode, RecoveredState, Replica, ReplicaChange, ReplicaSet, SnapshotChunk,
+    SnapshotMeta, Standing,
 };
 use rstest::rstest;
 
@@ -445,6 +446,30 @@
     assert_eq!(node.leader_id(), Some(2));
 }
 
+/// Guards against a replica that catches up a second and a half late, because the first chunk of its snapshot was lost on a
+/// connection to the process that had its address before.
+#[test]
+fn a_lost_first_chunk_of_a_snapshot_is_soon_sent_again() {
+    let mut node = node(Standing::Member, &[1; 5]);
+    let now_ms = elect(&mut node);
+    let term = node.hard_state().term;
+    let meta = SnapshotMeta { last_index: 5, last_term: 1, replicas: replicas(3) };
+    node.snapshot_saved(meta.clone(), 5);
+    node.step(now_ms, rejection(term, 0, 1));
+    let reads = |actions: &[Action]| {
+        let is_read = |action: &&Action| matches!(action, Action::ReadChunk { to: 2, .. });
+        actions.iter().filter(is_read).count()
+    };
+    assert_eq!(reads(&persist(&mut node, now_ms)), 1);
+    let data = vec![0; 10].into();
+    node.chunk_read(now_ms, 2, SnapshotChunk { meta, offset_bytes: 0, data, last: false });
+    persist(&mut node, now_ms);
+    node.tick(now_ms + 200);
+    assert_eq!(reads(&persist(&mut node, now_ms + 200)), 0, "it may be on its way");
+    node.tick(now_ms + 400);
+    assert_eq!(reads(&persist(&mut node, now_ms + 400)), 1);
+}
+
 /// An answer of follower 2, whose log matches up to `index` at most.
 fn rejection(term: u64, index: u64, round: u64) -> Message {
     message(2, term, Body::AppendReply { accepted: false, index, round, settled: true })
